--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# One command builds all: `make build`. README's two commands: `make demo`, `make test`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES = $(shell cat packages.txt)
+SOURCES = $(wildcard src/*.h src/*.cpp tests/*.h tests/*.cpp)
+
+.PHONY: build packages test demo bench measure format check-format lint sanitize clean
+
+build:
+	cmake -S . -B $(BUILD) -DBILBERRY_WERROR=ON
+	cmake --build $(BUILD) -j $(JOBS)
+
+# Installs what is missing; asks the package manager only when something is.
+packages:
+	@missing=""; for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then apt-get update && DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends $$missing; fi
+
+test: packages build
+	ctest --test-dir $(BUILD) --output-on-failure -j 3
+
+demo: packages build
+	python3 tests/demo.py --build $(BUILD)
+
+bench: build
+	$(BUILD)/bilberrybench
+
+measure: build
+	python3 tests/measure.py --build $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+check-format:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	bash tests/lint.sh $(BUILD) $(JOBS)
+
+# Unit tests under the address and undefined-behaviour sanitizers.
+sanitize:
+	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -L unit -j $(JOBS)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/src/Bench.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("signature 0");
+    return 0;
+}
--- /dev/null
+++ b/src/Ctl.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/Daemon.cpp
@@ -0,0 +1,7 @@
+#include "Log.h"
+
+int main()
+{
+    bilberry::logEvent(bilberry::LogLevel::Info, "start", "version={}", BILBERRY_VERSION);
+    return 0;
+}
