--- /dev/null
+++ b/src/ChunkStore.cpp
@@ -0,0 +1,53 @@
+#include "ChunkStore.h"
+
+#include "Digest.h"
+
+namespace bilberry {
+
+bool ChunkStore::put(const std::string& digest, std::string content)
+{
+    if ("sha256:" + sha256Hex(content) != digest)
+        return false;
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->chunks.count(digest))
+        return true;
+    if (this->bytes + content.size() > this->maxBytes)
+        return false;
+    this->bytes += content.size();
+    this->chunks.emplace(digest, std::make_shared<const std::string>(std::move(content)));
+    return true;
+}
+
+ChunkBytes ChunkStore::find(const std::string& digest) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->chunks.find(digest);
+    return found == this->chunks.end() ? nullptr : found->second;
+}
+
+bool ChunkStore::has(const std::string& digest) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->chunks.count(digest) > 0;
+}
+
+void ChunkStore::retain(const std::unordered_set<std::string>& wanted)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    for (auto position = this->chunks.begin(); position != this->chunks.end();) {
+        if (wanted.count(position->first)) {
+            ++position;
+            continue;
+        }
+        this->bytes -= position->second->size();
+        position = this->chunks.erase(position);
+    }
+}
+
+uint64_t ChunkStore::heldBytes() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->bytes;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Configuration.cpp
@@ -0,0 +1,383 @@
+#include "Configuration.h"
+
+#include "Address.h"
+#include "Calendar.h"
+#include "Digest.h"
+#include "DocumentReader.h"
+
+#include <absl/strings/str_join.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+// Deepest nesting that is read; the documents need five levels.
+static constexpr int maxDepth = 16;
+
+// The state of one parse.
+struct Parse {
+    Configuration configuration;
+    std::vector<std::string> faults;
+};
+
+static void readName(DocumentReader& reader, std::set<std::string>& seen, std::string& name)
+{
+    reader.read("name", name, true);
+    if (!name.empty() && !seen.insert(name).second)
+        reader.fault("name", "is used twice");
+}
+
+// Reads a field that names a row of another table.
+template <typename Row>
+static void readReference(DocumentReader& reader, const char* field, const std::vector<Row>& rows, RowIndex& target, bool required = true)
+{
+    std::string name;
+    reader.read(field, name, required);
+    if (name.empty())
+        return;
+    target = findRow(rows, name);
+    if (target == noRow)
+        reader.fault(field, "names nothing that the inventory has");
+}
+
+static void readAddress(DocumentReader& reader, const char* field, std::string& target)
+{
+    reader.read(field, target, true);
+    if (target.empty())
+        return;
+    auto address = parseAddress(target);
+    if (!address.ok())
+        reader.fault(field, "must be IP:port");
+}
+
+static void parseDataCentres(DocumentReader& inventory, Inventory& tables)
+{
+    std::set<std::string> seen;
+    for (auto& reader : inventory.readArray("data_centres", true)) {
+        DataCentre row;
+        readName(reader, seen, row.name);
+        reader.read("region", row.region, true);
+        reader.reportUnknown();
+        tables.dataCentres.push_back(row);
+    }
+}
+
+static void parseServices(DocumentReader& inventory, Inventory& tables)
+{
+    std::set<std::string> seen;
+    for (auto& reader : inventory.readArray("services", true)) {
+        Service row;
+        readName(reader, seen, row.name);
+        std::string kind;
+        reader.read("kind", kind, true);
+        if (kind == "plain")
+            row.kind = ServiceKind::Plain;
+        else if (kind != "model" && !kind.empty())
+            reader.fault("kind", "must be \"model\" or \"plain\"");
+        bool isPlain = row.kind == ServiceKind::Plain;
+        reader.read("path_prefix", row.pathPrefix, isPlain);
+        if (!row.pathPrefix.empty() && row.pathPrefix.front() != '/')
+            reader.fault("path_prefix", "must start with \"/\"");
+        if (row.pathPrefix == "/" || row.pathPrefix.rfind("/v1/", 0) == 0)
+            reader.fault("path_prefix", "is kept for model requests");
+        reader.reportUnknown();
+        tables.services.push_back(row);
+    }
+}
+
+static void parseModels(DocumentReader& inventory, Inventory& tables)
+{
+    std::set<std::string> seen;
+    for (auto& reader : inventory.readArray("models", true)) {
+        Model row;
+        readName(reader, seen, row.name);
+        reader.read("label", row.label, true);
+        readReference(reader, "service", tables.services, row.service);
+        reader.read("size_bytes", row.sizeBytes, 1, uint64_t(1) << 50, true);
+        if (row.service != noRow && tables.services[row.service].kind != ServiceKind::Model)
+            reader.fault("service", "is a plain service; a model needs one of kind \"model\"");
+        reader.reportUnknown();
+        tables.models.push_back(row);
+    }
+}
+
+static void parseRole(DocumentReader& reader, Vm& row)
+{
+    std::string role = "endpoint";
+    reader.read("role", role, false);
+    if (role == "entry")
+        row.role = Role::Entry;
+    else if (role != "endpoint")
+        reader.fault("role", "must be \"entry\" or \"endpoint\"");
+}
+
+static void parseVms(DocumentReader& inventory, Inventory& tables)
+{
+    std::set<std::string> names;
+    std::set<std::string> addresses;
+    for (auto& reader : inventory.readArray("vms", true)) {
+        Vm row;
+        readName(reader, names, row.name);
+        parseRole(reader, row);
+        readReference(reader, "data_centre", tables.dataCentres, row.dataCentre);
+        readAddress(reader, "address", row.address);
+        if (!row.address.empty() && !addresses.insert(row.address).second)
+            reader.fault("address", "is used twice");
+        if (row.role == Role::Endpoint) {
+            readReference(reader, "service", tables.services, row.service);
+            readAddress(reader, "back_end", row.backEnd);
+            reader.read("weight_memory_bytes", row.weightMemoryBytes, 0, uint64_t(1) << 50, false);
+            reader.read("checks_fencing", row.checksFencing);
+            reader.read("max_concurrency", row.maxConcurrency, 1, 100'000, false);
+            reader.read("cold_concurrency", row.coldConcurrency, 1, 100'000, false);
+            if (row.coldConcurrency > row.maxConcurrency)
+                reader.fault("cold_concurrency", "must not be above max_concurrency");
+        }
+        reader.reportUnknown();
+        tables.vms.push_back(row);
+    }
+}
+
+static void parseCallers(DocumentReader& inventory, Inventory& tables)
+{
+    std::set<std::string> seen;
+    for (auto& reader : inventory.readArray("callers", true)) {
+        Caller row;
+        readName(reader, seen, row.name);
+        reader.read("share", row.share, 1, 1'000'000, false);
+        reader.read("key_sha256", row.keySha256, false);
+        if (!row.keySha256.empty() && row.keySha256.size() != 64)
+            reader.fault("key_sha256", "must be 64 hex digits");
+        reader.reportUnknown();
+        tables.callers.push_back(row);
+    }
+}
+
+static void parseInventory(DocumentReader& reader, Inventory& tables)
+{
+    // Tables that others refer to come first.
+    parseDataCentres(reader, tables);
+    parseServices(reader, tables);
+    parseModels(reader, tables);
+    parseVms(reader, tables);
+    parseCallers(reader, tables);
+    auto store = reader.readObject("weight_store");
+    readAddress(store, "address", tables.weightStore);
+    store.read("region", tables.weightStoreRegion, true);
+    store.reportUnknown();
+    reader.reportUnknown();
+}
+
+static void parsePlacements(DocumentReader& rules, const Inventory& inventory, Rules& tables)
+{
+    for (auto& reader : rules.readArray("placements", false)) {
+        PlacementRule row;
+        readReference(reader, "model", inventory.models, row.model);
+        reader.read("replicas", row.replicas, 1, 100'000, true);
+        reader.read("survive_data_centre_loss", row.surviveDataCentreLoss);
+        for (const auto& earlier : tables.placements) {
+            if (earlier.model == row.model && row.model != noRow)
+                reader.fault("model", "has a placement already");
+        }
+        reader.reportUnknown();
+        tables.placements.push_back(row);
+    }
+}
+
+static void parseBursts(DocumentReader& rules, const Inventory& inventory, Rules& tables)
+{
+    std::set<std::string> seen;
+    for (auto& reader : rules.readArray("bursts", false)) {
+        BurstRule row;
+        readName(reader, seen, row.name);
+        readReference(reader, "model", inventory.models, row.model);
+        reader.read("calendar", row.calendar, true);
+        if (!row.calendar.empty() && !isKnownCalendar(row.calendar))
+            reader.fault("calendar", "must be islamic-umalqura, islamic-civil, chinese, hebrew, persian or gregorian");
+        reader.read("month", row.month, 1, 13, true);
+        reader.read("day", row.day, 1, 31, true);
+        if (reader.has("year")) {
+            int year = 0;
+            reader.read("year", year, 1, 9999, false);
+            row.year = year;
+        }
+        reader.read("duration_days", row.durationDays, 1, 60, false);
+        reader.read("lead_days", row.leadDays, 0, 60, false);
+        reader.read("replicas", row.replicas, 1, 100'000, true);
+        reader.reportUnknown();
+        tables.bursts.push_back(row);
+    }
+}
+
+static void parseUnrepeatable(DocumentReader& rules, const Inventory& inventory, Rules& tables)
+{
+    for (auto& reader : rules.readArray("unrepeatable", false)) {
+        UnrepeatableRule row;
+        readReference(reader, "service", inventory.services, row.service);
+        reader.read("method", row.method, true);
+        reader.read("path_prefix", row.pathPrefix, true);
+        reader.reportUnknown();
+        tables.unrepeatable.push_back(row);
+    }
+}
+
+static void readMilliseconds(DocumentReader& reader, const char* field, Milliseconds& target)
+{
+    // An hour bounds each time of the rules.
+    uint32_t count = static_cast<uint32_t>(target.count());
+    reader.read(field, count, 1, 3'600'000, false);
+    target = Milliseconds(count);
+}
+
+static void readPriority(DocumentReader& reader, Priority& target)
+{
+    std::string name = "normal";
+    reader.read("priority", name, false);
+    if (name == "interactive")
+        target = Priority::Interactive;
+    else if (name == "batch")
+        target = Priority::Batch;
+    else if (name != "normal")
+        reader.fault("priority", "must be \"interactive\", \"normal\" or \"batch\"");
+}
+
+static void parseServiceRules(DocumentReader& rules, const Inventory& inventory, Rules& tables)
+{
+    for (RowIndex service = 0; service < inventory.services.size(); ++service) {
+        tables.services.emplace_back();
+        tables.services.back().service = service;
+    }
+    for (auto& reader : rules.readArray("services", false)) {
+        ServiceRule row;
+        readReference(reader, "service", inventory.services, row.service);
+        readPriority(reader, row.priority);
+        readMilliseconds(reader, "default_timeout_ms", row.defaultTimeout);
+        readMilliseconds(reader, "max_timeout_ms", row.maxTimeout);
+        readMilliseconds(reader, "latency_objective_ms", row.latencyObjective);
+        reader.read("retry_share", row.retryShare, 0, 1);
+        reader.read("objective", row.objective, 0.5, 0.999999);
+        if (row.defaultTimeout > row.maxTimeout)
+            reader.fault("default_timeout_ms", "must not be above max_timeout_ms");
+        reader.reportUnknown();
+        if (row.service != noRow)
+            tables.services[row.service] = row;
+    }
+}
+
+template <typename Row>
+static std::vector<RowIndex> readNames(DocumentReader& reader, const char* field, const std::vector<Row>& rows)
+{
+    std::vector<RowIndex> indices;
+    for (const auto& name : reader.readStrings(field)) {
+        RowIndex index = findRow(rows, name);
+        if (index == noRow)
+            reader.fault(field, "names \"" + name + "\", which the inventory does not have");
+        else
+            indices.push_back(index);
+    }
+    return indices;
+}
+
+static void parseRules(DocumentReader& reader, const Inventory& inventory, Rules& tables)
+{
+    parsePlacements(reader, inventory, tables);
+    parseBursts(reader, inventory, tables);
+    parseUnrepeatable(reader, inventory, tables);
+    parseServiceRules(reader, inventory, tables);
+    tables.dataCentresOut = readNames(reader, "data_centres_out", inventory.dataCentres);
+    tables.vmsLeaving = readNames(reader, "vms_leaving", inventory.vms);
+    reader.reportUnknown();
+}
+
+static absl::StatusOr<json> parseJson(std::string_view text)
+{
+    bool tooDeep = false;
+    auto guard = [&](int depth, json::parse_event_t, json&) {
+        tooDeep = tooDeep || depth > maxDepth;
+        return !tooDeep;
+    };
+    if (text.size() > maxConfigurationBytes)
+        return absl::InvalidArgumentError("$: the document is larger than 1 MiB");
+    try {
+        json document = json::parse(text, guard);
+        if (tooDeep)
+            return absl::InvalidArgumentError("$: nested too deep");
+        return document;
+    } catch (const json::exception& exception) {
+        return absl::InvalidArgumentError(std::string("$: no valid JSON: ") + exception.what());
+    }
+}
+
+absl::StatusOr<Configuration> parseConfiguration(std::string_view text, Generation generation)
+{
+    auto document = parseJson(text);
+    if (!document.ok())
+        return document.status();
+    Parse parse;
+    Configuration& configuration = parse.configuration;
+    configuration.generation = generation;
+    DocumentReader root(*document, "$", parse.faults, configuration.warnings);
+    auto inventory = root.readObject("inventory");
+    auto rules = root.readObject("rules");
+    root.reportUnknown();
+    if (parse.faults.empty()) {
+        parseInventory(inventory, configuration.inventory);
+        parseRules(rules, configuration.inventory, configuration.rules);
+    }
+    if (!parse.faults.empty())
+        return absl::InvalidArgumentError(absl::StrJoin(parse.faults, "\n"));
+    configuration.text = std::string(text);
+    configuration.digest = sha256Hex(text);
+    return std::move(parse.configuration);
+}
+
+bool isDataCentreOut(const Configuration& configuration, RowIndex dataCentre)
+{
+    const auto& out = configuration.rules.dataCentresOut;
+    return std::find(out.begin(), out.end(), dataCentre) != out.end();
+}
+
+bool isVmLeaving(const Configuration& configuration, RowIndex vm)
+{
+    const auto& leaving = configuration.rules.vmsLeaving;
+    return std::find(leaving.begin(), leaving.end(), vm) != leaving.end();
+}
+
+static RowIndex findModelService(const Inventory& inventory, std::string_view modelName)
+{
+    RowIndex model = findRow(inventory.models, modelName);
+    return model == noRow ? noRow : inventory.models[model].service;
+}
+
+RowIndex findService(const Inventory& inventory, std::string_view path, std::string_view modelName)
+{
+    if (path.substr(0, 4) == "/v1/")
+        return findModelService(inventory, modelName);
+    RowIndex best = noRow;
+    size_t bestLength = 0;
+    for (RowIndex index = 0; index < inventory.services.size(); ++index) {
+        const std::string& prefix = inventory.services[index].pathPrefix;
+        bool isPrefix = !prefix.empty() && path.substr(0, prefix.size()) == prefix;
+        bool endsAtSegment = path.size() == prefix.size() || (path.size() > prefix.size() && path[prefix.size()] == '/');
+        if (isPrefix && endsAtSegment && prefix.size() > bestLength) {
+            best = index;
+            bestLength = prefix.size();
+        }
+    }
+    return best;
+}
+
+bool isUnrepeatable(const Rules& rules, RowIndex service, std::string_view method, std::string_view path)
+{
+    for (const auto& rule : rules.unrepeatable) {
+        bool sameCall = rule.service == service && rule.method == method;
+        if (sameCall && path.substr(0, rule.pathPrefix.size()) == rule.pathPrefix)
+            return true;
+    }
+    return false;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Endpoint.h
@@ -0,0 +1,52 @@
+/// The process beside one endpoint: the last check of every request, and the owner of what is true of the endpoint.
+#pragma once
+
+#include "Admission.h"
+#include "HttpMessage.h"
+#include "KeyTable.h"
+#include "WeightAgent.h"
+
+#include <mutex>
+
+namespace bilberry {
+
+struct Configuration;
+struct Node;
+struct Vm;
+
+/// Thread safe.
+class Endpoint {
+public:
+    /// Precondition: the node outlives the endpoint.
+    explicit Endpoint(Node&);
+
+    void start();
+    void stop();
+    /// Periodic work: own report, cold state, expiry of keys.
+    void tick(TimePoint now);
+    /// Handles a forwarded request.
+    HttpResponse forward(const HttpRequest&);
+    /// Handles a peer's or the engine's read of weights.
+    HttpResponse answerWeights(const HttpRequest& request) const { return this->weights.answer(request); }
+    /// Answers the question for a key's outcome, and fences the attempt when the key was never seen.
+    HttpResponse answerKeyQuery(const HttpRequest&);
+    /// Requests at the back end.
+    uint32_t inProgress() const;
+
+private:
+    HttpResponse refuse(const HttpRequest&, RefusalReason);
+    RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
+    RefusalReason admit();
+    void complete(bool isFailure, bool wasAtLimit);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&);
+    HttpResponse runKeyed(const HttpRequest&, const Vm&, const std::string& key);
+
+    Node& node;
+    WeightAgent weights;
+    KeyTable keys;
+    mutable std::mutex mutex; ///< Guards the admission state.
+    AdmissionState admission;
+    bool hasBounds = false;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EngineClient.h
@@ -0,0 +1,40 @@
+/// Orders to the model engine beside this process, and its read-back.
+#pragma once
+
+#include "Types.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+struct Node;
+
+/// One model as the engine reports it.
+struct EngineModel {
+    std::string model;
+    std::string digest;
+    bool isReady = false;
+    uint64_t fencing = 0; ///< Highest order number that the engine has seen for it.
+};
+
+/// One order to load a version.
+struct LoadOrder {
+    std::string model;
+    std::string digest;
+    std::string source; ///< URL from which the engine reads the weights.
+    uint64_t fencing = 0;
+};
+
+/// What the engine has loaded. Error: it was not reached or answered nonsense. Thread safe.
+absl::StatusOr<std::vector<EngineModel>> readEngineModels(Node&, const std::string& engine);
+
+/// Orders a load and waits for it. Errors: FailedPrecondition when the order's number is old; InvalidArgument when the
+/// engine refused the weights; Unavailable otherwise. Thread safe.
+absl::Status orderLoad(Node&, const std::string& engine, const LoadOrder&, Milliseconds timeout);
+
+/// Whether the engine says that it is in cold start. Error: not reached. Thread safe.
+absl::StatusOr<bool> readEngineCold(Node&, const std::string& engine);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Entry.h
@@ -0,0 +1,50 @@
+/// The process in front: takes callers' requests, chooses endpoints, forwards, retries and answers.
+#pragma once
+
+#include "HttpMessage.h"
+#include "Retry.h"
+#include "Router.h"
+
+#include <atomic>
+#include <mutex>
+#include <vector>
+
+namespace bilberry {
+
+struct Node;
+struct EntryRequest;
+struct AttemptOutcome;
+
+/// Thread safe.
+class Entry {
+public:
+    /// Precondition: the node outlives the entry.
+    explicit Entry(Node&);
+
+    /// Periodic work: the routing table.
+    void tick(TimePoint now);
+    /// Handles a caller's request.
+    HttpResponse handle(const HttpRequest&);
+    /// Requests that are not answered to the end yet.
+    uint32_t inProgress() const { return this->requestsInProgress; }
+
+private:
+    HttpResponse serve(const HttpRequest&);
+    RefusalReason readRequest(const HttpRequest&, const Configuration&, EntryRequest&) const;
+    HttpResponse refuse(const EntryRequest&, Refusal);
+    RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
+    AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm);
+    AttemptOutcome askKeyOwner(const EntryRequest&, const std::string& address, const std::string& attemptId);
+    bool spendRetry(const EntryRequest&);
+    uint64_t nextRandom();
+
+    Node& node;
+    Router router;
+    std::atomic<uint32_t> requestsInProgress { 0 };
+    std::atomic<uint64_t> attemptCounter { 0 };
+    std::mutex mutex; ///< Guards the budgets and the random state.
+    std::vector<RetryBudget> budgets; ///< By service.
+    uint64_t randomState;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Flags.cpp
@@ -0,0 +1,86 @@
+#include "Flags.h"
+
+#include <cstdlib>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+namespace bilberry {
+
+// The project's own flags; gflags defines some more, which are no settings of ours.
+static bool isOwnFlag(const gflags::CommandLineFlagInfo& flag)
+{
+    return flag.filename.find("gflags") == std::string::npos;
+}
+
+static void setFlag(const std::string& name, const std::string& value, const std::string& source, CommandLine& line)
+{
+    gflags::CommandLineFlagInfo flag;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &flag) || !isOwnFlag(flag)) {
+        line.faults.push_back(fmt::format("{}{}: no such setting", source, name));
+        return;
+    }
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+        line.faults.push_back(fmt::format("{}{}: \"{}\" is no {}", source, name, value, flag.type));
+}
+
+static void readEnvironment(CommandLine& line)
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const auto& flag : flags) {
+        const char* value = isOwnFlag(flag) ? std::getenv(("FLAGS_" + flag.name).c_str()) : nullptr;
+        if (value)
+            setFlag(flag.name, value, "FLAGS_", line);
+    }
+}
+
+static bool isBoolFlag(const std::string& name)
+{
+    gflags::CommandLineFlagInfo flag;
+    return gflags::GetCommandLineFlagInfo(name.c_str(), &flag) && flag.type == "bool";
+}
+
+CommandLine readCommandLine(int argc, char** argv)
+{
+    CommandLine line;
+    readEnvironment(line);
+    for (int i = 1; i < argc; ++i) {
+        std::string word = argv[i];
+        if (word.rfind("--", 0) != 0) {
+            line.positional.push_back(word);
+            continue;
+        }
+        std::string name = word.substr(2);
+        auto equals = name.find('=');
+        if (name == "help")
+            line.wantsHelp = true;
+        else if (name == "version")
+            line.wantsVersion = true;
+        else if (equals != std::string::npos)
+            setFlag(name.substr(0, equals), name.substr(equals + 1), "--", line);
+        else if (isBoolFlag(name))
+            setFlag(name, "true", "--", line);
+        else if (name.rfind("no", 0) == 0 && isBoolFlag(name.substr(2)))
+            setFlag(name.substr(2), "false", "--", line);
+        else if (i + 1 < argc)
+            setFlag(name, argv[++i], "--", line);
+        else
+            line.faults.push_back(fmt::format("--{}: has no value", name));
+    }
+    return line;
+}
+
+std::string describeFlags(const std::string& sourceFileSuffix)
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    std::string text;
+    for (const auto& flag : flags) {
+        bool isWanted = flag.filename.size() >= sourceFileSuffix.size() && flag.filename.compare(flag.filename.size() - sourceFileSuffix.size(), std::string::npos, sourceFileSuffix) == 0;
+        if (isWanted)
+            text += fmt::format("  --{} ({}, default \"{}\"): {}\n", flag.name, flag.type, flag.default_value, flag.description);
+    }
+    return text;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/HttpClient.cpp
@@ -0,0 +1,232 @@
+#include "HttpClient.h"
+
+#include "Address.h"
+
+#include <condition_variable>
+#include <httplib.h>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace bilberry {
+
+// Peers close an idle connection after five seconds; ours is given up before.
+static constexpr Seconds idleLimit { 3 };
+// Kept connections an address.
+static constexpr size_t maxIdleConnections = 8;
+// Bytes that a reader may lag behind its sender.
+static constexpr size_t maxBufferedBytes = 256 * 1024;
+
+namespace {
+struct IdleClient {
+    std::unique_ptr<httplib::Client> client;
+    TimePoint since;
+};
+} // namespace
+
+struct HttpClientPool::State {
+    std::string localAddress;
+    std::mutex mutex;
+    std::unordered_map<std::string, std::vector<IdleClient>> idle;
+
+    std::unique_ptr<httplib::Client> take(const std::string& address)
+    {
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            auto& clients = this->idle[address];
+            while (!clients.empty()) {
+                auto candidate = std::move(clients.back());
+                clients.pop_back();
+                if (Clock::now() - candidate.since < idleLimit)
+                    return std::move(candidate.client);
+            }
+        }
+        auto parsed = parseAddress(address);
+        if (!parsed.ok())
+            return nullptr;
+        auto client = std::make_unique<httplib::Client>(parsed->host, parsed->port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_url_encode(false);
+        if (!this->localAddress.empty())
+            client->set_interface(this->localAddress);
+        return client;
+    }
+
+    void give(const std::string& address, std::unique_ptr<httplib::Client> client)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        auto& clients = this->idle[address];
+        if (clients.size() < maxIdleConnections)
+            clients.push_back({ std::move(client), Clock::now() });
+    }
+};
+
+static httplib::Request toLibrary(const HttpRequest& request)
+{
+    httplib::Request own;
+    own.method = request.method;
+    own.path = request.path;
+    for (const auto& [name, value] : request.headers)
+        own.headers.emplace(name, value);
+    own.body = request.body;
+    return own;
+}
+
+static void setTimeouts(httplib::Client& client, HttpTimeouts timeouts)
+{
+    client.set_connection_timeout(timeouts.connect);
+    client.set_read_timeout(timeouts.read);
+    client.set_write_timeout(timeouts.read);
+}
+
+static CallFailure toFailure(httplib::Error error)
+{
+    switch (error) {
+    case httplib::Error::Success:
+        return CallFailure::None;
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+        return CallFailure::NotSent;
+    default:
+        return CallFailure::Lost;
+    }
+}
+
+HttpClientPool::HttpClientPool(const std::string& localAddress)
+    : state(std::make_unique<State>())
+{
+    this->state->localAddress = localAddress;
+}
+
+HttpClientPool::~HttpClientPool() = default;
+
+HttpReply HttpClientPool::call(const std::string& address, const HttpRequest& request, HttpTimeouts timeouts, size_t maxBodyBytes)
+{
+    HttpReply reply;
+    auto client = this->state->take(address);
+    if (!client) {
+        reply.failure = CallFailure::NotSent;
+        return reply;
+    }
+    setTimeouts(*client, timeouts);
+    auto own = toLibrary(request);
+    own.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
+        if (reply.body.size() + size > maxBodyBytes)
+            return false;
+        reply.body.append(data, size);
+        return true;
+    };
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    client->send(own, response, error);
+    reply.failure = toFailure(error);
+    reply.status = std::max(response.status, 0);
+    reply.headers.assign(response.headers.begin(), response.headers.end());
+    if (reply.failure == CallFailure::None)
+        this->state->give(address, std::move(client));
+    return reply;
+}
+
+// Shared by the reader and the sending thread.
+struct HttpExchange::State {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::unique_ptr<httplib::Client> client;
+    bool hasHead = false;
+    bool isDone = false;
+    bool isCancelled = false;
+    HttpReply head;
+    std::string buffer;
+    std::thread thread;
+};
+
+HttpExchange::HttpExchange(HttpClientPool& pool, const std::string& address, HttpRequest request, HttpTimeouts timeouts)
+    : state(std::make_shared<State>())
+{
+    auto state = this->state;
+    state->client = pool.state->take(address);
+    if (!state->client) {
+        state->head.failure = CallFailure::NotSent;
+        state->isDone = true;
+        return;
+    }
+    setTimeouts(*state->client, timeouts);
+    auto own = toLibrary(request);
+    own.response_handler = [state](const httplib::Response& response) {
+        std::lock_guard<std::mutex> lock(state->mutex);
+        state->head.status = response.status;
+        state->head.headers.assign(response.headers.begin(), response.headers.end());
+        state->hasHead = true;
+        state->changed.notify_all();
+        return !state->isCancelled;
+    };
+    own.content_receiver = [state](const char* data, size_t size, uint64_t, uint64_t) {
+        std::unique_lock<std::mutex> lock(state->mutex);
+        state->changed.wait(lock, [&] { return state->buffer.size() < maxBufferedBytes || state->isCancelled; });
+        state->buffer.append(data, size);
+        state->changed.notify_all();
+        return !state->isCancelled;
+    };
+    state->thread = std::thread([state, own = std::move(own), &pool, address]() mutable {
+        httplib::Response response;
+        auto error = httplib::Error::Success;
+        state->client->send(own, response, error);
+        std::lock_guard<std::mutex> lock(state->mutex);
+        state->head.failure = state->isCancelled ? CallFailure::Cancelled : toFailure(error);
+        state->isDone = true;
+        if (state->head.failure == CallFailure::None)
+            pool.state->give(address, std::move(state->client));
+        state->changed.notify_all();
+    });
+}
+
+HttpExchange::~HttpExchange()
+{
+    this->cancel();
+    if (this->state->thread.joinable())
+        this->state->thread.join();
+}
+
+const HttpReply& HttpExchange::waitForHead()
+{
+    std::unique_lock<std::mutex> lock(this->state->mutex);
+    this->state->changed.wait(lock, [&] { return this->state->hasHead || this->state->isDone; });
+    return this->state->head;
+}
+
+BodyStep HttpExchange::readPiece(std::string& piece)
+{
+    std::unique_lock<std::mutex> lock(this->state->mutex);
+    this->state->changed.wait(lock, [&] { return !this->state->buffer.empty() || this->state->isDone; });
+    if (this->state->buffer.empty())
+        return this->state->head.failure == CallFailure::None ? BodyStep::End : BodyStep::Broken;
+    piece = std::move(this->state->buffer);
+    this->state->buffer.clear();
+    this->state->changed.notify_all();
+    return BodyStep::More;
+}
+
+bool HttpExchange::readAll(std::string& body)
+{
+    std::string piece;
+    for (;;) {
+        auto step = this->readPiece(piece);
+        if (step != BodyStep::More)
+            return step == BodyStep::End;
+        body += piece;
+    }
+}
+
+void HttpExchange::cancel()
+{
+    std::lock_guard<std::mutex> lock(this->state->mutex);
+    if (this->state->isDone)
+        return;
+    this->state->isCancelled = true;
+    this->state->client->stop();
+    this->state->changed.notify_all();
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/HttpMessage.cpp
@@ -0,0 +1,60 @@
+#include "HttpMessage.h"
+
+#include <absl/strings/match.h>
+#include <algorithm>
+#include <array>
+
+namespace bilberry {
+
+static constexpr std::array<std::string_view, 11> hopHeaders { "connection", "keep-alive", "transfer-encoding", "content-length",
+    "host", "te", "trailer", "upgrade", "accept-encoding", "proxy-connection", "content-encoding" };
+
+static bool sameName(std::string_view first, std::string_view second)
+{
+    return absl::EqualsIgnoreCase(absl::string_view(first.data(), first.size()), absl::string_view(second.data(), second.size()));
+}
+
+std::string findHeader(const HttpHeaders& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers) {
+        if (sameName(key, name))
+            return value;
+    }
+    return {};
+}
+
+void setHeader(HttpHeaders& headers, std::string_view name, std::string value)
+{
+    auto isSame = [&](const auto& header) { return sameName(header.first, name); };
+    headers.erase(std::remove_if(headers.begin(), headers.end(), isSame), headers.end());
+    headers.emplace_back(std::string(name), std::move(value));
+}
+
+static bool isHopHeader(const std::string& name)
+{
+    // The HTTP library adds four request headers of its own that describe the connection.
+    if (absl::StartsWithIgnoreCase(name, "x-bilberry-") || sameName(name, "remote_addr") || sameName(name, "remote_port") || sameName(name, "local_addr") || sameName(name, "local_port"))
+        return true;
+    return std::any_of(hopHeaders.begin(), hopHeaders.end(), [&](std::string_view hop) { return sameName(hop, name); });
+}
+
+HttpHeaders withoutHopHeaders(const HttpHeaders& headers)
+{
+    HttpHeaders kept;
+    for (const auto& header : headers) {
+        if (!isHopHeader(header.first))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,146 @@
+#include "HttpServer.h"
+
+#include <absl/strings/str_cat.h>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace bilberry {
+
+// An idle connection holds a thread, so it is closed after this.
+static constexpr time_t keepAliveSeconds = 5;
+// Time for a slow sender to deliver its request, and for a slow receiver to take a piece of its answer.
+static constexpr Seconds transferTimeout { 30 };
+// The library listens with a queue of 5, too short for a burst of new connections.
+static constexpr int listenQueueLength = 1024;
+
+struct HttpServer::State {
+    Address address;
+    httplib::Server server;
+    int listeningSocket = -1;
+    int port = 0;
+    std::thread acceptor;
+};
+
+HttpServer::HttpServer(const Address& listen, int threads, size_t maxBodyBytes)
+    : state(std::make_unique<State>())
+{
+    this->state->address = listen;
+    auto& server = this->state->server;
+    server.new_task_queue = [threads] { return new httplib::ThreadPool(static_cast<size_t>(threads)); };
+    server.set_payload_max_length(maxBodyBytes);
+    server.set_keep_alive_timeout(keepAliveSeconds);
+    server.set_keep_alive_max_count(SIZE_MAX);
+    server.set_tcp_nodelay(true);
+    server.set_read_timeout(transferTimeout);
+    server.set_write_timeout(transferTimeout);
+    server.set_socket_options([state = this->state.get()](socket_t socket) {
+        int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        state->listeningSocket = socket;
+    });
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+absl::Status HttpServer::bind()
+{
+    const Address& address = this->state->address;
+    if (address.port == 0)
+        this->state->port = this->state->server.bind_to_any_port(address.host);
+    else if (this->state->server.bind_to_port(address.host, address.port))
+        this->state->port = address.port;
+    if (this->state->port <= 0)
+        return absl::UnavailableError(absl::StrCat("can't listen on ", toText(address)));
+    ::listen(this->state->listeningSocket, listenQueueLength);
+    return absl::OkStatus();
+}
+
+static HttpRequest toOwn(const httplib::Request& request)
+{
+    HttpRequest own;
+    own.method = request.method;
+    own.path = request.target;
+    own.headers.assign(request.headers.begin(), request.headers.end());
+    own.body = request.body;
+    return own;
+}
+
+// Feeds one piece a call to the library; false ends the connection.
+static bool writePiece(const HttpResponse& response, std::string& firstPiece, httplib::DataSink& sink)
+{
+    std::string piece = std::move(firstPiece);
+    firstPiece.clear();
+    auto step = piece.empty() ? response.stream(piece) : BodyStep::More;
+    if (step == BodyStep::Broken)
+        return false;
+    if (step == BodyStep::End) {
+        sink.done();
+        return true;
+    }
+    return piece.empty() ? sink.is_writable() : sink.write(piece.data(), piece.size());
+}
+
+static void fill(httplib::Response& target, HttpResponse response)
+{
+    target.status = response.status;
+    std::string type = findHeader(response.headers, "Content-Type");
+    if (type.empty())
+        type = "application/octet-stream";
+    for (const auto& [name, value] : withoutHopHeaders(response.headers)) {
+        if (name != "Content-Type" && name != "content-type")
+            target.set_header(name, value);
+    }
+    // withoutHopHeaders() drops the project's own headers; between its processes they pass.
+    for (const auto& [name, value] : response.headers) {
+        if (name.rfind("X-Bilberry-", 0) == 0)
+            target.set_header(name, value);
+    }
+    if (!response.stream) {
+        target.set_content(response.body, type);
+        return;
+    }
+    auto shared = std::make_shared<HttpResponse>(std::move(response));
+    auto firstPiece = std::make_shared<std::string>(std::move(shared->body));
+    auto provider = [shared, firstPiece](size_t, httplib::DataSink& sink) { return writePiece(*shared, *firstPiece, sink); };
+    auto release = [shared](bool) {
+        if (shared->onFinished)
+            shared->onFinished();
+    };
+    target.set_chunked_content_provider(type, provider, release);
+}
+
+void HttpServer::start(HttpHandler handler)
+{
+    auto adapter = [handler = std::move(handler)](const httplib::Request& request, httplib::Response& response) {
+        fill(response, handler(toOwn(request)));
+    };
+    auto& server = this->state->server;
+    server.Get(".*", adapter);
+    server.Post(".*", adapter);
+    server.Put(".*", adapter);
+    server.Patch(".*", adapter);
+    server.Delete(".*", adapter);
+    server.Options(".*", adapter);
+    this->state->acceptor = std::thread([&server] { server.listen_after_bind(); });
+    while (!server.is_running())
+        std::this_thread::yield();
+}
+
+int HttpServer::port() const
+{
+    return this->state->port;
+}
+
+void HttpServer::stop()
+{
+    if (!this->state->acceptor.joinable())
+        return;
+    this->state->server.stop();
+    this->state->acceptor.join();
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/LiveList.cpp
@@ -0,0 +1,34 @@
+#include "LiveList.h"
+
+#include "DocumentReader.h"
+
+#include <absl/strings/str_join.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+absl::StatusOr<LiveList> parseLiveList(std::string_view text, Generation generation)
+{
+    auto document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return absl::InvalidArgumentError("$: no valid JSON");
+    std::vector<std::string> faults;
+    std::vector<std::string> warnings;
+    DocumentReader root(document, "$", faults, warnings);
+    LiveList list;
+    list.generation = generation;
+    for (auto& reader : root.readArray("vms", true)) {
+        std::string name;
+        std::string state;
+        reader.read("vm", name, true);
+        reader.read("state", state, true);
+        if (state != "live" && state != "leaving")
+            reader.fault("state", "must be \"live\" or \"leaving\"");
+        list.vms[name] = state == "leaving" ? LiveState::Leaving : LiveState::Live;
+    }
+    if (!faults.empty())
+        return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
+    return list;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Retry.cpp
@@ -0,0 +1,41 @@
+#include "Retry.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+static constexpr int maxAttempts = 4;
+static constexpr Milliseconds firstBackOff { 10 };
+static constexpr Milliseconds largestBackOff { 500 };
+
+void addToBudget(RetryBudget& budget, double share)
+{
+    budget.tokens = std::min(budget.maxTokens, budget.tokens + share);
+}
+
+bool takeFromBudget(RetryBudget& budget)
+{
+    if (budget.tokens < 1)
+        return false;
+    budget.tokens -= 1;
+    return true;
+}
+
+RetryDecision decideRetry(const AttemptReport& report)
+{
+    bool isPossible = !report.bytesReachedCaller && report.attempts < maxAttempts && report.timeLeft > Milliseconds(0);
+    if (!isPossible)
+        return RetryDecision::GiveUp;
+    if (mayGoElsewhere(report.refusal))
+        return RetryDecision::TryAnother;
+    bool isUnknown = report.refusal.outcome == Outcome::Unknown;
+    return isUnknown && report.mayRepeat ? RetryDecision::TryAnother : RetryDecision::GiveUp;
+}
+
+Milliseconds backOff(int attempts, uint64_t random)
+{
+    auto bound = std::min(largestBackOff, firstBackOff * (1 << std::min(attempts - 1, 10)));
+    return Milliseconds(static_cast<int64_t>(random % static_cast<uint64_t>(bound.count() + 1)));
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/StoreClient.cpp
@@ -0,0 +1,42 @@
+#include "StoreClient.h"
+
+#include "Node.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace bilberry {
+
+static absl::Status toStatus(const HttpReply& reply)
+{
+    if (reply.failure != CallFailure::None)
+        return absl::UnavailableError("store was not reached");
+    if (reply.status == 200)
+        return absl::OkStatus();
+    if (reply.status == 404)
+        return absl::NotFoundError("store does not have it");
+    if (reply.status == 429)
+        return absl::ResourceExhaustedError("store refused over its rate");
+    return absl::UnavailableError(absl::StrCat("store answered status ", reply.status));
+}
+
+absl::StatusOr<Manifest> readManifest(Node& node, const std::string& store, const std::string& model, const std::string& reference)
+{
+    HttpRequest request { "GET", absl::StrCat("/v2/", model, "/manifests/", reference), {}, {} };
+    auto reply = node.clients.call(store, request, { node.settings.connectTimeout, node.settings.callTimeout }, maxManifestBytes);
+    auto status = toStatus(reply);
+    if (!status.ok())
+        return status;
+    return parseManifest(reply.body);
+}
+
+absl::StatusOr<std::string> readBlob(Node& node, const std::string& store, const std::string& model, const ManifestChunk& chunk, Milliseconds timeout)
+{
+    HttpRequest request { "GET", absl::StrCat("/v2/", model, "/blobs/", chunk.digest), {}, {} };
+    auto reply = node.clients.call(store, request, { node.settings.connectTimeout, timeout }, chunk.sizeBytes);
+    auto status = toStatus(reply);
+    if (!status.ok())
+        return status;
+    return std::move(reply.body);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/WeightAgent.h
@@ -0,0 +1,44 @@
+/// Brings the wanted versions to this VM, passes their chunks on, and orders the engine to load them.
+#pragma once
+
+#include "ChunkStore.h"
+#include "VmStatus.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+struct HttpRequest;
+struct HttpResponse;
+struct Node;
+
+/// Runs on threads of its own. Thread safe.
+class WeightAgent {
+public:
+    /// Precondition: the node outlives the agent.
+    explicit WeightAgent(Node&);
+    ~WeightAgent();
+    WeightAgent(const WeightAgent&) = delete;
+    WeightAgent& operator=(const WeightAgent&) = delete;
+
+    /// Starts the threads. Call once.
+    void start();
+    /// Ends them; fetches in progress are given up.
+    void stop();
+
+    /// The version of the model that the engine was last seen to serve, or nothing while that is not certain.
+    std::optional<std::string> servedDigest(const std::string& model) const;
+    /// Fills the parts of the report that concern weights.
+    void fillStatus(VmStatus&) const;
+    /// Answers `/chunks/sha256:…` and `/manifests/sha256:…` for peers, `/weights/sha256:…` for the engine.
+    HttpResponse answer(const HttpRequest&) const;
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,74 @@
+#!/usr/bin/env python3
+"""The whole path of both deployments: spread a model, serve, take a data centre out and back, report."""
+
+import sys
+import time
+
+import harness
+
+ACCOUNTS = 4
+
+
+def sum_runs(fleet, service):
+    """Runs by key at the back ends of a plain service."""
+    runs = {}
+    for name in fleet.endpoints(service):
+        for key, count in fleet.back_end(name).counts().get("runs_by_key", {}).items():
+            runs[key] = runs.get(key, 0) + count
+    return runs
+
+
+def run(build, deployment):
+    out = {"registry": "sousse-a", "spendlens": "eu-central-b"}[deployment]
+    with harness.Fleet(build, deployment, store_rate=16 << 20, engine_flags=["--slots=8", "--token_ms=4", "--cold_ms=300", "--cold_slots=2"]) as fleet:
+        wanted = {"registry": 9, "spendlens": 12}[deployment]
+        spread_seconds = fleet.wait_for_replicas(wanted)
+        fleet.wait_for_entries()
+        accounts = ",".join(f"{row['name']}:{row['share']}" for row in fleet.inventory["callers"])
+        rule = fleet.rules["unrepeatable"][0]
+        common = [f"--account={accounts}", "--seconds=9", "--timeout_ms=8000"]
+        models = fleet.load(*common, "--rate=60", "--workers=64", f"--model={fleet.inventory['models'][0]['name']}", "--max_tokens=8",
+                            "--stream", f"--expect_fingerprints={fleet.digest}", "--seed=1")
+        calls = fleet.load(*common, "--rate=30", "--workers=16", f"--path={rule['path_prefix']}", "--key_prefix=demo-", "--resend=3", "--seed=2")
+        time.sleep(3)
+        fleet.take_out(out)
+        time.sleep(3)
+        fleet.bring_back()
+        reports = [harness.finish(models), harness.finish(calls)]
+        runs = sum_runs(fleet, rule["service"])
+        origin = fleet.store.counts()["bytes_sent"] / fleet.model_bytes
+        codes = {name: fleet.processes[name].stop() for name in fleet.entries() + fleet.endpoints()}
+    return print_report(deployment, out, wanted, spread_seconds, origin, reports, runs, codes)
+
+
+def print_report(deployment, out, wanted, spread_seconds, origin, reports, runs, codes):
+    total = {field: sum(report[field] for report in reports) for field in ("sent", "ok", "lost", "cut", "wrong", "mixed")}
+    refused = {}
+    for report in reports:
+        for reason, count in report["refused"].items():
+            refused[reason] = refused.get(reason, 0) + count
+    doubled = sum(1 for count in runs.values() if count > 1)
+    unclean = {name: code for name, code in codes.items() if code != 0}
+    print(f"deployment          {deployment}")
+    print(f"replicas            {wanted} after {spread_seconds:.2f} s, origin sent {origin:.2f} copies")
+    print(f"data centre         {out} taken out and returned under load")
+    print(f"requests            {total['sent']} sent, {total['ok']} answered")
+    print(f"refused             {refused or 'none'}")
+    print(f"lost, cut off       {total['lost']}, {total['cut']}")
+    print(f"crossed, mixed      {total['wrong']}, {total['mixed']}")
+    print(f"unrepeatable calls  {len(runs)} ran, {doubled} of them doubled")
+    print(f"processes stopped   {len(codes)}, {len(unclean)} of them not clean {unclean or ''}")
+    print(f"first byte          p50 {reports[0]['ttft_ms']['p50']} ms, p95 {reports[0]['ttft_ms']['p95']} ms")
+    bad = total["lost"] + total["cut"] + total["wrong"] + total["mixed"] + doubled + len(unclean)
+    print(f"result              {'ok' if bad == 0 else 'FAILED'}\n")
+    return 0 if bad == 0 else 1
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__, deployment="")
+    names = [arguments.deployment] if arguments.deployment else ["registry", "spendlens"]
+    return max(run(arguments.build, name) for name in names)
+
+
+if __name__ == "__main__":
+    sys.exit(harness.main(main))
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,305 @@
+"""Starts the whole path as separate processes on loopback: stand-ins, daemons, load.
+
+Each data centre has a loopback network of its own (127.0.<n>.0/24), from which its processes also connect.
+"""
+
+import argparse
+import contextlib
+import json
+import pathlib
+import queue
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+STORE_HOST = "127.0.9.1"
+CONFIGURATION_KEY = "/v1/kv/bilberrybarrow/configuration"
+LIVE_KEY = "/v1/kv/bilberrybarrow/live"
+
+
+def parse_arguments(description, **defaults):
+    """The arguments all scripts share: --build, and each default as --name."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--build", default=str(ROOT / "build"))
+    for name, value in defaults.items():
+        parser.add_argument(f"--{name}", default=value, type=type(value))
+    return parser.parse_args()
+
+
+def call(method, address, path, body=None, headers=None, timeout=5.0):
+    """One HTTP call; gives (status, headers, body). Status 0 when there was no answer."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+    except OSError:
+        return 0, {}, b""
+
+
+def wait_until(condition, seconds, what):
+    """Polls until the condition gives something true, and returns it; fails after `seconds`."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        result = condition()
+        if result:
+            return result
+        time.sleep(0.02)
+    raise AssertionError(f"not within {seconds} s: {what}")
+
+
+class Process:
+    """A program that prints `listening IP:PORT` on its standard output."""
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.command = command
+        self.log_path = pathlib.Path(folder) / f"{name}.log"
+        self.lines = queue.Queue()
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
+        threading.Thread(target=self._read, daemon=True).start()
+        self.address = self._wait_for_address()
+
+    def _read(self):
+        for line in self.process.stdout:
+            self.lines.put(line.strip())
+
+    def _wait_for_address(self):
+        while True:
+            try:
+                line = self.lines.get(timeout=20)
+            except queue.Empty:
+                raise AssertionError(f"{self.name} does not listen: {self.log()}") from None
+            if line.startswith("listening "):
+                return line.split()[1]
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def stop(self, timeout=30):
+        """SIGTERM; gives the exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(timeout)
+
+    def fault(self, **switches):
+        status, _, body = call("POST", self.address, "/fault", json.dumps(switches))
+        assert status == 200, (self.name, status, body)
+
+    def counts(self):
+        return json.loads(call("GET", self.address, "/counts")[2] or b"{}")
+
+    def metrics(self):
+        """The metrics as {"name{labels}": value}."""
+        text = call("GET", self.address, "/metrics")[2].decode()
+        pairs = (line.rsplit(" ", 1) for line in text.splitlines() if line and not line.startswith("#"))
+        return {name: float(value) for name, value in pairs}
+
+    def metric(self, prefix):
+        """Sum of all series whose name and labels start with the prefix."""
+        return sum(value for name, value in self.metrics().items() if name.startswith(prefix))
+
+
+class Fleet:
+    """The whole path of one deployment. Use it as a context manager."""
+
+    def __init__(self, build, deployment="registry", model_bytes=8 << 20, chunk_bytes=256 << 10, store_rate=0,
+                 engine_flags=(), daemon_flags=(), edit=None):
+        self.build = pathlib.Path(build)
+        self.model_bytes = model_bytes
+        self.chunk_bytes = chunk_bytes
+        self.store_rate = store_rate
+        self.engine_flags = list(engine_flags)
+        self.daemon_flags = list(daemon_flags)
+        self.processes = {}
+        self.live_states = {}
+        self.folder = tempfile.mkdtemp(prefix="bilberry-")
+        folder = ROOT / "examples" / deployment
+        self.inventory = json.loads((folder / "inventory.json").read_text())
+        self.rules = json.loads((folder / "rules.json").read_text())
+        for model in self.inventory["models"]:
+            model["size_bytes"] = model_bytes
+        if edit:
+            edit(self)
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        for process in self.processes.values():
+            with contextlib.suppress(OSError):
+                process.kill()
+
+    # Addresses and parts.
+
+    def host(self, vm):
+        names = [row["name"] for row in self.inventory["data_centres"]]
+        return f"127.0.{10 + names.index(vm['data_centre'])}.1"
+
+    def vm(self, name):
+        return next(row for row in self.inventory["vms"] if row["name"] == name)
+
+    def endpoints(self, service=None):
+        return [row["name"] for row in self.inventory["vms"] if row.get("role") != "entry" and service in (None, row["service"])]
+
+    def entries(self):
+        return [row["name"] for row in self.inventory["vms"] if row.get("role") == "entry"]
+
+    def model_service(self):
+        return self.inventory["models"][0]["service"]
+
+    def back_end(self, name):
+        return self.processes[f"{name}.backend"]
+
+    def add(self, name, *command):
+        self.processes[name] = Process(name, [str(part) for part in command], self.folder)
+        return self.processes[name]
+
+    def standin(self, name, kind, host, *flags):
+        return self.add(name, self.build / "standin", f"--kind={kind}", f"--listen={host}:0", *flags)
+
+    def start_back_end(self, name):
+        row = self.vm(name)
+        kinds = {service["name"]: service["kind"] for service in self.inventory["services"]}
+        if kinds[row["service"]] == "model":
+            checks = "true" if row.get("checks_fencing") else "false"
+            process = self.standin(f"{name}.backend", "engine", self.host(row), f"--checks_fencing={checks}", *self.engine_flags)
+        else:
+            process = self.standin(f"{name}.backend", "plain", self.host(row), f"--name={row['service']}", "--work_ms=2")
+        row["back_end"] = process.address
+
+    def start_daemon(self, name, listen_port=0):
+        row = self.vm(name)
+        role = row.get("role", "endpoint")
+        peers = [other["address"] for other in self.inventory["vms"] if other["name"] != name and f"{other['name']}" in self.processes]
+        process = self.add(name, self.build / "bilberryd", f"--role={role}", f"--vm={name}", f"--data_centre={row['data_centre']}",
+                           f"--listen={self.host(row)}:{listen_port}", f"--configuration_service={self.config.address}",
+                           f"--peers={','.join(peers[:3])}", *self.daemon_flags)
+        row["address"] = process.address
+        return process
+
+    def restart_daemon(self, name):
+        """Starts the daemon again at the address that the inventory has."""
+        return self.start_daemon(name, int(self.vm(name)["address"].rsplit(":", 1)[1]))
+
+    # The platform.
+
+    def publish(self):
+        """Publishes inventory and rules; gives the new generation."""
+        body = json.dumps({"inventory": self.inventory, "rules": self.rules})
+        status, headers, answer = call("PUT", self.config.address, CONFIGURATION_KEY, body)
+        assert status == 200, (status, answer)
+        return headers
+
+    def publish_live(self):
+        states = {row["name"]: "live" for row in self.inventory["vms"]}
+        states.update(self.live_states)
+        vms = [{"vm": name, "state": state} for name, state in states.items() if state != "gone"]
+        assert call("PUT", self.config.address, LIVE_KEY, json.dumps({"vms": vms}))[0] == 200
+
+    def put_model(self, seed=1, label=None):
+        model = self.inventory["models"][0]
+        path = f"/models/{model['name']}/{label or model['label']}?size_bytes={self.model_bytes}&chunk_bytes={self.chunk_bytes}&seed={seed}"
+        status, _, body = call("PUT", self.store.address, path)
+        assert status in (200, 201), (status, body)
+        headers = call("GET", self.store.address, f"/v2/{model['name']}/manifests/{label or model['label']}")[1]
+        return {name.lower(): value for name, value in headers.items()}["docker-content-digest"]
+
+    # The whole.
+
+    def start(self):
+        self.config = self.standin("config", "config", STORE_HOST)
+        self.store = self.standin("store", "store", STORE_HOST, f"--bytes_per_second={self.store_rate}")
+        self.inventory["weight_store"]["address"] = self.store.address
+        for name in self.endpoints():
+            self.start_back_end(name)
+        self.digest = self.put_model()
+        for row in self.inventory["vms"]:
+            self.start_daemon(row["name"])
+        self.publish()
+        self.publish_live()
+
+    def served(self, name):
+        """The digest that the engine beside an endpoint serves, or None."""
+        index = json.loads(call("POST", self.back_end(name).address, "/v2/repository/index", "{}")[2] or b"[]")
+        ready = [entry["digest"] for entry in index if entry["state"] == "READY"]
+        return ready[0] if ready else None
+
+    def replicas(self, digest=None):
+        return [name for name in self.endpoints(self.model_service()) if self.served(name) == (digest or self.digest)]
+
+    def wait_for_replicas(self, count, seconds=30, digest=None):
+        """Waits until `count` engines serve the version; gives the seconds it took."""
+        start = time.monotonic()
+        wait_until(lambda: len(self.replicas(digest)) >= count, seconds, f"{count} replicas")
+        return time.monotonic() - start
+
+    def wait_for_entries(self, seconds=10):
+        """Waits until each entry gets an answer for a model request and for each plain service."""
+        for name in self.entries():
+            address = self.processes[name].address
+            wait_until(lambda: self.ask_model(address)[0] == 200, seconds, f"{name} answers")
+            for service in self.inventory["services"]:
+                if service["kind"] == "plain":
+                    path = service["path_prefix"] + "/health"
+                    wait_until(lambda: call("GET", address, path, headers=self.account())[0] == 200, seconds, f"{name} {path}")
+
+    def account(self):
+        return {"X-Client-Account": self.inventory["callers"][0]["name"]}
+
+    def ask_model(self, address, prompt="hello", max_tokens=2, **fields):
+        body = {"model": self.inventory["models"][0]["name"], "prompt": prompt, "max_tokens": max_tokens, **fields}
+        return call("POST", address, "/v1/completions", json.dumps(body), {**self.account(), "Content-Type": "application/json"})
+
+    def take_out(self, data_centre):
+        self.rules["data_centres_out"] = [data_centre]
+        return self.publish()
+
+    def bring_back(self):
+        self.rules["data_centres_out"] = []
+        return self.publish()
+
+    def load(self, *flags):
+        """Starts the load generator; read its result with finish()."""
+        entries = ",".join(self.processes[name].address for name in self.entries())
+        return subprocess.Popen([str(self.build / "loadgenerator"), f"--entries={entries}", *flags],
+                                stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+
+
+def finish(load, timeout=60):
+    """Waits for a load generator; gives its report."""
+    output, _ = load.communicate(timeout=timeout)
+    return json.loads(output.strip().splitlines()[-1])
+
+
+def main(function):
+    """Runs a script's function; a failed check exits with 1."""
+    try:
+        sys.exit(function() or 0)
+    except AssertionError as error:
+        print(f"FAILED: {error}", file=sys.stderr)
+        sys.exit(1)
