Add stand-ins for the outside systems and a load generator

Cause: process-level tests need a configuration service, a weight store, engines, plain services and slow links that speak docs/INTERFACES.md and fail on demand, and a client that checks each answer. Ruled out: the library's thread pool (idle keep-alive connections would hold its threads; here one thread per connection), early response headers to notice a closed caller (they would change what a crash looks like; the handler polls its socket instead), and SO_REUSEPORT (two processes could share a port). Change: one program `standin` with five kinds, `POST /fault` and `GET /counts` on each; `loadgenerator` prints one JSON object. httplib.h is included through StandInHttp.h with CPPHTTPLIB_OPENSSL_SUPPORT, as the packaged library was built: without it httplib::Request and httplib::Client have another size in the program than in the library. There is no automated test of the stand-ins themselves yet.

--- /dev/null
+++ b/tests/StandInConfig.cpp
@@ -0,0 +1,126 @@
+#include "StandInKinds.h"
+#include "StandInPacer.h"
+#include "StandInServer.h"
+#include <condition_variable>
+#include <gflags/gflags.h>
+#include <map>
+
+DECLARE_string(listen);
+
+namespace bilberry::standin {
+
+namespace {
+
+/// A stored value with the index of the write that stored it.
+struct StoredValue {
+    std::string body;
+    uint64_t index = 0;
+};
+
+struct Key {
+    StoredValue current;
+    StoredValue previous;
+};
+
+struct ConfigService {
+    Switches switches;
+    Counters counters;
+    CallLimit limit;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, Key> keys;
+    uint64_t lastIndex = 0;
+};
+
+constexpr Milliseconds defaultWait { 300'000 };
+
+Milliseconds parseWait(const std::string& text)
+{
+    if (text.empty())
+        return defaultWait;
+    const long amount = std::strtol(text.c_str(), nullptr, 10);
+    return text.find("ms") == std::string::npos ? Milliseconds(Seconds(amount)) : Milliseconds(amount);
+}
+
+/// What a reader sees now; index 0 means that the key is absent.
+StoredValue visibleValue(const ConfigService& service, const std::string& name)
+{
+    const auto found = service.keys.find(name);
+    StoredValue value;
+    if (found != service.keys.end()) {
+        const bool stale = switchValue(service.switches, "stale", false) && found->second.previous.index > 0;
+        value = stale ? found->second.previous : found->second.current;
+    }
+    value.index = switchValue(service.switches, "serve_index", value.index);
+    value.body = switchValue(service.switches, "serve_body", value.body);
+    return value;
+}
+
+StoredValue waitForValue(ConfigService& service, const std::string& name, uint64_t after, Milliseconds wait)
+{
+    std::unique_lock lock(service.mutex);
+    const auto isDue = [&] {
+        return switchValue(service.switches, "down", false) || visibleValue(service, name).index > after;
+    };
+    service.changed.wait_until(lock, Clock::now() + wait, isDue);
+    return visibleValue(service, name);
+}
+
+void answerRead(ConfigService& service, const httplib::Request& request, httplib::Response& response)
+{
+    addCount(service.counters, "calls");
+    if (!allowCall(service.limit, switchValue(service.switches, "calls_per_second", 0.0))) {
+        addCount(service.counters, "refused");
+        return answerError(response, 429, "over the call rate");
+    }
+    sleepForDelay(service.switches);
+    const bool waits = request.has_param("index");
+    const uint64_t after = waits ? std::strtoull(request.get_param_value("index").c_str(), nullptr, 10) : 0;
+    const Milliseconds wait = waits && after > 0 ? parseWait(request.get_param_value("wait")) : Milliseconds(0);
+    const StoredValue value = waitForValue(service, request.matches[1], after, wait);
+    if (switchValue(service.switches, "down", false))
+        return answerError(response, 503, "down");
+    if (value.index == 0)
+        return answerError(response, 404, "no such key");
+    response.set_header("X-Consul-Index", std::to_string(value.index));
+    response.set_content(value.body, "application/json");
+}
+
+void storeValue(ConfigService& service, const httplib::Request& request, httplib::Response& response)
+{
+    {
+        const std::lock_guard lock(service.mutex);
+        Key& key = service.keys[request.matches[1]];
+        key.previous = std::move(key.current);
+        key.current = { request.body, ++service.lastIndex };
+    }
+    service.changed.notify_all();
+    response.set_content("true", "application/json");
+}
+
+void wakeReaders(ConfigService& service)
+{
+    {
+        const std::lock_guard lock(service.mutex);
+    }
+    service.changed.notify_all();
+}
+
+} // namespace
+
+void runConfig()
+{
+    static ConfigService service;
+    declareCounts(service.counters, { "calls", "refused" });
+    service.switches.changed = [](const nlohmann::json&) { wakeReaders(service); };
+    Server server(service.switches, service.counters);
+    server.Get("/v1/kv/(.+)", [](const httplib::Request& request, httplib::Response& response) {
+        answerRead(service, request, response);
+    });
+    server.Put("/v1/kv/(.+)", [](const httplib::Request& request, httplib::Response& response) {
+        storeValue(service, request, response);
+    });
+    server.serve(FLAGS_listen, "listening");
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInEngine.h
@@ -0,0 +1,35 @@
+/// State of the model engine stand-in, shared by its orders and its completions.
+#pragma once
+
+#include "StandInGate.h"
+#include "StandInServer.h"
+#include <map>
+
+namespace bilberry::standin {
+
+/// A model of an engine. While a version loads over another one, the old one serves.
+struct EngineModel {
+    std::string servingDigest; ///< Empty while no version serves.
+    std::string servingFencing;
+    std::string contentSha256; ///< Over all the bytes that the load read.
+    std::string loadingDigest; ///< Empty while no version loads.
+    std::string loadingFencing;
+    uint64_t highestFencing = 0;
+    uint64_t lastOrder = 0; ///< A load that is no longer the last order does not come into force.
+};
+
+struct Engine {
+    Switches switches;
+    Counters counters;
+    Gate gate { switches, counters, {}, {}, {}, 0, 0, {} };
+    std::mutex mutex;
+    std::map<std::string, EngineModel> models;
+};
+
+/// Adds the routes for model orders and the index. The engine must outlive the server.
+void addOrderRoutes(Engine&, Server&);
+
+/// Adds the routes for completions. The engine must outlive the server.
+void addCompletionRoutes(Engine&, Server&);
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInEngineCompletions.cpp
@@ -0,0 +1,191 @@
+#include "StandInEngine.h"
+#include "StandInHash.h"
+
+namespace bilberry::standin {
+
+namespace {
+
+constexpr int defaultMaximumTokens = 16;
+
+/// One request to an engine. It keeps the version that served when it started.
+struct Completion {
+    Engine& engine;
+    int connection;
+    bool isChat;
+    bool isStream = false;
+    std::string model {};
+    std::string prompt {};
+    std::string hash {};
+    std::string digest {};
+    int tokens = defaultMaximumTokens;
+    int resumeAfter = 0; ///< Tokens that the caller already has.
+};
+
+std::string textOf(const nlohmann::json& content)
+{
+    return content.is_string() ? content.get<std::string>() : content.dump();
+}
+
+std::string promptOf(const nlohmann::json& body, bool isChat)
+{
+    if (!isChat)
+        return textOf(body.value("prompt", nlohmann::json("")));
+    std::string prompt;
+    for (const auto& message : body.value("messages", nlohmann::json::array()))
+        prompt += textOf(message.value("content", nlohmann::json("")));
+    return prompt;
+}
+
+bool parseCompletion(const httplib::Request& request, Completion& completion)
+{
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+        return false;
+    completion.model = body.value("model", "");
+    completion.prompt = promptOf(body, completion.isChat);
+    completion.hash = promptHash(completion.prompt);
+    completion.isStream = body.value("stream", false);
+    completion.tokens = body.value("max_tokens", defaultMaximumTokens);
+    completion.resumeAfter = static_cast<int>(std::strtol(request.get_header_value("Last-Event-ID").c_str(), nullptr, 10));
+    return true;
+}
+
+/// Status that refuses a request to the model, 200 when it can run; fills in the serving digest.
+int findVersion(Completion& completion)
+{
+    Engine& engine = completion.engine;
+    if (switchValue<std::string>(engine.switches, "state", "READY") != "READY")
+        return 503;
+    const std::lock_guard lock(engine.mutex);
+    const auto found = engine.models.find(completion.model);
+    if (found == engine.models.end())
+        return 404;
+    completion.digest = found->second.servingDigest;
+    if (!completion.digest.empty())
+        return 200;
+    return found->second.loadingDigest.empty() ? 404 : 503;
+}
+
+std::string word(const Completion& completion, int token)
+{
+    return (token > 1 ? " " : "") + completion.hash + "-" + std::to_string(token);
+}
+
+nlohmann::json answerObject(const Completion& completion, const std::string& text, bool isChunk)
+{
+    nlohmann::json choice { { "index", 0 }, { "finish_reason", isChunk ? nlohmann::json() : nlohmann::json("length") } };
+    if (completion.isChat)
+        choice[isChunk ? "delta" : "message"] = { { "role", "assistant" }, { "content", text } };
+    else
+        choice["text"] = text;
+    const std::string kind = completion.isChat ? (isChunk ? "chat.completion.chunk" : "chat.completion") : "text_completion";
+    return { { "id", "cmpl-" + completion.hash }, { "object", kind }, { "model", completion.model },
+        { "system_fingerprint", completion.digest }, { "choices", nlohmann::json::array({ choice }) } };
+}
+
+/// Ends the run exactly once, when its response is destroyed at the latest.
+struct RunGuard {
+    Completion completion;
+    bool finished = false;
+
+    explicit RunGuard(Completion completion)
+        : completion(std::move(completion))
+    {
+    }
+    RunGuard(const RunGuard&) = delete;
+    RunGuard& operator=(const RunGuard&) = delete;
+    ~RunGuard()
+    {
+        addCount(this->completion.engine.counters, this->finished ? "finished" : "cancelled");
+        leaveGate(this->completion.engine.gate);
+    }
+};
+
+bool writeStream(RunGuard& run, httplib::DataSink& sink)
+{
+    const Completion& completion = run.completion;
+    TimePoint due = Clock::now();
+    for (int token = completion.resumeAfter + 1; token <= completion.tokens; ++token) {
+        due += switchDuration(completion.engine.switches, "token_ms");
+        if (!waitUnlessClosed(completion.connection, due))
+            return false;
+        const std::string event = "id: " + std::to_string(token) + "\ndata: " + answerObject(completion, word(completion, token), true).dump() + "\n\n";
+        if (!sink.write(event.data(), event.size()))
+            return false;
+    }
+    const std::string end = "data: [DONE]\n\n";
+    if (!sink.write(end.data(), end.size()))
+        return false;
+    run.finished = true;
+    sink.done();
+    return true;
+}
+
+void answerWhole(RunGuard& run, httplib::Response& response)
+{
+    const Completion& completion = run.completion;
+    TimePoint due = Clock::now();
+    std::string text;
+    for (int token = 1; token <= completion.tokens; ++token) {
+        due += switchDuration(completion.engine.switches, "token_ms");
+        if (!waitUnlessClosed(completion.connection, due))
+            return;
+        text += word(completion, token);
+    }
+    run.finished = true;
+    answerJson(response, 200, answerObject(completion, text, false));
+}
+
+void startRun(const Completion& completion)
+{
+    const Engine& engine = completion.engine;
+    addCount(completion.engine.counters, "started");
+    addGroupCount(completion.engine.counters, "runs", completion.hash);
+    const std::string crashOn = switchValue<std::string>(engine.switches, "crash_on", "");
+    if (!crashOn.empty() && completion.prompt.find(crashOn) != std::string::npos)
+        std::_Exit(1);
+}
+
+void answerCompletion(Completion completion, const httplib::Request& request, httplib::Response& response)
+{
+    Engine& engine = completion.engine;
+    sleepForDelay(engine.switches);
+    if (!parseCompletion(request, completion))
+        return answerError(response, 400, "the body is no JSON object");
+    if (const int status = findVersion(completion); status != 200)
+        return answerError(response, status, "the model is not ready");
+    const Admission admission = enterGate(engine.gate, completion.connection);
+    if (admission != Admission::Admitted) {
+        addCount(engine.counters, admission == Admission::Closed ? "cancelled" : "refused_cold");
+        return answerError(response, 503, "cold");
+    }
+    // The version may have changed while the request waited; the run keeps what serves now.
+    const int status = findVersion(completion);
+    if (status != 200) {
+        leaveGate(engine.gate);
+        return answerError(response, status, "the model is not ready");
+    }
+    startRun(completion);
+    const auto run = std::make_shared<RunGuard>(completion);
+    if (!waitUnlessClosed(completion.connection, Clock::now() + switchDuration(engine.switches, "prefill_ms")))
+        return;
+    if (!completion.isStream)
+        return answerWhole(*run, response);
+    response.set_chunked_content_provider("text/event-stream", [run](size_t, httplib::DataSink& sink) {
+        return writeStream(*run, sink);
+    });
+}
+
+} // namespace
+
+void addCompletionRoutes(Engine& engine, Server& server)
+{
+    server.Post("/v1/completions", [&engine](const httplib::Request& request, httplib::Response& response) {
+        answerCompletion(Completion { engine, connectionOf(request), false }, request, response);
+    });
+    server.Post("/v1/chat/completions", [&engine](const httplib::Request& request, httplib::Response& response) {
+        answerCompletion(Completion { engine, connectionOf(request), true }, request, response);
+    });
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInEngineOrders.cpp
@@ -0,0 +1,171 @@
+#include "StandInEngine.h"
+#include "StandInHash.h"
+
+namespace bilberry::standin {
+
+namespace {
+
+constexpr Seconds sourceTimeout { 60 };
+
+/// Parameters of a load or unload order.
+struct Order {
+    std::string model;
+    std::string digest;
+    std::string source;
+    std::string fencing;
+};
+
+Order parseOrder(const httplib::Request& request)
+{
+    Order order;
+    order.model = request.matches[1];
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("parameters"))
+        return order;
+    const nlohmann::json& parameters = body["parameters"];
+    order.digest = parameters.value("digest", "");
+    order.source = parameters.value("source", "");
+    order.fencing = parameters.value("fencing", "");
+    return order;
+}
+
+/// Checks and keeps the fencing number of an order. Precondition: the engine is locked.
+bool acceptFencing(Engine& engine, EngineModel& model, const Order& order)
+{
+    const uint64_t fencing = std::strtoull(order.fencing.c_str(), nullptr, 10);
+    const bool isStale = fencing < model.highestFencing;
+    if (isStale && switchValue(engine.switches, "checks_fencing", true)) {
+        addCount(engine.counters, "stale_orders_refused");
+        return false;
+    }
+    if (isStale)
+        addCount(engine.counters, "stale_orders_accepted");
+    model.highestFencing = std::max(model.highestFencing, fencing);
+    return true;
+}
+
+/// Reads the whole source. Returns the SHA-256 of the bytes, empty when the read failed.
+std::string readSource(const std::string& source)
+{
+    const size_t host = source.find("://") + 3;
+    const size_t path = source.find('/', host);
+    if (path == std::string::npos)
+        return {};
+    httplib::Client client(source.substr(0, path));
+    client.set_read_timeout(sourceTimeout);
+    Sha256 hash;
+    const auto result = client.Get(source.substr(path), [&](const char* data, size_t size) {
+        hash.update({ data, size });
+        return true;
+    });
+    return result && result->status == 200 ? hash.hex() : std::string();
+}
+
+/// Makes the loaded version the serving one, unless a later order overtook it.
+bool finishLoad(Engine& engine, const Order& order, uint64_t number, const std::string& content)
+{
+    const std::lock_guard lock(engine.mutex);
+    EngineModel& model = engine.models[order.model];
+    if (model.lastOrder != number)
+        return false;
+    model.loadingDigest.clear();
+    if (content.empty())
+        return true;
+    model.servingDigest = order.digest;
+    model.servingFencing = order.fencing;
+    model.contentSha256 = content;
+    startColdPeriod(engine.gate, switchDuration(engine.switches, "cold_ms"));
+    return true;
+}
+
+void answerLoad(Engine& engine, const httplib::Request& request, httplib::Response& response)
+{
+    const Order order = parseOrder(request);
+    addCount(engine.counters, "load_orders");
+    if (order.digest.empty() || order.source.empty())
+        return answerError(response, 400, "digest and source are required");
+    uint64_t number = 0;
+    {
+        const std::lock_guard lock(engine.mutex);
+        EngineModel& model = engine.models[order.model];
+        if (!acceptFencing(engine, model, order))
+            return answerError(response, 409, "old fencing number");
+        number = ++model.lastOrder;
+        model.loadingDigest.clear();
+        if (model.servingDigest == order.digest) {
+            model.servingFencing = order.fencing;
+            return answerJson(response, 200, nlohmann::json::object());
+        }
+        model.loadingDigest = order.digest;
+        model.loadingFencing = order.fencing;
+    }
+    const std::string content = readSource(order.source);
+    if (!finishLoad(engine, order, number, content))
+        return answerError(response, 409, "overtaken by a later order");
+    if (content.empty())
+        return answerError(response, 400, "the weights could not be read whole");
+    answerJson(response, 200, nlohmann::json::object());
+}
+
+void answerUnload(Engine& engine, const httplib::Request& request, httplib::Response& response)
+{
+    const Order order = parseOrder(request);
+    const std::lock_guard lock(engine.mutex);
+    EngineModel& model = engine.models[order.model];
+    if (!acceptFencing(engine, model, order))
+        return answerError(response, 409, "old fencing number");
+    ++model.lastOrder;
+    model.servingDigest.clear();
+    model.loadingDigest.clear();
+    answerJson(response, 200, nlohmann::json::object());
+}
+
+std::string shownState(const Engine& engine, const std::string& state)
+{
+    return switchValue(engine.switches, "state", state);
+}
+
+nlohmann::json indexOf(Engine& engine)
+{
+    const std::lock_guard lock(engine.mutex);
+    nlohmann::json index = nlohmann::json::array();
+    for (const auto& [name, model] : engine.models) {
+        if (!model.servingDigest.empty())
+            index.push_back({ { "name", name }, { "digest", model.servingDigest }, { "state", shownState(engine, "READY") }, { "fencing", model.servingFencing }, { "content_sha256", model.contentSha256 } });
+        if (!model.loadingDigest.empty())
+            index.push_back({ { "name", name }, { "digest", model.loadingDigest }, { "state", shownState(engine, "LOADING") }, { "fencing", model.loadingFencing } });
+    }
+    return index;
+}
+
+bool isReady(Engine& engine)
+{
+    if (shownState(engine, "READY") != "READY")
+        return false;
+    const std::lock_guard lock(engine.mutex);
+    return std::any_of(engine.models.begin(), engine.models.end(), [](const auto& entry) { return !entry.second.servingDigest.empty(); });
+}
+
+} // namespace
+
+void addOrderRoutes(Engine& engine, Server& server)
+{
+    server.Post("/v2/repository/models/([^/]+)/load", [&engine](const httplib::Request& request, httplib::Response& response) {
+        sleepForDelay(engine.switches);
+        answerLoad(engine, request, response);
+    });
+    server.Post("/v2/repository/models/([^/]+)/unload", [&engine](const httplib::Request& request, httplib::Response& response) {
+        sleepForDelay(engine.switches);
+        answerUnload(engine, request, response);
+    });
+    server.Post("/v2/repository/index", [&engine](const httplib::Request&, httplib::Response& response) {
+        sleepForDelay(engine.switches);
+        answerJson(response, 200, indexOf(engine));
+    });
+    server.Get("/v2/health/ready", [&engine](const httplib::Request&, httplib::Response& response) {
+        sleepForDelay(engine.switches);
+        response.status = isReady(engine) ? 200 : 503;
+    });
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInGate.cpp
@@ -0,0 +1,91 @@
+#include "StandInGate.h"
+#include "StandInServer.h"
+#include <algorithm>
+#include <cstdlib>
+
+namespace bilberry::standin {
+
+namespace {
+
+constexpr Milliseconds closedCheckInterval { 20 };
+
+bool isColdLocked(const Gate& gate)
+{
+    return switchValue(gate.switches, "cold", false) || Clock::now() < gate.coldUntil;
+}
+
+bool isOverColdLimit(const Gate& gate)
+{
+    const int present = gate.running + static_cast<int>(gate.waiting.size());
+    return isColdLocked(gate) && present >= switchValue(gate.switches, "cold_slots", 1);
+}
+
+bool hasSlot(const Gate& gate)
+{
+    const int slots = switchValue(gate.switches, "slots", 0);
+    return slots <= 0 || gate.running < slots;
+}
+
+Admission refuseCold(Gate& gate)
+{
+    addCount(gate.counters, "over_cold_limit");
+    if (switchValue(gate.switches, "crash_when_over_cold", false))
+        std::_Exit(1);
+    return Admission::OverColdLimit;
+}
+
+void removeTicket(Gate& gate, uint64_t ticket)
+{
+    gate.waiting.erase(std::find(gate.waiting.begin(), gate.waiting.end(), ticket));
+    gate.freed.notify_all();
+}
+
+} // namespace
+
+Admission enterGate(Gate& gate, int connection)
+{
+    std::unique_lock lock(gate.mutex);
+    if (isOverColdLimit(gate))
+        return refuseCold(gate);
+    const uint64_t ticket = gate.nextTicket++;
+    gate.waiting.push_back(ticket);
+    while (gate.waiting.front() != ticket || !hasSlot(gate)) {
+        gate.freed.wait_for(lock, closedCheckInterval);
+        if (!waitUnlessClosed(connection, Clock::now())) {
+            removeTicket(gate, ticket);
+            return Admission::Closed;
+        }
+    }
+    ++gate.running;
+    moveRunning(gate.counters, 1);
+    removeTicket(gate, ticket);
+    return Admission::Admitted;
+}
+
+void leaveGate(Gate& gate)
+{
+    const std::lock_guard lock(gate.mutex);
+    --gate.running;
+    moveRunning(gate.counters, -1);
+    gate.freed.notify_all();
+}
+
+void startColdPeriod(Gate& gate, Duration period)
+{
+    const std::lock_guard lock(gate.mutex);
+    gate.coldUntil = Clock::now() + period;
+}
+
+bool isCold(Gate& gate)
+{
+    const std::lock_guard lock(gate.mutex);
+    return isColdLocked(gate);
+}
+
+size_t waitingCount(Gate& gate)
+{
+    const std::lock_guard lock(gate.mutex);
+    return gate.waiting.size();
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInLink.cpp
@@ -0,0 +1,258 @@
+#include "StandInKinds.h"
+#include "StandInPacer.h"
+#include "StandInServer.h"
+#include <arpa/inet.h>
+#include <atomic>
+#include <gflags/gflags.h>
+#include <map>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+DECLARE_string(listen);
+DECLARE_string(target);
+DECLARE_string(control);
+DECLARE_double(bytes_per_second);
+
+namespace bilberry::standin {
+
+namespace {
+
+/// Pacers of the two directions.
+struct PacerPair {
+    Pacer up;
+    Pacer down;
+};
+
+struct Link {
+    Switches switches;
+    Counters counters;
+    std::mutex mutex;
+    std::map<std::string, PacerPair> pacers; ///< By source prefix; empty for all other sources.
+};
+
+/// A relayed connection; both directions share it and the last one closes it.
+struct Relay {
+    Link& link;
+    int client;
+    int target;
+    std::string source; ///< IP of the client.
+    std::atomic<bool> wasCut { false };
+
+    Relay(Link& link, int client, int target, std::string source)
+        : link(link)
+        , client(client)
+        , target(target)
+        , source(std::move(source))
+    {
+    }
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+    ~Relay()
+    {
+        ::close(this->client);
+        ::close(this->target);
+    }
+};
+
+enum class Direction { Up,
+    Down };
+
+constexpr Milliseconds checkInterval { 20 };
+constexpr int listenBacklog = 1024;
+constexpr int bufferBytes = 256 * 1024;
+
+bool hasPrefix(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+bool isCut(const Link& link, const std::string& source)
+{
+    if (switchValue(link.switches, "cut", false))
+        return true;
+    const auto prefixes = switchValue(link.switches, "cut_from", std::vector<std::string>());
+    return std::any_of(prefixes.begin(), prefixes.end(), [&](const std::string& prefix) { return hasPrefix(source, prefix); });
+}
+
+/// Rate of a source and the prefix that sets it, empty for the rate of the whole link.
+std::pair<std::string, double> rateOf(const Link& link, const std::string& source)
+{
+    for (const auto& [prefix, rate] : switchValue(link.switches, "rates", std::map<std::string, double>())) {
+        if (hasPrefix(source, prefix))
+            return { prefix, rate };
+    }
+    return { "", switchValue(link.switches, "bytes_per_second", 0.0) };
+}
+
+Pacer& pacerOf(Link& link, const std::string& prefix, Direction direction)
+{
+    const std::lock_guard lock(link.mutex);
+    PacerPair& pair = link.pacers[prefix];
+    return direction == Direction::Up ? pair.up : pair.down;
+}
+
+bool isCut(const Relay& relay)
+{
+    return relay.wasCut || isCut(relay.link, relay.source);
+}
+
+/// Ends both directions; the last one to end resets both connections.
+void cut(Relay& relay)
+{
+    relay.wasCut = true;
+    const linger reset { 1, 0 };
+    for (const int socket : { relay.client, relay.target })
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+/// Waits for the socket to be usable. Returns false when the relay is cut.
+bool waitFor(const Relay& relay, int socket, short events)
+{
+    while (!isCut(relay)) {
+        if (switchValue(relay.link.switches, "stall", false)) {
+            std::this_thread::sleep_for(checkInterval);
+            continue;
+        }
+        pollfd state { socket, events, 0 };
+        if (::poll(&state, 1, static_cast<int>(checkInterval.count())) > 0 && !switchValue(relay.link.switches, "stall", false))
+            return true;
+    }
+    return false;
+}
+
+/// Waits until the paced bytes may go. Returns false when the relay is cut.
+bool waitForRate(const Relay& relay, TimePoint due)
+{
+    while (Clock::now() < due) {
+        if (isCut(relay))
+            return false;
+        std::this_thread::sleep_until(std::min(due, Clock::now() + checkInterval));
+    }
+    return true;
+}
+
+bool sendAll(const Relay& relay, int socket, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        if (!waitFor(relay, socket, POLLOUT))
+            return false;
+        const ssize_t sent = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && errno != EAGAIN)
+            return false;
+        bytes.remove_prefix(static_cast<size_t>(std::max<ssize_t>(sent, 0)));
+    }
+    return true;
+}
+
+void countBytes(const Relay& relay, Direction direction, int64_t bytes)
+{
+    addCount(relay.link.counters, direction == Direction::Up ? "bytes_up" : "bytes_down", bytes);
+    addGroupCount(relay.link.counters, "bytes_from", relay.source.substr(0, relay.source.rfind('.')), bytes);
+}
+
+/// Moves one piece. Returns false when the direction has ended.
+bool movePiece(Relay& relay, Direction direction, std::string& buffer)
+{
+    const int from = direction == Direction::Up ? relay.client : relay.target;
+    const int to = direction == Direction::Up ? relay.target : relay.client;
+    if (!waitFor(relay, from, POLLIN))
+        return false;
+    const auto [prefix, rate] = rateOf(relay.link, relay.source);
+    const ssize_t got = ::recv(from, buffer.data(), pieceBytes(rate), 0);
+    if (got < 0)
+        cut(relay);
+    if (got <= 0)
+        return false;
+    const auto size = static_cast<size_t>(got);
+    const TimePoint due = reserveBytes(pacerOf(relay.link, prefix, direction), size, rate);
+    if (!waitForRate(relay, due) || !sendAll(relay, to, { buffer.data(), size }))
+        return false;
+    countBytes(relay, direction, got);
+    return true;
+}
+
+void pump(Relay& relay, Direction direction)
+{
+    std::string buffer(maximumPieceBytes, '\0');
+    while (movePiece(relay, direction, buffer)) { }
+    if (isCut(relay))
+        cut(relay);
+    else
+        ::shutdown(direction == Direction::Up ? relay.target : relay.client, SHUT_WR);
+}
+
+sockaddr_in socketAddress(const std::string& address)
+{
+    const auto [host, port] = splitAddress(address);
+    sockaddr_in result {};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, host.c_str(), &result.sin_addr);
+    return result;
+}
+
+int openSocket()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    // Small buffers, so that the rate is felt by the sender soon.
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof(bufferBytes));
+    return socket;
+}
+
+void startRelay(Link& link, int client, const std::string& source)
+{
+    const auto relay = std::make_shared<Relay>(link, client, openSocket(), source);
+    const sockaddr_in target = socketAddress(FLAGS_target);
+    if (isCut(link, source) || ::connect(relay->target, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0)
+        return cut(*relay);
+    std::thread([relay] { pump(*relay, Direction::Up); }).detach();
+    std::thread([relay] { pump(*relay, Direction::Down); }).detach();
+}
+
+void acceptForever(Link& link, int listener)
+{
+    while (true) {
+        sockaddr_in peer {};
+        socklen_t size = sizeof(peer);
+        const int client = ::accept4(listener, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
+        if (client < 0)
+            continue;
+        const int on = 1;
+        ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        std::array<char, INET_ADDRSTRLEN> source {};
+        inet_ntop(AF_INET, &peer.sin_addr, source.data(), source.size());
+        startRelay(link, client, source.data());
+    }
+}
+
+int listenOn(const std::string& address)
+{
+    const int listener = openSocket();
+    sockaddr_in local = socketAddress(address);
+    socklen_t size = sizeof(local);
+    if (::bind(listener, reinterpret_cast<sockaddr*>(&local), size) != 0 || ::listen(listener, listenBacklog) != 0)
+        std::_Exit(2);
+    ::getsockname(listener, reinterpret_cast<sockaddr*>(&local), &size);
+    printLine("listening " + splitAddress(address).first + ":" + std::to_string(ntohs(local.sin_port)));
+    return listener;
+}
+
+} // namespace
+
+void runLink()
+{
+    static Link link;
+    declareCounts(link.counters, { "bytes_up", "bytes_down" });
+    mergeSwitches(link.switches, { { "bytes_per_second", FLAGS_bytes_per_second } });
+    const int listener = listenOn(FLAGS_listen);
+    std::thread([listener] { acceptForever(link, listener); }).detach();
+    Server server(link.switches, link.counters);
+    server.serve(FLAGS_control, "control");
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInServer.cpp
@@ -0,0 +1,143 @@
+#include "StandInServer.h"
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <poll.h>
+#include <sys/resource.h>
+#include <thread>
+
+namespace bilberry::standin {
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+constexpr Seconds keepAliveTimeout { 120 };
+constexpr Seconds socketTimeout { 120 };
+constexpr size_t keepAliveRequests = 1'000'000'000;
+
+/// Runs each connection on a thread of its own. Never shut down: the process ends by _exit.
+class ThreadPerConnection : public httplib::TaskQueue {
+public:
+    void enqueue(std::function<void()> task) override { std::thread(std::move(task)).detach(); }
+    void shutdown() override { }
+};
+
+int portOf(const sockaddr_storage& address)
+{
+    if (address.ss_family != AF_INET)
+        return -1;
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+bool isConnectionOf(int socket, const httplib::Request& request)
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof(address);
+    if (getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0 || portOf(address) != request.remote_port)
+        return false;
+    size = sizeof(address);
+    return getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0 && portOf(address) == request.local_port;
+}
+
+int findConnection(const httplib::Request& request)
+{
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    for (int socket = 0; socket < static_cast<int>(limit.rlim_cur); ++socket) {
+        if (isConnectionOf(socket, request))
+            return socket;
+    }
+    return -1;
+}
+
+void handleFault(Switches& switches, const httplib::Request& request, httplib::Response& response)
+{
+    const auto patch = nlohmann::json::parse(request.body, nullptr, false);
+    if (!patch.is_object())
+        return answerError(response, 400, "the body is no JSON object");
+    answerJson(response, 200, mergeSwitches(switches, patch));
+}
+
+} // namespace
+
+Server::Server(Switches& switches, Counters& counters)
+{
+    this->new_task_queue = [] { return new ThreadPerConnection; };
+    this->set_tcp_nodelay(true);
+    this->set_keep_alive_max_count(keepAliveRequests);
+    this->set_keep_alive_timeout(keepAliveTimeout.count());
+    this->set_read_timeout(socketTimeout);
+    this->set_write_timeout(socketTimeout);
+    // The library's default would let two processes share a port.
+    this->set_socket_options([](socket_t socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
+    this->Post("/fault", [&switches](const httplib::Request& request, httplib::Response& response) {
+        handleFault(switches, request, response);
+    });
+    this->Get("/counts", [&counters](const httplib::Request&, httplib::Response& response) {
+        answerJson(response, 200, countsSnapshot(counters));
+    });
+}
+
+void Server::serve(const std::string& address, const std::string& word)
+{
+    auto [host, port] = splitAddress(address);
+    if (port == 0)
+        port = this->bind_to_any_port(host);
+    else if (!this->bind_to_port(host, port))
+        port = -1;
+    if (port < 0) {
+        std::cerr << "cannot listen on " << address << '\n';
+        std::_Exit(2);
+    }
+    // The library listens with a backlog of a few connections only.
+    ::listen(this->svr_sock_, listenBacklog);
+    printLine(word + " " + host + ":" + std::to_string(port));
+    this->listen_after_bind();
+}
+
+std::pair<std::string, int> splitAddress(const std::string& address)
+{
+    const size_t colon = address.rfind(':');
+    return { address.substr(0, colon), std::atoi(address.c_str() + colon + 1) }; // NOLINT(cert-err34-c)
+}
+
+void printLine(const std::string& line)
+{
+    static std::mutex mutex;
+    const std::lock_guard lock(mutex);
+    std::cout << line << std::endl; // NOLINT(performance-avoid-endl)
+}
+
+int connectionOf(const httplib::Request& request)
+{
+    thread_local int connection = -1;
+    if (!isConnectionOf(connection, request))
+        connection = findConnection(request);
+    return connection;
+}
+
+bool waitUnlessClosed(int connection, TimePoint until)
+{
+    const Duration left = std::max(until - Clock::now(), Duration::zero());
+    const auto seconds = std::chrono::duration_cast<Seconds>(left);
+    const timespec timeout { seconds.count(), std::chrono::nanoseconds(left - seconds).count() };
+    pollfd state { connection, POLLRDHUP, 0 };
+    return ppoll(&state, 1, &timeout, nullptr) == 0;
+}
+
+void answerJson(httplib::Response& response, int status, const nlohmann::json& body)
+{
+    response.status = status;
+    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), "application/json");
+}
+
+void answerError(httplib::Response& response, int status, const std::string& text)
+{
+    answerJson(response, status, { { "error", text } });
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInServer.h
@@ -0,0 +1,39 @@
+/// HTTP server that every stand-in kind starts from.
+#pragma once
+
+#include "StandInCounters.h"
+#include "StandInHttp.h"
+#include "StandInSwitches.h"
+#include <string>
+
+namespace bilberry::standin {
+
+/// Server with one thread per connection, long keep-alive, and the routes `/fault` and `/counts`.
+class Server : public httplib::Server {
+public:
+    /// Both arguments must outlive the server.
+    Server(Switches&, Counters&);
+
+    /// Binds `IP:port` (port 0 picks a free one), prints `<word> IP:port` and serves until the process ends.
+    void serve(const std::string& address, const std::string& word);
+};
+
+/// Splits `IP:port`. Precondition: the text has a colon. Thread safe.
+std::pair<std::string, int> splitAddress(const std::string& address);
+
+/// Prints one whole line on standard output and flushes it. Thread safe.
+void printLine(const std::string& line);
+
+/// The socket over which the request came, -1 when it is gone. Call on the thread that handles the request.
+int connectionOf(const httplib::Request&);
+
+/// Waits until the time, or until the peer closes the connection. Returns false when it closed. Thread safe.
+bool waitUnlessClosed(int connection, TimePoint until);
+
+/// Answers with a JSON body. Not thread safe for one response.
+void answerJson(httplib::Response&, int status, const nlohmann::json& body);
+
+/// Answers `{"error": text}`. Not thread safe for one response.
+void answerError(httplib::Response&, int status, const std::string& text);
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/tests/StandInStore.cpp
@@ -0,0 +1,200 @@
+#include "StandInHash.h"
+#include "StandInKinds.h"
+#include "StandInPacer.h"
+#include "StandInServer.h"
+#include <atomic>
+#include <gflags/gflags.h>
+#include <map>
+#include <random>
+
+DECLARE_string(listen);
+DECLARE_double(bytes_per_second);
+
+namespace bilberry::standin {
+
+namespace {
+
+using Bytes = std::shared_ptr<const std::string>;
+
+struct Store {
+    Switches switches;
+    Counters counters;
+    CallLimit limit;
+    Pacer pacer;
+    std::atomic<uint64_t> stallEpoch { 0 }; ///< Raised when a patch sets stall_next: stalled answers go on.
+    std::mutex mutex;
+    std::map<std::string, Bytes> blobs;
+    std::map<std::string, std::string> manifests;
+    std::map<std::string, std::string> tags; ///< model + "/" + label to manifest digest.
+};
+
+/// One blob on its way to a reader.
+struct BlobAnswer {
+    Bytes bytes;
+    bool corrupt = false;
+    bool stall = false;
+    uint64_t stallEpoch = 0;
+};
+
+constexpr Seconds maximumStall { 60 };
+constexpr Milliseconds stallCheckInterval { 20 };
+
+std::string pseudoRandomBytes(std::mt19937_64& generator, size_t size)
+{
+    std::string bytes(size, '\0');
+    for (size_t offset = 0; offset < size; offset += sizeof(uint64_t)) {
+        const uint64_t word = generator();
+        std::memcpy(&bytes[offset], &word, std::min(sizeof(word), size - offset));
+    }
+    return bytes;
+}
+
+uint64_t numberParameter(const httplib::Request& request, const std::string& name, uint64_t fallback)
+{
+    return request.has_param(name) ? std::strtoull(request.get_param_value(name).c_str(), nullptr, 10) : fallback;
+}
+
+nlohmann::json makeChunks(Store& store, const httplib::Request& request)
+{
+    const uint64_t size = numberParameter(request, "size_bytes", 1 << 20U);
+    const uint64_t chunk = std::max<uint64_t>(numberParameter(request, "chunk_bytes", 1 << 18U), 1);
+    std::mt19937_64 generator(numberParameter(request, "seed", 1));
+    nlohmann::json layers = nlohmann::json::array();
+    for (uint64_t offset = 0; offset < size; offset += chunk) {
+        const auto bytes = std::make_shared<const std::string>(pseudoRandomBytes(generator, std::min(chunk, size - offset)));
+        const std::string digest = "sha256:" + sha256Hex(*bytes);
+        layers.push_back({ { "digest", digest }, { "size", bytes->size() } });
+        const std::lock_guard lock(store.mutex);
+        store.blobs[digest] = bytes;
+    }
+    return layers;
+}
+
+void makeModel(Store& store, const httplib::Request& request, httplib::Response& response)
+{
+    const nlohmann::json manifest { { "schemaVersion", 2 }, { "layers", makeChunks(store, request) } };
+    const std::string text = manifest.dump();
+    const std::string digest = "sha256:" + sha256Hex(text);
+    const std::lock_guard lock(store.mutex);
+    store.manifests[digest] = text;
+    store.tags[request.matches[1].str() + "/" + request.matches[2].str()] = digest;
+    answerJson(response, 201, { { "digest", digest }, { "chunks", manifest["layers"].size() } });
+}
+
+void removeManifest(Store& store, const httplib::Request& request, httplib::Response& response)
+{
+    const std::lock_guard lock(store.mutex);
+    response.status = store.manifests.erase(request.matches[2]) > 0 ? 202 : 404;
+}
+
+bool isRefused(Store& store, httplib::Response& response)
+{
+    if (switchValue(store.switches, "down", false)) {
+        answerError(response, 503, "down");
+        return true;
+    }
+    if (allowCall(store.limit, switchValue(store.switches, "calls_per_second", 0.0)))
+        return false;
+    addCount(store.counters, "refused");
+    response.set_header("Retry-After", "1");
+    answerError(response, 429, "over the call rate");
+    return true;
+}
+
+void answerManifest(Store& store, const httplib::Request& request, httplib::Response& response)
+{
+    if (isRefused(store, response))
+        return;
+    addCount(store.counters, "manifest_requests");
+    const std::lock_guard lock(store.mutex);
+    const std::string reference = request.matches[2];
+    const auto tag = store.tags.find(request.matches[1].str() + "/" + reference);
+    const auto manifest = store.manifests.find(tag == store.tags.end() ? reference : tag->second);
+    if (manifest == store.manifests.end())
+        return answerError(response, 404, "no such manifest");
+    response.set_header("Docker-Content-Digest", manifest->first);
+    response.set_content(manifest->second, "application/vnd.oci.image.manifest.v1+json");
+}
+
+bool waitOutStall(const Store& store, const BlobAnswer& answer, const httplib::DataSink& sink)
+{
+    const TimePoint end = Clock::now() + maximumStall;
+    while (store.stallEpoch == answer.stallEpoch && Clock::now() < end) {
+        std::this_thread::sleep_for(stallCheckInterval);
+        if (!sink.is_writable())
+            return false;
+    }
+    return true;
+}
+
+bool sendPiece(Store& store, BlobAnswer& answer, size_t offset, size_t length, const httplib::DataSink& sink)
+{
+    const double rate = switchValue(store.switches, "bytes_per_second", 0.0);
+    if (answer.stall && offset >= answer.bytes->size() / 2) {
+        answer.stall = false;
+        if (!waitOutStall(store, answer, sink))
+            return false;
+    }
+    std::string piece = answer.bytes->substr(offset, std::min(length, pieceBytes(rate)));
+    if (answer.corrupt)
+        piece[0] = static_cast<char>(~piece[0]);
+    std::this_thread::sleep_until(reserveBytes(store.pacer, piece.size(), rate));
+    if (!sink.write(piece.data(), piece.size()))
+        return false;
+    addCount(store.counters, "bytes_sent", static_cast<int64_t>(piece.size()));
+    return true;
+}
+
+Bytes findBlob(Store& store, const std::string& digest)
+{
+    const std::lock_guard lock(store.mutex);
+    const auto found = store.blobs.find(digest);
+    return found == store.blobs.end() ? nullptr : found->second;
+}
+
+void answerBlob(Store& store, const httplib::Request& request, httplib::Response& response)
+{
+    if (isRefused(store, response))
+        return;
+    const std::string digest = request.matches[2];
+    addCount(store.counters, "blob_requests");
+    const Bytes bytes = findBlob(store, digest);
+    if (bytes == nullptr)
+        return answerError(response, 404, "no such blob");
+    addGroupCount(store.counters, "blobs", digest);
+    const auto answer = std::make_shared<BlobAnswer>();
+    *answer = { bytes, takeFault(store.switches, "corrupt_next"), takeFault(store.switches, "stall_next"), store.stallEpoch };
+    response.set_content_provider(bytes->size(), "application/octet-stream",
+        [&store, answer](size_t offset, size_t length, httplib::DataSink& sink) {
+            return sendPiece(store, *answer, offset, length, sink);
+        });
+}
+
+} // namespace
+
+void runStore()
+{
+    static Store store;
+    declareCounts(store.counters, { "bytes_sent", "blob_requests", "manifest_requests", "refused" });
+    mergeSwitches(store.switches, { { "bytes_per_second", FLAGS_bytes_per_second } });
+    store.switches.changed = [](const nlohmann::json& patch) {
+        if (patch.contains("stall_next"))
+            ++store.stallEpoch;
+    };
+    Server server(store.switches, store.counters);
+    server.Put("/models/([^/]+)/([^/]+)", [](const httplib::Request& request, httplib::Response& response) {
+        makeModel(store, request, response);
+    });
+    server.Delete("/v2/(.+)/manifests/([^/]+)", [](const httplib::Request& request, httplib::Response& response) {
+        removeManifest(store, request, response);
+    });
+    server.Get("/v2/(.+)/manifests/([^/]+)", [](const httplib::Request& request, httplib::Response& response) {
+        answerManifest(store, request, response);
+    });
+    server.Get("/v2/(.+)/blobs/([^/]+)", [](const httplib::Request& request, httplib::Response& response) {
+        answerBlob(store, request, response);
+    });
+    server.serve(FLAGS_listen, "listening");
+}
+
+} // namespace bilberry::standin
