--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -61,6 +61,7 @@
         return std::tie(first.holders, first.tieBreak) < std::tie(second.holders, second.tieBreak);
     });
     std::vector<size_t> order;
+    order.reserve(candidates.size());
     for (const auto& candidate : candidates)
         order.push_back(candidate.chunk);
     return order;
--- a/src/Digest.cpp
+++ b/src/Digest.cpp
@@ -12,7 +12,7 @@
     unsigned size = 0;
     EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr);
     std::string hex;
-    hex.reserve(size * 2);
+    hex.reserve(static_cast<size_t>(size) * 2);
     for (unsigned i = 0; i < size; ++i) {
         hex += hexDigits[digest[i] >> 4];
         hex += hexDigits[digest[i] & 15];
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -17,7 +17,7 @@
 // How long the outcome of a key is remembered.
 static constexpr std::chrono::hours keyLifetime { 24 };
 // Longest answer that is kept for re-sends of a key, in bytes.
-static constexpr size_t maxKeptAnswer = 64 * 1024;
+static constexpr size_t maxKeptAnswer = size_t(64) * 1024;
 static constexpr Milliseconds defaultDeadline { 30'000 };
 
 Endpoint::Endpoint(Node& node)
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -15,7 +15,7 @@
 // Kept connections an address.
 static constexpr size_t maxIdleConnections = 8;
 // Bytes that a reader may lag behind its sender.
-static constexpr size_t maxBufferedBytes = 256 * 1024;
+static constexpr size_t maxBufferedBytes = size_t(256) * 1024;
 
 namespace {
 struct IdleClient {
@@ -142,7 +142,7 @@
     std::thread thread;
 };
 
-HttpExchange::HttpExchange(HttpClientPool& pool, const std::string& address, HttpRequest request, HttpTimeouts timeouts)
+HttpExchange::HttpExchange(HttpClientPool& pool, const std::string& address, const HttpRequest& request, HttpTimeouts timeouts)
     : state(std::make_shared<State>())
 {
     auto state = this->state;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -37,7 +37,7 @@
 class HttpExchange {
 public:
     /// Sends at once. Precondition: the pool outlives the exchange.
-    HttpExchange(HttpClientPool&, const std::string& address, HttpRequest, HttpTimeouts);
+    HttpExchange(HttpClientPool&, const std::string& address, const HttpRequest&, HttpTimeouts);
     /// Cancels what is still in progress and waits for its thread.
     ~HttpExchange();
     HttpExchange(const HttpExchange&) = delete;
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -37,7 +37,7 @@
         reports = [harness.finish(models), harness.finish(calls)]
         runs = sum_runs(fleet, rule["service"])
         origin = fleet.store.counts()["bytes_sent"] / fleet.model_bytes
-        codes = {name: fleet.processes[name].stop() for name in fleet.entries() + fleet.endpoints()}
+        codes = fleet.stop_daemons()
     return print_report(deployment, out, wanted, spread_seconds, origin, reports, runs, codes)
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -206,6 +206,13 @@
         """Starts the daemon again at the address that the inventory has."""
         return self.start_daemon(name, int(self.vm(name)["address"].rsplit(":", 1)[1]))
 
+    def stop_daemons(self):
+        """SIGTERM to all daemons at once; gives their exit codes."""
+        names = [row["name"] for row in self.inventory["vms"]]
+        for name in names:
+            self.processes[name].signal(signal.SIGTERM)
+        return {name: self.processes[name].process.wait(60) for name in names}
+
     # The platform.
 
     def publish(self):
--- a/tests/lint.sh
+++ b/tests/lint.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over every source file; fails on any finding. Usage: tests/lint.sh BUILD_DIR JOBS
+# Runs clang-tidy over every source file; fails on any finding. Usage: tests/lint.sh BUILD_DIR JOBS [FILE...]
 set -euo pipefail
 build=$1
 jobs=$2
-printf '%s\0' src/*.cpp tests/*.cpp | xargs -0 -n 1 -P "$jobs" clang-tidy -p "$build" --quiet 2>/dev/null
+shift 2
+[ $# -gt 0 ] || set -- src/*.cpp tests/*.cpp
+printf '%s\0' "$@" | xargs -0 -n 1 -P "$jobs" clang-tidy -p "$build" --quiet 2>/dev/null
 echo "lint: clean"
