Check documents for contradictions and bound their nesting

Cause: documents that say two things were adopted silently (rules of a service twice, unrepeatable rules that match no request, names with line breaks, prefixes on the system's own paths, an account key in capitals that no digest equals), and a deeply nested live list was quoted by recursion: the new test deepNestingIsAFaultAndNoCrash ended in a memory access violation with the old reader (73,000 frames of the serializer), and passes now.

Ruled out: refusing every contradiction.

--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -5,8 +5,10 @@
 #include "Digest.h"
 #include "DocumentReader.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_join.h>
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -14,8 +16,10 @@
 
 using nlohmann::json;
 
-// Deepest nesting that is read; the documents need five levels.
-static constexpr int maxDepth = 16;
+// Longest name of a row, in characters.
+static constexpr size_t maxNameLength = 128;
+// Paths that the system's own processes answer, so that no service can have them.
+static constexpr std::array<std::string_view, 8> reservedPaths { "/v1", "/healthz", "/readyz", "/metrics", "/rpc", "/forward", "/key-query", "/weights" };
 
 // The state of one parse.
 struct Parse {
@@ -23,9 +27,18 @@
     std::vector<std::string> faults;
 };
 
+// Names go into headers, paths and metrics, so that they are kept to characters that mean nothing there.
+static void checkName(DocumentReader& reader, const char* field, std::string_view name)
+{
+    auto isAllowed = [](char character) { return absl::ascii_isalnum(static_cast<unsigned char>(character)) || character == '-' || character == '_' || character == '.'; };
+    if (name.size() > maxNameLength || !std::all_of(name.begin(), name.end(), isAllowed))
+        reader.fault(field, "must have at most 128 letters, digits, \"-\", \"_\" and \".\"");
+}
+
 static void readName(DocumentReader& reader, std::set<std::string>& seen, std::string& name)
 {
     reader.read("name", name, true);
+    checkName(reader, "name", name);
     if (!name.empty() && !seen.insert(name).second)
         reader.fault("name", "is used twice");
 }
@@ -65,9 +78,31 @@
     }
 }
 
+// Whether the path is the prefix or lies below it.
+static bool isBelow(std::string_view path, std::string_view prefix)
+{
+    return path.substr(0, prefix.size()) == prefix && (path.size() == prefix.size() || path[prefix.size()] == '/');
+}
+
+static void checkPathPrefix(DocumentReader& reader, std::set<std::string>& seen, const std::string& prefix)
+{
+    if (prefix.empty())
+        return;
+    if (prefix.front() != '/')
+        reader.fault("path_prefix", "must start with \"/\"");
+    if (prefix.back() == '/')
+        reader.fault("path_prefix", "must not end with \"/\"");
+    auto isReserved = [&](std::string_view reserved) { return isBelow(prefix, reserved); };
+    if (std::any_of(reservedPaths.begin(), reservedPaths.end(), isReserved))
+        reader.fault("path_prefix", "is a path of the system's own");
+    if (!seen.insert(prefix).second)
+        reader.fault("path_prefix", "is used twice");
+}
+
 static void parseServices(DocumentReader& inventory, Inventory& tables)
 {
     std::set<std::string> seen;
+    std::set<std::string> prefixes;
     for (auto& reader : inventory.readArray("services", true)) {
         Service row;
         readName(reader, seen, row.name);
@@ -79,10 +114,7 @@
             reader.fault("kind", "must be \"model\" or \"plain\"");
         bool isPlain = row.kind == ServiceKind::Plain;
         reader.read("path_prefix", row.pathPrefix, isPlain);
-        if (!row.pathPrefix.empty() && row.pathPrefix.front() != '/')
-            reader.fault("path_prefix", "must start with \"/\"");
-        if (row.pathPrefix == "/" || row.pathPrefix.rfind("/v1/", 0) == 0)
-            reader.fault("path_prefix", "is kept for model requests");
+        checkPathPrefix(reader, prefixes, row.pathPrefix);
         reader.reportUnknown();
         tables.services.push_back(row);
     }
@@ -95,6 +127,7 @@
         Model row;
         readName(reader, seen, row.name);
         reader.read("label", row.label, true);
+        checkName(reader, "label", row.label);
         readReference(reader, "service", tables.services, row.service);
         reader.read("size_bytes", row.sizeBytes, 1, uint64_t(1) << 50, true);
         if (row.service != noRow && tables.services[row.service].kind != ServiceKind::Model)
@@ -129,6 +162,8 @@
         if (row.role == Role::Endpoint) {
             readReference(reader, "service", tables.services, row.service);
             readAddress(reader, "back_end", row.backEnd);
+            if (!row.backEnd.empty() && row.backEnd == row.address)
+                reader.fault("back_end", "is the address of the system's own process");
             reader.read("weight_memory_bytes", row.weightMemoryBytes, 0, uint64_t(1) << 50, false);
             reader.read("checks_fencing", row.checksFencing);
             reader.read("max_concurrency", row.maxConcurrency, 1, 100'000, false);
@@ -141,16 +176,27 @@
     }
 }
 
+static void checkKey(DocumentReader& reader, std::set<std::string>& seen, const std::string& key)
+{
+    auto isDigit = [](char character) { return absl::ascii_isdigit(static_cast<unsigned char>(character)) || (character >= 'a' && character <= 'f'); };
+    if (key.empty())
+        return;
+    if (key.size() != 64 || !std::all_of(key.begin(), key.end(), isDigit))
+        reader.fault("key_sha256", "must be 64 hex digits, in lower case");
+    if (!seen.insert(key).second)
+        reader.fault("key_sha256", "is the key of another client account, too");
+}
+
 static void parseCallers(DocumentReader& inventory, Inventory& tables)
 {
     std::set<std::string> seen;
+    std::set<std::string> keys;
     for (auto& reader : inventory.readArray("callers", true)) {
         Caller row;
         readName(reader, seen, row.name);
         reader.read("share", row.share, 1, 1'000'000, false);
         reader.read("key_sha256", row.keySha256, false);
-        if (!row.keySha256.empty() && row.keySha256.size() != 64)
-            reader.fault("key_sha256", "must be 64 hex digits");
+        checkKey(reader, keys, row.keySha256);
         reader.reportUnknown();
         tables.callers.push_back(row);
     }
@@ -212,6 +258,21 @@
     }
 }
 
+// A rule that can match no request would let calls run twice unnoticed.
+static void checkUnrepeatable(DocumentReader& reader, const Inventory& inventory, const UnrepeatableRule& row)
+{
+    bool isUpper = std::all_of(row.method.begin(), row.method.end(), [](char character) { return absl::ascii_isupper(static_cast<unsigned char>(character)); });
+    if (!isUpper)
+        reader.fault("method", "must be an HTTP method in capitals");
+    if (row.service == noRow || row.pathPrefix.empty())
+        return;
+    const Service& service = inventory.services[row.service];
+    std::string_view base = service.kind == ServiceKind::Model ? std::string_view("/v1") : std::string_view(service.pathPrefix);
+    bool isWider = base.substr(0, row.pathPrefix.size()) == row.pathPrefix;
+    if (!isWider && !isBelow(row.pathPrefix, base))
+        reader.fault("path_prefix", "matches no request of the service, whose paths start with \"" + std::string(base) + "\"");
+}
+
 static void parseUnrepeatable(DocumentReader& rules, const Inventory& inventory, Rules& tables)
 {
     for (auto& reader : rules.readArray("unrepeatable", false)) {
@@ -219,6 +280,7 @@
         readReference(reader, "service", inventory.services, row.service);
         reader.read("method", row.method, true);
         reader.read("path_prefix", row.pathPrefix, true);
+        checkUnrepeatable(reader, inventory, row);
         reader.reportUnknown();
         tables.unrepeatable.push_back(row);
     }
@@ -250,9 +312,12 @@
         tables.services.emplace_back();
         tables.services.back().service = service;
     }
+    std::set<RowIndex> seen;
     for (auto& reader : rules.readArray("services", false)) {
         ServiceRule row;
         readReference(reader, "service", inventory.services, row.service);
+        if (row.service != noRow && !seen.insert(row.service).second)
+            reader.fault("service", "has rules already");
         readPriority(reader, row.priority);
         readMilliseconds(reader, "default_timeout_ms", row.defaultTimeout);
         readMilliseconds(reader, "max_timeout_ms", row.maxTimeout);
@@ -292,28 +357,11 @@
     reader.reportUnknown();
 }
 
-static absl::StatusOr<json> parseJson(std::string_view text)
+absl::StatusOr<Configuration> parseConfiguration(std::string_view text, Generation generation)
 {
-    bool tooDeep = false;
-    auto guard = [&](int depth, json::parse_event_t, json&) {
-        tooDeep = tooDeep || depth > maxDepth;
-        return !tooDeep;
-    };
     if (text.size() > maxConfigurationBytes)
         return absl::InvalidArgumentError("$: the document is larger than 1 MiB");
-    try {
-        json document = json::parse(text, guard);
-        if (tooDeep)
-            return absl::InvalidArgumentError("$: nested too deep");
-        return document;
-    } catch (const json::exception& exception) {
-        return absl::InvalidArgumentError(std::string("$: no valid JSON: ") + exception.what());
-    }
-}
-
-absl::StatusOr<Configuration> parseConfiguration(std::string_view text, Generation generation)
-{
-    auto document = parseJson(text);
+    auto document = parseDocument(text);
     if (!document.ok())
         return document.status();
     Parse parse;
--- a/src/DocumentFiles.h
+++ b/src/DocumentFiles.h
@@ -8,7 +8,7 @@
 namespace bilberry {
 
 /// Joins the files to one document `{"inventory": …, "rules": …}`. A file is such a document already, or an inventory
-/// (it has "vms"), or rules. Errors: a file can't be read, is no JSON, or a part comes twice or is missing.
+/// (it has "vms"), or rules. Errors, all of them at once: a file can't be read, is no JSON object, or a part comes twice.
 absl::StatusOr<std::string> joinDocumentFiles(const std::vector<std::string>& paths);
 
 } // namespace bilberry
--- a/src/DocumentReader.cpp
+++ b/src/DocumentReader.cpp
@@ -8,6 +8,8 @@
 
 using nlohmann::json;
 
+// Deepest nesting that is read; the documents need five levels.
+static constexpr int maxDepth = 16;
 // Longest value that a fault quotes, in characters.
 static constexpr size_t maxQuotedValue = 60;
 
@@ -23,6 +25,24 @@
     return value;
 }
 
+absl::StatusOr<json> parseDocument(std::string_view text)
+{
+    bool isTooDeep = false;
+    // Deeper values are dropped while they are read, so that nothing recurses into them.
+    auto guard = [&](int depth, json::parse_event_t, json&) {
+        isTooDeep = isTooDeep || depth > maxDepth;
+        return !isTooDeep;
+    };
+    try {
+        json document = json::parse(text, guard);
+        if (isTooDeep)
+            return absl::InvalidArgumentError("$: nested too deep");
+        return document;
+    } catch (const json::exception& exception) {
+        return absl::InvalidArgumentError(std::string("$: no valid JSON: ") + exception.what());
+    }
+}
+
 DocumentReader::DocumentReader(const json& value, std::string path, std::vector<std::string>& faults, std::vector<std::string>& warnings)
     : value(&value)
     , ownPath(std::move(path))
--- a/src/DocumentReader.h
+++ b/src/DocumentReader.h
@@ -1,6 +1,7 @@
 /// Typed reading of a JSON document that keeps every fault with its path, value and reason.
 #pragma once
 
+#include <absl/status/statusor.h>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
@@ -8,6 +9,9 @@
 
 namespace bilberry {
 
+/// Parses JSON text with bounded nesting; the error says where the text is broken. Thread safe.
+absl::StatusOr<nlohmann::json> parseDocument(std::string_view text);
+
 /// One object inside a document. Reads never throw: a wrong field becomes a fault and leaves the target unchanged.
 /// Not thread safe; a reader is used by one parse.
 class DocumentReader {
--- a/src/LiveList.cpp
+++ b/src/LiveList.cpp
@@ -9,12 +9,12 @@
 
 absl::StatusOr<LiveList> parseLiveList(std::string_view text, Generation generation)
 {
-    auto document = nlohmann::json::parse(text, nullptr, false);
-    if (document.is_discarded())
-        return absl::InvalidArgumentError("$: no valid JSON");
+    auto document = parseDocument(text);
+    if (!document.ok())
+        return document.status();
     std::vector<std::string> faults;
     std::vector<std::string> warnings;
-    DocumentReader root(document, "$", faults, warnings);
+    DocumentReader root(*document, "$", faults, warnings);
     LiveList list;
     list.generation = generation;
     for (auto& reader : root.readArray("vms", true)) {
