Serve the method status, and count slow answers, cut streams and data centre changes

Cause: the operators' command line had nothing to ask a process for, and the burn report needs what histograms of fixed buckets can't give: answers later than each service's own objective. Ruled out: reading the first-byte histogram, whose bounds 0.2 and 0.4 s enclose the examples' 250 ms.

Change: StatusMethod and ServiceLevel as modules of their own, three hooks in Daemon.cpp and one in Entry.cpp.

--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -9,6 +9,8 @@
 #include "JsonRpcBridge.h"
 #include "Log.h"
 #include "Node.h"
+#include "ServiceLevel.h"
+#include "StatusMethod.h"
 
 #include <csignal>
 #include <cstdio>
@@ -47,6 +49,7 @@
     JsonRpcDispatcher rpc;
     std::unique_ptr<Entry> entry;
     std::unique_ptr<Endpoint> endpoint;
+    DataCentreMarks marks;
     HttpServer server;
     std::vector<std::thread> threads;
 };
@@ -112,6 +115,8 @@
 void tick(Process& process)
 {
     auto now = Clock::now();
+    if (auto configuration = process.node.published.configuration())
+        process.marks.update(process.node.metrics, *configuration);
     if (process.entry) {
         publishOwnStatus(process.node, {});
         process.entry->tick(now);
@@ -157,6 +162,7 @@
         process.entry = std::make_unique<Entry>(process.node);
     else
         process.endpoint = std::make_unique<Endpoint>(process.node);
+    addStatusMethod(process.rpc, process.node, [&process] { return requestsInProgress(process); });
     process.server.start([&process](const HttpRequest& request) { return answer(process, request); });
     std::printf("listening %s:%d\n", settings.listen.host.c_str(), process.server.port());
     std::fflush(stdout);
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "Node.h"
 #include "Rendezvous.h"
+#include "ServiceLevel.h"
 #include "WireHeaders.h"
 
 #include <absl/strings/numbers.h>
@@ -279,6 +280,7 @@
             MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
             this->node.metrics.count("bilberry_requests_answered_total", labels);
             this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
+            watchAnswer(this->node.metrics, outcome.response, labels, Clock::now() - request.receivedAt, request.configuration->rules.services[request.service].latencyObjective);
             return std::move(outcome.response);
         }
         this->router.release(vm);
