--- /dev/null
+++ b/src/BurnText.cpp
@@ -0,0 +1,84 @@
+#include "BurnText.h"
+
+#include "BurnReport.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+static std::string_view toText(BurnLevel level)
+{
+    switch (level) {
+    case BurnLevel::Within:
+        return "within";
+    case BurnLevel::Slow:
+        return "slow-burn";
+    case BurnLevel::Fast:
+        return "fast-burn";
+    }
+    return "within";
+}
+
+static std::string formatCauses(const std::map<std::string, double>& causes)
+{
+    std::string text;
+    for (const auto& [cause, count] : causes)
+        text += fmt::format("{}{} {:.0f}", text.empty() ? "" : ", ", cause, count);
+    return text;
+}
+
+static std::string formatWindow(Milliseconds window)
+{
+    return window.count() == 0 ? "since the processes' start" : fmt::format("{:.1f} s", static_cast<double>(window.count()) / 1000);
+}
+
+static std::string formatRow(const BurnRow& row)
+{
+    double bad = sumBad(row.longWindow);
+    auto text = fmt::format("{:<12} {:<18} {:>8.4f} {:>6} {:>9.0f} {:>7.0f} {:>8.1f} {:>8.1f} {:>7.0f} %  {}\n", row.service, row.caller, row.objective, row.latencyObjective.count(),
+        row.longWindow.good, bad, row.shortBurn, row.longBurn, 100 * row.budgetLeft, toText(row.level));
+    if (bad > 0)
+        text += fmt::format("             bad: {}; worst data centre {}\n", formatCauses(row.longWindow.bad), row.worstDataCentre);
+    if (!row.longWindow.callerFaults.empty())
+        text += fmt::format("             refused for the caller's own fault: {}\n", formatCauses(row.longWindow.callerFaults));
+    return text;
+}
+
+std::string formatBurnReport(const BurnReport& report)
+{
+    auto text = fmt::format("short window {}, long window {}\n\n", formatWindow(report.shortWindow), formatWindow(report.longWindow));
+    text += fmt::format("{:<12} {:<18} {:>8} {:>6} {:>9} {:>7} {:>8} {:>8} {:>9}  level\n", "service", "account", "object.", "ms", "good", "bad", "short", "long", "budget");
+    for (const auto& row : report.rows)
+        text += formatRow(row);
+    if (report.rows.empty())
+        text += "no requests in the long window\n";
+    if (!report.unattributed.empty())
+        text += fmt::format("\nrefused without a known service and account: {}\n", formatCauses(report.unattributed));
+    for (const auto& mark : report.marks)
+        text += fmt::format("mark: {}\n", mark.what);
+    return text;
+}
+
+static json toJson(const BurnTally& tally)
+{
+    return { { "good", tally.good }, { "bad", sumBad(tally) }, { "bad_by_cause", tally.bad }, { "caller_faults", tally.callerFaults } };
+}
+
+json toJson(const BurnReport& report)
+{
+    json rows = json::array();
+    for (const auto& row : report.rows) {
+        rows.push_back({ { "service", row.service }, { "caller", row.caller }, { "objective", row.objective }, { "latency_objective_ms", row.latencyObjective.count() },
+            { "short", toJson(row.shortWindow) }, { "long", toJson(row.longWindow) }, { "short_burn_rate", row.shortBurn }, { "long_burn_rate", row.longBurn },
+            { "budget_left", row.budgetLeft }, { "level", toText(row.level) }, { "worst_data_centre", row.worstDataCentre } });
+    }
+    json marks = json::array();
+    for (const auto& mark : report.marks)
+        marks.push_back(mark.what);
+    return { { "short_window_ms", report.shortWindow.count() }, { "long_window_ms", report.longWindow.count() }, { "rows", rows }, { "unattributed", report.unattributed }, { "marks", marks } };
+}
+
+} // namespace bilberry
--- a/src/Ctl.cpp
+++ b/src/Ctl.cpp
@@ -1,72 +1,47 @@
 /// bilberryctl: the operators' command line.
 
-#include "Configuration.h"
-#include "DocumentFiles.h"
+#include "CtlVerbs.h"
 #include "Flags.h"
-#include "Placement.h"
 
+#include <array>
 #include <cstdio>
-#include <fmt/format.h>
+#include <string_view>
 
 using namespace bilberry;
 
 namespace {
 
-constexpr int exitOk = 0;
-constexpr int exitFaulty = 1; ///< The documents are faulty, or what was asked for can't be met.
-constexpr int exitUsage = 2;
-constexpr int exitNotBuilt = 3;
+struct Verb {
+    std::string_view name;
+    int (*run)(const CtlArguments&);
+    const char* usage;
+};
 
-constexpr char usage[] = R"(bilberryctl: operators' commands of bilberrybarrow
+constexpr std::array<Verb, 5> verbs { {
+    { "check", runCheck, checkUsage },
+    { "plan", runPlan, planUsage },
+    { "status", runStatus, statusUsage },
+    { "explain", runExplain, explainUsage },
+    { "burn", runBurn, burnUsage },
+} };
 
-  bilberryctl check FILE...   check inventory and rules before they are published
-  bilberryctl plan FILE...    show which models go on which VMs
-  bilberryctl status          (not built yet)
-  bilberryctl explain         (not built yet)
-  bilberryctl burn            (not built yet)
+constexpr char preamble[] = "bilberryctl: operators' commands of bilberrybarrow\n\n"
+                            "Each setting is also read from the environment variable FLAGS_<name>; the command line goes first.\n\n";
 
-exit codes: 0 ok, 1 faulty documents or a plan that can't be met, 2 wrong usage, 3 not built yet
-)";
-
-absl::StatusOr<Configuration> readFiles(const std::vector<std::string>& paths)
-{
-    auto text = joinDocumentFiles(paths);
-    if (!text.ok())
-        return text.status();
-    return parseConfiguration(*text, 1);
-}
-
-void printFaults(const absl::Status& status)
+const Verb* findVerb(std::string_view name)
 {
-    std::fprintf(stderr, "%s\n", std::string(status.message()).c_str());
-}
-
-int check(const std::vector<std::string>& paths)
-{
-    auto configuration = readFiles(paths);
-    if (!configuration.ok()) {
-        printFaults(configuration.status());
-        return exitFaulty;
+    for (const auto& verb : verbs) {
+        if (verb.name == name)
+            return &verb;
     }
-    for (const auto& warning : configuration->warnings)
-        std::fprintf(stderr, "warning: %s\n", warning.c_str());
-    std::printf("ok: %zu VMs, %zu services, %zu models, %zu client accounts\n", configuration->inventory.vms.size(), configuration->inventory.services.size(), configuration->inventory.models.size(), configuration->inventory.callers.size());
-    return exitOk;
+    return nullptr;
 }
 
-int plan(const std::vector<std::string>& paths)
+void printUsage(std::FILE* target)
 {
-    auto configuration = readFiles(paths);
-    if (!configuration.ok()) {
-        printFaults(configuration.status());
-        return exitFaulty;
-    }
-    auto placement = placeModels(*configuration, nullptr, std::chrono::system_clock::now());
-    for (const auto& row : placement.rows)
-        std::printf("%s on %s\n", configuration->inventory.models[row.model].name.c_str(), configuration->inventory.vms[row.vm].name.c_str());
-    for (const auto& shortfall : placement.shortfalls)
-        std::printf("short: %s wants %u, has %u: %s\n", configuration->inventory.models[shortfall.model].name.c_str(), shortfall.wanted, shortfall.placed, shortfall.reason.c_str());
-    return placement.shortfalls.empty() ? exitOk : exitFaulty;
+    std::fputs(preamble, target);
+    for (const auto& verb : verbs)
+        std::fputs(verb.usage, target);
 }
 
 } // namespace
@@ -74,34 +49,25 @@
 int main(int argc, char** argv)
 {
     auto line = readCommandLine(argc, argv);
+    const Verb* verb = line.positional.empty() ? nullptr : findVerb(line.positional.front());
     if (line.wantsHelp) {
-        std::fputs(usage, stdout);
+        if (verb)
+            std::fputs(verb->usage, stdout);
+        else
+            printUsage(stdout);
         return exitOk;
     }
     if (line.wantsVersion) {
         std::printf("bilberryctl %s\n", BILBERRY_VERSION);
         return exitOk;
     }
+    if (!verb && !line.positional.empty())
+        line.faults.push_back("\"" + line.positional.front() + "\": no such command");
     for (const auto& fault : line.faults)
-        std::fprintf(stderr, "%s\n", fault.c_str());
-    if (!line.faults.empty() || line.positional.empty()) {
-        std::fputs(usage, stderr);
+        std::fprintf(stderr, "bilberryctl: %s\n", fault.c_str());
+    if (!verb || !line.faults.empty()) {
+        std::fputs("usage: bilberryctl check|plan|status|explain|burn ...; --help shows each\n", stderr);
         return exitUsage;
     }
-    std::string verb = line.positional.front();
-    std::vector<std::string> rest(line.positional.begin() + 1, line.positional.end());
-    if ((verb == "check" || verb == "plan") && rest.empty()) {
-        std::fprintf(stderr, "bilberryctl %s: names no file\n", verb.c_str());
-        return exitUsage;
-    }
-    if (verb == "check")
-        return check(rest);
-    if (verb == "plan")
-        return plan(rest);
-    if (verb == "status" || verb == "explain" || verb == "burn") {
-        std::fprintf(stderr, "bilberryctl %s: not built yet\n", verb.c_str());
-        return exitNotBuilt;
-    }
-    std::fprintf(stderr, "bilberryctl: no command \"%s\"\n%s", verb.c_str(), usage);
-    return exitUsage;
+    return verb->run(CtlArguments(line.positional.begin() + 1, line.positional.end()));
 }
--- /dev/null
+++ b/src/CtlBurn.cpp
@@ -0,0 +1,142 @@
+#include "BurnReport.h"
+#include "BurnText.h"
+#include "CtlVerbs.h"
+#include "ProcessClient.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+DEFINE_int32(interval_ms, 5000, "burn: length of the short window in ms, 100 to 3600000");
+DEFINE_string(since, "", "burn: file of an earlier snapshot, at which the long window begins");
+DEFINE_string(save, "", "burn: file to write the snapshot of now to");
+DEFINE_bool(all, false, "burn: ask each process of the inventory, found through the first of --process");
+
+namespace bilberry {
+
+const char burnUsage[] = R"(bilberryctl burn [--all] [--interval_ms=N] [--since=FILE] [--save=FILE] [--json] --process=IP:port[,...]
+  Shows, per service and client account, the objective, good and bad requests by cause, the error budget left and the
+  burn rate over two windows. The short window is read now; the long one begins with the snapshot that an earlier call
+  saved, or else with the start of each process. Objectives come from the rules in force at the first process.
+  exit codes: 0 within the objectives, 1 a budget burns in both windows, 2 wrong usage, 3 a process was not reached
+)";
+
+static constexpr int minIntervalMs = 100;
+static constexpr int maxIntervalMs = 3'600'000;
+
+static absl::StatusOr<ProcessCounters> fetchCounters(const std::string& address)
+{
+    auto status = fetchStatus(address);
+    if (!status.ok())
+        return status.status();
+    auto text = fetchMetrics(address);
+    if (!text.ok())
+        return text.status();
+    auto samples = parseMetricsText(*text);
+    if (!samples.ok())
+        return samples.status();
+    return ProcessCounters { status->vm, status->dataCentre, status->incarnation, selectBurnSamples(*samples) };
+}
+
+// Asks each process; what fails goes to `failures` by address.
+static BurnSnapshot takeSnapshot(const std::vector<std::string>& addresses, std::map<std::string, std::string>& failures)
+{
+    BurnSnapshot snapshot { std::chrono::system_clock::now(), {} };
+    for (const auto& address : addresses) {
+        auto counters = fetchCounters(address);
+        if (counters.ok())
+            snapshot.processes.push_back(std::move(*counters));
+        else
+            failures[address] = std::string(counters.status().message());
+    }
+    return snapshot;
+}
+
+static absl::StatusOr<BurnSnapshot> readSnapshotFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return absl::NotFoundError(path + ": can't be read");
+    std::stringstream content;
+    content << file.rdbuf();
+    auto snapshot = readSnapshot(content.str());
+    if (!snapshot.ok())
+        return absl::InvalidArgumentError(path + ": " + std::string(snapshot.status().message()));
+    return snapshot;
+}
+
+static bool saveSnapshot(const BurnSnapshot& snapshot)
+{
+    if (FLAGS_save.empty())
+        return true;
+    std::ofstream file(FLAGS_save);
+    file << writeSnapshot(snapshot);
+    return static_cast<bool>(file.flush());
+}
+
+static std::vector<std::string> addressesOf(const Inventory& inventory)
+{
+    std::vector<std::string> addresses;
+    for (const auto& vm : inventory.vms)
+        addresses.push_back(vm.address);
+    return addresses;
+}
+
+static Milliseconds between(WallTime begin, WallTime end)
+{
+    return std::chrono::duration_cast<Milliseconds>(end - begin);
+}
+
+static int showReport(const BurnReport& report)
+{
+    auto text = FLAGS_json ? toJson(report).dump(1) + "\n" : formatBurnReport(report);
+    std::fputs(text.c_str(), stdout);
+    bool burns = std::any_of(report.rows.begin(), report.rows.end(), [](const BurnRow& row) { return row.level != BurnLevel::Within; });
+    return burns ? exitFaulty : exitOk;
+}
+
+static int reportBurn(const Configuration& configuration, const std::vector<std::string>& addresses, const BurnSnapshot& start)
+{
+    std::map<std::string, std::string> failures;
+    auto before = takeSnapshot(addresses, failures);
+    std::this_thread::sleep_for(Milliseconds(FLAGS_interval_ms));
+    auto now = takeSnapshot(addresses, failures);
+    auto report = makeBurnReport(configuration, subtractSnapshot(now, before), subtractSnapshot(now, start));
+    report.shortWindow = between(before.takenAt, now.takenAt);
+    report.longWindow = FLAGS_since.empty() ? Milliseconds(0) : between(start.takenAt, now.takenAt);
+    int code = showReport(report);
+    for (const auto& [address, failure] : failures)
+        code = failVerb("burn", failure, exitNotReached);
+    if (!saveSnapshot(now))
+        code = failVerb("burn", FLAGS_save + ": can't be written", exitFaulty);
+    return code;
+}
+
+int runBurn(const CtlArguments& words)
+{
+    auto addresses = readProcessFlag();
+    if (!addresses.ok())
+        return failVerb("burn", addresses.status(), exitUsage);
+    if (!words.empty())
+        return failVerb("burn", "takes no argument but flags", exitUsage);
+    if (FLAGS_interval_ms < minIntervalMs || FLAGS_interval_ms > maxIntervalMs)
+        return failVerb("burn", fmt::format("--interval_ms: {} is not from {} to {}", FLAGS_interval_ms, minIntervalMs, maxIntervalMs), exitUsage);
+    BurnSnapshot start;
+    if (!FLAGS_since.empty()) {
+        auto read = readSnapshotFile(FLAGS_since);
+        if (!read.ok())
+            return failVerb("burn", read.status(), exitUsage);
+        start = std::move(*read);
+    }
+    auto configuration = fetchConfiguration(addresses->front());
+    if (!configuration.ok())
+        return failVerb("burn", configuration.status(), exitNotReached);
+    return reportBurn(*configuration, FLAGS_all ? addressesOf(configuration->inventory) : *addresses, start);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/CtlCheck.cpp
@@ -0,0 +1,41 @@
+#include "ConfigurationReview.h"
+#include "CtlVerbs.h"
+#include "DocumentFiles.h"
+
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_bool(strict, false, "check: warnings fail, too");
+
+namespace bilberry {
+
+const char checkUsage[] = R"(bilberryctl check [--strict] FILE...
+  Checks inventory and rules before they are published, with the parser that the daemons run. Each fault has the path
+  inside the document, the value and the reason; all are named at once. Unknown fields, and wishes that contradict
+  each other or can't be met, are warnings.
+  exit codes: 0 no fault, 1 faults (with --strict also warnings), 2 wrong usage
+)";
+
+int runCheck(const CtlArguments& paths)
+{
+    if (paths.empty())
+        return failVerb("check", "names no file", exitUsage);
+    auto text = joinDocumentFiles(paths);
+    if (!text.ok())
+        return failVerb("check", text.status(), exitFaulty);
+    auto configuration = parseConfiguration(*text, 1);
+    if (!configuration.ok())
+        return failVerb("check", configuration.status(), exitFaulty);
+    auto warnings = configuration->warnings;
+    auto findings = reviewConfiguration(*configuration, std::chrono::system_clock::now());
+    warnings.insert(warnings.end(), findings.begin(), findings.end());
+    for (const auto& warning : warnings)
+        std::fprintf(stderr, "warning: %s\n", warning.c_str());
+    if (FLAGS_strict && !warnings.empty())
+        return exitFaulty;
+    const Inventory& inventory = configuration->inventory;
+    std::printf("ok: %zu VMs, %zu services, %zu models, %zu client accounts\n", inventory.vms.size(), inventory.services.size(), inventory.models.size(), inventory.callers.size());
+    return exitOk;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/CtlExplain.cpp
@@ -0,0 +1,143 @@
+#include "CtlVerbs.h"
+#include "Explain.h"
+#include "ProcessClient.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(service, "", "explain request: name of the service");
+DEFINE_string(model, "", "explain request: name of the model, instead of --service");
+
+namespace bilberry {
+
+const char explainUsage[] = R"(bilberryctl explain vm NAME [--at=YYYY-MM-DD] [--json] --process=IP:port
+  Shows for each model why the VM carries it or not.
+bilberryctl explain request (--service=NAME | --model=NAME) [--json] --process=IP:port
+  Shows for each endpoint what keeps it from taking such a request now, as the process sees it; ask the entry of the
+  data centre in question.
+  exit codes: 0 the VM carries a model / an endpoint is available, 1 it carries none / the request would be refused,
+  2 wrong usage, 3 the process was not reached
+)";
+
+// All that one process knows and an explanation needs.
+struct ProcessView {
+    ProcessStatus status;
+    Configuration configuration;
+    std::optional<LiveList> live;
+};
+
+static const LiveList* liveListOf(const ProcessView& view)
+{
+    return view.live ? &*view.live : nullptr;
+}
+
+static absl::StatusOr<ProcessView> fetchView(const std::string& address)
+{
+    auto status = fetchStatus(address);
+    if (!status.ok())
+        return status.status();
+    auto configuration = fetchConfiguration(address);
+    if (!configuration.ok())
+        return configuration.status();
+    auto document = fetchDocument(address, DocumentKind::LiveList);
+    if (!document.ok())
+        return document.status();
+    ProcessView view { std::move(*status), std::move(*configuration), std::nullopt };
+    auto live = parseLiveList(document->text, document->generation);
+    if (live.ok())
+        view.live = std::move(*live);
+    return view;
+}
+
+static int showVm(const ProcessView& view, const std::string& name, WallTime day)
+{
+    using nlohmann::json;
+    RowIndex vm = findRow(view.configuration.inventory.vms, name);
+    if (vm == noRow)
+        return failVerb("explain", fmt::format("\"{}\" is no VM of the inventory in force", name), exitUsage);
+    json rows = json::array();
+    bool carriesAny = false;
+    for (const auto& verdict : explainVm(view.configuration, liveListOf(view), vm, day)) {
+        const std::string& model = view.configuration.inventory.models[verdict.model].name;
+        carriesAny = carriesAny || verdict.carries;
+        rows.push_back({ { "vm", name }, { "model", model }, { "carries", verdict.carries }, { "reason", verdict.reason } });
+        if (!FLAGS_json)
+            std::printf("%s %s %s: %s\n", name.c_str(), verdict.carries ? "carries" : "does not carry", model.c_str(), verdict.reason.c_str());
+    }
+    if (FLAGS_json)
+        std::printf("%s\n", rows.dump(1).c_str());
+    return carriesAny ? exitOk : exitFaulty;
+}
+
+// The service and model that the flags name; an error names what the inventory does not have.
+static absl::StatusOr<RoutingTarget> readTarget(const Inventory& inventory)
+{
+    if (FLAGS_service.empty() == FLAGS_model.empty())
+        return absl::InvalidArgumentError("explain request takes either --service or --model");
+    RoutingTarget target;
+    if (FLAGS_model.empty()) {
+        target.service = findRow(inventory.services, FLAGS_service);
+    } else {
+        target.model = findRow(inventory.models, FLAGS_model);
+        target.service = target.model == noRow ? noRow : inventory.models[target.model].service;
+    }
+    if (target.service == noRow)
+        return absl::InvalidArgumentError(fmt::format("\"{}\" is not in the inventory in force (unknown-service)", FLAGS_model.empty() ? FLAGS_service : FLAGS_model));
+    return target;
+}
+
+static std::vector<FleetRow> toFleetRows(const ProcessStatus& status, TimePoint now)
+{
+    std::vector<FleetRow> rows;
+    for (const auto& row : status.vms)
+        rows.push_back({ row.status, now - row.age });
+    return rows;
+}
+
+static int showRequest(const ProcessView& view)
+{
+    using nlohmann::json;
+    auto target = readTarget(view.configuration.inventory);
+    if (!target.ok())
+        return failVerb("explain", target.status(), exitUsage);
+    auto now = Clock::now();
+    json rows = json::array();
+    int available = 0;
+    for (const auto& verdict : explainRequest(view.configuration, liveListOf(view), toFleetRows(view.status, now), *target, now)) {
+        const Vm& vm = view.configuration.inventory.vms[verdict.vm];
+        const std::string& dataCentre = view.configuration.inventory.dataCentres[vm.dataCentre].name;
+        available += verdict.state == EndpointState::Available ? 1 : 0;
+        rows.push_back({ { "vm", vm.name }, { "data_centre", dataCentre }, { "state", toText(verdict.state) }, { "detail", verdict.detail } });
+        if (!FLAGS_json)
+            std::printf("%-28s %-16s %-18s %s\n", vm.name.c_str(), dataCentre.c_str(), std::string(toText(verdict.state)).c_str(), verdict.detail.c_str());
+    }
+    const char* answer = available > 0 ? "would be accepted" : "would be refused";
+    if (FLAGS_json)
+        std::printf("%s\n", json { { "from", view.status.vm }, { "available", available }, { "endpoints", rows } }.dump(1).c_str());
+    else
+        std::printf("a request at %s in %s %s: %d of %zu endpoints are available\n", view.status.vm.c_str(), view.status.dataCentre.c_str(), answer, available, rows.size());
+    return available > 0 ? exitOk : exitFaulty;
+}
+
+int runExplain(const CtlArguments& words)
+{
+    bool isVm = words.size() == 2 && words[0] == "vm";
+    bool isRequest = words.size() == 1 && words[0] == "request";
+    if (!isVm && !isRequest)
+        return failVerb("explain", "takes \"vm NAME\" or \"request\"", exitUsage);
+    auto addresses = readProcessFlag();
+    if (!addresses.ok())
+        return failVerb("explain", addresses.status(), exitUsage);
+    auto day = readAtFlag();
+    if (!day.ok())
+        return failVerb("explain", day.status(), exitUsage);
+    auto view = fetchView(addresses->front());
+    if (!view.ok())
+        return failVerb("explain", view.status(), exitNotReached);
+    return isVm ? showVm(*view, words[1], *day) : showRequest(*view);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/CtlStatus.cpp
@@ -0,0 +1,54 @@
+#include "CtlVerbs.h"
+#include "ProcessClient.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+const char statusUsage[] = R"(bilberryctl status [--json] --process=IP:port[,IP:port...]
+  Shows what each process says of itself: the generations in force, requests in progress, and each VM that it has heard
+  with age, limit and served versions. Processes that disagree on the configuration are pointed out.
+  exit codes: 0 all answered and agree, 1 they disagree, 2 wrong usage, 3 a process was not reached
+)";
+
+static void showStatus(const std::vector<ProcessStatus>& processes, const std::vector<std::string>& disagreements)
+{
+    using nlohmann::json;
+    if (FLAGS_json) {
+        json rows = json::array();
+        for (const auto& process : processes)
+            rows.push_back(toJson(process));
+        std::printf("%s\n", json { { "processes", rows }, { "disagreements", disagreements } }.dump(1).c_str());
+        return;
+    }
+    for (const auto& process : processes)
+        std::fputs(formatStatus(process).c_str(), stdout);
+    for (const auto& line : disagreements)
+        std::printf("disagreement: %s\n", line.c_str());
+}
+
+int runStatus(const CtlArguments& words)
+{
+    auto addresses = readProcessFlag();
+    if (!addresses.ok())
+        return failVerb("status", addresses.status(), exitUsage);
+    if (!words.empty())
+        return failVerb("status", "takes no argument but --process", exitUsage);
+    std::vector<ProcessStatus> processes;
+    int code = exitOk;
+    for (const auto& address : *addresses) {
+        auto status = fetchStatus(address);
+        if (status.ok())
+            processes.push_back(std::move(*status));
+        else
+            code = failVerb("status", status.status(), exitNotReached);
+    }
+    auto disagreements = findDisagreements(processes);
+    showStatus(processes, disagreements);
+    if (code == exitOk && !disagreements.empty())
+        code = exitFaulty;
+    return code;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Explain.cpp
@@ -0,0 +1,122 @@
+#include "Explain.h"
+
+#include "Placement.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bilberry {
+
+std::string_view toText(EndpointState state)
+{
+    switch (state) {
+    case EndpointState::Available:
+        return "available";
+    case EndpointState::DataCentreOut:
+        return "data-centre-out";
+    case EndpointState::Leaving:
+        return "leaving";
+    case EndpointState::NotHeard:
+        return "not-heard";
+    case EndpointState::VersionNotReady:
+        return "version-not-ready";
+    case EndpointState::AtLimit:
+        return "overloaded";
+    }
+    return "available";
+}
+
+static bool isLive(const LiveList* live, const std::string& vm)
+{
+    if (!live)
+        return true;
+    auto found = live->vms.find(vm);
+    return found != live->vms.end() && found->second == LiveState::Live;
+}
+
+static std::string explainAbsence(const Configuration& configuration, const LiveList* live, RowIndex vm, RowIndex model, WallTime day)
+{
+    const Inventory& inventory = configuration.inventory;
+    const Vm& row = inventory.vms[vm];
+    const Model& wanted = inventory.models[model];
+    uint32_t replicas = wantedReplicas(configuration, model, day);
+    if (row.role == Role::Entry)
+        return "an entry VM carries no model";
+    if (row.service != wanted.service)
+        return fmt::format("the VM is of service \"{}\", the model of \"{}\"", inventory.services[row.service].name, inventory.services[wanted.service].name);
+    if (replicas == 0)
+        return "no rule wants a replica of the model on this day";
+    if (isVmLeaving(configuration, vm))
+        return "the rules have the VM as leaving";
+    if (!isLive(live, row.name))
+        return "the live list does not have the VM as live";
+    if (row.weightMemoryBytes < wanted.sizeBytes)
+        return fmt::format("its weight memory of {} bytes is less than the model's {}", row.weightMemoryBytes, wanted.sizeBytes);
+    return fmt::format("the {} replicas wanted are on VMs that go first in the placement order, or other models take its memory", replicas);
+}
+
+std::vector<CarryVerdict> explainVm(const Configuration& configuration, const LiveList* live, RowIndex vm, WallTime day)
+{
+    auto placed = modelsOnVm(placeModels(configuration, live, day), vm);
+    std::vector<CarryVerdict> verdicts;
+    for (RowIndex model = 0; model < configuration.inventory.models.size(); ++model) {
+        bool carries = std::find(placed.begin(), placed.end(), model) != placed.end();
+        std::string reason = carries ? fmt::format("one of the replicas that keep {} serving", wantedReplicas(configuration, model, day)) : explainAbsence(configuration, live, vm, model, day);
+        verdicts.push_back({ model, carries, std::move(reason) });
+    }
+    return verdicts;
+}
+
+static bool serves(const VmStatus& status, const std::string& model)
+{
+    return std::any_of(status.served.begin(), status.served.end(), [&](const ServedModel& served) { return served.model == model; });
+}
+
+// What the configuration and the live list say against the endpoint; Available when nothing.
+static EndpointVerdict checkIntent(const Configuration& configuration, const LiveList* live, RowIndex vm)
+{
+    const Vm& row = configuration.inventory.vms[vm];
+    if (isDataCentreOut(configuration, row.dataCentre))
+        return { vm, EndpointState::DataCentreOut, fmt::format("{} is out of service", configuration.inventory.dataCentres[row.dataCentre].name) };
+    if (isVmLeaving(configuration, vm))
+        return { vm, EndpointState::Leaving, "by the rules" };
+    auto found = live ? live->vms.find(row.name) : decltype(live->vms.find(row.name)) {};
+    if (live && found != live->vms.end() && found->second == LiveState::Leaving)
+        return { vm, EndpointState::Leaving, "by the live list" };
+    return { vm, EndpointState::Available, {} };
+}
+
+static EndpointVerdict checkReport(const Configuration& configuration, const FleetRow* report, RowIndex vm, RowIndex model, TimePoint now)
+{
+    if (!report)
+        return { vm, EndpointState::NotHeard, "no report of it" };
+    const VmStatus& status = report->status;
+    auto age = std::chrono::duration_cast<Milliseconds>(now - report->reportedAt);
+    if (status.isLeaving)
+        return { vm, EndpointState::Leaving, "by its own report" };
+    if (age > reportLifetime)
+        return { vm, EndpointState::NotHeard, fmt::format("for {} ms", age.count()) };
+    if (model != noRow && !serves(status, configuration.inventory.models[model].name))
+        return { vm, EndpointState::VersionNotReady, "its engine serves no version of the model" };
+    auto use = fmt::format("{} of {} requests{}", status.inProgress, status.limit, status.isCold ? ", cold" : "");
+    bool isFull = status.inProgress >= std::max(1U, status.limit);
+    return { vm, isFull ? EndpointState::AtLimit : EndpointState::Available, use };
+}
+
+std::vector<EndpointVerdict> explainRequest(const Configuration& configuration, const LiveList* live, const std::vector<FleetRow>& reports, RoutingTarget target, TimePoint now)
+{
+    std::vector<EndpointVerdict> verdicts;
+    const auto& vms = configuration.inventory.vms;
+    for (RowIndex vm = 0; vm < vms.size(); ++vm) {
+        if (vms[vm].role != Role::Endpoint || vms[vm].service != target.service)
+            continue;
+        auto found = std::find_if(reports.begin(), reports.end(), [&](const FleetRow& row) { return row.status.vm == vms[vm].name; });
+        auto verdict = checkIntent(configuration, live, vm);
+        if (verdict.state == EndpointState::Available)
+            verdict = checkReport(configuration, found == reports.end() ? nullptr : &*found, vm, target.model, now);
+        verdicts.push_back(std::move(verdict));
+    }
+    return verdicts;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/ProcessClient.cpp
@@ -0,0 +1,91 @@
+#include "ProcessClient.h"
+
+#include "HttpClient.h"
+#include "JsonRpcBridge.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+static constexpr HttpTimeouts callTimeouts { Milliseconds(1000), Milliseconds(5000) };
+// Largest answer that is read, in bytes: a document with its framing, or the metrics of one process.
+static constexpr size_t maxReplyBytes = 16 * maxConfigurationBytes;
+
+// The one function that reaches a process.
+static HttpReply sendToProcess(const std::string& address, HttpRequest request)
+{
+    static HttpClientPool pool;
+    request.headers.emplace_back("Connection", "close");
+    return pool.call(address, request, callTimeouts, maxReplyBytes);
+}
+
+static absl::Status notReached(const std::string& address, const std::string& reason)
+{
+    return absl::UnavailableError(absl::StrCat(address, ": ", reason));
+}
+
+absl::StatusOr<json> callProcess(const std::string& address, const std::string& method, const json& parameters)
+{
+    auto carrier = [&](const std::string& request, std::string& response) {
+        auto reply = sendToProcess(address, { "POST", "/rpc", { { "Content-Type", "application/json" } }, request });
+        response = std::move(reply.body);
+        return reply.failure == CallFailure::None && reply.status == 200;
+    };
+    auto reply = callJsonRpc(method, parameters.dump(), carrier);
+    if (!reply.error.empty())
+        return notReached(address, absl::StrCat("no answer to ", method, ": ", reply.error));
+    auto result = json::parse(reply.result, nullptr, false);
+    if (!result.is_object())
+        return notReached(address, absl::StrCat("an unreadable answer to ", method));
+    return result;
+}
+
+absl::StatusOr<std::string> fetchMetrics(const std::string& address)
+{
+    auto reply = sendToProcess(address, { "GET", "/metrics", {}, {} });
+    if (reply.failure != CallFailure::None || reply.status != 200)
+        return notReached(address, "no metrics");
+    return reply.body;
+}
+
+absl::StatusOr<ProcessStatus> fetchStatus(const std::string& address)
+{
+    auto answer = callProcess(address, "status", json::object());
+    if (!answer.ok())
+        return answer.status();
+    auto status = parseProcessStatus(*answer, address);
+    if (!status)
+        return notReached(address, "an unreadable answer to status");
+    return std::move(*status);
+}
+
+absl::StatusOr<PublishedDocument> fetchDocument(const std::string& address, DocumentKind kind)
+{
+    auto answer = callProcess(address, "document", { { "kind", static_cast<int>(kind) } });
+    if (!answer.ok())
+        return answer.status();
+    try {
+        PublishedDocument document;
+        document.kind = kind;
+        document.generation = answer->at("generation").get<Generation>();
+        document.text = answer->at("text").get<std::string>();
+        return document;
+    } catch (const json::exception&) {
+        return notReached(address, "an unreadable answer to document");
+    }
+}
+
+absl::StatusOr<Configuration> fetchConfiguration(const std::string& address)
+{
+    auto document = fetchDocument(address, DocumentKind::Configuration);
+    if (!document.ok())
+        return document.status();
+    if (document->generation == 0)
+        return notReached(address, "has no configuration yet");
+    return parseConfiguration(document->text, document->generation);
+}
+
+} // namespace bilberry
