--- /dev/null
+++ b/src/Attempt.cpp
@@ -0,0 +1,33 @@
+#include "Attempt.h"
+
+#include "EntryRequest.h"
+#include "WireHeaders.h"
+
+namespace bilberry {
+
+HttpRequest makeForwardedRequest(const EntryRequest& request, const std::string& attemptId, Milliseconds timeLeft)
+{
+    const Inventory& inventory = request.configuration->inventory;
+    HttpRequest forwarded = *request.http;
+    forwarded.path = wire::forwardPrefix + request.http->path;
+    forwarded.headers = withoutHopHeaders(request.http->headers);
+    forwarded.headers.emplace_back(wire::attempt, attemptId);
+    forwarded.headers.emplace_back(wire::deadlineMs, std::to_string(timeLeft.count()));
+    forwarded.headers.emplace_back(wire::generation, std::to_string(request.configuration->generation));
+    forwarded.headers.emplace_back(wire::service, inventory.services[request.service].name);
+    forwarded.headers.emplace_back(wire::caller, inventory.callers[request.caller].name);
+    forwarded.headers.emplace_back(wire::unrepeatable, request.isUnrepeatable ? "1" : "0");
+    if (request.model != noRow)
+        forwarded.headers.emplace_back(wire::model, inventory.models[request.model].name);
+    return forwarded;
+}
+
+Refusal readRefusal(const HttpHeaders& headers)
+{
+    if (findHeader(headers, wire::outcome) == toText(Outcome::Ran))
+        return {};
+    auto reason = parseRefusalReason(findHeader(headers, wire::reason));
+    return makeRefusal(reason.value_or(RefusalReason::ReplyLost));
+}
+
+} // namespace bilberry
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -30,7 +30,6 @@
 
 private:
     HttpResponse serve(const HttpRequest&);
-    RefusalReason readRequest(const HttpRequest&, const Configuration&, EntryRequest&) const;
     HttpResponse refuse(const EntryRequest&, Refusal);
     RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
     AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm);
--- /dev/null
+++ b/src/EntryKeys.cpp
@@ -0,0 +1,43 @@
+/// The part of an entry that concerns unrepeatable requests with a key: their owner, and the question for an outcome.
+
+#include "Attempt.h"
+#include "Configuration.h"
+#include "Entry.h"
+#include "EntryRequest.h"
+#include "HttpClient.h"
+#include "Node.h"
+#include "WireHeaders.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// Longest time that a key query may take.
+static constexpr Milliseconds keyQueryTimeout { 1000 };
+
+RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
+{
+    if (request.key.empty())
+        return this->router.choose(table, { request.service, request.model }, tried, this->nextRandom());
+    RowIndex owner = findKeyOwner(*table.configuration, request.service, request.key);
+    bool wasTried = std::find(tried.begin(), tried.end(), owner) != tried.end();
+    if (owner == noRow || wasTried)
+        return noRow;
+    this->router.acquire(owner);
+    return owner;
+}
+
+AttemptOutcome Entry::askKeyOwner(const EntryRequest& request, const std::string& address, const std::string& attemptId)
+{
+    HttpRequest query { "POST", "/key-query", { { wire::idempotencyKey, request.key }, { wire::attempt, attemptId } }, {} };
+    auto reply = this->node.clients.call(address, query, { this->node.settings.connectTimeout, keyQueryTimeout }, maxConfigurationBytes);
+    if (reply.failure != CallFailure::None || reply.status == 0)
+        return { makeRefusal(RefusalReason::ReplyLost), {} };
+    AttemptOutcome outcome { readRefusal(reply.headers), {} };
+    outcome.response.status = reply.status;
+    outcome.response.headers = withoutHopHeaders(reply.headers);
+    outcome.response.body = reply.body;
+    return outcome;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EntryRequest.cpp
@@ -0,0 +1,74 @@
+#include "EntryRequest.h"
+
+#include "Digest.h"
+#include "HttpMessage.h"
+#include "WireHeaders.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+static RowIndex findCaller(const Inventory& inventory, const HttpHeaders& headers)
+{
+    std::string authorization = findHeader(headers, "Authorization");
+    if (authorization.rfind("Bearer ", 0) == 0) {
+        std::string digest = sha256Hex(authorization.substr(7));
+        for (RowIndex index = 0; index < inventory.callers.size(); ++index) {
+            if (inventory.callers[index].keySha256 == digest)
+                return index;
+        }
+        return noRow;
+    }
+    RowIndex named = findRow(inventory.callers, findHeader(headers, wire::account));
+    bool needsKey = named != noRow && !inventory.callers[named].keySha256.empty();
+    return needsKey ? noRow : named;
+}
+
+static Milliseconds chooseTimeout(const HttpHeaders& headers, const ServiceRule& rule)
+{
+    int64_t wanted = 0;
+    bool isNumber = absl::SimpleAtoi(findHeader(headers, wire::timeoutMs), &wanted);
+    return isNumber && wanted > 0 ? std::min(Milliseconds(wanted), rule.maxTimeout) : rule.defaultTimeout;
+}
+
+// Reads what a model request's body says; false when it is no JSON object with a model.
+static bool readModelBody(const std::string& body, std::string& model, bool& isStream)
+{
+    auto document = json::parse(body, nullptr, false);
+    if (!document.is_object() || !document.contains("model") || !document["model"].is_string())
+        return false;
+    model = document["model"].get<std::string>();
+    auto stream = document.find("stream");
+    isStream = stream != document.end() && stream->is_boolean() && stream->get<bool>();
+    return true;
+}
+
+RefusalReason readEntryRequest(const HttpRequest& http, EntryRequest& request)
+{
+    const Configuration& configuration = *request.configuration;
+    request.http = &http;
+    const Inventory& inventory = configuration.inventory;
+    request.caller = findCaller(inventory, http.headers);
+    if (request.caller == noRow)
+        return RefusalReason::UnknownCaller;
+    std::string path = http.path.substr(0, http.path.find('?'));
+    std::string model;
+    if (path.rfind("/v1/", 0) == 0) {
+        if (!readModelBody(http.body, model, request.isStream))
+            return RefusalReason::BadRequest;
+        request.model = findRow(inventory.models, model);
+    }
+    request.service = findService(inventory, path, model);
+    if (request.service == noRow)
+        return RefusalReason::UnknownService;
+    request.isUnrepeatable = isUnrepeatable(configuration.rules, request.service, http.method, path);
+    request.key = request.isUnrepeatable ? findHeader(http.headers, wire::idempotencyKey) : std::string();
+    request.deadline = request.receivedAt + chooseTimeout(http.headers, configuration.rules.services[request.service]);
+    return RefusalReason::None;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EntryRequest.h
@@ -0,0 +1,30 @@
+/// A caller's request as an entry reads it: who asks, which service, until when.
+#pragma once
+
+#include "Configuration.h"
+
+#include <string>
+
+namespace bilberry {
+
+struct HttpRequest;
+
+/// A caller's request with all that the configuration says of it.
+struct EntryRequest {
+    const HttpRequest* http = nullptr;
+    ConfigurationPointer configuration;
+    RowIndex service = noRow;
+    RowIndex model = noRow;
+    RowIndex caller = noRow;
+    bool isUnrepeatable = false;
+    bool isStream = false;
+    std::string key;
+    TimePoint receivedAt {};
+    TimePoint deadline {};
+};
+
+/// Fills in all but `configuration` and `receivedAt`, which are set before. Returns None, or why the request is refused.
+/// Precondition: the configuration is not null. Thread safe.
+RefusalReason readEntryRequest(const HttpRequest&, EntryRequest&);
+
+} // namespace bilberry
