Leave unread processes out of a burn window, and tell spent budgets

And a service whose budget was overspent (-99900 %) was "within" while its callers were quiet; such a row is "spent" now.

--- a/src/BurnReport.cpp
+++ b/src/BurnReport.cpp
@@ -131,7 +131,9 @@
     double both = std::min(shortBurn, longBurn);
     if (both >= fastBurnRate)
         return BurnLevel::Fast;
-    return both > 1 ? BurnLevel::Slow : BurnLevel::Within;
+    if (both > 1)
+        return BurnLevel::Slow;
+    return longBurn > 1 ? BurnLevel::Spent : BurnLevel::Within;
 }
 
 static BurnRow makeRow(const ServiceRule& rule, const RowKey& key, const TalliesByDataCentre& shortTallies, const TalliesByDataCentre& longTallies)
--- a/src/BurnReport.h
+++ b/src/BurnReport.h
@@ -25,7 +25,8 @@
 
 /// How urgent a row is: both windows must agree, so that an old fault or a short spike does not count.
 enum class BurnLevel : uint8_t {
-    Within, ///< At most one of the windows burns faster than the budget allows.
+    Within, ///< The long window is within its budget.
+    Spent, ///< The long window's budget is used up, but the short window does not burn.
     Slow, ///< Both use up more than the budget.
     Fast, ///< Both burn at least at `fastBurnRate`.
 };
--- a/src/BurnSnapshot.cpp
+++ b/src/BurnSnapshot.cpp
@@ -42,13 +42,23 @@
     }
 }
 
+// For a process that ran before the earlier moment without being read then: its growth is not known.
+static void dropCounters(ProcessCounters& process)
+{
+    auto isCounter = [](const MetricSample& sample) { return absl::EndsWith(sample.name, "_total"); };
+    process.samples.erase(std::remove_if(process.samples.begin(), process.samples.end(), isCounter), process.samples.end());
+}
+
 BurnSnapshot subtractSnapshot(const BurnSnapshot& later, const BurnSnapshot& earlier)
 {
     BurnSnapshot difference = later;
+    auto earlierMs = std::chrono::duration_cast<Milliseconds>(earlier.takenAt.time_since_epoch()).count();
     for (auto& process : difference.processes) {
         auto found = std::find_if(earlier.processes.begin(), earlier.processes.end(), [&](const ProcessCounters& row) { return row.vm == process.vm; });
         if (found != earlier.processes.end())
             subtractProcess(process, *found);
+        else if (static_cast<int64_t>(process.incarnation) <= earlierMs)
+            dropCounters(process);
     }
     return difference;
 }
--- a/src/BurnSnapshot.h
+++ b/src/BurnSnapshot.h
@@ -14,7 +14,7 @@
 struct ProcessCounters {
     std::string vm;
     std::string dataCentre;
-    uint64_t incarnation = 0; ///< A restarted process, whose counters began at zero, has a higher one.
+    uint64_t incarnation = 0; ///< Start of the process in Unix milliseconds; its counters began at zero then.
     std::vector<MetricSample> samples;
 };
 
@@ -26,8 +26,8 @@
 /// Keeps the samples that the burn report reads. Thread safe.
 std::vector<MetricSample> selectBurnSamples(const std::vector<MetricSample>&);
 
-/// What each counter of `later` grew by since `earlier`; gauges keep their later value. A process that restarted or
-/// was not in `earlier` counts from zero. Thread safe.
+/// What each counter of `later` grew by since `earlier`; gauges keep their later value. A process that started
+/// in between counts from zero; one that ran before without being in `earlier` is left out of the counters. Thread safe.
 BurnSnapshot subtractSnapshot(const BurnSnapshot& later, const BurnSnapshot& earlier);
 
 /// A snapshot as JSON text, to be kept in a file, and back. The error says what is unreadable. Thread safe.
--- a/src/BurnText.cpp
+++ b/src/BurnText.cpp
@@ -14,6 +14,8 @@
     switch (level) {
     case BurnLevel::Within:
         return "within";
+    case BurnLevel::Spent:
+        return "spent";
     case BurnLevel::Slow:
         return "slow-burn";
     case BurnLevel::Fast:
--- a/src/CtlBurn.cpp
+++ b/src/CtlBurn.cpp
@@ -96,7 +96,7 @@
 {
     auto text = FLAGS_json ? toJson(report).dump(1) + "\n" : formatBurnReport(report);
     std::fputs(text.c_str(), stdout);
-    bool burns = std::any_of(report.rows.begin(), report.rows.end(), [](const BurnRow& row) { return row.level != BurnLevel::Within; });
+    bool burns = std::any_of(report.rows.begin(), report.rows.end(), [](const BurnRow& row) { return row.level == BurnLevel::Slow || row.level == BurnLevel::Fast; });
     return burns ? exitFaulty : exitOk;
 }
 
