Vouch for keys by leases of key slots and by their mint time

Cause: a restarted owner had an empty table and ran a key again; a changed configuration moved a key to an owner that knew nothing of it; answers over 64 KiB were cut short when repeated; withdrawing a key erased its fence.

Change: keys fall into fixed slots; a majority of the service's voters leases a slot to one process at a time; a process runs a key only when it was minted in its own tenure. KeyTable keeps fences, refuses another request under a used key, and keeps answers whole or says that they were not kept. The last check stands right before the dispatch.

--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -157,6 +157,8 @@
         process.entry = std::make_unique<Entry>(process.node);
     else
         process.endpoint = std::make_unique<Endpoint>(process.node);
+    if (process.endpoint)
+        process.rpc.addMethod("key_lease", [&process](const std::string& parameters) { return process.endpoint->answerKeyLease(parameters); });
     process.server.start([&process](const HttpRequest& request) { return answer(process, request); });
     std::printf("listening %s:%d\n", settings.listen.host.c_str(), process.server.port());
     std::fflush(stdout);
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -12,18 +12,12 @@
 
 namespace bilberry {
 
-// Keys of unrepeatable requests that are held at a time.
-static constexpr size_t maxKeys = 100'000;
-// How long the outcome of a key is remembered.
-static constexpr std::chrono::hours keyLifetime { 24 };
-// Longest answer that is kept for re-sends of a key, in bytes.
-static constexpr size_t maxKeptAnswer = size_t(64) * 1024;
 static constexpr Milliseconds defaultDeadline { 30'000 };
 
 Endpoint::Endpoint(Node& node)
     : node(node)
     , weights(node)
-    , keys(maxKeys)
+    , keyed(node)
     , admission(makeAdmission({}))
 {
 }
@@ -31,10 +25,12 @@
 void Endpoint::start()
 {
     this->weights.start();
+    this->keyed.start();
 }
 
 void Endpoint::stop()
 {
+    this->keyed.stop();
     this->weights.stop();
 }
 
@@ -66,7 +62,7 @@
     }
     status.isLeaving = this->node.isLeaving || isVmLeaving(*configuration, own);
     publishOwnStatus(this->node, status);
-    this->keys.expire(now, keyLifetime);
+    this->keyed.tick(now);
     this->node.metrics.set("bilberry_requests_in_progress", status.inProgress);
     this->node.metrics.set("bilberry_admission_limit", status.limit);
 }
@@ -104,13 +100,14 @@
     RowIndex own = configuration ? findOwnVm(this->node, *configuration) : noRow;
     if (own == noRow)
         return this->refuse(request, RefusalReason::NoConfiguration);
-    auto reason = this->checkState(request, *configuration, own);
-    if (reason != RefusalReason::None)
-        return this->refuse(request, reason);
-    const Vm& vm = configuration->inventory.vms[own];
-    std::string key = findHeader(request.headers, wire::idempotencyKey);
-    bool isKeyed = !key.empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return isKeyed ? this->runKeyed(request, vm, key) : this->runAtBackEnd(request, vm);
+    auto run = [&](const DispatchCheck& mayDispatch) {
+        auto reason = this->checkState(request, *configuration, own);
+        if (reason != RefusalReason::None)
+            return this->refuse(request, reason);
+        return this->runAtBackEnd(request, configuration->inventory.vms[own], mayDispatch);
+    };
+    bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
+    return hasKey ? this->keyed.handle(request, run) : run(nullptr);
 }
 
 RefusalReason Endpoint::admit()
@@ -140,11 +137,15 @@
     return isNumber && left > 0 ? Milliseconds(left) : defaultDeadline;
 }
 
-HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm)
+HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const DispatchCheck& mayDispatch)
 {
     auto reason = this->admit();
     if (reason != RefusalReason::None)
         return this->refuse(request, reason);
+    if (mayDispatch && !mayDispatch()) {
+        this->complete(false, false);
+        return this->refuse(request, RefusalReason::KeyFenced);
+    }
     HttpTimeouts timeouts { this->node.settings.connectTimeout, remainingTime(request) };
     auto exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
     const HttpReply& head = exchange->waitForHead();
@@ -170,83 +171,4 @@
     return response;
 }
 
-// Runs a request that has a key: recorded before it is forwarded, its answer kept.
-HttpResponse Endpoint::runKeyed(const HttpRequest& request, const Vm& vm, const std::string& key)
-{
-    KeyedAnswer answer;
-    auto decision = this->keys.begin(key, findHeader(request.headers, wire::attempt), Clock::now(), answer);
-    switch (decision) {
-    case KeyDecision::Run:
-        break;
-    case KeyDecision::AnswerAgain: {
-        HttpResponse response;
-        response.status = answer.status;
-        response.headers.emplace_back("Content-Type", answer.contentType);
-        response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
-        response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
-        response.body = answer.body;
-        return response;
-    }
-    case KeyDecision::InProgress:
-        return this->refuse(request, RefusalReason::KeyInProgress);
-    case KeyDecision::Fenced:
-        return this->refuse(request, RefusalReason::KeyFenced);
-    case KeyDecision::OutcomeUnknown:
-        return this->refuse(request, RefusalReason::ReplyLost);
-    case KeyDecision::TableFull:
-        return this->refuse(request, RefusalReason::KeyTableFull);
-    }
-    HttpResponse response = this->runAtBackEnd(request, vm);
-    std::string outcome = findHeader(response.headers, wire::outcome);
-    if (outcome == toText(Outcome::NotRun)) {
-        this->keys.withdraw(key);
-        return response;
-    }
-    // The answer is read whole before it is passed on, so that it can be kept.
-    bool isWhole = outcome == toText(Outcome::Ran);
-    std::string body;
-    while (response.stream) {
-        std::string piece;
-        auto step = response.stream(piece);
-        body += piece;
-        isWhole = isWhole && step != BodyStep::Broken;
-        if (step != BodyStep::More)
-            break;
-    }
-    if (response.onFinished)
-        response.onFinished();
-    response.stream = nullptr;
-    response.onFinished = nullptr;
-    if (!isWhole) {
-        this->keys.markLost(key, Clock::now());
-        return outcome == toText(Outcome::Ran) ? this->refuse(request, RefusalReason::ReplyLost) : response;
-    }
-    response.body = body;
-    this->keys.finish(key, { response.status, findHeader(response.headers, "Content-Type"), body.substr(0, maxKeptAnswer) }, Clock::now());
-    return response;
-}
-
-HttpResponse Endpoint::answerKeyQuery(const HttpRequest& request)
-{
-    KeyedAnswer answer;
-    auto state = this->keys.queryAndFence(findHeader(request.headers, wire::idempotencyKey), findHeader(request.headers, wire::attempt), Clock::now(), answer);
-    switch (state) {
-    case KeyState::Unseen:
-    case KeyState::Fenced:
-        return this->refuse(request, RefusalReason::ConnectFailed);
-    case KeyState::Running:
-        return this->refuse(request, RefusalReason::KeyInProgress);
-    case KeyState::Lost:
-        return this->refuse(request, RefusalReason::ReplyLost);
-    case KeyState::Finished:
-        break;
-    }
-    HttpResponse response;
-    response.status = answer.status;
-    response.headers.emplace_back("Content-Type", answer.contentType);
-    response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
-    response.body = answer.body;
-    return response;
-}
-
 } // namespace bilberry
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -3,7 +3,7 @@
 
 #include "Admission.h"
 #include "HttpMessage.h"
-#include "KeyTable.h"
+#include "KeyedRequests.h"
 #include "WeightAgent.h"
 
 #include <mutex>
@@ -29,7 +29,9 @@
     /// Handles a peer's or the engine's read of weights.
     HttpResponse answerWeights(const HttpRequest& request) const { return this->weights.answer(request); }
     /// Answers the question for a key's outcome, and fences the attempt when the key was never seen.
-    HttpResponse answerKeyQuery(const HttpRequest&);
+    HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
+    /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
+    std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
     /// Requests at the back end.
     uint32_t inProgress() const;
 
@@ -38,12 +40,11 @@
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
     RefusalReason admit();
     void complete(bool isFailure, bool wasAtLimit);
-    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&);
-    HttpResponse runKeyed(const HttpRequest&, const Vm&, const std::string& key);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const DispatchCheck&);
 
     Node& node;
     WeightAgent weights;
-    KeyTable keys;
+    KeyedRequests keyed;
     mutable std::mutex mutex; ///< Guards the admission state.
     AdmissionState admission;
     bool hasBounds = false;
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "Digest.h"
 #include "HttpClient.h"
+#include "KeyOwner.h"
 #include "Node.h"
 #include "Rendezvous.h"
 #include "WireHeaders.h"
@@ -122,6 +123,9 @@
 
 HttpResponse Entry::refuse(const EntryRequest& request, Refusal refusal)
 {
+    bool isKeyed = request.configuration ? !request.key.empty() : !findHeader(request.http->headers, wire::idempotencyKey).empty();
+    if (isKeyed)
+        refusal = refusalForKey(refusal);
     MetricLabels labels { { "reason", std::string(toText(refusal.reason)) }, { "outcome", std::string(toText(refusal.outcome)) } };
     bool isKnown = request.configuration && request.service != noRow;
     labels["service"] = isKnown ? request.configuration->inventory.services[request.service].name : "";
@@ -140,11 +144,11 @@
 {
     if (request.key.empty())
         return this->router.choose(table, { request.service, request.model }, tried, this->nextRandom());
-    RowIndex owner = findKeyOwner(*table.configuration, request.service, request.key);
-    bool wasTried = std::find(tried.begin(), tried.end(), owner) != tried.end();
-    if (owner == noRow || wasTried)
-        return noRow;
-    this->router.acquire(owner);
+    const Inventory& inventory = request.configuration->inventory;
+    auto scopedKey = makeScopedKey(inventory.services[request.service].name, inventory.callers[request.caller].name, request.key);
+    RowIndex owner = chooseKeyOwner(table, request.service, scopedKey, tried);
+    if (owner != noRow)
+        this->router.acquire(owner);
     return owner;
 }
 
@@ -171,7 +175,9 @@
     if (findHeader(headers, wire::outcome) == toText(Outcome::Ran))
         return {};
     auto reason = parseRefusalReason(findHeader(headers, wire::reason));
-    return makeRefusal(reason.value_or(RefusalReason::ReplyLost));
+    Refusal refusal = makeRefusal(reason.value_or(RefusalReason::ReplyLost));
+    refusal.isFromOwner = refusal.reason != RefusalReason::KeyNotOwned && refusal.reason != RefusalReason::NoConfiguration;
+    return refusal;
 }
 
 static bool isEventStream(const HttpHeaders& headers)
@@ -196,7 +202,11 @@
 
 AttemptOutcome Entry::askKeyOwner(const EntryRequest& request, const std::string& address, const std::string& attemptId)
 {
+    const Inventory& inventory = request.configuration->inventory;
     HttpRequest query { "POST", "/key-query", { { wire::idempotencyKey, request.key }, { wire::attempt, attemptId } }, {} };
+    query.headers.emplace_back(wire::idempotencyMinted, findHeader(request.http->headers, wire::idempotencyMinted));
+    query.headers.emplace_back(wire::service, inventory.services[request.service].name);
+    query.headers.emplace_back(wire::caller, inventory.callers[request.caller].name);
     auto reply = this->node.clients.call(address, query, { this->node.settings.connectTimeout, keyQueryTimeout }, maxConfigurationBytes);
     if (reply.failure != CallFailure::None || reply.status == 0)
         return { makeRefusal(RefusalReason::ReplyLost), {} };
@@ -285,7 +295,9 @@
         tried.push_back(vm);
         last = outcome.refusal;
         AttemptReport report { last, !request.isUnrepeatable, false, attempts, std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now()) };
-        if (decideRetry(report) == RetryDecision::GiveUp)
+        // What a key's owner says is not better known elsewhere.
+        bool isSettled = !request.key.empty() && last.isFromOwner;
+        if (isSettled || decideRetry(report) == RetryDecision::GiveUp)
             return this->refuse(request, last);
         if (!this->spendRetry(request))
             return this->refuse(request, last);
--- a/src/KeyTable.cpp
+++ b/src/KeyTable.cpp
@@ -1,28 +1,50 @@
 #include "KeyTable.h"
 
+#include <algorithm>
+
 namespace bilberry {
 
-KeyDecision KeyTable::begin(const std::string& key, const std::string& attempt, TimePoint now, KeyedAnswer& answer)
+// Fenced attempts that one key remembers.
+static constexpr size_t maxFencedAttempts = 16;
+
+static bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+KeyDecision KeyTable::record(Row& row, const KeyedAttempt& attempt, TimePoint now)
+{
+    row.state = KeyState::Recorded;
+    row.requestHash = attempt.requestHash;
+    row.attempt = attempt.attempt;
+    row.changedAt = now;
+    return KeyDecision::Run;
+}
+
+KeyDecision KeyTable::begin(const KeyedAttempt& attempt, bool isVouched, TimePoint now, KeyedAnswer& answer)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    auto found = this->rows.find(key);
+    auto found = this->rows.find(attempt.key);
     if (found == this->rows.end()) {
-        if (this->rows.size() >= this->maxKeys)
+        if (!isVouched)
+            return KeyDecision::NotVouched;
+        if (this->rows.size() >= this->limits.keys)
             return KeyDecision::TableFull;
-        this->rows[key] = { KeyState::Running, {}, {}, now };
-        return KeyDecision::Run;
+        return this->record(this->rows[attempt.key], attempt, now);
     }
     Row& row = found->second;
+    if (row.requestHash != 0 && row.requestHash != attempt.requestHash)
+        return KeyDecision::OtherRequest;
     switch (row.state) {
     case KeyState::Fenced:
-        // Only the attempt that was given up is refused; a later one of the same key may run.
-        if (row.fencedAttempt == attempt)
+        // Only the attempts that were given up are refused; a later one of the same key may run.
+        if (contains(row.fencedAttempts, attempt.attempt))
             return KeyDecision::Fenced;
-        row = { KeyState::Running, {}, {}, now };
-        return KeyDecision::Run;
+        return isVouched ? this->record(row, attempt, now) : KeyDecision::NotVouched;
     case KeyState::Finished:
         answer = row.answer;
         return KeyDecision::AnswerAgain;
+    case KeyState::Recorded:
     case KeyState::Running:
         return KeyDecision::InProgress;
     case KeyState::Lost:
@@ -32,44 +54,107 @@
     return KeyDecision::OutcomeUnknown;
 }
 
-void KeyTable::withdraw(const std::string& key)
+bool KeyTable::markDispatched(const KeyedAttempt& attempt, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->rows.erase(key);
+    auto found = this->rows.find(attempt.key);
+    if (found == this->rows.end() || found->second.state != KeyState::Recorded || found->second.attempt != attempt.attempt)
+        return false;
+    found->second.state = KeyState::Running;
+    found->second.changedAt = now;
+    return true;
+}
+
+void KeyTable::withdraw(const KeyedAttempt& attempt, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->rows.find(attempt.key);
+    if (found == this->rows.end() || found->second.attempt != attempt.attempt)
+        return;
+    Row& row = found->second;
+    bool mayTakeBack = row.state == KeyState::Recorded || row.state == KeyState::Running;
+    if (!mayTakeBack)
+        return;
+    if (row.fencedAttempts.empty()) {
+        this->rows.erase(found);
+        return;
+    }
+    row.state = KeyState::Fenced;
+    row.attempt.clear();
+    row.changedAt = now;
 }
 
 void KeyTable::finish(const std::string& key, KeyedAnswer answer, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->rows[key] = { KeyState::Finished, {}, std::move(answer), now };
+    auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    size_t bytes = answer.body.size() + answer.contentType.size();
+    if (bytes > this->limits.oneAnswerBytes || this->keptBytes + bytes > this->limits.answerBytes)
+        answer = { 0, {}, {}, false };
+    else
+        this->keptBytes += bytes;
+    Row& row = found->second;
+    row.state = KeyState::Finished;
+    row.answer = std::move(answer);
+    row.fencedAttempts.clear();
+    row.changedAt = now;
 }
 
 void KeyTable::markLost(const std::string& key, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->rows[key] = { KeyState::Lost, {}, {}, now };
+    auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    found->second.state = KeyState::Lost;
+    found->second.changedAt = now;
 }
 
-KeyState KeyTable::queryAndFence(const std::string& key, const std::string& attempt, TimePoint now, KeyedAnswer& answer)
+KeyState KeyTable::queryAndFence(const KeyedAttempt& attempt, TimePoint now, KeyedAnswer& answer)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    auto found = this->rows.find(key);
+    auto found = this->rows.find(attempt.key);
     if (found == this->rows.end()) {
-        this->rows[key] = { KeyState::Fenced, attempt, {}, now };
-        return KeyState::Unseen;
+        if (this->rows.size() >= this->limits.keys)
+            return KeyState::Unseen;
+        this->rows[attempt.key] = { KeyState::Fenced, 0, {}, { attempt.attempt }, {}, now };
+        return KeyState::Fenced;
     }
-    if (found->second.state == KeyState::Finished)
-        answer = found->second.answer;
-    return found->second.state;
+    Row& row = found->second;
+    if (row.state == KeyState::Finished)
+        answer = row.answer;
+    bool isWaiting = row.state == KeyState::Fenced || row.state == KeyState::Recorded;
+    if (!isWaiting)
+        return row.state;
+    // Step 1. The attempt is refused from now on.
+    if (!contains(row.fencedAttempts, attempt.attempt)) {
+        if (row.fencedAttempts.size() >= maxFencedAttempts)
+            return KeyState::Unseen;
+        row.fencedAttempts.push_back(attempt.attempt);
+    }
+    row.changedAt = now;
+    // Step 2. If it is the recorded one, it is taken back before it is sent.
+    if (row.state == KeyState::Recorded && row.attempt == attempt.attempt) {
+        row.state = KeyState::Fenced;
+        row.attempt.clear();
+    }
+    return row.state;
 }
 
 void KeyTable::expire(TimePoint now, Duration lifetime)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     for (auto position = this->rows.begin(); position != this->rows.end();) {
-        bool hasEnded = position->second.state != KeyState::Running;
-        bool isOld = hasEnded && now - position->second.changedAt > lifetime;
-        position = isOld ? this->rows.erase(position) : std::next(position);
+        const Row& row = position->second;
+        bool hasEnded = row.state != KeyState::Running && row.state != KeyState::Recorded;
+        if (!hasEnded || now - row.changedAt <= lifetime) {
+            ++position;
+            continue;
+        }
+        this->keptBytes -= row.answer.body.size() + row.answer.contentType.size();
+        position = this->rows.erase(position);
     }
 }
 
@@ -79,4 +164,10 @@
     return this->rows.size();
 }
 
+size_t KeyTable::answerBytes() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->keptBytes;
+}
+
 } // namespace bilberry
--- a/src/Routing.cpp
+++ b/src/Routing.cpp
@@ -1,7 +1,5 @@
 #include "Routing.h"
 
-#include "Rendezvous.h"
-
 #include <algorithm>
 #include <array>
 #include <unordered_map>
@@ -116,21 +114,4 @@
     return noRow;
 }
 
-RowIndex findKeyOwner(const Configuration& configuration, RowIndex service, std::string_view key)
-{
-    RowIndex best = noRow;
-    uint64_t bestScore = 0;
-    const auto& vms = configuration.inventory.vms;
-    for (RowIndex vm = 0; vm < vms.size(); ++vm) {
-        if (vms[vm].role != Role::Endpoint || vms[vm].service != service)
-            continue;
-        uint64_t score = rendezvousScore(key, vms[vm].name);
-        if (best == noRow || score > bestScore) {
-            best = vm;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 } // namespace bilberry
--- a/src/Routing.h
+++ b/src/Routing.h
@@ -47,8 +47,4 @@
 /// and counts this entry's own requests, which reports lag behind; `excluded` are VMs that were tried. Returns a VM's row or noRow. Thread safe.
 RowIndex chooseEndpoint(const RoutingTable&, RoutingTarget, const std::vector<uint32_t>& ownInProgress, const std::vector<RowIndex>& excluded, uint64_t random);
 
-/// The endpoint that owns a key: by rendezvous over all configured endpoints of the service, so that every entry
-/// agrees. noRow when the service has none. Thread safe.
-RowIndex findKeyOwner(const Configuration&, RowIndex service, std::string_view key);
-
 } // namespace bilberry
--- /dev/null
+++ b/tests/process_keys_once.py
@@ -0,0 +1,211 @@
+#!/usr/bin/env python3
+"""A key runs at most once whatever fails at its owner, and `not-run` is never said of a key that ran."""
+
+import json
+import signal
+import threading
+import time
+import uuid
+
+import harness
+
+PATH = "/register/suspensions"
+REGISTER = "register"
+
+
+class Caller:
+    """Submits keyed requests through any entry and counts the runs of each key at the back ends."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.runs = {}
+        self.answers = {}
+
+    def mint(self):
+        return str(uuid.uuid4()), str(int(time.time() * 1000))
+
+    def submit(self, key, minted, entry=0, body="{}", timeout=10.0, account=None, **headers):
+        address = self.fleet.processes[self.fleet.entries()[entry]].address
+        headers = {**(account or self.fleet.account()), "Idempotency-Key": key, "X-Request-Timeout-Ms": "1500", **headers}
+        if minted:
+            headers["Idempotency-Key-Minted"] = minted
+        status, received, text = harness.call("POST", address, PATH, body, headers, timeout)
+        outcome = received.get("X-Bilberry-Outcome", "lost")
+        reason = json.loads(text).get("reason", "") if text.startswith(b"{") else ""
+        self.answers.setdefault(key, []).append(outcome)
+        return status, outcome, reason, text
+
+    def run_count(self, key):
+        """Runs of the key over all back ends, also those that have gone: each prints a line a run."""
+        for name in self.fleet.endpoints(REGISTER):
+            for process in [self.fleet.back_end(name), *self.fleet.gone]:
+                while not process.lines.empty():
+                    words = process.lines.get().split()
+                    if words[:1] == ["run"]:
+                        self.runs[words[1]] = self.runs.get(words[1], 0) + 1
+        return self.runs.get(key, 0)
+
+    def check(self, key):
+        """At most one run; none after `not-run` was the last word, one after `ran`."""
+        count = self.run_count(key)
+        assert count <= 1, (key, count, self.answers[key])
+        if "ran" in self.answers[key]:
+            assert count == 1, (key, count, self.answers[key])
+        if "not-run" in self.answers[key]:
+            last = len(self.answers[key]) - 1 - self.answers[key][::-1].index("not-run")
+            assert "ran" not in self.answers[key][:last], (key, self.answers[key])
+        if self.answers[key][-1] == "not-run":
+            assert count == 0, (key, count, self.answers[key])
+        return count
+
+    def run_key(self, entry=0, seconds=15):
+        """Submits keys until one runs; gives it with its mint time."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            key, minted = self.mint()
+            if self.submit(key, minted, entry)[1] == "ran":
+                self.check(key)
+                return key, minted
+            self.check(key)
+            time.sleep(0.1)
+        raise AssertionError(f"no key ran within {seconds} s: {self.answers[key]}")
+
+    def owner(self, key):
+        """The endpoint whose back end ran the key."""
+        for name in self.fleet.endpoints(REGISTER):
+            if key in self.fleet.back_end(name).counts().get("runs_by_key", {}):
+                return name
+        raise AssertionError(f"{key} ran nowhere")
+
+
+def start_fleet(build):
+    """The register service only: three endpoints and the entries."""
+
+    def edit(fleet):
+        fleet.inventory["vms"] = [row for row in fleet.inventory["vms"] if row.get("role") == "entry" or row["service"] == REGISTER]
+        fleet.rules["placements"] = fleet.rules["bursts"] = []
+
+    fleet = harness.Fleet(build, edit=edit)
+    fleet.gone = []
+    return fleet
+
+
+def replace_back_end(fleet, name):
+    """Starts a crashed back end again and publishes its address."""
+    fleet.back_end(name).process.wait(5)
+    fleet.gone.append(fleet.back_end(name))
+    fleet.start_back_end(name)
+    fleet.publish()
+
+
+def test_repeats(fleet, caller):
+    key, minted = caller.run_key()
+    first = caller.submit(key, minted, 0)
+    second = caller.submit(key, minted, 1)
+    assert first[1] == second[1] == "ran" and first[3] == second[3], (first, second)
+    caller.check(key)
+    reused = caller.submit(key, minted, 1, body='{"other":1}')
+    assert (reused[0], reused[2]) == (422, "key-reused"), reused
+    other = {"X-Client-Account": fleet.inventory["callers"][1]["name"]}
+    foreign = caller.submit(key, minted, 0, body='{"mine":1}', account=other)
+    assert foreign[2] != "key-reused" and foreign[3] != first[3], foreign
+    for bad, reason in ((None, "key-malformed"), (str(int(time.time() * 1000) + 60_000), "key-minted-ahead")):
+        refused = caller.submit(str(uuid.uuid4()), bad)
+        assert refused[1:3] == ("not-run", reason), refused
+
+
+def test_concurrent(_fleet, caller):
+    key, minted = caller.mint()
+    threads = [threading.Thread(target=caller.submit, args=(key, minted, n % 2)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert caller.submit(key, minted)[1] == "ran", caller.answers[key]
+    assert caller.check(key) == 1
+
+
+def test_back_end_faults(fleet, caller):
+    for fault, runs in (("crash_before_run", 0), ("crash_after_run", 1), ("drop_reply", 1)):
+        probe, _ = caller.run_key()
+        name = caller.owner(probe)
+        for endpoint in fleet.endpoints(REGISTER):
+            fleet.back_end(endpoint).fault(**{fault: 1})
+        key, minted = caller.mint()
+        for entry in (0, 1, 0):
+            answer = caller.submit(key, minted, entry)
+            assert answer[1] == "outcome-unknown", (fault, answer)
+        assert caller.check(key) == runs, (fault, caller.answers[key])
+        for endpoint in fleet.endpoints(REGISTER):
+            if fleet.back_end(endpoint).process.poll() is not None:
+                replace_back_end(fleet, endpoint)
+            else:
+                fleet.back_end(endpoint).fault(**{fault: 0})
+        assert name in fleet.endpoints(REGISTER)
+        caller.run_key()
+
+
+def test_owner_restarts(fleet, caller):
+    key, minted = caller.run_key()
+    name = caller.owner(key)
+    before = caller.mint()
+    fleet.processes[name].kill()
+    for submitted in ((key, minted), before):
+        for entry in (0, 1):
+            answer = caller.submit(*submitted, entry)
+            assert answer[1] == "outcome-unknown", answer
+    fleet.restart_daemon(name)
+    # Another endpoint or the restarted one takes the slot over; neither can vouch for the old keys.
+    end = time.monotonic() + 8
+    while time.monotonic() < end:
+        answer = caller.submit(key, minted, 1)
+        assert answer[1] == "outcome-unknown", answer
+        if answer[2] == "not-vouched":
+            break
+        time.sleep(0.1)
+    assert answer[2] == "not-vouched", answer
+    caller.check(key)
+    caller.check(before[0])
+    caller.run_key()
+
+
+def test_owner_frozen(fleet, caller):
+    """Woken with requests in hand past every timeout, the process sends none of them."""
+    owned = caller.run_key()
+    name = caller.owner(owned[0])
+    frozen = fleet.processes[name]
+    frozen.signal(signal.SIGSTOP)
+    keys = [caller.mint() for _ in range(6)]
+    threads = [threading.Thread(target=caller.submit, args=(*key, n % 2)) for n, key in enumerate(keys)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    harness.wait_until(lambda: caller.submit(*owned, 1)[2] == "not-vouched", 10, "the slot is taken over")
+    before = {key: caller.run_count(key) for key, _ in keys}
+    frozen.signal(signal.SIGCONT)
+    harness.wait_until(lambda: caller.submit(*owned, 0)[1] == "ran", 10, "the owner is back and answers from its table")
+    for key, minted in keys:
+        for entry in (0, 1):
+            caller.submit(key, minted, entry)
+        caller.check(key)
+    assert before == {key: caller.run_count(key) for key, _ in keys}, caller.answers
+    caller.check(owned[0])
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__, only="")
+    tests = (test_repeats, test_concurrent, test_back_end_faults, test_owner_restarts, test_owner_frozen)
+    with start_fleet(arguments.build) as fleet:
+        caller = Caller(fleet)
+        for entry in range(len(fleet.entries())):
+            caller.run_key(entry)
+        for test in tests:
+            if arguments.only in test.__name__:
+                start = time.monotonic()
+                test(fleet, caller)
+                print(f"{test.__name__} {time.monotonic() - start:.1f} s", flush=True)
+
+
+if __name__ == "__main__":
+    harness.main(main)
