--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -5,11 +5,10 @@
 #include "Entry.h"
 #include "EntryRequest.h"
 #include "HttpClient.h"
+#include "KeyOwner.h"
 #include "Node.h"
 #include "WireHeaders.h"
 
-#include <algorithm>
-
 namespace bilberry {
 
 // Longest time that a key query may take.
@@ -19,17 +18,21 @@
 {
     if (request.key.empty())
         return this->router.choose(table, { request.service, request.model }, tried, this->nextRandom());
-    RowIndex owner = findKeyOwner(*table.configuration, request.service, request.key);
-    bool wasTried = std::find(tried.begin(), tried.end(), owner) != tried.end();
-    if (owner == noRow || wasTried)
-        return noRow;
-    this->router.acquire(owner);
+    const Inventory& inventory = request.configuration->inventory;
+    auto scopedKey = makeScopedKey(inventory.services[request.service].name, inventory.callers[request.caller].name, request.key);
+    RowIndex owner = chooseKeyOwner(table, request.service, scopedKey, tried);
+    if (owner != noRow)
+        this->router.acquire(owner);
     return owner;
 }
 
 AttemptOutcome Entry::askKeyOwner(const EntryRequest& request, const std::string& address, const std::string& attemptId)
 {
+    const Inventory& inventory = request.configuration->inventory;
     HttpRequest query { "POST", "/key-query", { { wire::idempotencyKey, request.key }, { wire::attempt, attemptId } }, {} };
+    query.headers.emplace_back(wire::idempotencyMinted, findHeader(request.http->headers, wire::idempotencyMinted));
+    query.headers.emplace_back(wire::service, inventory.services[request.service].name);
+    query.headers.emplace_back(wire::caller, inventory.callers[request.caller].name);
     auto reply = this->node.clients.call(address, query, { this->node.settings.connectTimeout, keyQueryTimeout }, maxConfigurationBytes);
     if (reply.failure != CallFailure::None || reply.status == 0)
         return { makeRefusal(RefusalReason::ReplyLost), {} };
