--- /dev/null
+++ b/src/Backoff.h
@@ -0,0 +1,20 @@
+/// Waits between calls to the configuration service, so that its call rate holds whatever it answers.
+#pragma once
+
+#include "Types.h"
+
+namespace bilberry {
+
+struct Backoff {
+    Milliseconds first { 500 };
+    Milliseconds most { 10'000 };
+    int failures = 0; ///< In a row.
+};
+
+/// Notes one more failure and gives the wait: a random share of a bound that doubles with each. `random` is any
+/// number. Never less than a tenth of the bound.
+Milliseconds nextWait(Backoff&, uint64_t random);
+/// Notes a success.
+void reset(Backoff&);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/DocumentSpread.cpp
@@ -0,0 +1,119 @@
+#include "DocumentSpread.h"
+
+#include "FleetView.h"
+#include "JsonRpcBridge.h"
+#include "Node.h"
+#include "PeerCall.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+// An announcement is small; a peer that does not take it at once hears of the document in its next exchange.
+static constexpr Milliseconds announceTimeout { 500 };
+
+// Whether the peer is ahead; counts a document of one generation with other bytes, which is a fault of the platform.
+static bool isAhead(Node& node, DocumentKind kind, const DocumentVersion& offered)
+{
+    auto held = node.published.version(kind);
+    bool isConflict = held.generation != 0 && held.generation == offered.generation && held.digest != offered.digest;
+    if (isConflict)
+        node.metrics.count("bilberry_document_conflicts_total", { { "document", std::string(toText(kind)) } });
+    return node.published.wants(kind, offered);
+}
+
+void noteVersionsAt(Node& node, const std::string& address, const DocumentVersion (&versions)[documentKindCount])
+{
+    for (int i = 0; i < documentKindCount; ++i) {
+        auto kind = static_cast<DocumentKind>(i);
+        if (isAhead(node, kind, versions[i]))
+            node.spread.requestFetch(kind, address);
+    }
+}
+
+// Documents are fetched only from configured VMs, never from an address that a message names.
+static std::string addressOf(const Node& node, const std::string& vm)
+{
+    auto configuration = node.published.heldConfiguration();
+    RowIndex row = configuration ? findRow(configuration->inventory.vms, vm) : noRow;
+    return row == noRow ? std::string() : configuration->inventory.vms[row].address;
+}
+
+void noteVersions(Node& node, const std::string& vm, const DocumentVersion (&versions)[documentKindCount])
+{
+    auto address = addressOf(node, vm);
+    if (!address.empty())
+        noteVersionsAt(node, address, versions);
+}
+
+static std::string answerAnnounce(Node& node, const std::string& parameters)
+{
+    auto announcement = parseAnnouncement(parameters);
+    if (!announcement) {
+        node.metrics.count("bilberry_messages_refused_total", { { "method", "announce" } });
+        return {};
+    }
+    auto address = addressOf(node, announcement->vm);
+    if (!address.empty() && isAhead(node, announcement->kind, announcement->document))
+        node.spread.requestFetch(announcement->kind, address);
+    return "{}";
+}
+
+static std::string answerDocument(Node& node, const std::string& parameters)
+{
+    auto message = json::parse(parameters, nullptr, false);
+    if (!message.is_object() || !message.contains("kind") || !message["kind"].is_number_integer())
+        return {};
+    auto kind = message["kind"].get<int64_t>();
+    if (kind < 0 || kind >= documentKindCount)
+        return {};
+    auto document = node.published.document(static_cast<DocumentKind>(kind));
+    return json { { "generation", document.generation }, { "text", document.text } }.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void addSpreadMethods(JsonRpcDispatcher& dispatcher, Node& node)
+{
+    dispatcher.addMethod("announce", [&node](const std::string& parameters) { return answerAnnounce(node, parameters); });
+    dispatcher.addMethod("document", [&node](const std::string& parameters) { return answerDocument(node, parameters); });
+}
+
+static void fetchDocument(Node& node, const std::string& address, DocumentKind kind)
+{
+    auto parameters = json { { "kind", static_cast<int>(kind) } }.dump();
+    auto answer = json::parse(callPeer(node, address, "document", parameters, node.settings.callTimeout), nullptr, false);
+    bool isDocument = answer.is_object() && answer.contains("generation") && answer["generation"].is_number_unsigned() && answer.contains("text") && answer["text"].is_string();
+    node.metrics.count("bilberry_document_fetches_total", { { "document", std::string(toText(kind)) }, { "result", isDocument ? "ok" : "failed" } });
+    if (isDocument)
+        adoptDocument(node, kind, answer["generation"].get<Generation>(), answer["text"].get<std::string>(), DocumentSource::Peer);
+}
+
+static void announceDocument(Node& node, DocumentKind kind)
+{
+    auto configuration = node.published.heldConfiguration();
+    RowIndex own = configuration ? findOwnVm(node, *configuration) : noRow;
+    if (own == noRow)
+        return;
+    auto now = Clock::now();
+    auto text = toText(Announcement { node.settings.vm, kind, node.published.version(kind) });
+    auto isUsable = [&](RowIndex vm) { return memberState(node, *configuration, vm, now) != MemberState::Suspect; };
+    auto seed = static_cast<uint64_t>(now.time_since_epoch().count());
+    for (RowIndex vm : chooseAnnouncePeers(configuration->inventory, own, seed, isUsable))
+        callPeer(node, configuration->inventory.vms[vm].address, "announce", text, announceTimeout);
+}
+
+void tickSpread(Node& node, Milliseconds wait)
+{
+    auto work = node.spread.take(wait);
+    for (int i = 0; i < documentKindCount; ++i) {
+        if (!work.fetchFrom[i].empty())
+            fetchDocument(node, work.fetchFrom[i], static_cast<DocumentKind>(i));
+    }
+    for (int i = 0; i < documentKindCount; ++i) {
+        if (work.announce[i])
+            announceDocument(node, static_cast<DocumentKind>(i));
+    }
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/DocumentSpread.h
@@ -0,0 +1,27 @@
+/// Spread of published documents between processes: whoever adopts one tells a few peers at once, and those that lack
+/// it fetch it from the teller, once each.
+#pragma once
+
+#include "PublishedState.h"
+
+#include <string>
+
+namespace bilberry {
+
+class JsonRpcDispatcher;
+struct Node;
+
+/// Adds the methods `announce` and `document`. Precondition: the node outlives the dispatcher.
+void addSpreadMethods(JsonRpcDispatcher&, Node&);
+
+/// Compares what a peer says it holds with what is held here, and queues a fetch from it where it is ahead. The sender
+/// is named by its VM, of which the configuration gives the address. Thread safe.
+void noteVersions(Node&, const std::string& vm, const DocumentVersion (&versions)[documentKindCount]);
+/// The same for a peer at a known address. Thread safe.
+void noteVersionsAt(Node&, const std::string& address, const DocumentVersion (&versions)[documentKindCount]);
+
+/// Does the queued work: fetches documents from peers and announces those adopted. Waits up to `wait` for some.
+/// Called by one thread.
+void tickSpread(Node&, Milliseconds wait);
+
+} // namespace bilberry
--- a/src/DocumentWatcher.cpp
+++ b/src/DocumentWatcher.cpp
@@ -1,6 +1,8 @@
 #include "DocumentWatcher.h"
 
+#include "FleetView.h"
 #include "Node.h"
+#include "PeerCall.h"
 #include "Rendezvous.h"
 
 #include <absl/strings/numbers.h>
@@ -8,43 +10,67 @@
 
 namespace bilberry {
 
-// Processes of one data centre that hold a watch.
-static constexpr size_t watchersPerDataCentre = 2;
+static constexpr Milliseconds watchWait { 2000 };
+// A document that is absent is asked for again after this; every process of a fleet without one does so.
+static constexpr Milliseconds absentPause { 1500 };
+// A process that holds no watch looks so often whether it should.
+static constexpr Milliseconds roleCheckInterval { 500 };
+// A process that failed to read is passed over as a watcher for so long, while others can.
+static constexpr Milliseconds failureLifetime { 30'000 };
+// After an answer that comes at once, so that one that always does costs few calls.
+static constexpr Milliseconds readPause { 100 };
 
-bool isWatcher(const Node& node)
-{
-    auto configuration = node.published.configuration();
-    if (!configuration)
-        return true;
-    RowIndex own = findOwnVm(node, *configuration);
-    if (own == noRow)
-        return true;
-    auto now = Clock::now();
-    std::vector<std::string> members { node.settings.vm };
-    for (const auto& row : node.fleet.rows()) {
-        RowIndex vm = findRow(configuration->inventory.vms, row.status.vm);
-        bool isHere = vm != noRow && vm != own && configuration->inventory.vms[vm].dataCentre == configuration->inventory.vms[own].dataCentre;
-        if (isHere && now - row.reportedAt < reportLifetime && !row.status.isLeaving)
-            members.push_back(row.status.vm);
-    }
-    auto watchers = rankMembers("watch", members, watchersPerDataCentre);
-    return std::find(watchers.begin(), watchers.end(), node.settings.vm) != watchers.end();
-}
-
-bool watchDocument(Node& node, DocumentKind kind, Milliseconds wait)
+ReadResult readDocument(Node& node, DocumentKind kind, Milliseconds wait)
 {
+    auto sentAt = Clock::now();
     Generation known = node.published.generation(kind);
-    std::string path = fmt::format("/v1/kv/bilberrybarrow/{}?raw&index={}&wait={}ms", toText(kind), known, wait.count());
+    // A document that was found invalid may have been cut short on its way, so it is read again without waiting.
+    if (node.published.seenGeneration(kind) > known)
+        known = 0;
+    std::string path = fmt::format("/v1/kv/bilberrybarrow/{}?raw", toText(kind));
+    if (known > 0)
+        path += fmt::format("&index={}&wait={}ms", known, wait.count());
     HttpRequest request { "GET", path, {}, {} };
+    countControlBytes(node, true, path.size());
     auto reply = node.clients.call(node.settings.configurationService, request, { node.settings.connectTimeout, wait + node.settings.callTimeout }, maxConfigurationBytes);
+    countControlBytes(node, false, reply.body.size());
     node.metrics.count("bilberry_configuration_reads_total", { { "document", std::string(toText(kind)) }, { "status", std::to_string(reply.status) } });
+    if (reply.failure == CallFailure::None && reply.status == 404)
+        return ReadResult::Absent;
     if (reply.failure != CallFailure::None || reply.status != 200)
-        return false;
+        return ReadResult::Failed;
     Generation generation = 0;
-    if (!absl::SimpleAtoi(findHeader(reply.headers, "X-Consul-Index"), &generation) || generation == 0)
-        return false;
-    adoptDocument(node, kind, generation, reply.body, "service");
-    return true;
+    if (!absl::SimpleAtoi(findHeader(reply.headers, "X-Consul-Index"), &generation) || generation == 0) {
+        node.metrics.count("bilberry_documents_offered_total", { { "document", std::string(toText(kind)) }, { "result", "no-generation" } });
+        return ReadResult::Unusable;
+    }
+    auto adoption = adoptDocument(node, kind, generation, reply.body, DocumentSource::Service);
+    if (adoption != Adoption::Adopted && adoption != Adoption::AlreadyHeld)
+        return ReadResult::Unusable;
+    node.pause.reread(sentAt);
+    return ReadResult::Answered;
+}
+
+Milliseconds tickWatch(Node& node, DocumentKind kind, WatchState& state)
+{
+    auto startedAt = Clock::now();
+    if (kind == DocumentKind::Configuration && startedAt - state.failedAt > failureLifetime)
+        node.lacksService = false;
+    if (!isWatcher(node)) {
+        reset(state.backoff);
+        return roleCheckInterval;
+    }
+    auto result = readDocument(node, kind, watchWait);
+    auto random = hashText(node.settings.vm, static_cast<uint64_t>(startedAt.time_since_epoch().count()));
+    if (kind == DocumentKind::Configuration) {
+        node.lacksService = result == ReadResult::Failed;
+        if (result == ReadResult::Failed)
+            state.failedAt = startedAt;
+    }
+    if (result == ReadResult::Failed || result == ReadResult::Unusable)
+        return nextWait(state.backoff, random);
+    reset(state.backoff);
+    return result == ReadResult::Absent ? absentPause : readPause;
 }
 
 } // namespace bilberry
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -90,6 +90,8 @@
         return RefusalReason::Leaving;
     if (isDataCentreOut(configuration, vm.dataCentre))
         return RefusalReason::DataCentreOut;
+    if (!mayAcceptWork(this->node))
+        return RefusalReason::NoConfiguration;
     if (configuration.inventory.services[vm.service].name != findHeader(request.headers, wire::service))
         return RefusalReason::UnknownService;
     std::string model = findHeader(request.headers, wire::model);
--- a/src/FleetTable.cpp
+++ b/src/FleetTable.cpp
@@ -1,24 +1,52 @@
 #include "FleetTable.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace bilberry {
 
-static bool isNewer(const VmStatus& offered, const VmStatus& held)
+bool supersedes(const VmStatus& offered, Duration offeredAge, const FleetRow& held, TimePoint now)
 {
-    return std::tie(offered.incarnation, offered.sequence) > std::tie(held.incarnation, held.sequence);
+    auto position = [](const VmStatus& status) { return std::tie(status.incarnation, status.sequence); };
+    if (position(offered) > position(held.status))
+        return true;
+    bool isRestart = offered.incarnation != held.status.incarnation;
+    bool isHeldSilent = now - held.reportedAt > silentIncarnation;
+    return isRestart && isHeldSilent && now - offeredAge > held.reportedAt;
 }
 
-bool FleetTable::merge(const VmStatus& status, Duration age, TimePoint now)
+MergeResult FleetTable::merge(const VmStatus& status, Duration age, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    auto [position, isNew] = this->table.try_emplace(status.vm);
-    FleetRow& row = position->second;
-    if (!isNew && !isNewer(status, row.status))
-        return false;
-    row.status = status;
-    row.reportedAt = now - age;
-    return true;
+    auto found = this->table.find(status.vm);
+    if (found == this->table.end()) {
+        if (this->table.size() >= maxFleetRows)
+            return MergeResult::Full;
+        this->table.emplace(status.vm, FleetRow { status, now - age, now });
+        return MergeResult::Newer;
+    }
+    FleetRow& row = found->second;
+    if (supersedes(status, age, row, now)) {
+        row = { status, now - age, now };
+        return MergeResult::Newer;
+    }
+    if (status.incarnation != row.status.incarnation || status.sequence != row.status.sequence)
+        return MergeResult::Older;
+    if (now - age > row.reportedAt) {
+        row.reportedAt = now - age;
+        row.status.inProgress = status.inProgress;
+    }
+    return MergeResult::Same;
+}
+
+void FleetTable::refresh(const std::string& vm, uint32_t inProgress, TimePoint reportedAt)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->table.find(vm);
+    if (found == this->table.end() || reportedAt <= found->second.reportedAt)
+        return;
+    found->second.reportedAt = reportedAt;
+    found->second.status.inProgress = inProgress;
 }
 
 std::optional<FleetRow> FleetTable::find(const std::string& vm) const
@@ -30,6 +58,24 @@
     return found->second;
 }
 
+void FleetTable::inspect(const std::string& vm, const std::function<void(const FleetRow&)>& reader) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->table.find(vm);
+    if (found != this->table.end())
+        reader(found->second);
+}
+
+std::optional<Heartbeat> FleetTable::heartbeat(const std::string& vm) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->table.find(vm);
+    if (found == this->table.end())
+        return std::nullopt;
+    const FleetRow& row = found->second;
+    return Heartbeat { row.reportedAt, row.status.incarnation, row.status.isLeaving, row.status.lacksService };
+}
+
 std::vector<FleetRow> FleetTable::rows() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -40,6 +86,12 @@
     return copies;
 }
 
+size_t FleetTable::size() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->table.size();
+}
+
 void FleetTable::expire(TimePoint now, Duration limit)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -1,144 +1,205 @@
 #include "Gossip.h"
 
+#include "DocumentSpread.h"
+#include "FleetView.h"
 #include "JsonRpcBridge.h"
 #include "Node.h"
-#include "Rendezvous.h"
+#include "PeerCall.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
-using nlohmann::json;
-
-// Peers that one round exchanges with.
-static constexpr size_t peersPerRound = 2;
-// Largest answer of a peer that is read, in bytes: a document and its framing, escaped.
-static constexpr size_t maxReplyBytes = 4 * maxConfigurationBytes;
+// A peer that gives no answer for so long is passed over for this round.
+static constexpr Milliseconds exchangeTimeout { 1000 };
+// Changes of the last rounds go along with each request, so that they need no second message.
+static constexpr size_t maxHotRows = 8;
+static constexpr Milliseconds hotRowAge { 1000 };
+// Time a VM of the fleet by which changes that only tune choices are spread out.
+static constexpr Milliseconds slowIntervalPerVm { 4 };
+
+// The digest and its VMs that one exchange is about.
+namespace {
+struct Coverage {
+    std::string dataCentre;
+    std::vector<std::string> vms;
+};
+} // namespace
+
+static Coverage coverageOf(const Node& node, const std::string& dataCentre)
+{
+    auto configuration = node.published.heldConfiguration();
+    if (!configuration)
+        return {};
+    return { dataCentre, coveredVms(configuration->inventory, dataCentre) };
+}
 
-static json makeExchange(Node& node)
+static ExchangeMessage makeMessage(Node& node, const Coverage& coverage, const std::vector<DigestEntry>& digest)
 {
-    auto now = Clock::now();
-    json rows = json::array();
-    for (const auto& row : node.fleet.rows()) {
-        auto age = std::chrono::duration_cast<Milliseconds>(now - row.reportedAt);
-        rows.push_back({ { "age_ms", age.count() }, { "status", toJson(row.status) } });
-    }
-    json generations;
+    ExchangeMessage message;
+    message.vm = node.settings.vm;
     for (int kind = 0; kind < documentKindCount; ++kind)
-        generations.push_back(node.published.generation(static_cast<DocumentKind>(kind)));
-    return { { "vm", node.settings.vm }, { "generations", generations }, { "rows", rows } };
+        message.documents[kind] = node.published.version(static_cast<DocumentKind>(kind));
+    if (coverage.vms.empty())
+        return message;
+    message.dataCentre = coverage.dataCentre;
+    message.membersHash = hashMembers(coverage.vms);
+    message.digest = packDigest(digest);
+    return message;
 }
 
-static bool takeExchange(Node& node, const json& message)
+// The other side's digest, when it is about the same VMs.
+static std::optional<std::vector<DigestEntry>> readDigest(const ExchangeMessage& message, const Coverage& coverage)
 {
-    auto now = Clock::now();
-    try {
-        for (const auto& row : message.at("rows")) {
-            auto age = Milliseconds(row.at("age_ms").get<int64_t>());
-            auto status = parseVmStatus(row.at("status"));
-            if (!status || age < Milliseconds(0))
-                return false;
-            if (age < reportLifetime && status->vm != node.settings.vm)
-                node.fleet.merge(*status, age, now);
-        }
-    } catch (const json::exception&) {
-        return false;
+    if (coverage.vms.empty() || message.membersHash != hashMembers(coverage.vms))
+        return std::nullopt;
+    return unpackDigest(message.digest, coverage.vms.size());
+}
+
+// Reports of this side that the other has not, or has in another version.
+static std::vector<AgedStatus> differingRows(const Node& node, const Coverage& coverage, const std::vector<DigestEntry>& own, const std::vector<DigestEntry>& other, TimePoint now)
+{
+    size_t start = static_cast<size_t>(now.time_since_epoch().count()) % coverage.vms.size();
+    std::vector<AgedStatus> rows;
+    for (size_t position : findDifferences(own, other, start, maxRowsPerMessage)) {
+        auto row = node.fleet.find(coverage.vms[position]);
+        if (row)
+            rows.push_back({ std::move(row->status), std::chrono::duration_cast<Milliseconds>(now - row->reportedAt) });
     }
-    return true;
+    return rows;
+}
+
+static std::string refuse(Node& node, const char* method)
+{
+    node.metrics.count("bilberry_messages_refused_total", { { "method", method } });
+    return {};
 }
 
 static std::string answerExchange(Node& node, const std::string& parameters)
 {
-    auto message = json::parse(parameters, nullptr, false);
-    if (message.is_discarded() || !takeExchange(node, message)) {
-        node.metrics.count("bilberry_messages_refused_total", { { "method", "exchange" } });
-        return {};
+    auto now = Clock::now();
+    auto message = parseExchange(parameters);
+    // The ages in a message that waited while this process was paused are wrong.
+    if (!message || node.pause.mayBeDelayed(now))
+        return refuse(node, "exchange");
+    noteVersions(node, message->vm, message->documents);
+    auto coverage = coverageOf(node, message->dataCentre);
+    takeRows(node, message->rows, now);
+    auto own = makeDigest(node, coverage.vms, now);
+    auto reply = makeMessage(node, coverage, own);
+    auto other = readDigest(*message, coverage);
+    if (other) {
+        takeDigest(node, coverage.vms, own, *other, now);
+        reply.rows = differingRows(node, coverage, own, *other, now);
+    } else {
+        reply.rows = recentRows(node, now, reportLifetime, maxRowsPerMessage);
     }
-    return makeExchange(node).dump();
+    return toText(reply);
 }
 
-static std::string answerDocument(Node& node, const std::string& parameters)
+static std::string answerReport(Node& node, const std::string& parameters)
 {
-    auto message = json::parse(parameters, nullptr, false);
-    int kind = message.is_object() ? message.value("kind", -1) : -1;
-    if (kind < 0 || kind >= documentKindCount)
-        return {};
-    auto document = node.published.document(static_cast<DocumentKind>(kind));
-    return json { { "generation", document.generation }, { "text", document.text } }.dump();
+    auto now = Clock::now();
+    auto message = parseExchange(parameters);
+    if (!message || node.pause.mayBeDelayed(now))
+        return refuse(node, "report");
+    takeRows(node, message->rows, now);
+    return "{}";
 }
 
 void addGossipMethods(JsonRpcDispatcher& dispatcher, Node& node)
 {
     dispatcher.addMethod("exchange", [&node](const std::string& parameters) { return answerExchange(node, parameters); });
-    dispatcher.addMethod("document", [&node](const std::string& parameters) { return answerDocument(node, parameters); });
+    dispatcher.addMethod("report", [&node](const std::string& parameters) { return answerReport(node, parameters); });
+    addSpreadMethods(dispatcher, node);
 }
 
-static json callPeer(Node& node, const std::string& address, const std::string& method, const json& parameters)
+bool exchangeWithPeer(Node& node, const std::string& address, const std::string& dataCentre)
 {
-    auto carrier = [&](const std::string& request, std::string& response) {
-        HttpRequest message { "POST", "/rpc", { { "Content-Type", "application/json" }, { "Connection", "close" } }, request };
-        auto reply = node.clients.call(address, message, { node.settings.connectTimeout, node.settings.callTimeout }, maxReplyBytes);
-        response = std::move(reply.body);
-        return reply.failure == CallFailure::None && reply.status == 200;
-    };
-    auto reply = callJsonRpc(method, parameters.dump(), carrier);
-    return reply.error.empty() ? json::parse(reply.result, nullptr, false) : json();
+    auto sentAt = Clock::now();
+    auto coverage = coverageOf(node, dataCentre);
+    auto request = makeMessage(node, coverage, makeDigest(node, coverage.vms, sentAt));
+    request.rows = recentRows(node, sentAt, hotRowAge, maxHotRows);
+    auto reply = parseExchange(callPeer(node, address, "exchange", toText(request), exchangeTimeout));
+    node.metrics.count("bilberry_exchanges_total", { { "result", reply ? "ok" : "failed" } });
+    if (!reply)
+        return false;
+    node.pause.reread(sentAt);
+    // Ages count from the send time of the request: the peer made its answer later, so no report looks fresher than it is.
+    takeRows(node, reply->rows, sentAt);
+    noteVersionsAt(node, address, reply->documents);
+    auto other = readDigest(*reply, coverage);
+    if (!other)
+        return true;
+    auto now = Clock::now();
+    auto own = makeDigest(node, coverage.vms, now);
+    takeDigest(node, coverage.vms, own, *other, sentAt);
+    ExchangeMessage report = makeMessage(node, {}, {});
+    report.rows = differingRows(node, coverage, own, *other, now);
+    if (!report.rows.empty())
+        callPeer(node, address, "report", toText(report), exchangeTimeout);
+    return true;
 }
 
-static void fetchDocument(Node& node, const std::string& address, DocumentKind kind)
+void tickGossip(Node& node, uint64_t round)
 {
-    auto answer = callPeer(node, address, "document", { { "kind", static_cast<int>(kind) } });
-    if (!answer.is_object())
+    auto configuration = node.published.heldConfiguration();
+    RowIndex own = configuration ? findOwnVm(node, *configuration) : noRow;
+    if (own == noRow) {
+        for (const auto& address : node.settings.peers)
+            exchangeWithPeer(node, address, {});
         return;
-    auto generation = answer.value("generation", Generation(0));
-    if (generation > node.published.generation(kind))
-        adoptDocument(node, kind, generation, answer.value("text", std::string()), "peer");
+    }
+    auto now = Clock::now();
+    const Inventory& inventory = configuration->inventory;
+    auto isUsable = [&](RowIndex vm) { return memberState(node, *configuration, vm, now) != MemberState::Suspect; };
+    for (RowIndex vm : choosePeers(inventory, own, round, isUsable)) {
+        const Vm& peer = inventory.vms[vm];
+        bool isPartial = coversOneDataCentre(inventory, inventory.vms[own].dataCentre, peer.dataCentre);
+        exchangeWithPeer(node, peer.address, isPartial ? inventory.dataCentres[peer.dataCentre].name : std::string());
+    }
+    node.fleet.expire(now, rowLifetime);
+    node.metrics.set("bilberry_fleet_rows", static_cast<double>(node.fleet.size()));
 }
 
-bool exchangeWithPeer(Node& node, const std::string& address)
+static bool sameServed(const VmStatus& first, const VmStatus& second)
 {
-    auto answer = callPeer(node, address, "exchange", makeExchange(node));
-    if (!answer.is_object() || !takeExchange(node, answer)) {
-        node.metrics.count("bilberry_exchanges_total", { { "result", "failed" } });
-        return false;
-    }
-    node.metrics.count("bilberry_exchanges_total", { { "result", "ok" } });
-    auto generations = answer.value("generations", std::vector<Generation>());
-    for (int kind = 0; kind < documentKindCount && kind < static_cast<int>(generations.size()); ++kind) {
-        auto document = static_cast<DocumentKind>(kind);
-        if (generations[static_cast<size_t>(kind)] > node.published.generation(document))
-            fetchDocument(node, address, document);
-    }
-    return true;
+    auto isSame = [](const ServedModel& one, const ServedModel& other) { return one.model == other.model && one.digest == other.digest; };
+    return std::equal(first.served.begin(), first.served.end(), second.served.begin(), second.served.end(), isSame);
 }
 
-static std::vector<std::string> choosePeers(Node& node, uint64_t round)
+static bool sameHoldings(const VmStatus& first, const VmStatus& second)
 {
-    auto configuration = node.published.configuration();
-    if (!configuration)
-        return node.settings.peers;
-    std::vector<std::string> addresses;
-    for (const auto& vm : configuration->inventory.vms) {
-        if (vm.name != node.settings.vm)
-            addresses.push_back(vm.address);
-    }
-    return rankMembers(node.settings.vm + std::to_string(round), addresses, peersPerRound);
+    auto isSame = [](const ChunkHolding& one, const ChunkHolding& other) { return one.digest == other.digest && one.chunks == other.chunks; };
+    return std::equal(first.holdings.begin(), first.holdings.end(), second.holdings.begin(), second.holdings.end(), isSame);
 }
 
-void tickGossip(Node& node, uint64_t round)
+bool isWorthTelling(const VmStatus& held, const VmStatus& offered, Duration sinceLast, Duration slowInterval)
 {
-    for (const auto& address : choosePeers(node, round))
-        exchangeWithPeer(node, address);
+    bool isSame = held.isLeaving == offered.isLeaving && held.isCold == offered.isCold && held.lacksService == offered.lacksService && held.incarnation == offered.incarnation;
+    if (!isSame || !sameServed(held, offered))
+        return true;
+    bool isTuned = held.limit != offered.limit || held.generation != offered.generation || !sameHoldings(held, offered);
+    return isTuned && sinceLast >= slowInterval;
 }
 
 void publishOwnStatus(Node& node, VmStatus status)
 {
+    auto now = Clock::now();
     status.vm = node.settings.vm;
     status.incarnation = node.incarnation;
-    status.sequence = ++node.statusSequence;
     status.generation = node.published.generation(DocumentKind::Configuration);
-    node.fleet.merge(status, Duration(0), Clock::now());
+    status.lacksService = node.lacksService;
+    auto held = node.fleet.find(status.vm);
+    if (held) {
+        auto slowInterval = slowIntervalPerVm * static_cast<int>(node.fleet.size());
+        if (!isWorthTelling(held->status, status, now - held->changedAt, slowInterval)) {
+            node.fleet.refresh(status.vm, status.inProgress, now);
+            return;
+        }
+    }
+    status.sequence = ++node.statusSequence;
+    node.fleet.merge(status, Duration(0), now);
 }
 
 } // namespace bilberry
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -1,4 +1,4 @@
-/// Exchange of reports and published documents between the system's processes.
+/// Exchange of reports between the system's processes, round by round; see docs/design/fleet.md.
 #pragma once
 
 #include "Types.h"
@@ -11,18 +11,24 @@
 struct Node;
 struct VmStatus;
 
-/// Adds the methods `exchange` and `document` that peers call. Precondition: the node outlives the dispatcher.
+/// Adds the methods `exchange`, `report`, `announce` and `document` that peers call. Precondition: the node outlives
+/// the dispatcher.
 void addGossipMethods(JsonRpcDispatcher&, Node&);
 
-/// Exchanges reports with one peer and fetches each document of which it holds a higher generation. Returns whether
-/// the peer answered. Thread safe.
-bool exchangeWithPeer(Node&, const std::string& address);
+/// Exchanges reports with one peer: digests both ways, then only the reports that differ. Documents that the peer holds
+/// in a higher generation are queued for fetching. Returns whether the peer answered. Thread safe.
+bool exchangeWithPeer(Node&, const std::string& address, const std::string& dataCentre);
 
-/// Does one round: exchanges with a few peers of the configuration, and with the configured seed addresses while
+/// Does one round: exchanges with a few peers of the configuration, and with the seed addresses of the settings while
 /// there is no configuration. `round` picks the peers. Thread safe.
 void tickGossip(Node&, uint64_t round);
 
-/// Puts this VM's own report into the fleet table with a new sequence number. Thread safe.
+/// Puts this VM's own report into the fleet table: a new sequence number when its content has changed, else only a new
+/// time. Thread safe.
 void publishOwnStatus(Node&, VmStatus);
 
+/// Whether a report differs from the one published before so that it must be told again. Changes that only tune
+/// choices wait until `sinceLast` reaches `slowInterval`. Thread safe.
+bool isWorthTelling(const VmStatus& held, const VmStatus& offered, Duration sinceLast, Duration slowInterval);
+
 } // namespace bilberry
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -26,6 +26,7 @@
 
 struct HttpClientPool::State {
     std::string localAddress;
+    std::function<void(HttpRequest&)> signer; ///< May be empty.
     std::mutex mutex;
     std::unordered_map<std::string, std::vector<IdleClient>> idle;
 
@@ -62,14 +63,16 @@
     }
 };
 
-static httplib::Request toLibrary(const HttpRequest& request)
+static httplib::Request toLibrary(HttpRequest request, const std::function<void(HttpRequest&)>& signer)
 {
+    if (signer)
+        signer(request);
     httplib::Request own;
     own.method = request.method;
     own.path = request.path;
     for (const auto& [name, value] : request.headers)
         own.headers.emplace(name, value);
-    own.body = request.body;
+    own.body = std::move(request.body);
     return own;
 }
 
@@ -102,6 +105,11 @@
 
 HttpClientPool::~HttpClientPool() = default;
 
+void HttpClientPool::setSigner(std::function<void(HttpRequest&)> signer)
+{
+    this->state->signer = std::move(signer);
+}
+
 HttpReply HttpClientPool::call(const std::string& address, const HttpRequest& request, HttpTimeouts timeouts, size_t maxBodyBytes)
 {
     HttpReply reply;
@@ -111,7 +119,7 @@
         return reply;
     }
     setTimeouts(*client, timeouts);
-    auto own = toLibrary(request);
+    auto own = toLibrary(request, this->state->signer);
     own.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
         if (reply.body.size() + size > maxBodyBytes)
             return false;
@@ -153,7 +161,7 @@
         return;
     }
     setTimeouts(*state->client, timeouts);
-    auto own = toLibrary(request);
+    auto own = toLibrary(request, pool.state->signer);
     own.response_handler = [state](const httplib::Response& response) {
         std::lock_guard<std::mutex> lock(state->mutex);
         state->head.status = response.status;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -3,6 +3,7 @@
 
 #include "HttpMessage.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -66,6 +67,9 @@
     HttpClientPool(const HttpClientPool&) = delete;
     HttpClientPool& operator=(const HttpClientPool&) = delete;
 
+    /// Sets what each request goes through before it is sent. Precondition: no call was made yet.
+    void setSigner(std::function<void(HttpRequest&)>);
+
     /// Sends and reads the whole answer, at most `maxBodyBytes` of it (a longer one counts as lost).
     HttpReply call(const std::string& address, const HttpRequest&, HttpTimeouts, size_t maxBodyBytes);
 
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -10,22 +10,42 @@
     return host == "0.0.0.0" || host == "::" ? std::string() : host;
 }
 
+Node::Node(const Settings& ownSettings)
+    : settings(ownSettings)
+    , clients(outgoingAddress(ownSettings))
+{
+    if (this->settings.keys.signing.empty())
+        return;
+    this->clients.setSigner([keys = this->settings.keys](HttpRequest& request) {
+        if (isInternalPath(request.path))
+            signRequest(keys, request, std::chrono::system_clock::now());
+    });
+}
+
+bool mayAcceptWork(const Node& node)
+{
+    return node.pause.mayAct(Clock::now());
+}
+
 RowIndex findOwnVm(const Node& node, const Configuration& configuration)
 {
     return findRow(configuration.inventory.vms, node.settings.vm);
 }
 
-Adoption adoptDocument(Node& node, DocumentKind kind, Generation generation, const std::string& text, const std::string& source)
+Adoption adoptDocument(Node& node, DocumentKind kind, Generation generation, const std::string& text, DocumentSource source)
 {
     std::string error;
-    Adoption adoption = node.published.offer(kind, generation, text, error);
+    Adoption adoption = node.published.offer(kind, generation, text, source, error);
     node.metrics.count("bilberry_documents_offered_total", { { "document", std::string(toText(kind)) }, { "result", std::string(toText(adoption)) } });
     if (adoption == Adoption::Adopted) {
+        node.spread.requestAnnouncement(kind);
         node.metrics.set("bilberry_document_generation", static_cast<double>(generation), { { "document", std::string(toText(kind)) } });
-        logEvent(LogLevel::Info, "document_adopted", "document={} generation={} source={}", toText(kind), generation, source);
+        logEvent(LogLevel::Info, "document_adopted", "document={} generation={} source={}", toText(kind), generation, toText(source));
     }
     if (adoption == Adoption::Invalid)
-        logEvent(LogLevel::Error, "document_invalid", "document={} generation={} source={} error=\"{}\"", toText(kind), generation, source, error);
+        logEvent(LogLevel::Error, "document_invalid", "document={} generation={} source={} error=\"{}\"", toText(kind), generation, toText(source), error);
+    if (adoption == Adoption::Implausible)
+        logEvent(LogLevel::Warning, "generation_implausible", "document={} generation={} source={}", toText(kind), generation, toText(source));
     return adoption;
 }
 
--- /dev/null
+++ b/src/PauseGuard.cpp
@@ -0,0 +1,64 @@
+#include "PauseGuard.h"
+
+namespace bilberry {
+
+// Messages that queued up during a pause are read within this time after it.
+static constexpr Milliseconds delayedMessages { 1000 };
+
+bool isPaused(const PauseState& state, TimePoint now)
+{
+    return state.lastTickAt != TimePoint {} && now - state.lastTickAt > pauseLimit;
+}
+
+void noteTick(PauseState& state, TimePoint now)
+{
+    if (isPaused(state, now)) {
+        state.resumedAt = now;
+        state.mustReread = true;
+    }
+    state.lastTickAt = now;
+}
+
+void noteReread(PauseState& state, TimePoint sentAt)
+{
+    if (sentAt >= state.resumedAt)
+        state.mustReread = false;
+}
+
+bool mayAct(const PauseState& state, TimePoint now)
+{
+    if (isPaused(state, now))
+        return false;
+    return !state.mustReread || now - state.resumedAt >= rereadLimit;
+}
+
+bool PauseGuard::tick(TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    bool wasPaused = isPaused(this->state, now);
+    noteTick(this->state, now);
+    return wasPaused;
+}
+
+void PauseGuard::reread(TimePoint sentAt)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    // An answer that was sent for before a pause must not end the wait, also when no tick has noticed the pause yet.
+    if (!isPaused(this->state, Clock::now()))
+        noteReread(this->state, sentAt);
+}
+
+bool PauseGuard::mayAct(TimePoint now) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return bilberry::mayAct(this->state, now);
+}
+
+bool PauseGuard::mayBeDelayed(TimePoint now) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    bool hasPaused = this->state.resumedAt != TimePoint {};
+    return isPaused(this->state, now) || (hasPaused && now - this->state.resumedAt < delayedMessages);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Process.cpp
@@ -0,0 +1,183 @@
+#include "Process.h"
+
+#include "DocumentSpread.h"
+#include "DocumentWatcher.h"
+#include "Endpoint.h"
+#include "Entry.h"
+#include "Gossip.h"
+#include "Log.h"
+#include "PeerCall.h"
+#include "ProcessPaths.h"
+#include "Rendezvous.h"
+#include "StartGate.h"
+
+#include <cstdio>
+
+namespace bilberry {
+
+// Largest request body taken from a caller, in bytes.
+static constexpr size_t maxBodyBytes = 16 << 20;
+// Longest single sleep of a thread, so that a stop is noticed.
+static constexpr Milliseconds sleepStep { 100 };
+
+using StopFlag = std::atomic<bool>;
+
+Process::Process(const Settings& settings)
+    : node(settings)
+    , server(settings.listen, settings.httpThreads, maxBodyBytes)
+{
+}
+
+Process::~Process() = default;
+
+static void sleepUnlessStopped(Milliseconds time, const StopFlag& stopRequested)
+{
+    auto until = Clock::now() + time;
+    while (!stopRequested && Clock::now() < until)
+        std::this_thread::sleep_for(std::min<Duration>(sleepStep, until - Clock::now()));
+}
+
+// The first read waits a random part of the spread, unless there is no peer to learn from.
+static void readFirst(Process& process, const StopFlag& stopRequested)
+{
+    Node& node = process.node;
+    if (!node.settings.peers.empty()) {
+        auto random = hashText(node.settings.vm, node.incarnation);
+        sleepUnlessStopped(Milliseconds(random % static_cast<uint64_t>(firstReadSpread.count())), stopRequested);
+    }
+    readDocument(node, DocumentKind::Configuration, Milliseconds(0));
+    process.hasAskedService = true;
+    readDocument(node, DocumentKind::LiveList, Milliseconds(0));
+}
+
+static void runWatcher(Process& process, DocumentKind kind, const StopFlag& stopRequested)
+{
+    if (kind == DocumentKind::Configuration)
+        readFirst(process, stopRequested);
+    WatchState state;
+    while (!stopRequested) {
+        if (!process.hasAskedService)
+            sleepUnlessStopped(sleepStep, stopRequested);
+        else
+            sleepUnlessStopped(tickWatch(process.node, kind, state), stopRequested);
+    }
+}
+
+static void runGossip(Process& process, const StopFlag& stopRequested)
+{
+    for (const auto& address : process.node.settings.peers)
+        exchangeWithPeer(process.node, address, {});
+    // What the peers are ahead by was queued for fetching by the exchanges.
+    tickSpread(process.node, Milliseconds(0));
+    process.hasAskedPeers = true;
+    for (uint64_t round = 0; !stopRequested; ++round) {
+        tickGossip(process.node, round);
+        sleepUnlessStopped(process.node.settings.gossipInterval, stopRequested);
+    }
+}
+
+static void runSpread(Process& process, const StopFlag& stopRequested)
+{
+    while (!stopRequested) {
+        if (process.hasAskedPeers)
+            tickSpread(process.node, sleepStep);
+        else
+            sleepUnlessStopped(sleepStep, stopRequested);
+    }
+}
+
+static void releaseWhenReady(Process& process, TimePoint startedAt, TimePoint now)
+{
+    auto& published = process.node.published;
+    if (published.isReleased())
+        return;
+    StartProgress progress { startedAt, published.heldConfiguration() != nullptr, process.hasAskedPeers, process.hasAskedService };
+    if (!mayStart(progress, now))
+        return;
+    published.release();
+    logEvent(LogLevel::Info, "started", "generation={} asked_peers={} asked_service={}", published.generation(DocumentKind::Configuration), progress.hasAskedPeers, progress.hasAskedService);
+}
+
+static void tick(Process& process)
+{
+    auto now = Clock::now();
+    if (process.node.pause.tick(now)) {
+        process.node.metrics.count("bilberry_pauses_total");
+        logEvent(LogLevel::Warning, "paused", "limit_ms={}", pauseLimit.count());
+    }
+    if (process.entry) {
+        publishOwnStatus(process.node, {});
+        process.entry->tick(now);
+    }
+    if (process.endpoint)
+        process.endpoint->tick(now);
+}
+
+static uint32_t requestsInProgress(const Process& process)
+{
+    return process.entry ? process.entry->inProgress() : process.endpoint->inProgress();
+}
+
+// Serves on until no request is in progress, then ends. Returns the exit code.
+static int drain(Process& process)
+{
+    process.node.isLeaving = true;
+    auto giveUpAt = Clock::now() + process.node.settings.drainTimeout;
+    logEvent(LogLevel::Info, "leaving", "in_progress={}", requestsInProgress(process));
+    tick(process);
+    tickGossip(process.node, 0);
+    while (requestsInProgress(process) > 0 && Clock::now() < giveUpAt) {
+        tick(process);
+        std::this_thread::sleep_for(process.node.settings.tickInterval);
+    }
+    uint32_t left = requestsInProgress(process);
+    process.server.stop();
+    logEvent(LogLevel::Info, "stopped", "cut_off={}", left);
+    return left == 0 ? exitOk : exitDrainTimeout;
+}
+
+static void startThreads(Process& process, const StopFlag& stopRequested)
+{
+    if (process.endpoint)
+        process.endpoint->start();
+    for (auto kind : { DocumentKind::Configuration, DocumentKind::LiveList })
+        process.threads.emplace_back([&process, kind, &stopRequested] { runWatcher(process, kind, stopRequested); });
+    process.threads.emplace_back([&process, &stopRequested] { runGossip(process, stopRequested); });
+    process.threads.emplace_back([&process, &stopRequested] { runSpread(process, stopRequested); });
+}
+
+int runProcess(const Settings& settings, const StopFlag& stopRequested)
+{
+    Process process(settings);
+    process.node.incarnation = static_cast<uint64_t>(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    auto status = process.server.bind();
+    if (!status.ok()) {
+        logEvent(LogLevel::Error, "cannot_listen", "error=\"{}\"", std::string(status.message()));
+        return exitCannotListen;
+    }
+    if (settings.keys.signing.empty())
+        logEvent(LogLevel::Warning, "authentication_off", "setting=authentication_key");
+    addGossipMethods(process.rpc, process.node);
+    if (settings.role == Role::Entry)
+        process.entry = std::make_unique<Entry>(process.node);
+    else
+        process.endpoint = std::make_unique<Endpoint>(process.node);
+    process.server.start([&process](const HttpRequest& request) { return answerRequest(process, request); });
+    std::printf("listening %s:%d\n", settings.listen.host.c_str(), process.server.port());
+    std::fflush(stdout);
+    auto startedAt = Clock::now();
+    startThreads(process, stopRequested);
+    while (!stopRequested) {
+        releaseWhenReady(process, startedAt, Clock::now());
+        tick(process);
+        std::this_thread::sleep_for(settings.tickInterval);
+    }
+    int code = drain(process);
+    if (process.endpoint)
+        process.endpoint->stop();
+    for (auto& thread : process.threads)
+        thread.join();
+    return code;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/ProcessPaths.cpp
@@ -0,0 +1,90 @@
+#include "ProcessPaths.h"
+
+#include "Endpoint.h"
+#include "Entry.h"
+#include "PeerCall.h"
+#include "Process.h"
+#include "Refusal.h"
+#include "WireHeaders.h"
+
+namespace bilberry {
+
+// Largest JSON-RPC message that is read, in bytes.
+static constexpr size_t maxRpcBytes = size_t(2) << 20;
+
+static bool isReady(const Process& process)
+{
+    return process.node.published.configuration() != nullptr && !process.node.isLeaving;
+}
+
+static HttpResponse answerRpc(Process& process, const HttpRequest& request)
+{
+    countControlBytes(process.node, false, request.body.size());
+    if (request.body.size() > maxRpcBytes)
+        return jsonResponse(413, "{}");
+    auto response = jsonResponse(200, process.rpc.dispatch(request.body));
+    countControlBytes(process.node, true, response.body.size());
+    return response;
+}
+
+// Paths that both roles answer; status 0 when the path is none of them.
+static HttpResponse answerCommon(Process& process, const HttpRequest& request)
+{
+    if (request.path == "/rpc")
+        return answerRpc(process, request);
+    if (request.path == "/metrics") {
+        HttpResponse response;
+        response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        response.body = process.node.metrics.serialize();
+        return response;
+    }
+    if (request.path == "/healthz")
+        return jsonResponse(200, R"({"healthy":true})");
+    if (request.path == "/readyz")
+        return isReady(process) ? jsonResponse(200, R"({"ready":true})") : jsonResponse(503, R"({"ready":false})");
+    HttpResponse none;
+    none.status = 0;
+    return none;
+}
+
+static HttpResponse answerEndpoint(Process& process, const HttpRequest& request)
+{
+    if (request.path.rfind("/forward/", 0) == 0)
+        return process.endpoint->forward(request);
+    if (request.path == "/key-query")
+        return process.endpoint->answerKeyQuery(request);
+    return process.endpoint->answerWeights(request);
+}
+
+// An endpoint's process answers its engine, which reads weights; everything else comes from processes of the system.
+static bool isOpenPath(const Process& process, const std::string& path)
+{
+    if (process.entry)
+        return path != "/rpc";
+    return path == "/metrics" || path == "/healthz" || path == "/readyz" || path.rfind("/weights/", 0) == 0;
+}
+
+static HttpResponse refuseUnsigned(Process& process, Authenticity authenticity)
+{
+    process.node.metrics.count("bilberry_unauthenticated_requests_total", { { "result", std::string(toText(authenticity)) } });
+    Refusal refusal = makeRefusal(RefusalReason::Unauthorized);
+    HttpResponse response = jsonResponse(403, problemDetails(refusal));
+    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
+    response.headers.emplace_back(wire::reason, std::string(toText(RefusalReason::Unauthorized)));
+    return response;
+}
+
+HttpResponse answerRequest(Process& process, const HttpRequest& request)
+{
+    if (!isOpenPath(process, request.path)) {
+        auto authenticity = verifyRequest(process.node.settings.keys, request, std::chrono::system_clock::now());
+        if (authenticity != Authenticity::Accepted)
+            return refuseUnsigned(process, authenticity);
+    }
+    HttpResponse common = answerCommon(process, request);
+    if (common.status != 0)
+        return common;
+    return process.entry ? process.entry->handle(request) : answerEndpoint(process, request);
+}
+
+} // namespace bilberry
--- a/src/PublishedState.h
+++ b/src/PublishedState.h
@@ -5,6 +5,7 @@
 #include "LiveList.h"
 
 #include <absl/status/status.h>
+#include <atomic>
 #include <mutex>
 #include <string>
 
@@ -15,6 +16,16 @@
     LiveList = 1 };
 constexpr int documentKindCount = 2;
 
+/// Who gave a document.
+enum class DocumentSource : uint8_t { Service,
+    Peer };
+
+/// Identity of a published document.
+struct DocumentVersion {
+    Generation generation = 0; ///< Zero: there is none.
+    std::string digest; ///< SHA-256 of the text, hex.
+};
+
 /// A document as the platform gave it.
 struct PublishedDocument {
     DocumentKind kind = DocumentKind::Configuration;
@@ -30,31 +41,70 @@
     Older, ///< A lower generation than the one in force.
     Conflicting, ///< The same generation with other bytes.
     Invalid, ///< It does not parse; the one in force stays.
+    AlreadyRejected, ///< The same bytes were found invalid before.
+    Implausible, ///< The generation is out of bounds, or is a jump that no second read has confirmed.
+};
+
+/// What decides whether an offered document is adopted.
+struct AdoptionState {
+    DocumentVersion held;
+    DocumentVersion rejected; ///< The last invalid one.
+    Generation jump = 0; ///< A generation far above the one in force that was read once.
+    TimePoint jumpReadAt {};
 };
 
+/// No platform counts so far; a higher generation is a fault of the sender.
+constexpr Generation maxGeneration = Generation(1) << 48;
+/// A larger step from one generation to the next needs a second read of the service.
+constexpr Generation maxGenerationStep = Generation(1) << 32;
+/// Least time between the two reads that confirm a larger step.
+constexpr Milliseconds jumpConfirmation { 1000 };
+
+/// Decides on an offer before its text is parsed; Adopted means that it is adopted when it parses. A peer's document
+/// needs no second read, since the peer made it. Notes an unconfirmed jump in the state. Thread safe by itself.
+Adoption judgeOffer(AdoptionState&, const DocumentVersion& offered, DocumentSource, TimePoint now);
+
+/// Whether a version that a peer holds is worth fetching. Thread safe.
+bool isWanted(const AdoptionState&, const DocumentVersion& offered);
+
 /// Names for logs and metrics. Thread safe.
 std::string_view toText(Adoption);
 std::string_view toText(DocumentKind);
+std::string_view toText(DocumentSource);
 
 /// Holds the highest generation seen of each document. Thread safe.
 class PublishedState {
 public:
     /// Takes over a document of a higher generation that parses; never goes back. `error` says why one is Invalid.
-    Adoption offer(DocumentKind, Generation, const std::string& text, std::string& error);
+    Adoption offer(DocumentKind, Generation, const std::string& text, DocumentSource, std::string& error);
+
+    /// Shows what is held to the parts that act on it; until then they see no configuration and no live list.
+    void release();
+    bool isReleased() const { return this->released; }
 
-    /// Null until one was adopted.
+    /// Null until one was adopted and released.
     ConfigurationPointer configuration() const;
-    /// Null until one was adopted.
+    /// Null until one was adopted and released.
     LiveListPointer liveList() const;
-    /// The document in force, to be passed on unchanged.
+    /// The same without regard to release(): only for finding peers, never for acting.
+    ConfigurationPointer heldConfiguration() const;
+    /// The document held, to be passed on unchanged.
     PublishedDocument document(DocumentKind) const;
     Generation generation(DocumentKind) const;
+    DocumentVersion version(DocumentKind) const;
+    /// Whether a version that a peer holds is worth fetching.
+    bool wants(DocumentKind, const DocumentVersion&) const;
+    /// The highest generation seen: the one held, or that of an invalid document above it.
+    Generation seenGeneration(DocumentKind) const;
 
 private:
-    mutable std::mutex mutex;
+    std::mutex offerMutex; ///< One offer at a time; taken before `mutex`.
+    mutable std::mutex mutex; ///< Guards the members below.
+    std::atomic<bool> released { false };
     ConfigurationPointer currentConfiguration;
     LiveListPointer currentLiveList;
-    PublishedDocument documents[documentKindCount];
+    AdoptionState states[documentKindCount];
+    std::string texts[documentKindCount];
 };
 
 } // namespace bilberry
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -13,6 +13,8 @@
 DEFINE_string(listen, "127.0.0.1:0", "IP:port to accept connections on; port 0 takes a free one");
 DEFINE_string(configuration_service, "", "IP:port of the platform's configuration service");
 DEFINE_string(peers, "", "comma-separated IP:port of processes to ask at start");
+DEFINE_string(authentication_key, "", "key that signs requests between the system's processes, 16 characters or more; empty: they are not checked");
+DEFINE_string(authentication_key_accepted, "", "second key that is accepted from peers, while keys are being changed");
 DEFINE_int32(http_threads, 64, "connections served at a time, 4 to 1024");
 DEFINE_int32(tick_ms, 100, "interval of the periodic work in ms, 10 to 1000");
 DEFINE_int32(gossip_ms, 500, "interval of exchanges with peers in ms, 50 to 2000");
@@ -53,6 +55,14 @@
     return FLAGS_role == "endpoint" ? Role::Endpoint : Role::Entry;
 }
 
+// The message has no part of the key.
+static std::string checkKey(const char* name, const std::string& value, Faults& faults)
+{
+    if (!value.empty() && value.size() < minKeyLength)
+        faults.push_back(fmt::format("--{}: shorter than {} characters", name, minKeyLength));
+    return value;
+}
+
 absl::StatusOr<Settings> makeSettings(const std::vector<std::string>& earlierFaults)
 {
     Faults faults = earlierFaults;
@@ -71,6 +81,10 @@
     std::vector<std::string> peers = absl::StrSplit(FLAGS_peers, ',', absl::SkipEmpty());
     for (const auto& peer : peers)
         settings.peers.push_back(checkAddress("peers", peer, faults));
+    settings.keys.signing = checkKey("authentication_key", FLAGS_authentication_key, faults);
+    settings.keys.accepted = checkKey("authentication_key_accepted", FLAGS_authentication_key_accepted, faults);
+    if (settings.keys.signing.empty() && !settings.keys.accepted.empty())
+        faults.push_back("--authentication_key: must be set when --authentication_key_accepted is");
     if (FLAGS_http_threads < 4 || FLAGS_http_threads > 1024)
         faults.push_back(fmt::format("--http_threads: {} is not from 4 to 1024", FLAGS_http_threads));
     settings.httpThreads = FLAGS_http_threads;
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Address.h"
+#include "MessageAuthentication.h"
 #include "Types.h"
 
 #include <absl/status/statusor.h>
@@ -17,6 +18,7 @@
     Address listen;
     std::string configurationService; ///< IP:port of the platform's configuration service.
     std::vector<std::string> peers; ///< IP:port of processes to ask first, before any configuration is known.
+    AuthenticationKeys keys; ///< Of requests between the system's processes.
     int httpThreads = 64; ///< Connections served at a time.
     Milliseconds tickInterval { 100 };
     Milliseconds gossipInterval { 500 };
--- /dev/null
+++ b/src/SpreadQueue.cpp
@@ -0,0 +1,31 @@
+#include "SpreadQueue.h"
+
+#include <utility>
+
+namespace bilberry {
+
+void SpreadQueue::requestFetch(DocumentKind kind, const std::string& address)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->work.fetchFrom[static_cast<int>(kind)] = address;
+    this->hasWork = true;
+    this->changed.notify_one();
+}
+
+void SpreadQueue::requestAnnouncement(DocumentKind kind)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->work.announce[static_cast<int>(kind)] = true;
+    this->hasWork = true;
+    this->changed.notify_one();
+}
+
+SpreadWork SpreadQueue::take(Milliseconds wait)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait_for(lock, wait, [&] { return this->hasWork; });
+    this->hasWork = false;
+    return std::exchange(this->work, SpreadWork());
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/SpreadQueue.h
@@ -0,0 +1,35 @@
+/// Work of the thread that spreads documents, bounded: one fetch and one announcement a document.
+#pragma once
+
+#include "PublishedState.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace bilberry {
+
+/// What is to be done for each document, by DocumentKind.
+struct SpreadWork {
+    std::string fetchFrom[documentKindCount]; ///< Address; empty: nothing to fetch.
+    bool announce[documentKindCount] = { false, false };
+};
+
+/// Thread safe.
+class SpreadQueue {
+public:
+    /// Asks for a fetch; a later request replaces an earlier one that has not begun.
+    void requestFetch(DocumentKind, const std::string& address);
+    void requestAnnouncement(DocumentKind);
+    /// Takes all work; waits up to `wait` for some.
+    SpreadWork take(Milliseconds wait);
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    SpreadWork work;
+    bool hasWork = false;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/src/StartGate.cpp
@@ -0,0 +1,13 @@
+#include "StartGate.h"
+
+namespace bilberry {
+
+bool mayStart(const StartProgress& progress, TimePoint now)
+{
+    if (!progress.hasConfiguration)
+        return false;
+    bool hasAskedAll = progress.hasAskedPeers && progress.hasAskedService;
+    return hasAskedAll || now - progress.startedAt >= startLimit;
+}
+
+} // namespace bilberry
--- a/src/VmStatus.cpp
+++ b/src/VmStatus.cpp
@@ -10,6 +10,8 @@
 static constexpr size_t maxModels = 64;
 static constexpr size_t maxChunks = 65536;
 static constexpr size_t maxNameLength = 256;
+// Leaves room to count on from any number that is taken.
+static constexpr uint64_t maxReportNumber = uint64_t(1) << 62;
 
 // One hex digit holds four chunks, the first in the lowest bit.
 static std::string packBits(const std::vector<bool>& bits)
@@ -30,8 +32,8 @@
     std::vector<bool> bits(count);
     for (size_t i = 0; i < count && i / 4 < text.size(); ++i) {
         char character = text[i / 4];
-        int digit = character >= 'a' ? character - 'a' + 10 : character - '0';
-        bits[i] = digit >> (i % 4) & 1;
+        unsigned digit = static_cast<unsigned>(character >= 'a' ? character - 'a' + 10 : character - '0') & 15U;
+        bits[i] = (digit >> (i % 4) & 1U) != 0;
     }
     return bits;
 }
@@ -45,13 +47,14 @@
     for (const auto& holding : status.holdings)
         holdings.push_back({ { "digest", holding.digest }, { "count", holding.chunks.size() }, { "chunks", packBits(holding.chunks) } });
     return { { "vm", status.vm }, { "incarnation", status.incarnation }, { "sequence", status.sequence },
-        { "generation", status.generation }, { "leaving", status.isLeaving }, { "cold", status.isCold },
+        { "generation", status.generation }, { "leaving", status.isLeaving }, { "cold", status.isCold }, { "lacks_service", status.lacksService },
         { "in_progress", status.inProgress }, { "limit", status.limit }, { "served", served }, { "holdings", holdings } };
 }
 
 static bool isBounded(const VmStatus& status)
 {
-    return !status.vm.empty() && status.vm.size() <= maxNameLength && status.served.size() <= maxModels && status.holdings.size() <= maxModels;
+    bool isPlausible = status.incarnation <= maxReportNumber && status.sequence <= maxReportNumber && status.generation <= maxReportNumber;
+    return isPlausible && !status.vm.empty() && status.vm.size() <= maxNameLength && status.served.size() <= maxModels && status.holdings.size() <= maxModels;
 }
 
 std::optional<VmStatus> parseVmStatus(const json& object)
@@ -64,6 +67,7 @@
         object.at("generation").get_to(status.generation);
         object.at("leaving").get_to(status.isLeaving);
         object.at("cold").get_to(status.isCold);
+        status.lacksService = object.value("lacks_service", false);
         object.at("in_progress").get_to(status.inProgress);
         object.at("limit").get_to(status.limit);
         for (const auto& model : object.at("served"))
--- a/src/VmStatus.h
+++ b/src/VmStatus.h
@@ -25,10 +25,11 @@
 struct VmStatus {
     std::string vm;
     uint64_t incarnation = 0; ///< Start of the process in Unix milliseconds; a restart has a higher one.
-    uint64_t sequence = 0; ///< Grows with each report.
+    uint64_t sequence = 0; ///< Grows with each change of the report.
     Generation generation = 0; ///< Of the configuration in force there.
     bool isLeaving = false;
     bool isCold = false;
+    bool lacksService = false; ///< Its reads of the configuration service fail, so that another should watch.
     uint32_t inProgress = 0; ///< Requests running at the back end.
     uint32_t limit = 0; ///< Admission limit in force.
     std::vector<ServedModel> served;
