--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -4,85 +4,167 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unordered_map>
 
 namespace bilberry {
 
 // Fetches that one process has open to one peer.
 static constexpr uint32_t maxFetchesPerPeer = 2;
-// How long each rank waits for the ones before it to bring a chunk from the origin.
-static constexpr Milliseconds holderPatience { 2000 };
+// Fetches from the origin and from other regions leave slots for those inside the region.
+static constexpr size_t maxOriginFetches = 3;
+static constexpr size_t maxRegionFetches = 3;
+// Ranks by which VMs far from the origin wait longer than those near it.
+static constexpr uint32_t farOriginRanks = 3;
 
-// The position of this VM among the ones that may bring the chunk from the origin.
-static size_t holderRank(const ChunkPlanInput& input, const std::string& digest)
+std::vector<ChunkRoute> makeRoutes(const std::vector<std::string>& digests, const std::vector<std::string>& members, const std::string& ownVm)
 {
-    uint64_t own = rendezvousScore(digest, input.ownVm);
-    auto isHigher = [&](const std::string& vm) { return rendezvousScore(digest, vm) > own; };
-    return static_cast<size_t>(std::count_if(input.holders.begin(), input.holders.end(), isHigher));
+    std::vector<ChunkRoute> routes(digests.size());
+    for (size_t chunk = 0; chunk < digests.size(); ++chunk) {
+        ChunkRoute& route = routes[chunk];
+        uint64_t own = rendezvousScore(digests[chunk], ownVm);
+        for (const auto& member : members) {
+            if (member != ownVm && std::make_pair(rendezvousScore(digests[chunk], member), member) > std::make_pair(own, ownVm))
+                ++route.rank;
+        }
+        route.ahead = rankMembers(digests[chunk], members, std::min<size_t>(route.rank, maxRouteDepth));
+    }
+    return routes;
+}
+
+namespace {
+
+// Positions of the peers by name, and what this plan has started.
+struct PlanWork {
+    const ChunkPlanInput& input;
+    TimePoint now;
+    std::unordered_map<std::string, size_t> positions;
+    std::vector<uint32_t> started; ///< By peer.
+    std::vector<uint32_t> holders; ///< Peers that hold a chunk, by chunk.
+    size_t originFetches = 0;
+    size_t regionFetches = 0;
+};
+
+} // namespace
+
+static PlanWork makeWork(const ChunkPlanInput& input, TimePoint now)
+{
+    PlanWork work { input, now, {}, std::vector<uint32_t>(input.peers.size(), 0), std::vector<uint32_t>(input.chunks.size(), 0), input.originFetches, input.regionFetches };
+    for (size_t i = 0; i < input.peers.size(); ++i) {
+        const ChunkPeer& peer = input.peers[i];
+        work.positions.emplace(peer.vm, i);
+        size_t known = std::min(peer.chunks.size(), input.chunks.size());
+        for (size_t chunk = 0; chunk < known; ++chunk)
+            work.holders[chunk] += peer.chunks[chunk] ? 1 : 0;
+    }
+    return work;
+}
+
+static bool isUsable(const PlanWork& work, const ChunkPeer& peer, size_t chunk)
+{
+    return chunk < peer.chunks.size() && peer.chunks[chunk] && peer.backedOffUntil <= work.now;
 }
 
-static const ChunkPeer* choosePeer(const ChunkPlanInput& input, size_t chunk, const std::vector<uint32_t>& started, TimePoint now)
+// The least used peer that has the chunk and is not at its bound; null when there is none.
+static const ChunkPeer* choosePeer(const PlanWork& work, size_t chunk, bool isSameRegion)
 {
     const ChunkPeer* best = nullptr;
-    auto cost = [&](const ChunkPeer& peer) {
-        uint32_t load = peer.fetchesInProgress + started[static_cast<size_t>(&peer - input.peers.data())];
-        return std::make_pair(!peer.isSameRegion, load);
-    };
-    for (const auto& peer : input.peers) {
-        bool hasChunk = chunk < peer.chunks.size() && peer.chunks[chunk];
-        if (!hasChunk || peer.backedOffUntil > now || cost(peer).second >= maxFetchesPerPeer)
+    uint32_t bestLoad = maxFetchesPerPeer;
+    for (size_t i = 0; i < work.input.peers.size(); ++i) {
+        const ChunkPeer& peer = work.input.peers[i];
+        uint32_t load = peer.fetchesInProgress + work.started[i];
+        if (peer.isSameRegion != isSameRegion || load >= bestLoad || !isUsable(work, peer, chunk))
             continue;
-        if (!best || cost(peer) < cost(*best))
-            best = &peer;
+        best = &peer;
+        bestLoad = load;
     }
     return best;
 }
 
-static size_t countHolders(const ChunkPlanInput& input, size_t chunk)
+static bool isInRegion(const PlanWork& work, size_t chunk)
 {
-    return static_cast<size_t>(std::count_if(input.peers.begin(), input.peers.end(), [&](const ChunkPeer& peer) {
-        return chunk < peer.chunks.size() && peer.chunks[chunk];
-    }));
+    return std::any_of(work.input.peers.begin(), work.input.peers.end(), [&](const ChunkPeer& peer) {
+        return peer.isSameRegion && isUsable(work, peer, chunk);
+    });
+}
+
+// Whether this VM may bring the chunk into its region now: the ones ahead have made no progress for long enough. One
+// that is backed off is not waited for.
+static bool isTurn(const PlanWork& work, size_t chunk, uint32_t extraRanks)
+{
+    const ChunkRoute& route = work.input.routes[chunk];
+    auto waitFrom = work.input.chunks[chunk].wantedSince;
+    uint32_t rank = route.rank;
+    for (const auto& vm : route.ahead) {
+        auto position = work.positions.find(vm);
+        if (position == work.positions.end())
+            continue;
+        const ChunkPeer& peer = work.input.peers[position->second];
+        if (peer.backedOffUntil > work.now)
+            --rank;
+        else
+            waitFrom = std::max(waitFrom, peer.lastProgress);
+    }
+    return work.now - waitFrom >= routePatience * static_cast<int>(rank + extraRanks);
 }
 
 // Missing chunks, the ones that fewest peers hold first; a hash of chunk and VM breaks ties, so that VMs differ.
-static std::vector<size_t> orderByRarity(const ChunkPlanInput& input)
+static std::vector<size_t> orderByRarity(const PlanWork& work)
 {
-    struct Candidate {
-        size_t chunk;
-        size_t holders;
-        uint64_t tieBreak;
-    };
-    std::vector<Candidate> candidates;
+    const ChunkPlanInput& input = work.input;
+    std::vector<std::tuple<bool, uint32_t, uint64_t, size_t>> candidates;
     for (size_t chunk = 0; chunk < input.chunks.size(); ++chunk) {
-        if (!input.chunks[chunk].isHeld && !input.chunks[chunk].isInProgress)
-            candidates.push_back({ chunk, countHolders(input, chunk), rendezvousScore(input.digests[chunk], input.ownVm) });
+        if (input.chunks[chunk].isHeld || input.chunks[chunk].isInProgress)
+            continue;
+        // What the whole region waits for goes first.
+        bool isOthersTurn = input.routes[chunk].rank > 0;
+        candidates.emplace_back(isOthersTurn, work.holders[chunk], rendezvousScore(input.digests[chunk], input.ownVm), chunk);
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& first, const Candidate& second) {
-        return std::tie(first.holders, first.tieBreak) < std::tie(second.holders, second.tieBreak);
-    });
+    std::sort(candidates.begin(), candidates.end());
     std::vector<size_t> order;
     order.reserve(candidates.size());
     for (const auto& candidate : candidates)
-        order.push_back(candidate.chunk);
+        order.push_back(std::get<3>(candidate));
     return order;
 }
 
+static ChunkFetch startFrom(PlanWork& work, size_t chunk, const ChunkPeer& peer)
+{
+    ++work.started[static_cast<size_t>(&peer - work.input.peers.data())];
+    if (!peer.isSameRegion)
+        ++work.regionFetches;
+    return { chunk, peer.isSameRegion ? ChunkSource::Peer : ChunkSource::Region, peer.vm, peer.address };
+}
+
+// Adds the fetch of one chunk, when there is one to start.
+static void planChunk(PlanWork& work, size_t chunk, std::vector<ChunkFetch>& fetches)
+{
+    if (const ChunkPeer* peer = choosePeer(work, chunk, true)) {
+        fetches.push_back(startFrom(work, chunk, *peer));
+        return;
+    }
+    if (isInRegion(work, chunk) || !isTurn(work, chunk, 0))
+        return;
+    const ChunkPeer* remote = choosePeer(work, chunk, false);
+    if (remote && work.regionFetches < maxRegionFetches) {
+        fetches.push_back(startFrom(work, chunk, *remote));
+        return;
+    }
+    if (remote || !work.input.originAllowed || work.originFetches >= maxOriginFetches)
+        return;
+    if (work.input.isOriginNear || isTurn(work, chunk, farOriginRanks)) {
+        ++work.originFetches;
+        fetches.push_back({ chunk, ChunkSource::Origin, {}, {} });
+    }
+}
+
 std::vector<ChunkFetch> planFetches(const ChunkPlanInput& input, size_t slots, TimePoint now)
 {
     std::vector<ChunkFetch> fetches;
-    std::vector<uint32_t> started(input.peers.size(), 0);
-    for (size_t chunk : orderByRarity(input)) {
+    auto work = makeWork(input, now);
+    for (size_t chunk : orderByRarity(work)) {
         if (fetches.size() >= slots)
             break;
-        if (const ChunkPeer* peer = choosePeer(input, chunk, started, now)) {
-            ++started[static_cast<size_t>(peer - input.peers.data())];
-            fetches.push_back({ chunk, peer->vm, peer->address });
-            continue;
-        }
-        bool isKnownElsewhere = countHolders(input, chunk) > 0;
-        auto patience = holderPatience * static_cast<int>(holderRank(input, input.digests[chunk]) + (isKnownElsewhere ? 1 : 0));
-        if (input.originAllowed && now - input.chunks[chunk].wantedSince >= patience)
-            fetches.push_back({ chunk, {}, {} });
+        planChunk(work, chunk, fetches);
     }
     return fetches;
 }
--- a/src/ChunkPlan.h
+++ b/src/ChunkPlan.h
@@ -16,6 +16,7 @@
     std::vector<bool> chunks; ///< Which it holds, by position in the manifest.
     uint32_t fetchesInProgress = 0; ///< Of this process, from it.
     TimePoint backedOffUntil {}; ///< Not asked before.
+    TimePoint lastProgress {}; ///< When its received bytes were last seen to grow.
 };
 
 /// State of one missing chunk.
@@ -25,26 +26,52 @@
     TimePoint wantedSince {};
 };
 
+/// Who brings one chunk into this VM's region: the region's VMs in rendezvous order.
+struct ChunkRoute {
+    uint32_t rank = 0; ///< Of this VM; 0 brings the chunk in, the next ones replace it in turn.
+    std::vector<std::string> ahead; ///< VMs before this one, best first, at most maxRouteDepth of them.
+};
+
+/// VMs of a region that may be waited for before this one brings a chunk in.
+constexpr size_t maxRouteDepth = 3;
+
+/// The routes of all chunks. Precondition: `members` are the region's VMs with the model, this one included.
+/// Thread safe.
+std::vector<ChunkRoute> makeRoutes(const std::vector<std::string>& digests, const std::vector<std::string>& members, const std::string& ownVm);
+
 /// What the plan needs to know.
 struct ChunkPlanInput {
     const std::vector<ChunkState>& chunks;
+    const std::vector<ChunkRoute>& routes; ///< By position, as the chunks.
+    const std::vector<std::string>& digests; ///< By position, as the chunks.
     const std::vector<ChunkPeer>& peers;
-    const std::vector<std::string>& holders; ///< VMs that may go to the origin, this one included.
-    const std::vector<std::string>& digests; ///< Of the chunks, by position.
     const std::string& ownVm;
-    bool originAllowed = true;
+    bool isOriginNear = true; ///< This region is the origin's, or the origin's has no VM with the model.
+    bool originAllowed = true; ///< The origin is not backed off.
+    size_t originFetches = 0; ///< In progress, of this process.
+    size_t regionFetches = 0; ///< In progress from other regions.
 };
 
-/// One fetch to start. An empty peer means the origin.
+/// Where a chunk is fetched from.
+enum class ChunkSource : uint8_t { Peer, ///< A VM of the same region.
+    Region, ///< A VM of another region.
+    Origin };
+
+/// One fetch to start. Peer fields are empty for the origin.
 struct ChunkFetch {
     size_t chunk = 0;
+    ChunkSource source = ChunkSource::Origin;
     std::string peerVm;
     std::string peerAddress;
 };
 
-/// Chooses at most `slots` fetches: chunks that few peers hold first, each from the least used peer that has it, those
-/// of the own region first. A chunk that no peer has comes from the origin when this VM is its rendezvous holder, or
-/// after a wait that grows with the VM's rank, so that a dead holder is replaced without a stampede. Thread safe.
+/// How long a VM waits without progress of the one that is to bring a chunk into the region, before it does so itself.
+constexpr Milliseconds routePatience { 1500 };
+
+/// Chooses at most `slots` fetches: chunks that few peers hold first, each from the least used peer of the region that
+/// has it. A chunk that no usable peer of the region has is brought in by the first VM of its route, from another
+/// region or from the origin; the others wait as long as the ones ahead of them make progress, and then replace them
+/// one after the other, without a stampede. Thread safe.
 std::vector<ChunkFetch> planFetches(const ChunkPlanInput&, size_t slots, TimePoint now);
 
 } // namespace bilberry
--- a/src/ChunkStore.cpp
+++ b/src/ChunkStore.cpp
@@ -4,18 +4,18 @@
 
 namespace bilberry {
 
-bool ChunkStore::put(const std::string& digest, std::string content)
+absl::Status ChunkStore::put(const std::string& digest, std::string content)
 {
     if ("sha256:" + sha256Hex(content) != digest)
-        return false;
+        return absl::DataLossError("the bytes have another digest");
     std::lock_guard<std::mutex> lock(this->mutex);
     if (this->chunks.count(digest))
-        return true;
+        return absl::OkStatus();
     if (this->bytes + content.size() > this->maxBytes)
-        return false;
+        return absl::OutOfRangeError("no room");
     this->bytes += content.size();
     this->chunks.emplace(digest, std::make_shared<const std::string>(std::move(content)));
-    return true;
+    return absl::OkStatus();
 }
 
 ChunkBytes ChunkStore::find(const std::string& digest) const
--- a/src/ChunkStore.h
+++ b/src/ChunkStore.h
@@ -1,6 +1,7 @@
 /// Verified weight chunks in memory, by digest.
 #pragma once
 
+#include <absl/status/status.h>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -20,8 +21,9 @@
     {
     }
 
-    /// Keeps the chunk when its bytes have that digest ("sha256:…") and there is room; false otherwise.
-    bool put(const std::string& digest, std::string bytes);
+    /// Keeps the chunk. Errors: DataLoss when its bytes do not have that digest ("sha256:…"); OutOfRange when there is
+    /// no room.
+    absl::Status put(const std::string& digest, std::string bytes);
     /// The chunk, or null.
     ChunkBytes find(const std::string& digest) const;
     bool has(const std::string& digest) const;
--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -19,6 +19,7 @@
     model.model = entry.at("name").get<std::string>();
     model.digest = entry.value("digest", std::string());
     model.isReady = entry.at("state").get<std::string>() == "READY";
+    model.contentSha256 = entry.value("content_sha256", std::string());
     if (!absl::SimpleAtoi(entry.value("fencing", std::string("0")), &model.fencing))
         model.fencing = 0;
     return model;
@@ -40,10 +41,10 @@
     return models;
 }
 
-absl::Status orderLoad(Node& node, const std::string& engine, const LoadOrder& order, Milliseconds timeout)
+static absl::Status sendOrder(Node& node, const std::string& engine, const std::string& path, const json& parameters, Milliseconds timeout)
 {
-    json body { { "parameters", { { "digest", order.digest }, { "source", order.source }, { "fencing", std::to_string(order.fencing) } } } };
-    HttpRequest request { "POST", absl::StrCat("/v2/repository/models/", order.model, "/load"), { { "Content-Type", "application/json" } }, body.dump() };
+    json body { { "parameters", parameters } };
+    HttpRequest request { "POST", path, { { "Content-Type", "application/json" } }, body.dump() };
     auto reply = node.clients.call(engine, request, { node.settings.connectTimeout, timeout }, maxAnswerBytes);
     if (reply.failure != CallFailure::None)
         return absl::UnavailableError("engine was not reached");
@@ -54,6 +55,18 @@
     return reply.status == 200 ? absl::OkStatus() : absl::UnavailableError(absl::StrCat("engine answered status ", reply.status));
 }
 
+absl::Status orderLoad(Node& node, const std::string& engine, const LoadOrder& order, Milliseconds timeout)
+{
+    json parameters { { "digest", order.digest }, { "source", order.source }, { "fencing", std::to_string(order.fencing) } };
+    return sendOrder(node, engine, absl::StrCat("/v2/repository/models/", order.model, "/load"), parameters, timeout);
+}
+
+absl::Status orderUnload(Node& node, const std::string& engine, const std::string& model, uint64_t fencing)
+{
+    json parameters { { "fencing", std::to_string(fencing) } };
+    return sendOrder(node, engine, absl::StrCat("/v2/repository/models/", model, "/unload"), parameters, node.settings.callTimeout);
+}
+
 absl::StatusOr<bool> readEngineCold(Node& node, const std::string& engine)
 {
     HttpRequest request { "GET", "/metrics", {}, {} };
--- a/src/EngineClient.h
+++ b/src/EngineClient.h
@@ -17,6 +17,7 @@
     std::string digest;
     bool isReady = false;
     uint64_t fencing = 0; ///< Highest order number that the engine has seen for it.
+    std::string contentSha256; ///< Of the bytes it loaded, hex; empty when the engine does not say.
 };
 
 /// One order to load a version.
@@ -34,6 +35,9 @@
 /// engine refused the weights; Unavailable otherwise. Thread safe.
 absl::Status orderLoad(Node&, const std::string& engine, const LoadOrder&, Milliseconds timeout);
 
+/// Orders the model's unload. Errors as for a load. Thread safe.
+absl::Status orderUnload(Node&, const std::string& engine, const std::string& model, uint64_t fencing);
+
 /// Whether the engine says that it is in cold start. Error: not reached. Thread safe.
 absl::StatusOr<bool> readEngineCold(Node&, const std::string& engine);
 
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -4,6 +4,7 @@
 #include "Rendezvous.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <numeric>
 
 namespace bilberry {
@@ -16,18 +17,22 @@
     return start && now >= *start - day * burst.leadDays && now < *start + day * burst.durationDays;
 }
 
-uint32_t wantedReplicas(const Configuration& configuration, RowIndex model, WallTime now)
+ReplicaWish wantedReplicas(const Configuration& configuration, RowIndex model, WallTime now)
 {
-    uint32_t wanted = 0;
+    ReplicaWish wish;
+    auto raise = [&](uint32_t replicas, const std::string& reason) {
+        if (replicas > wish.replicas)
+            wish = { replicas, reason };
+    };
     for (const auto& rule : configuration.rules.placements) {
         if (rule.model == model)
-            wanted = std::max(wanted, rule.replicas);
+            raise(rule.replicas, "placement rule");
     }
     for (const auto& burst : configuration.rules.bursts) {
         if (burst.model == model && isBurstActive(burst, now))
-            wanted = std::max(wanted, burst.replicas);
+            raise(burst.replicas, "burst " + burst.name);
     }
-    return wanted;
+    return wish;
 }
 
 // State of one placement: the VMs' free memory and the candidates of the model at hand.
@@ -99,8 +104,15 @@
     return counts;
 }
 
-static void placeModel(PlacementWork& work, RowIndex model, uint32_t wanted, Placement& placement)
+// What an operator reads beside a row.
+static std::string describeRow(const Configuration& configuration, const ReplicaWish& wish, RowIndex dataCentre, uint32_t position, uint32_t count)
+{
+    return fmt::format("{} wants {}; replica {} of {} in {}", wish.reason, wish.replicas, position + 1, count, configuration.inventory.dataCentres[dataCentre].name);
+}
+
+static void placeModel(PlacementWork& work, RowIndex model, const ReplicaWish& wish, Placement& placement)
 {
+    uint32_t wanted = wish.replicas;
     bool surviveLoss = survivesLoss(work.configuration, model);
     auto counts = divideReplicas(work, wanted, surviveLoss);
     uint32_t placed = 0;
@@ -109,7 +121,7 @@
         for (uint32_t i = 0; i < counts[dataCentre]; ++i) {
             RowIndex vm = work.candidates[dataCentre][i];
             work.freeBytes[vm] -= work.configuration.inventory.models[model].sizeBytes;
-            placement.rows.push_back({ model, vm });
+            placement.rows.push_back({ model, vm, describeRow(work.configuration, wish, static_cast<RowIndex>(dataCentre), i, counts[dataCentre]) });
             ++placed;
         }
         largest = std::max(largest, counts[dataCentre]);
@@ -126,11 +138,11 @@
         work.freeBytes.push_back(vm.weightMemoryBytes);
     Placement placement;
     for (RowIndex model = 0; model < configuration.inventory.models.size(); ++model) {
-        uint32_t wanted = wantedReplicas(configuration, model, now);
-        if (wanted == 0)
+        auto wish = wantedReplicas(configuration, model, now);
+        if (wish.replicas == 0)
             continue;
         collectCandidates(work, live, model);
-        placeModel(work, model, wanted, placement);
+        placeModel(work, model, wish, placement);
     }
     return placement;
 }
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -14,6 +14,7 @@
 struct PlacementRow {
     RowIndex model = noRow;
     RowIndex vm = noRow;
+    std::string reason; ///< Why the VM carries it, for operators.
 };
 
 /// A wish that can't be met.
@@ -29,8 +30,14 @@
     std::vector<PlacementShortfall> shortfalls;
 };
 
-/// Replicas that the rules want of a model on a day, bursts within their lead time included. Thread safe.
-uint32_t wantedReplicas(const Configuration&, RowIndex model, WallTime day);
+/// How many replicas the rules want of a model.
+struct ReplicaWish {
+    uint32_t replicas = 0; ///< To remain when a data centre is lost, where the rule says so.
+    std::string reason; ///< The rule that asks for the most.
+};
+
+/// Replicas that the rules want of a model at a time, bursts within their lead time included. Thread safe.
+ReplicaWish wantedReplicas(const Configuration&, RowIndex model, WallTime now);
 
 /// Places every model. Data centres that are out keep their weights, so that they return at once; VMs that the live
 /// list does not have get none, unless there is no list. Thread safe.
--- /dev/null
+++ b/src/SpreadView.cpp
@@ -0,0 +1,128 @@
+#include "SpreadView.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// Members of the own region that are asked for their holdings.
+static constexpr size_t polledInRegion = 12;
+// Members of other regions that are asked for their holdings.
+static constexpr size_t polledElsewhere = 8;
+// VMs that may bring a chunk into the fleet and are asked for it.
+static constexpr size_t entryHolderCount = 2;
+// Resolvers that everyone asks.
+static constexpr size_t polledResolvers = 3;
+// Children of a VM in the tree strategy.
+static constexpr size_t treeFanOut = 2;
+
+static std::vector<RowIndex> collectVms(const Placement& placement, RowIndex model)
+{
+    std::vector<RowIndex> vms;
+    for (const auto& row : placement.rows) {
+        if (row.model == model)
+            vms.push_back(row.vm);
+    }
+    return vms;
+}
+
+static std::vector<std::string> namesInRegion(const Configuration& configuration, const std::vector<RowIndex>& vms, const std::string& region)
+{
+    const Inventory& inventory = configuration.inventory;
+    std::vector<std::string> names;
+    for (RowIndex vm : vms) {
+        if (inventory.dataCentres[inventory.vms[vm].dataCentre].region == region)
+            names.push_back(inventory.vms[vm].name);
+    }
+    return names;
+}
+
+static size_t positionOf(const std::vector<std::string>& names, const std::string& name)
+{
+    return static_cast<size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+// Only the parent in a fixed tree is a member; the root goes to the origin.
+static void keepParentOnly(SpreadView& view, const std::vector<std::string>& order, const std::string& ownVm)
+{
+    size_t position = positionOf(order, ownVm);
+    view.mayUseOrigin = position == 0;
+    std::string parent = position == 0 ? std::string() : order[(position - 1) / treeFanOut];
+    std::vector<SpreadMember> kept;
+    for (auto& member : view.members) {
+        member.isSameRegion = true;
+        if (member.vm == parent)
+            kept.push_back(member);
+    }
+    view.members = std::move(kept);
+}
+
+static void applyBaseline(SpreadView& view, SpreadStrategy strategy, const std::vector<std::string>& order, const std::string& ownVm)
+{
+    for (auto& route : view.routes)
+        route = {};
+    view.isOriginNear = true;
+    if (strategy == SpreadStrategy::OriginOnly)
+        view.members.clear();
+    else
+        keepParentOnly(view, order, ownVm);
+}
+
+SpreadView makeSpreadView(const Configuration& configuration, const Placement& placement, RowIndex model, RowIndex ownVm, const Manifest& manifest, SpreadStrategy strategy)
+{
+    const Inventory& inventory = configuration.inventory;
+    const Vm& own = inventory.vms[ownVm];
+    auto vms = collectVms(placement, model);
+    SpreadView view;
+    std::vector<std::string> all;
+    for (RowIndex vm : vms) {
+        all.push_back(inventory.vms[vm].name);
+        if (vm != ownVm)
+            view.members.push_back({ inventory.vms[vm].name, inventory.vms[vm].address, inSameRegion(inventory, inventory.vms[vm].dataCentre, own.dataCentre) });
+    }
+    const std::string& ownRegion = inventory.dataCentres[own.dataCentre].region;
+    auto inRegion = namesInRegion(configuration, vms, ownRegion);
+    auto nearOrigin = namesInRegion(configuration, vms, inventory.weightStoreRegion);
+    view.regionSize = std::max<size_t>(inRegion.size(), 1);
+    view.isOriginNear = nearOrigin.empty() || ownRegion == inventory.weightStoreRegion;
+    std::vector<std::string> digests;
+    for (const auto& chunk : manifest.chunks) {
+        digests.push_back(chunk.digest);
+        view.entryHolders.push_back(rankMembers(chunk.digest, nearOrigin.empty() ? all : nearOrigin, entryHolderCount));
+    }
+    view.routes = makeRoutes(digests, inRegion, own.name);
+    const Model& row = inventory.models[model];
+    view.resolvers = rankMembers(row.name + "/" + row.label, all, all.size());
+    view.resolverRank = positionOf(view.resolvers, own.name);
+    if (strategy != SpreadStrategy::Peers)
+        applyBaseline(view, strategy, rankMembers(row.name, all, all.size()), own.name);
+    return view;
+}
+
+std::unordered_set<std::string> choosePolledMembers(const SpreadView& view, const std::vector<ChunkState>& chunks, const std::string& ownVm)
+{
+    std::unordered_set<std::string> polled;
+    for (size_t i = 0; i < std::min(polledResolvers, view.resolvers.size()); ++i)
+        polled.insert(view.resolvers[i]);
+    bool isMissing = chunks.empty() || std::any_of(chunks.begin(), chunks.end(), [](const ChunkState& chunk) { return !chunk.isHeld; });
+    if (!isMissing)
+        return polled;
+    std::vector<std::string> inRegion;
+    for (const auto& member : view.members) {
+        if (member.isSameRegion)
+            inRegion.push_back(member.vm);
+    }
+    for (const auto& vm : rankMembers(ownVm, inRegion, polledInRegion))
+        polled.insert(vm);
+    std::unordered_set<std::string> elsewhere;
+    for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
+        if (chunks[chunk].isHeld || view.routes[chunk].rank > 1 || view.isOriginNear)
+            continue;
+        elsewhere.insert(view.entryHolders[chunk].begin(), view.entryHolders[chunk].end());
+    }
+    polled.insert(elsewhere.begin(), elsewhere.end());
+    return polled;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/SpreadView.h
@@ -0,0 +1,42 @@
+/// How one model's chunks reach this VM: whom it waits for, whom it asks. One pure function of configuration, placement
+/// and manifest, on which all processes with the same documents agree.
+#pragma once
+
+#include "ChunkPlan.h"
+#include "Configuration.h"
+#include "Manifest.h"
+#include "Placement.h"
+#include "WeightSettings.h"
+
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace bilberry {
+
+/// A VM that carries the model, other than this one.
+struct SpreadMember {
+    std::string vm;
+    std::string address;
+    bool isSameRegion = true;
+};
+
+struct SpreadView {
+    std::vector<SpreadMember> members;
+    std::vector<ChunkRoute> routes; ///< By chunk.
+    std::vector<std::vector<std::string>> entryHolders; ///< By chunk: VMs that bring it into the fleet, best first.
+    std::vector<std::string> resolvers; ///< VMs that ask the store for the label's version, best first.
+    size_t resolverRank = 0; ///< Of this VM.
+    size_t regionSize = 1; ///< VMs of this region with the model.
+    bool isOriginNear = true;
+    bool mayUseOrigin = true;
+};
+
+/// The view of one model from one VM. Precondition: the placement gives the VM the model. Thread safe.
+SpreadView makeSpreadView(const Configuration&, const Placement&, RowIndex model, RowIndex ownVm, const Manifest&, SpreadStrategy);
+
+/// The members to ask for their holdings while chunks are missing: a few of the region, those that bring the chunks into
+/// the fleet that this VM is to bring into its region, and the first resolvers. Thread safe.
+std::unordered_set<std::string> choosePolledMembers(const SpreadView&, const std::vector<ChunkState>&, const std::string& ownVm);
+
+} // namespace bilberry
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -29,14 +29,17 @@
     return parseManifest(reply.body);
 }
 
-absl::StatusOr<std::string> readBlob(Node& node, const std::string& store, const std::string& model, const ManifestChunk& chunk, Milliseconds timeout)
+absl::StatusOr<Manifest> readPeerManifest(Node& node, const std::string& peer, const std::string& digest)
 {
-    HttpRequest request { "GET", absl::StrCat("/v2/", model, "/blobs/", chunk.digest), {}, {} };
-    auto reply = node.clients.call(store, request, { node.settings.connectTimeout, timeout }, chunk.sizeBytes);
+    HttpRequest request { "GET", absl::StrCat("/manifests/", digest), {}, {} };
+    auto reply = node.clients.call(peer, request, { node.settings.connectTimeout, node.settings.callTimeout }, maxManifestBytes);
     auto status = toStatus(reply);
     if (!status.ok())
         return status;
-    return std::move(reply.body);
+    auto manifest = parseManifest(reply.body);
+    if (manifest.ok() && manifest->digest != digest)
+        return absl::InvalidArgumentError("the manifest has another digest");
+    return manifest;
 }
 
 } // namespace bilberry
--- a/src/StoreClient.h
+++ b/src/StoreClient.h
@@ -15,7 +15,8 @@
 /// Unavailable, InvalidArgument for a manifest that does not parse. Thread safe.
 absl::StatusOr<Manifest> readManifest(Node&, const std::string& store, const std::string& model, const std::string& reference);
 
-/// Reads one chunk, not yet verified. Errors as above. Thread safe.
-absl::StatusOr<std::string> readBlob(Node&, const std::string& store, const std::string& model, const ManifestChunk&, Milliseconds timeout);
+/// Reads a manifest by digest from another process of the system and checks it against the digest. Errors as above.
+/// Thread safe.
+absl::StatusOr<Manifest> readPeerManifest(Node&, const std::string& peer, const std::string& digest);
 
 } // namespace bilberry
--- /dev/null
+++ b/src/Transfer.cpp
@@ -0,0 +1,63 @@
+#include "Transfer.h"
+
+#include "Node.h"
+#include "TransferPacer.h"
+
+#include <absl/strings/str_cat.h>
+#include <thread>
+
+namespace bilberry {
+
+// A source that gives no byte for so long has failed.
+static constexpr Milliseconds silenceLimit { 2000 };
+// A transfer slower than this is given up, in bytes per second.
+static constexpr double minBytesPerSecond = 64 * 1024;
+
+static Duration transferTime(uint64_t bytes, double bytesPerSecond)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(bytes) / bytesPerSecond));
+}
+
+static absl::Status toStatus(const HttpReply& head)
+{
+    if (head.status == 200)
+        return absl::OkStatus();
+    if (head.status == 0)
+        return absl::UnavailableError("not reached");
+    if (head.status == 404)
+        return absl::NotFoundError("does not have it");
+    if (head.status == 429)
+        return absl::ResourceExhaustedError("refused over its rate");
+    return absl::UnavailableError(absl::StrCat("status ", head.status));
+}
+
+absl::StatusOr<std::string> fetchBytes(Node& node, const std::string& address, const HttpRequest& request, const TransferLimits& limits, std::atomic<uint64_t>& receivedBytes)
+{
+    HttpExchange exchange(node.clients, address, request, { node.settings.connectTimeout, silenceLimit });
+    auto status = toStatus(exchange.waitForHead());
+    if (!status.ok())
+        return status;
+    auto giveUpAt = Clock::now() + silenceLimit + transferTime(limits.sizeBytes, minBytesPerSecond);
+    std::string body;
+    std::string piece;
+    for (;;) {
+        auto step = exchange.readPiece(piece);
+        if (step == BodyStep::End)
+            return body;
+        if (step == BodyStep::Broken)
+            return absl::DeadlineExceededError("stalled or broken off");
+        body += piece;
+        receivedBytes += piece.size();
+        if (body.size() > limits.sizeBytes)
+            return absl::UnavailableError("longer than stated");
+        if (Clock::now() > giveUpAt)
+            return absl::DeadlineExceededError("too slow");
+        if (!limits.pacer)
+            continue;
+        auto due = limits.pacer->reserve(piece.size(), limits.bytesPerSecond, Clock::now());
+        giveUpAt += std::max(Duration::zero(), due - Clock::now());
+        std::this_thread::sleep_until(due);
+    }
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Transfer.h
@@ -0,0 +1,28 @@
+/// Fetches one chunk over HTTP, within a progress deadline and paced.
+#pragma once
+
+#include "Types.h"
+
+#include <absl/status/statusor.h>
+#include <atomic>
+#include <string>
+
+namespace bilberry {
+
+struct HttpRequest;
+struct Node;
+class TransferPacer;
+
+/// Bounds of one transfer.
+struct TransferLimits {
+    uint64_t sizeBytes = 0; ///< That the manifest states.
+    double bytesPerSecond = 0; ///< Pace; 0 is unbounded.
+    TransferPacer* pacer = nullptr; ///< Shared by the transfers of one link; null when not paced.
+};
+
+/// Reads a whole body of the stated size, not yet verified, and adds each piece to `receivedBytes` as it comes.
+/// Errors: NotFound, ResourceExhausted over the sender's rate, DeadlineExceeded when the transfer stalls or is far too
+/// slow, Unavailable otherwise. Thread safe.
+absl::StatusOr<std::string> fetchBytes(Node&, const std::string& address, const HttpRequest&, const TransferLimits&, std::atomic<uint64_t>& receivedBytes);
+
+} // namespace bilberry
--- a/src/WeightAgent.h
+++ b/src/WeightAgent.h
@@ -14,6 +14,7 @@
 struct HttpRequest;
 struct HttpResponse;
 struct Node;
+struct WeightState;
 
 /// Runs on threads of its own. Thread safe.
 class WeightAgent {
@@ -33,12 +34,12 @@
     std::optional<std::string> servedDigest(const std::string& model) const;
     /// Fills the parts of the report that concern weights.
     void fillStatus(VmStatus&) const;
-    /// Answers `/chunks/sha256:…` and `/manifests/sha256:…` for peers, `/weights/sha256:…` for the engine.
+    /// Answers `/chunks/sha256:…`, `/manifests/sha256:…` and `/holdings/<model>` for peers, `/weights/sha256:…` for the
+    /// engine.
     HttpResponse answer(const HttpRequest&) const;
 
 private:
-    struct State;
-    std::unique_ptr<State> state;
+    std::unique_ptr<WeightState> state;
 };
 
 } // namespace bilberry
--- /dev/null
+++ b/src/WeightPeers.cpp
@@ -0,0 +1,155 @@
+/// Asks peers for their holdings, and the weight store for the versions under the labels.
+
+#include "HttpMessage.h"
+#include "Log.h"
+#include "StoreClient.h"
+#include "WeightState.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace bilberry {
+
+// How often a peer is asked while chunks are missing, and when none are.
+static constexpr Milliseconds pollInterval { 120 };
+static constexpr Milliseconds idlePollInterval { 1000 };
+static constexpr Milliseconds pollCheckInterval { 15 };
+// A peer that does not answer is asked after twice the time each try, up to this.
+static constexpr Milliseconds maxPollBackOff { 4000 };
+static constexpr uint32_t maxDoublings = 4;
+static constexpr Milliseconds resolveCheckInterval { 50 };
+// Pause after a call to the store that failed.
+static constexpr Milliseconds resolveRetryInterval { 1000 };
+
+namespace {
+
+// One question to a peer.
+struct Poll {
+    std::string model;
+    std::string vm;
+    std::string address;
+};
+
+} // namespace
+
+void offerVersion(WeightState& state, const std::string& model, const std::string& label, Manifest manifest, TimePoint confirmedAt)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    WeightRow* row = findWeightRow(state.rows, model);
+    if (!row || !supersedes(*row, label, confirmedAt))
+        return;
+    if (row->wanted.manifest.digest != manifest.digest)
+        logEvent(LogLevel::Info, "version_wanted", "model={} digest={} chunks={}", model, manifest.digest, manifest.chunks.size());
+    adoptManifest(*row, std::move(manifest), confirmedAt, state.store, Clock::now());
+}
+
+// The peer that is due for longest, marked as asked; nothing when none is due.
+static std::optional<Poll> takeDuePoll(WeightState& state)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    auto now = Clock::now();
+    const WeightPeer* due = nullptr;
+    std::string model;
+    for (const auto& [key, peer] : state.peers) {
+        bool isDue = peer.isPolled && peer.nextPoll <= now && findWeightRow(state.rows, key.first);
+        if (!isDue || (due && due->nextPoll <= peer.nextPoll))
+            continue;
+        due = &peer;
+        model = key.first;
+    }
+    if (!due)
+        return std::nullopt;
+    const WeightRow* row = findWeightRow(state.rows, model);
+    bool isIdle = hasAllChunks(row->wanted) || row->isTooLarge;
+    state.peers[{ model, due->vm }].nextPoll = now + (isIdle ? idlePollInterval : pollInterval);
+    return Poll { model, due->vm, due->address };
+}
+
+static void takePollFailure(WeightState& state, const Poll& poll)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    WeightPeer& peer = state.peers[{ poll.model, poll.vm }];
+    peer.pollFailures = std::min(peer.pollFailures + 1, maxDoublings);
+    peer.nextPoll = Clock::now() + std::min(pollInterval * (2 << peer.pollFailures), maxPollBackOff);
+}
+
+// Keeps what the peer told; returns whether its version is one that supersedes ours.
+static bool takeHoldings(WeightState& state, const Poll& poll, const Holdings& holdings, TimePoint confirmedAt)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    WeightPeer& peer = state.peers[{ poll.model, poll.vm }];
+    bool hasGrown = holdings.receivedBytes != peer.holdings.receivedBytes || holdings.digest != peer.holdings.digest;
+    if (hasGrown)
+        peer.lastProgress = Clock::now();
+    peer.pollFailures = 0;
+    peer.holdings = holdings;
+    WeightRow* row = findWeightRow(state.rows, poll.model);
+    if (!row || !supersedes(*row, holdings.label, confirmedAt))
+        return false;
+    if (row->wanted.manifest.digest != holdings.digest)
+        return true;
+    row->confirmedAt = confirmedAt;
+    return false;
+}
+
+static void pollPeer(WeightState& state, const Poll& poll)
+{
+    // The age is counted from when the question was sent, so that no version seems newer than it is.
+    auto sentAt = Clock::now();
+    auto reply = state.node.clients.call(poll.address, { "GET", "/holdings/" + poll.model, {}, {} }, { state.node.settings.connectTimeout, state.node.settings.callTimeout }, maxHoldingsBytes);
+    if (reply.failure != CallFailure::None) {
+        takePollFailure(state, poll);
+        return;
+    }
+    auto holdings = reply.status == 200 ? parseHoldings(reply.body) : std::nullopt;
+    if (!holdings)
+        return;
+    auto confirmedAt = sentAt - holdings->confirmedAge;
+    if (!takeHoldings(state, poll, *holdings, confirmedAt))
+        return;
+    auto manifest = readPeerManifest(state.node, poll.address, holdings->digest);
+    state.node.metrics.count("bilberry_manifest_reads_total", { { "source", "peer" }, { "result", manifest.ok() ? "ok" : "failed" } });
+    if (manifest.ok())
+        offerVersion(state, poll.model, holdings->label, std::move(*manifest), confirmedAt);
+}
+
+void runPoller(WeightState& state)
+{
+    for (;;) {
+        auto poll = takeDuePoll(state);
+        if (poll)
+            pollPeer(state, *poll);
+        if (!state.waitOrStop(poll ? Milliseconds(0) : pollCheckInterval))
+            return;
+    }
+}
+
+static std::vector<WantedModel> takeDueResolves(WeightState& state)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    std::vector<WantedModel> due;
+    for (auto& row : state.rows) {
+        auto view = state.views.find(row.model);
+        if (view == state.views.end() || !isResolveDue(row, view->second.view.resolverRank, Clock::now()))
+            continue;
+        row.nextResolve = Clock::now() + resolveRetryInterval;
+        due.push_back({ row.model, row.label });
+    }
+    return due;
+}
+
+void runResolver(WeightState& state)
+{
+    while (state.waitOrStop(resolveCheckInterval)) {
+        auto configuration = state.node.published.configuration();
+        for (const auto& due : takeDueResolves(state)) {
+            auto sentAt = Clock::now();
+            auto manifest = readManifest(state.node, configuration->inventory.weightStore, due.model, due.label);
+            state.node.metrics.count("bilberry_manifest_reads_total", { { "source", "store" }, { "result", manifest.ok() ? "ok" : "failed" } });
+            if (manifest.ok())
+                offerVersion(state, due.model, due.label, std::move(*manifest), sentAt);
+        }
+    }
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/WeightSpread.cpp
@@ -0,0 +1,290 @@
+/// Plans and carries out the fetches of missing chunks.
+
+#include "ContentDigest.h"
+#include "HttpMessage.h"
+#include "Log.h"
+#include "Transfer.h"
+#include "WeightState.h"
+
+namespace bilberry {
+
+static constexpr Milliseconds planInterval { 25 };
+// How often the table is brought in line with the placement.
+static constexpr Milliseconds syncInterval { 200 };
+// A peer that failed is not asked again for so long.
+static constexpr Milliseconds peerBackOff { 3000 };
+static constexpr Milliseconds originBackOff { 500 };
+// After a refusal over the store's rate.
+static constexpr Milliseconds originRateBackOff { 1000 };
+
+bool WeightState::waitOrStop(Milliseconds wait)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    return !this->changed.wait_for(lock, wait, [&] { return this->isStopping; });
+}
+
+// Rows, views and peers follow the placement. Returns whether anything changed. Precondition: the lock is held.
+static bool syncTables(WeightState& state, const Configuration& configuration, const PlacementPointer& placement, RowIndex own)
+{
+    std::vector<WantedModel> wanted;
+    for (RowIndex index : modelsOnVm(*placement, own))
+        wanted.push_back({ configuration.inventory.models[index].name, configuration.inventory.models[index].label });
+    bool hasChanged = wanted.size() != state.rows.size();
+    syncWeightRows(state.rows, wanted, Clock::now());
+    for (const auto& row : state.rows) {
+        CachedView& cached = state.views[row.model];
+        if (cached.placement == placement && cached.manifestDigest == row.wanted.manifest.digest)
+            continue;
+        hasChanged = true;
+        RowIndex model = findRow(configuration.inventory.models, row.model);
+        cached = { placement, row.wanted.manifest.digest, makeSpreadView(configuration, *placement, model, own, row.wanted.manifest, state.settings.strategy) };
+        for (const auto& member : cached.view.members) {
+            WeightPeer& peer = state.peers[{ row.model, member.vm }];
+            peer.vm = member.vm;
+            peer.address = member.address;
+            peer.isSameRegion = member.isSameRegion;
+        }
+    }
+    return hasChanged;
+}
+
+// Takes over what peers that are not asked directly report of themselves. Precondition: the lock is held.
+static void takeReports(WeightState& state)
+{
+    for (const auto& reported : state.node.fleet.rows()) {
+        for (const auto& row : state.rows) {
+            auto found = state.peers.find({ row.model, reported.status.vm });
+            if (found == state.peers.end() || found->second.isPolled)
+                continue;
+            for (const auto& holding : reported.status.holdings) {
+                if (holding.digest != row.wanted.manifest.digest || found->second.holdings.chunks == holding.chunks)
+                    continue;
+                found->second.holdings.digest = holding.digest;
+                found->second.holdings.chunks = holding.chunks;
+                found->second.lastProgress = Clock::now();
+            }
+        }
+    }
+}
+
+static void markPolled(WeightState& state)
+{
+    for (const auto& row : state.rows) {
+        auto polled = choosePolledMembers(state.views[row.model].view, row.wanted.chunks, state.node.settings.vm);
+        for (auto& [key, peer] : state.peers) {
+            if (key.first == row.model)
+                peer.isPolled = polled.count(peer.vm) > 0;
+        }
+    }
+}
+
+static std::vector<ChunkPeer> collectPeers(WeightState& state, const WeightRow& row)
+{
+    std::vector<ChunkPeer> peers;
+    for (const auto& member : state.views[row.model].view.members) {
+        const WeightPeer& known = state.peers[{ row.model, member.vm }];
+        ChunkPeer peer { known.vm, known.address, known.isSameRegion, {}, 0, {}, known.lastProgress };
+        if (known.holdings.digest == row.wanted.manifest.digest)
+            peer.chunks = known.holdings.chunks;
+        peer.fetchesInProgress = state.fetchesByPeer[known.vm];
+        peer.backedOffUntil = state.backOffs[known.vm];
+        peers.push_back(std::move(peer));
+    }
+    return peers;
+}
+
+static void startFetch(WeightState& state, WeightRow& row, ChunkFetch fetch)
+{
+    const SpreadView& view = state.views[row.model].view;
+    row.wanted.chunks[fetch.chunk].isInProgress = true;
+    ++state.fetchesInProgress;
+    bool isPaced = fetch.source == ChunkSource::Region || (fetch.source == ChunkSource::Origin && !view.isOriginNear);
+    state.originFetches += fetch.source == ChunkSource::Origin ? 1 : 0;
+    state.regionFetches += fetch.source == ChunkSource::Region ? 1 : 0;
+    if (!fetch.peerVm.empty())
+        ++state.fetchesByPeer[fetch.peerVm];
+    double rate = static_cast<double>(state.settings.regionBytesPerSecond) / static_cast<double>(view.regionSize);
+    state.jobs.push_back({ row.model, row.wanted.manifest.chunks[fetch.chunk], std::move(fetch), isPaced, rate });
+}
+
+// Precondition: the lock is held.
+static void planRow(WeightState& state, WeightRow& row, TimePoint now)
+{
+    const CachedView& cached = state.views[row.model];
+    bool isIdle = row.wanted.manifest.digest.empty() || row.isTooLarge || hasAllChunks(row.wanted);
+    if (isIdle || cached.manifestDigest != row.wanted.manifest.digest)
+        return;
+    auto peers = collectPeers(state, row);
+    std::vector<std::string> digests;
+    for (const auto& chunk : row.wanted.manifest.chunks)
+        digests.push_back(chunk.digest);
+    bool originAllowed = cached.view.mayUseOrigin && now >= state.originBackedOffUntil;
+    ChunkPlanInput input { row.wanted.chunks, cached.view.routes, digests, peers, state.node.settings.vm, cached.view.isOriginNear, originAllowed, state.originFetches, state.regionFetches };
+    size_t slots = fetchThreads - std::min(fetchThreads, state.fetchesInProgress);
+    for (auto& fetch : planFetches(input, slots, now))
+        startFetch(state, row, std::move(fetch));
+    state.changed.notify_all();
+}
+
+static void retainChunks(WeightState& state)
+{
+    std::unordered_set<std::string> knownTooLarge;
+    for (const auto& row : state.rows) {
+        if (row.isTooLarge)
+            knownTooLarge.insert(row.model);
+    }
+    state.store.retain(chooseRetained(state.rows, state.node.settings.weightMemoryBytes));
+    for (const auto& row : state.rows) {
+        if (row.isTooLarge && knownTooLarge.count(row.model) == 0)
+            logEvent(LogLevel::Warning, "version_too_large", "model={} digest={} bytes={}", row.model, row.wanted.manifest.digest, row.wanted.manifest.sizeBytes);
+        state.node.metrics.set("bilberry_version_too_large", row.isTooLarge ? 1 : 0, { { "model", row.model } });
+    }
+    state.node.metrics.set("bilberry_weight_bytes_held", static_cast<double>(state.store.heldBytes()));
+}
+
+// The digest of the whole is taken outside the lock, since it reads every byte.
+static void finishVersions(WeightState& state)
+{
+    std::vector<std::pair<std::string, Manifest>> complete;
+    {
+        std::lock_guard<std::mutex> lock(state.mutex);
+        for (const auto& row : state.rows) {
+            if (hasAllChunks(row.wanted) && !isWhole(row.wanted))
+                complete.emplace_back(row.model, row.wanted.manifest);
+        }
+    }
+    for (const auto& [model, manifest] : complete) {
+        std::vector<ChunkBytes> chunks;
+        for (const auto& chunk : manifest.chunks)
+            chunks.push_back(state.store.find(chunk.digest));
+        if (std::count(chunks.begin(), chunks.end(), nullptr) > 0)
+            continue;
+        auto digest = contentSha256(chunks);
+        std::lock_guard<std::mutex> lock(state.mutex);
+        WeightRow* row = findWeightRow(state.rows, model);
+        if (!row || row->wanted.manifest.digest != manifest.digest)
+            continue;
+        row->wanted.contentSha256 = digest;
+        logEvent(LogLevel::Info, "version_whole", "model={} digest={} content_sha256={}", model, manifest.digest, digest);
+    }
+}
+
+void runPlanner(WeightState& state)
+{
+    TimePoint nextSync {};
+    while (state.waitOrStop(planInterval)) {
+        auto configuration = state.node.published.configuration();
+        RowIndex own = configuration ? findOwnVm(state.node, *configuration) : noRow;
+        if (own == noRow)
+            continue;
+        auto now = Clock::now();
+        auto placement = state.placements.get(configuration, state.node.published.liveList(), std::chrono::system_clock::now());
+        {
+            std::lock_guard<std::mutex> lock(state.mutex);
+            bool hasChanged = syncTables(state, *configuration, placement, own);
+            if (hasChanged || now >= nextSync) {
+                nextSync = now + syncInterval;
+                takeReports(state);
+                markPolled(state);
+                retainChunks(state);
+            }
+            for (auto& row : state.rows)
+                planRow(state, row, now);
+        }
+        finishVersions(state);
+    }
+}
+
+static std::string_view toText(ChunkSource source)
+{
+    switch (source) {
+    case ChunkSource::Peer:
+        return "peer";
+    case ChunkSource::Region:
+        return "region";
+    case ChunkSource::Origin:
+        break;
+    }
+    return "origin";
+}
+
+static absl::StatusOr<std::string> fetchChunk(WeightState& state, const FetchJob& job)
+{
+    TransferLimits limits { job.chunk.sizeBytes, job.bytesPerSecond, job.isPaced ? &state.regionPacer : nullptr };
+    if (job.fetch.source != ChunkSource::Origin)
+        return fetchBytes(state.node, job.fetch.peerAddress, { "GET", "/chunks/" + job.chunk.digest, {}, {} }, limits, state.receivedBytes);
+    auto configuration = state.node.published.configuration();
+    HttpRequest request { "GET", "/v2/" + job.model + "/blobs/" + job.chunk.digest, {}, {} };
+    return fetchBytes(state.node, configuration->inventory.weightStore, request, limits, state.receivedBytes);
+}
+
+// Precondition: the lock is held.
+static void backOff(WeightState& state, const FetchJob& job, const absl::Status& status)
+{
+    auto now = Clock::now();
+    // That the memory is full is no fault of the source.
+    if (absl::IsOutOfRange(status))
+        return;
+    if (job.fetch.source != ChunkSource::Origin) {
+        state.backOffs[job.fetch.peerVm] = now + peerBackOff;
+        return;
+    }
+    // A corrupted chunk is asked for again at once; a store that fails is not.
+    if (!absl::IsDataLoss(status))
+        state.originBackedOffUntil = now + (absl::IsResourceExhausted(status) ? originRateBackOff : originBackOff);
+}
+
+static void finishFetch(WeightState& state, const FetchJob& job, const absl::Status& status)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    --state.fetchesInProgress;
+    state.originFetches -= job.fetch.source == ChunkSource::Origin ? 1 : 0;
+    state.regionFetches -= job.fetch.source == ChunkSource::Region ? 1 : 0;
+    if (!job.fetch.peerVm.empty())
+        --state.fetchesByPeer[job.fetch.peerVm];
+    if (!status.ok())
+        backOff(state, job, status);
+    finishChunk(state.rows, job.chunk.digest, state.store);
+}
+
+static std::string_view resultOf(const absl::Status& status)
+{
+    if (status.ok())
+        return "ok";
+    if (absl::IsDataLoss(status))
+        return "corrupt";
+    if (absl::IsDeadlineExceeded(status))
+        return "stalled";
+    return absl::IsResourceExhausted(status) ? "over_rate" : "failed";
+}
+
+static void fetch(WeightState& state, const FetchJob& job)
+{
+    auto bytes = fetchChunk(state, job);
+    absl::Status status = bytes.status();
+    std::string source(toText(job.fetch.source));
+    if (bytes.ok()) {
+        state.node.metrics.count("bilberry_chunk_bytes_total", { { "source", source } }, static_cast<double>(bytes->size()));
+        status = state.store.put(job.chunk.digest, std::move(*bytes));
+    }
+    state.node.metrics.count("bilberry_chunk_fetches_total", { { "source", source }, { "result", std::string(resultOf(status)) } });
+    finishFetch(state, job, status);
+}
+
+void runFetcher(WeightState& state)
+{
+    for (;;) {
+        FetchJob job;
+        {
+            std::unique_lock<std::mutex> lock(state.mutex);
+            state.changed.wait(lock, [&] { return state.isStopping || !state.jobs.empty(); });
+            if (state.isStopping)
+                return;
+            job = std::move(state.jobs.front());
+            state.jobs.pop_front();
+        }
+        fetch(state, job);
+    }
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/WeightState.h
@@ -0,0 +1,105 @@
+/// What the threads of a WeightAgent share. Only its own files include this.
+#pragma once
+
+#include "Activation.h"
+#include "ChunkStore.h"
+#include "Holdings.h"
+#include "Node.h"
+#include "PlacementCache.h"
+#include "SpreadView.h"
+#include "TransferPacer.h"
+#include "WeightSettings.h"
+#include "WeightTable.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace bilberry {
+
+/// One peer with regard to one model.
+struct WeightPeer {
+    std::string vm;
+    std::string address;
+    bool isSameRegion = true;
+    bool isPolled = false;
+    Holdings holdings; ///< As it last told.
+    TimePoint lastProgress {};
+    TimePoint nextPoll {};
+    uint32_t pollFailures = 0; ///< In a row.
+};
+
+/// One chunk to be fetched.
+struct FetchJob {
+    std::string model;
+    ManifestChunk chunk;
+    ChunkFetch fetch;
+    bool isPaced = false; ///< It crosses regions.
+    double bytesPerSecond = 0;
+};
+
+/// The view of one model with what it was made from.
+struct CachedView {
+    PlacementPointer placement;
+    std::string manifestDigest;
+    SpreadView view;
+};
+
+struct WeightState {
+    explicit WeightState(Node& ownNode)
+        : node(ownNode)
+        , settings(readWeightSettings())
+        , store(ownNode.settings.weightMemoryBytes)
+    {
+    }
+
+    Node& node;
+    const WeightSettings settings;
+    ChunkStore store;
+    PlacementCache placements;
+    TransferPacer regionPacer; ///< Of what comes from other regions.
+    TransferPacer uploadPacer; ///< Of chunks sent to peers.
+    std::atomic<uint64_t> receivedBytes { 0 };
+
+    mutable std::mutex mutex; ///< Guards all below.
+    std::condition_variable changed;
+    bool isStopping = false;
+    std::vector<WeightRow> rows;
+    std::map<std::string, CachedView> views; ///< By model.
+    std::map<std::pair<std::string, std::string>, WeightPeer> peers; ///< By model and VM.
+    std::deque<FetchJob> jobs;
+    size_t fetchesInProgress = 0;
+    size_t originFetches = 0;
+    size_t regionFetches = 0;
+    std::map<std::string, uint32_t> fetchesByPeer; ///< By VM.
+    std::map<std::string, TimePoint> backOffs; ///< By VM.
+    TimePoint originBackedOffUntil {};
+    EngineReadBack readBack;
+    TimePoint wokenAt {}; ///< End of the last pause of this process.
+    uint64_t lastFencing = 0;
+    std::vector<std::thread> threads;
+
+    /// Waits; false when the agent is stopping. Call without the lock.
+    bool waitOrStop(Milliseconds);
+};
+
+/// The threads' bodies; each returns when the agent is stopping.
+void runPlanner(WeightState&);
+void runFetcher(WeightState&);
+void runPoller(WeightState&);
+void runResolver(WeightState&);
+void runReadBack(WeightState&);
+void runOrders(WeightState&);
+
+/// Makes a version the wanted one of its model, if it supersedes the one held. Call without the lock.
+void offerVersion(WeightState&, const std::string& model, const std::string& label, Manifest, TimePoint confirmedAt);
+
+/// Bodies of the threads that fetch, at a time.
+constexpr size_t fetchThreads = 8;
+constexpr size_t pollThreads = 3;
+
+} // namespace bilberry
--- /dev/null
+++ b/src/WeightTable.cpp
@@ -0,0 +1,137 @@
+#include "WeightTable.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// How often a label is resolved, to see a new version under it.
+static constexpr Milliseconds resolveInterval { 1000 };
+// How much longer each rank waits for the ones before it.
+static constexpr Milliseconds resolvePatience { 2000 };
+
+const WeightRow* findWeightRow(const std::vector<WeightRow>& rows, const std::string& model)
+{
+    auto found = std::find_if(rows.begin(), rows.end(), [&](const WeightRow& row) { return row.model == model; });
+    return found == rows.end() ? nullptr : &*found;
+}
+
+WeightRow* findWeightRow(std::vector<WeightRow>& rows, const std::string& model)
+{
+    return const_cast<WeightRow*>(findWeightRow(std::as_const(rows), model));
+}
+
+void syncWeightRows(std::vector<WeightRow>& rows, const std::vector<WantedModel>& models, TimePoint now)
+{
+    std::vector<WeightRow> wanted;
+    for (const auto& model : models) {
+        WeightRow row;
+        if (WeightRow* held = findWeightRow(rows, model.model))
+            row = std::move(*held);
+        else
+            row.knownSince = now;
+        if (row.label != model.label) {
+            row.confirmedAt = {};
+            row.knownSince = now;
+        }
+        row.model = model.model;
+        row.label = model.label;
+        wanted.push_back(std::move(row));
+    }
+    rows = std::move(wanted);
+}
+
+bool hasAllChunks(const WeightVersion& version)
+{
+    return !version.chunks.empty() && std::all_of(version.chunks.begin(), version.chunks.end(), [](const ChunkState& chunk) { return chunk.isHeld; });
+}
+
+bool isWhole(const WeightVersion& version)
+{
+    return !version.contentSha256.empty() && hasAllChunks(version);
+}
+
+bool supersedes(const WeightRow& row, const std::string& label, TimePoint confirmedAt)
+{
+    return label == row.label && confirmedAt > row.confirmedAt;
+}
+
+void adoptManifest(WeightRow& row, Manifest manifest, TimePoint confirmedAt, const ChunkStore& store, TimePoint now)
+{
+    row.confirmedAt = std::max(row.confirmedAt, confirmedAt);
+    if (manifest.digest == row.wanted.manifest.digest)
+        return;
+    bool isReturn = manifest.digest == row.previous.manifest.digest;
+    if (isReturn) {
+        std::swap(row.wanted, row.previous);
+        if (!isWhole(row.previous))
+            row.previous = {};
+        return;
+    }
+    if (isWhole(row.wanted))
+        row.previous = std::move(row.wanted);
+    row.wanted = {};
+    row.wanted.manifest = std::move(manifest);
+    row.isTooLarge = false;
+    for (const auto& chunk : row.wanted.manifest.chunks)
+        row.wanted.chunks.push_back({ store.has(chunk.digest), false, now });
+}
+
+static void finishChunk(WeightVersion& version, const std::string& digest, bool isHeld)
+{
+    for (size_t i = 0; i < version.chunks.size(); ++i) {
+        if (version.manifest.chunks[i].digest != digest)
+            continue;
+        version.chunks[i].isInProgress = false;
+        version.chunks[i].isHeld = isHeld;
+    }
+}
+
+void finishChunk(std::vector<WeightRow>& rows, const std::string& digest, const ChunkStore& store)
+{
+    bool isHeld = store.has(digest);
+    for (auto& row : rows) {
+        finishChunk(row.wanted, digest, isHeld);
+        finishChunk(row.previous, digest, isHeld);
+    }
+}
+
+static void retain(const WeightVersion& version, std::unordered_set<std::string>& digests)
+{
+    for (const auto& chunk : version.manifest.chunks)
+        digests.insert(chunk.digest);
+}
+
+std::unordered_set<std::string> chooseRetained(std::vector<WeightRow>& rows, uint64_t maxBytes)
+{
+    std::unordered_set<std::string> digests;
+    uint64_t bytes = 0;
+    for (auto& row : rows) {
+        row.isTooLarge = bytes + row.wanted.manifest.sizeBytes > maxBytes;
+        if (row.isTooLarge)
+            continue;
+        bytes += row.wanted.manifest.sizeBytes;
+        retain(row.wanted, digests);
+    }
+    for (auto& row : rows) {
+        if (bytes + row.previous.manifest.sizeBytes > maxBytes) {
+            row.previous = {};
+            continue;
+        }
+        bytes += row.previous.manifest.sizeBytes;
+        retain(row.previous, digests);
+    }
+    return digests;
+}
+
+bool isResolveDue(const WeightRow& row, size_t rank, TimePoint now)
+{
+    if (now < row.nextResolve)
+        return false;
+    auto last = std::max(row.confirmedAt, row.knownSince);
+    // Nothing known at all: the first resolver asks at once.
+    if (row.confirmedAt == TimePoint {} && rank == 0)
+        return true;
+    return now - last >= resolveInterval + resolvePatience * static_cast<int>(rank);
+}
+
+} // namespace bilberry
