--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -80,6 +80,30 @@
     return best;
 }
 
+// Whether to wait for the route's source: it is known, makes progress or has the chunk, and is not backed off.
+static bool isSourceAwaited(const PlanWork& work, size_t chunk)
+{
+    auto position = work.positions.find(work.input.routes[chunk].source);
+    if (position == work.positions.end())
+        return false;
+    const ChunkPeer& source = work.input.peers[position->second];
+    if (isUsable(work, source, chunk))
+        return true;
+    auto waitFrom = std::max(work.input.chunks[chunk].wantedSince, source.lastProgress);
+    return source.backedOffUntil <= work.now && work.now - waitFrom < routePatience;
+}
+
+// The peer of another region to bring the chunk in from; null when there is none now.
+static const ChunkPeer* chooseRemote(const PlanWork& work, size_t chunk)
+{
+    if (!isSourceAwaited(work, chunk))
+        return choosePeer(work, chunk, false);
+    size_t position = work.positions.at(work.input.routes[chunk].source);
+    const ChunkPeer& source = work.input.peers[position];
+    bool isFree = source.fetchesInProgress + work.started[position] < maxFetchesPerPeer;
+    return isFree && isUsable(work, source, chunk) ? &source : nullptr;
+}
+
 static bool isInRegion(const PlanWork& work, size_t chunk)
 {
     return std::any_of(work.input.peers.begin(), work.input.peers.end(), [&](const ChunkPeer& peer) {
@@ -144,12 +168,13 @@
     }
     if (isInRegion(work, chunk) || !isTurn(work, chunk, 0))
         return;
-    const ChunkPeer* remote = choosePeer(work, chunk, false);
+    const ChunkPeer* remote = chooseRemote(work, chunk);
     if (remote && work.regionFetches < maxRegionFetches) {
         fetches.push_back(startFrom(work, chunk, *remote));
         return;
     }
-    if (remote || !work.input.originAllowed || work.originFetches >= maxOriginFetches)
+    bool isElsewhere = remote || isSourceAwaited(work, chunk);
+    if (isElsewhere || !work.input.originAllowed || work.originFetches >= maxOriginFetches)
         return;
     if (work.input.isOriginNear || isTurn(work, chunk, farOriginRanks)) {
         ++work.originFetches;
--- a/src/ChunkPlan.h
+++ b/src/ChunkPlan.h
@@ -30,12 +30,13 @@
 struct ChunkRoute {
     uint32_t rank = 0; ///< Of this VM; 0 brings the chunk in, the next ones replace it in turn.
     std::vector<std::string> ahead; ///< VMs before this one, best first, at most maxRouteDepth of them.
+    std::string source; ///< VM of another region to bring the chunk in from; empty: any that has it.
 };
 
 /// VMs of a region that may be waited for before this one brings a chunk in.
 constexpr size_t maxRouteDepth = 3;
 
-/// The routes of all chunks. Precondition: `members` are the region's VMs with the model, this one included.
+/// The routes of all chunks, with no source. Precondition: `members` are the region's VMs with the model, this one included.
 /// Thread safe.
 std::vector<ChunkRoute> makeRoutes(const std::vector<std::string>& digests, const std::vector<std::string>& members, const std::string& ownVm);
 
@@ -69,8 +70,8 @@
 constexpr Milliseconds routePatience { 1500 };
 
 /// Chooses at most `slots` fetches: chunks that few peers hold first, each from the least used peer of the region that
-/// has it. A chunk that no usable peer of the region has is brought in by the first VM of its route, from another
-/// region or from the origin; the others wait as long as the ones ahead of them make progress, and then replace them
+/// has it. A chunk that no usable peer of the region has is brought in by the first VM of its route, from the route's
+/// source while that makes progress, else from any other region or from the origin; the others wait as long as the ones ahead of them make progress, and then replace them
 /// one after the other, without a stampede. Thread safe.
 std::vector<ChunkFetch> planFetches(const ChunkPlanInput&, size_t slots, TimePoint now);
 
--- a/src/SpreadView.cpp
+++ b/src/SpreadView.cpp
@@ -43,6 +43,37 @@
     return static_cast<size_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+std::vector<std::string> regionOrder(const std::string& digest, const std::vector<std::string>& regions, const std::string& originRegion)
+{
+    auto order = rankMembers(digest, regions, regions.size());
+    std::stable_partition(order.begin(), order.end(), [&](const std::string& region) { return region == originRegion; });
+    return order;
+}
+
+// Gives each route the VM of the region before this one that brings the chunk in there.
+static void setSources(SpreadView& view, const Configuration& configuration, const std::vector<RowIndex>& vms, const std::string& ownRegion, const Manifest& manifest)
+{
+    const Inventory& inventory = configuration.inventory;
+    std::vector<std::string> regions;
+    std::vector<std::vector<std::string>> members;
+    for (RowIndex vm : vms) {
+        const std::string& region = inventory.dataCentres[inventory.vms[vm].dataCentre].region;
+        if (positionOf(regions, region) < regions.size())
+            continue;
+        regions.push_back(region);
+        members.push_back(namesInRegion(configuration, vms, region));
+    }
+    for (size_t chunk = 0; chunk < view.routes.size(); ++chunk) {
+        const std::string& digest = manifest.chunks[chunk].digest;
+        auto order = regionOrder(digest, regions, inventory.weightStoreRegion);
+        size_t position = positionOf(order, ownRegion);
+        if (position == 0)
+            continue;
+        const auto& before = members[positionOf(regions, order[position - 1])];
+        view.routes[chunk].source = rankMembers(digest, before, 1).front();
+    }
+}
+
 // Only the parent in a fixed tree is a member; the root goes to the origin.
 static void keepParentOnly(SpreadView& view, const std::vector<std::string>& order, const std::string& ownVm)
 {
@@ -84,7 +115,6 @@
     const std::string& ownRegion = inventory.dataCentres[own.dataCentre].region;
     auto inRegion = namesInRegion(configuration, vms, ownRegion);
     auto nearOrigin = namesInRegion(configuration, vms, inventory.weightStoreRegion);
-    view.regionSize = std::max<size_t>(inRegion.size(), 1);
     view.isOriginNear = nearOrigin.empty() || ownRegion == inventory.weightStoreRegion;
     std::vector<std::string> digests;
     for (const auto& chunk : manifest.chunks) {
@@ -92,6 +122,10 @@
         view.entryHolders.push_back(rankMembers(chunk.digest, nearOrigin.empty() ? all : nearOrigin, entryHolderCount));
     }
     view.routes = makeRoutes(digests, inRegion, own.name);
+    if (!view.isOriginNear)
+        setSources(view, configuration, vms, ownRegion, manifest);
+    auto first = std::count_if(view.routes.begin(), view.routes.end(), [](const ChunkRoute& route) { return route.rank == 0; });
+    view.regionShare = static_cast<double>(first) / static_cast<double>(std::max<size_t>(view.routes.size(), 1));
     const Model& row = inventory.models[model];
     view.resolvers = rankMembers(row.name + "/" + row.label, all, all.size());
     view.resolverRank = positionOf(view.resolvers, own.name);
@@ -119,6 +153,7 @@
     for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
         if (chunks[chunk].isHeld || view.routes[chunk].rank > 1 || view.isOriginNear)
             continue;
+        elsewhere.insert(view.routes[chunk].source);
         elsewhere.insert(view.entryHolders[chunk].begin(), view.entryHolders[chunk].end());
     }
     polled.insert(elsewhere.begin(), elsewhere.end());
--- a/src/SpreadView.h
+++ b/src/SpreadView.h
@@ -23,15 +23,19 @@
 
 struct SpreadView {
     std::vector<SpreadMember> members;
-    std::vector<ChunkRoute> routes; ///< By chunk.
+    std::vector<ChunkRoute> routes; ///< By chunk, each with the source in the region before this one (see regionOrder()).
     std::vector<std::vector<std::string>> entryHolders; ///< By chunk: VMs that bring it into the fleet, best first.
     std::vector<std::string> resolvers; ///< VMs that ask the store for the label's version, best first.
     size_t resolverRank = 0; ///< Of this VM.
-    size_t regionSize = 1; ///< VMs of this region with the model.
+    double regionShare = 0; ///< Of the chunks, those that this VM is the first to bring into its region.
     bool isOriginNear = true;
     bool mayUseOrigin = true;
 };
 
+/// The order in which a chunk passes from region to region: the origin's first, so that its VMs send each chunk to one
+/// other region only. Precondition: the origin's region is among them. Thread safe.
+std::vector<std::string> regionOrder(const std::string& digest, const std::vector<std::string>& regions, const std::string& originRegion);
+
 /// The view of one model from one VM. Precondition: the placement gives the VM the model. Thread safe.
 SpreadView makeSpreadView(const Configuration&, const Placement&, RowIndex model, RowIndex ownVm, const Manifest&, SpreadStrategy);
 
--- a/src/WeightAgent.cpp
+++ b/src/WeightAgent.cpp
@@ -7,7 +7,7 @@
 namespace bilberry {
 
 // Pieces in which a paced chunk is sent, in bytes.
-static constexpr size_t uploadPieceBytes = size_t(64) * 1024;
+static constexpr size_t uploadPieceBytes = size_t(16) * 1024;
 
 WeightAgent::WeightAgent(Node& node)
     : state(std::make_unique<WeightState>(node))
--- a/src/WeightPeers.cpp
+++ b/src/WeightPeers.cpp
@@ -12,7 +12,7 @@
 
 // How often a peer is asked while chunks are missing, and when none are.
 static constexpr Milliseconds pollInterval { 120 };
-static constexpr Milliseconds idlePollInterval { 1000 };
+static constexpr Milliseconds idlePollInterval { 500 };
 static constexpr Milliseconds pollCheckInterval { 15 };
 // A peer that does not answer is asked after twice the time each try, up to this.
 static constexpr Milliseconds maxPollBackOff { 4000 };
--- a/src/WeightSpread.cpp
+++ b/src/WeightSpread.cpp
@@ -8,6 +8,8 @@
 
 namespace bilberry {
 
+// Share of the bytes between regions for a VM that is the first for no chunk.
+static constexpr double minRegionShare = 0.02;
 static constexpr Milliseconds planInterval { 25 };
 // How often the table is brought in line with the placement.
 static constexpr Milliseconds syncInterval { 200 };
@@ -103,7 +105,9 @@
     state.regionFetches += fetch.source == ChunkSource::Region ? 1 : 0;
     if (!fetch.peerVm.empty())
         ++state.fetchesByPeer[fetch.peerVm];
-    double rate = static_cast<double>(state.settings.regionBytesPerSecond) / static_cast<double>(view.regionSize);
+    // Shares by chunks, so that all VMs of the region end together. One that replaces another has a small share still.
+    double share = std::max(view.regionShare, minRegionShare);
+    double rate = static_cast<double>(state.settings.regionBytesPerSecond) * share;
     state.jobs.push_back({ row.model, row.wanted.manifest.chunks[fetch.chunk], std::move(fetch), isPaced, rate });
 }
 
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -65,6 +65,20 @@
             for (const auto& name : names)
                 this->vms.push_back({ name, static_cast<int>(region), false, std::vector<ChunkState>(chunkCount, { false, false, this->now }), makeRoutes(this->digests, names, name), {}, {}, {} });
         }
+        this->setSources();
+    }
+
+    /// Region 2 gets each chunk from the VM that brings it into region 1.
+    void setSources()
+    {
+        for (auto& vm : this->vms) {
+            for (size_t chunk = 0; vm.region == 2 && chunk < this->digests.size(); ++chunk) {
+                for (const auto& other : this->vms) {
+                    if (other.region == 1 && other.routes[chunk].rank == 0)
+                        vm.routes[chunk].source = other.name;
+                }
+            }
+        }
     }
 
     SimulatedVm* find(const std::string& name)
@@ -199,7 +213,7 @@
     TimePoint now { Milliseconds(10'000) };
     std::vector<ChunkState> chunks { { false, false, now } };
     std::vector<std::string> digests { "sha256:a" };
-    std::vector<ChunkRoute> routes { { 1, { "other" } } };
+    std::vector<ChunkRoute> routes { { 1, { "other" }, {} } };
     std::string own = "own";
     std::vector<ChunkPeer> peers { { "other", "o:1", true, { true }, 0, now + backOff, now } };
     ChunkPlanInput input { chunks, routes, digests, peers, own, true, true, 0, 0 };
@@ -215,7 +229,7 @@
     TimePoint now { Milliseconds(100'000) };
     std::vector<ChunkState> chunks { { false, false, now - Milliseconds(60'000) } };
     std::vector<std::string> digests { "sha256:a" };
-    std::vector<ChunkRoute> routes { { 1, { "holder" } } };
+    std::vector<ChunkRoute> routes { { 1, { "holder" }, {} } };
     std::string own = "own";
     std::vector<ChunkPeer> peers { { "holder", "h:1", true, { false }, 0, {}, now - routePatience / 2 } };
     ChunkPlanInput input { chunks, routes, digests, peers, own, true, true, 0, 0 };
