--- a/src/CtlExplain.cpp
+++ b/src/CtlExplain.cpp
@@ -92,8 +92,12 @@
 static std::vector<FleetRow> toFleetRows(const ProcessStatus& status, TimePoint now)
 {
     std::vector<FleetRow> rows;
-    for (const auto& row : status.vms)
-        rows.push_back({ row.status, now - row.age });
+    for (const auto& vm : status.vms) {
+        FleetRow row;
+        row.status = vm.status;
+        row.reportedAt = now - vm.age;
+        rows.push_back(std::move(row));
+    }
     return rows;
 }
 
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -12,16 +12,12 @@
 
 namespace bilberry {
 
-// Keys of unrepeatable requests that are held at a time.
-static constexpr size_t maxKeys = 100'000;
-// How long the outcome of a key is remembered.
-static constexpr std::chrono::hours keyLifetime { 24 };
 static constexpr Milliseconds defaultDeadline { 30'000 };
 
 Endpoint::Endpoint(Node& node)
     : node(node)
     , weights(node)
-    , keys(maxKeys)
+    , keyed(node)
     , admission(makeAdmission({}))
 {
 }
@@ -29,10 +25,12 @@
 void Endpoint::start()
 {
     this->weights.start();
+    this->keyed.start();
 }
 
 void Endpoint::stop()
 {
+    this->keyed.stop();
     this->weights.stop();
 }
 
@@ -64,7 +62,7 @@
     }
     status.isLeaving = this->node.isLeaving || isVmLeaving(*configuration, own);
     publishOwnStatus(this->node, status);
-    this->keys.expire(now, keyLifetime);
+    this->keyed.tick(now);
     this->node.metrics.set("bilberry_requests_in_progress", status.inProgress);
     this->node.metrics.set("bilberry_admission_limit", status.limit);
 }
@@ -88,6 +86,8 @@
         return RefusalReason::Leaving;
     if (isDataCentreOut(configuration, vm.dataCentre))
         return RefusalReason::DataCentreOut;
+    if (!mayAcceptWork(this->node))
+        return RefusalReason::NoConfiguration;
     if (configuration.inventory.services[vm.service].name != findHeader(request.headers, wire::service))
         return RefusalReason::UnknownService;
     std::string model = findHeader(request.headers, wire::model);
@@ -102,13 +102,14 @@
     RowIndex own = configuration ? findOwnVm(this->node, *configuration) : noRow;
     if (own == noRow)
         return this->refuse(request, RefusalReason::NoConfiguration);
-    auto reason = this->checkState(request, *configuration, own);
-    if (reason != RefusalReason::None)
-        return this->refuse(request, reason);
-    const Vm& vm = configuration->inventory.vms[own];
-    std::string key = findHeader(request.headers, wire::idempotencyKey);
-    bool isKeyed = !key.empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return isKeyed ? this->runKeyed(request, vm, key) : this->runAtBackEnd(request, vm);
+    auto run = [&](const DispatchCheck& mayDispatch) {
+        auto reason = this->checkState(request, *configuration, own);
+        if (reason != RefusalReason::None)
+            return this->refuse(request, reason);
+        return this->runAtBackEnd(request, configuration->inventory.vms[own], mayDispatch);
+    };
+    bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
+    return hasKey ? this->keyed.handle(request, run) : run(nullptr);
 }
 
 RefusalReason Endpoint::admit()
@@ -138,11 +139,15 @@
     return isNumber && left > 0 ? Milliseconds(left) : defaultDeadline;
 }
 
-HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm)
+HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const DispatchCheck& mayDispatch)
 {
     auto reason = this->admit();
     if (reason != RefusalReason::None)
         return this->refuse(request, reason);
+    if (mayDispatch && !mayDispatch()) {
+        this->complete(false, false);
+        return this->refuse(request, RefusalReason::KeyFenced);
+    }
     HttpTimeouts timeouts { this->node.settings.connectTimeout, remainingTime(request) };
     auto exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
     const HttpReply& head = exchange->waitForHead();
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -40,6 +40,9 @@
 
 HttpResponse Entry::refuse(const EntryRequest& request, Refusal refusal)
 {
+    bool isKeyed = request.configuration ? !request.key.empty() : !findHeader(request.http->headers, wire::idempotencyKey).empty();
+    if (isKeyed)
+        refusal = refusalForKey(refusal);
     MetricLabels labels { { "reason", std::string(toText(refusal.reason)) }, { "outcome", std::string(toText(refusal.outcome)) } };
     bool isKnown = request.configuration && request.service != noRow;
     labels["service"] = isKnown ? request.configuration->inventory.services[request.service].name : "";
@@ -133,7 +136,9 @@
         tried.push_back(vm);
         last = outcome.refusal;
         AttemptReport report { last, !request.isUnrepeatable, false, attempts, std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now()) };
-        if (decideRetry(report) == RetryDecision::GiveUp)
+        // What a key's owner says is not better known elsewhere.
+        bool isSettled = !request.key.empty() && last.isFromOwner;
+        if (isSettled || decideRetry(report) == RetryDecision::GiveUp)
             return this->refuse(request, last);
         if (!this->spendRetry(request))
             return this->refuse(request, last);
--- a/tests/ExplainTest.cpp
+++ b/tests/ExplainTest.cpp
@@ -36,7 +36,7 @@
         row.status.isLeaving = *rc::gen::inRange(0, 6) == 0;
         if (*rc::gen::inRange(0, 3) != 0)
             row.status.served.push_back({ "renewal-drafter", "sha256:1" });
-        row.reportedAt = now - Milliseconds(*rc::gen::inRange(0, 7000));
+        row.reportedAt = now - Milliseconds(*rc::gen::inRange<int64_t>(0, 2 * reportLifetime.count()));
         rows.push_back(row);
     }
     return rows;
