Sign the command line's calls, and show the reasons of the placement

The processes check an HMAC of requests among themselves; the command line takes the same setting, from its own source file so that both programs can have it, and signs in the one function that reaches a process.

--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -39,7 +39,7 @@
     const Inventory& inventory = configuration.inventory;
     const Vm& row = inventory.vms[vm];
     const Model& wanted = inventory.models[model];
-    uint32_t replicas = wantedReplicas(configuration, model, day);
+    uint32_t replicas = wantedReplicas(configuration, model, day).replicas;
     if (row.role == Role::Entry)
         return "an entry VM carries no model";
     if (row.service != wanted.service)
@@ -57,11 +57,12 @@
 
 std::vector<CarryVerdict> explainVm(const Configuration& configuration, const LiveList* live, RowIndex vm, WallTime day)
 {
-    auto placed = modelsOnVm(placeModels(configuration, live, day), vm);
+    auto placement = placeModels(configuration, live, day);
     std::vector<CarryVerdict> verdicts;
     for (RowIndex model = 0; model < configuration.inventory.models.size(); ++model) {
-        bool carries = std::find(placed.begin(), placed.end(), model) != placed.end();
-        std::string reason = carries ? fmt::format("one of the replicas that keep {} serving", wantedReplicas(configuration, model, day)) : explainAbsence(configuration, live, vm, model, day);
+        auto found = std::find_if(placement.rows.begin(), placement.rows.end(), [&](const PlacementRow& row) { return row.model == model && row.vm == vm; });
+        bool carries = found != placement.rows.end();
+        std::string reason = carries ? found->reason : explainAbsence(configuration, live, vm, model, day);
         verdicts.push_back({ model, carries, std::move(reason) });
     }
     return verdicts;
--- a/src/PlanReport.cpp
+++ b/src/PlanReport.cpp
@@ -35,12 +35,14 @@
 static PlannedBurst planBurst(const BurstRule& burst, size_t rule, WallTime day)
 {
     PlannedBurst planned { rule, std::nullopt, false };
-    // A burst that began up to its duration ago is still under way.
-    auto begin = findCalendarDay(burst.calendar, burst.month, burst.day, burst.year, day - oneDay * (burst.durationDays - 1));
+    auto tolerance = calendarTolerance(burst.calendar);
+    auto after = oneDay * burst.durationDays + tolerance;
+    // A burst that began so long ago is still under way.
+    auto begin = findCalendarDay(burst.calendar, burst.month, burst.day, burst.year, day - after + oneDay);
     if (!begin)
         return planned;
-    planned.window = BurstWindow { *begin - oneDay * burst.leadDays, *begin, *begin + oneDay * burst.durationDays };
-    planned.isActive = day >= planned.window->inPlaceFrom && day < planned.window->end;
+    planned.window = BurstWindow { *begin - oneDay * burst.leadDays - tolerance, *begin, *begin + oneDay * burst.durationDays, *begin + after };
+    planned.isActive = day >= planned.window->inPlaceFrom && day < planned.window->keptUntil;
     return planned;
 }
 
@@ -65,7 +67,8 @@
 static std::string formatModel(const Configuration& configuration, const PlanReport& report, RowIndex model)
 {
     const Inventory& inventory = configuration.inventory;
-    std::string text = fmt::format("model {}: {} replicas wanted\n", inventory.models[model].name, wantedReplicas(configuration, model, report.day));
+    auto wish = wantedReplicas(configuration, model, report.day);
+    std::string text = fmt::format("model {}: {} replicas wanted: {}\n", inventory.models[model].name, wish.replicas, wish.reason);
     for (RowIndex dataCentre = 0; dataCentre < inventory.dataCentres.size(); ++dataCentre) {
         std::vector<std::string> names;
         for (const auto& row : report.placement.rows) {
@@ -103,7 +106,7 @@
         answer["bursts"].push_back(burst);
     }
     for (const auto& row : report.placement.rows)
-        answer["placement"].push_back({ { "model", inventory.models[row.model].name }, { "vm", inventory.vms[row.vm].name }, { "data_centre", inventory.dataCentres[inventory.vms[row.vm].dataCentre].name } });
+        answer["placement"].push_back({ { "model", inventory.models[row.model].name }, { "vm", inventory.vms[row.vm].name }, { "data_centre", inventory.dataCentres[inventory.vms[row.vm].dataCentre].name }, { "reason", row.reason } });
     for (const auto& shortfall : report.placement.shortfalls)
         answer["shortfalls"].push_back({ { "model", inventory.models[shortfall.model].name }, { "wanted", shortfall.wanted }, { "placed", shortfall.placed }, { "reason", shortfall.reason } });
     return answer;
--- a/src/PlanReport.h
+++ b/src/PlanReport.h
@@ -12,9 +12,10 @@
 
 /// The civil days of one burst, UTC.
 struct BurstWindow {
-    WallTime inPlaceFrom; ///< Start of the lead time.
+    WallTime inPlaceFrom; ///< Start of the lead time, the calendar's tolerance before it included.
     WallTime begin;
     WallTime end; ///< Exclusive.
+    WallTime keptUntil; ///< The end with the calendar's tolerance.
 };
 
 /// One burst rule on the plan's day.
--- a/src/ProcessClient.cpp
+++ b/src/ProcessClient.cpp
@@ -2,10 +2,14 @@
 
 #include "HttpClient.h"
 #include "JsonRpcBridge.h"
+#include "MessageAuthentication.h"
 
 #include <absl/strings/str_cat.h>
+#include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
+DECLARE_string(authentication_key);
+
 namespace bilberry {
 
 using nlohmann::json;
@@ -19,6 +23,7 @@
 {
     static HttpClientPool pool;
     request.headers.emplace_back("Connection", "close");
+    signRequest({ FLAGS_authentication_key, {} }, request, std::chrono::system_clock::now());
     return pool.call(address, request, callTimeouts, maxReplyBytes);
 }
 
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -7,13 +7,13 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+DECLARE_string(authentication_key);
 DEFINE_string(role, "", "what the process does: entry or endpoint");
 DEFINE_string(vm, "", "name of this VM in the inventory");
 DEFINE_string(data_centre, "", "data centre of this VM");
 DEFINE_string(listen, "127.0.0.1:0", "IP:port to accept connections on; port 0 takes a free one");
 DEFINE_string(configuration_service, "", "IP:port of the platform's configuration service");
 DEFINE_string(peers, "", "comma-separated IP:port of processes to ask at start");
-DEFINE_string(authentication_key, "", "key that signs requests between the system's processes, 16 characters or more; empty: they are not checked");
 DEFINE_string(authentication_key_accepted, "", "second key that is accepted from peers, while keys are being changed");
 DEFINE_int32(http_threads, 256, "connections served at a time, 4 to 1024; each holds a thread, started on demand");
 DEFINE_int32(tick_ms, 100, "interval of the periodic work in ms, 10 to 1000");
