--- a/src/WeightOrders.cpp
+++ b/src/WeightOrders.cpp
@@ -11,7 +11,7 @@
 static constexpr Milliseconds readBackInterval { 200 };
 static constexpr Milliseconds orderInterval { 100 };
 // A wait that takes longer than this means that the process was paused: what it believes may be old.
-static constexpr Milliseconds pauseLimit { 2000 };
+static constexpr Milliseconds orderPauseLimit { 2000 };
 static constexpr Milliseconds loadTimeout { 120'000 };
 static constexpr Milliseconds orderRetryInterval { 500 };
 
@@ -110,7 +110,7 @@
         if (!state.waitOrStop(orderInterval))
             return;
         auto now = Clock::now();
-        if (now - before > pauseLimit) {
+        if (now - before > orderPauseLimit) {
             logEvent(LogLevel::Warning, "paused", "ms={}", std::chrono::duration_cast<Milliseconds>(now - before).count());
             state.node.metrics.count("bilberry_pauses_total");
             std::lock_guard<std::mutex> lock(state.mutex);
