--- a/src/Process.cpp
+++ b/src/Process.cpp
@@ -10,6 +10,7 @@
 #include "ProcessPaths.h"
 #include "Rendezvous.h"
 #include "StartGate.h"
+#include "StatusMethod.h"
 
 #include <cstdio>
 
@@ -105,6 +106,8 @@
         process.node.metrics.count("bilberry_pauses_total");
         logEvent(LogLevel::Warning, "paused", "limit_ms={}", pauseLimit.count());
     }
+    if (auto configuration = process.node.published.configuration())
+        process.marks.update(process.node.metrics, *configuration);
     if (process.entry) {
         publishOwnStatus(process.node, {});
         process.entry->tick(now);
@@ -164,6 +167,7 @@
         process.endpoint = std::make_unique<Endpoint>(process.node);
     if (process.endpoint)
         process.rpc.addMethod("key_lease", [&process](const std::string& parameters) { return process.endpoint->answerKeyLease(parameters); });
+    addStatusMethod(process.rpc, process.node, [&process] { return requestsInProgress(process); });
     process.server.start([&process](const HttpRequest& request) { return answerRequest(process, request); });
     std::printf("listening %s:%d\n", settings.listen.host.c_str(), process.server.port());
     std::fflush(stdout);
--- a/src/Process.h
+++ b/src/Process.h
@@ -4,6 +4,7 @@
 #include "HttpServer.h"
 #include "JsonRpcBridge.h"
 #include "Node.h"
+#include "ServiceLevel.h"
 
 #include <atomic>
 #include <memory>
@@ -24,6 +25,7 @@
     JsonRpcDispatcher rpc;
     std::unique_ptr<Entry> entry;
     std::unique_ptr<Endpoint> endpoint;
+    DataCentreMarks marks; ///< Used by the thread that ticks.
     HttpServer server;
     std::vector<std::thread> threads;
     std::atomic<bool> hasAskedPeers { false };
