--- a/tests/measure_streaming.py
+++ b/tests/measure_streaming.py
@@ -190,11 +190,20 @@
     print(f"memory_entry_per_idle_connection_spread {errors[1]:.1f} KiB none", flush=True)
 
 
+def measure_token_bytes(fleet):
+    """Bytes of an answer by its tokens, as the stand-in engine writes them."""
+    address = fleet.processes[fleet.entries()[0]].address
+    inputs = [(1.0, float(tokens)) for tokens in (10, 50, 100)]
+    outputs = [len(fleet.ask_model(address, max_tokens=int(row[1]), stream=True)[2]) for row in inputs]
+    print(f"bytes_per_token {fit(inputs, outputs)[0][1]:.0f} bytes none", flush=True)
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with open_fleet(arguments) as fleet:
         fleet.wait_for_replicas(1)
         harness.wait_until(lambda: fleet.ask_model(fleet.processes[fleet.entries()[0]].address)[0] == 200, 10, "an answer")
+        measure_token_bytes(fleet)
         measure_idle(fleet)
         measure_idle_connections(fleet)
         measure_processor_time(fleet)
