--- a/src/Attempt.cpp
+++ b/src/Attempt.cpp
@@ -5,18 +5,20 @@
 
 namespace bilberry {
 
-HttpRequest makeForwardedRequest(const EntryRequest& request, const std::string& attemptId, Milliseconds timeLeft)
+HttpRequest makeForwardedRequest(const EntryRequest& request, const AttemptDetails& attempt)
 {
     const Inventory& inventory = request.configuration->inventory;
     HttpRequest forwarded = *request.http;
     forwarded.path = wire::forwardPrefix + request.http->path;
     forwarded.headers = withoutHopHeaders(request.http->headers);
-    forwarded.headers.emplace_back(wire::attempt, attemptId);
-    forwarded.headers.emplace_back(wire::deadlineMs, std::to_string(timeLeft.count()));
+    forwarded.headers.emplace_back(wire::attempt, attempt.id);
+    forwarded.headers.emplace_back(wire::deadlineMs, std::to_string(attempt.timeLeft.count()));
     forwarded.headers.emplace_back(wire::generation, std::to_string(request.configuration->generation));
     forwarded.headers.emplace_back(wire::service, inventory.services[request.service].name);
     forwarded.headers.emplace_back(wire::caller, inventory.callers[request.caller].name);
     forwarded.headers.emplace_back(wire::unrepeatable, request.isUnrepeatable ? "1" : "0");
+    if (!attempt.lastEventId.empty())
+        setHeader(forwarded.headers, wire::lastEventId, attempt.lastEventId);
     if (request.model != noRow)
         forwarded.headers.emplace_back(wire::model, inventory.models[request.model].name);
     return forwarded;
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -4,20 +4,30 @@
 #include "HttpMessage.h"
 #include "Refusal.h"
 
+#include <memory>
 #include <string>
 
 namespace bilberry {
 
+class HttpExchange;
 struct EntryRequest;
 
 /// What one attempt brought: a response to pass on, or a refusal.
 struct AttemptOutcome {
     Refusal refusal;
     HttpResponse response;
+    std::shared_ptr<HttpExchange> stream; ///< Set when the body of the response is still to be read, as a stream.
+};
+
+/// What an attempt adds to the caller's request.
+struct AttemptDetails {
+    std::string id; ///< Identity of the attempt; its answer carries it back.
+    Milliseconds timeLeft { 0 };
+    std::string lastEventId; ///< Last event that the caller has, when a stream is resumed; else empty.
 };
 
 /// The request as it is sent to an endpoint's process. Thread safe.
-HttpRequest makeForwardedRequest(const EntryRequest&, const std::string& attemptId, Milliseconds timeLeft);
+HttpRequest makeForwardedRequest(const EntryRequest&, const AttemptDetails&);
 
 /// The refusal that an endpoint's process answered, or None when it passes a back end's answer on. Thread safe.
 Refusal readRefusal(const HttpHeaders&);
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -69,6 +69,12 @@
     this->node.metrics.set("bilberry_admission_limit", status.limit);
 }
 
+std::string Endpoint::describeLoad() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return fmt::format("{}/{}", this->admission.inProgress, static_cast<uint32_t>(this->admission.limit));
+}
+
 HttpResponse Endpoint::refuse(const HttpRequest& request, RefusalReason reason)
 {
     Refusal refusal = makeRefusal(reason);
@@ -77,6 +83,7 @@
     response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
     response.headers.emplace_back(wire::reason, std::string(toText(reason)));
     response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
+    response.headers.emplace_back(wire::load, this->describeLoad());
     return response;
 }
 
@@ -161,7 +168,7 @@
     response.headers = withoutHopHeaders(head.headers);
     response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
     response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
-    response.headers.emplace_back(wire::load, fmt::format("{}", this->inProgress()));
+    response.headers.emplace_back(wire::load, this->describeLoad());
     response.stream = [exchange](std::string& piece) { return exchange->readPiece(piece); };
     response.onFinished = [this, exchange] { this->complete(false, true); };
     this->node.metrics.count("bilberry_endpoint_requests_total");
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -36,6 +36,7 @@
 private:
     HttpResponse refuse(const HttpRequest&, RefusalReason);
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
+    std::string describeLoad() const;
     RefusalReason admit();
     void complete(bool isFailure, bool wasAtLimit);
     HttpResponse runAtBackEnd(const HttpRequest&, const Vm&);
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -7,6 +7,8 @@
 #include "StreamRelay.h"
 #include "WireHeaders.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
 #include <random>
@@ -53,30 +55,47 @@
     return response;
 }
 
-AttemptOutcome Entry::attempt(const EntryRequest& request, const RoutingTable& table, RowIndex vm)
+static Milliseconds timeLeft(const EntryRequest& request)
+{
+    return std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now());
+}
+
+// Takes over the load that the endpoint's process states with each answer, as "in progress/limit".
+void Entry::noteLoad(const RoutingTable& table, RowIndex vm, const HttpHeaders& headers)
+{
+    std::vector<std::string> parts = absl::StrSplit(findHeader(headers, wire::load), '/');
+    uint32_t inProgress = 0;
+    uint32_t limit = 0;
+    if (parts.size() == 2 && absl::SimpleAtoi(parts[0], &inProgress) && absl::SimpleAtoi(parts[1], &limit) && limit > 0)
+        this->router.noteLoad(table, vm, inProgress, limit);
+}
+
+AttemptOutcome Entry::attempt(const EntryRequest& request, const RoutingTable& table, RowIndex vm, const std::string& lastEventId)
 {
     const std::string& address = table.configuration->inventory.vms[vm].address;
-    auto attemptId = fmt::format("{}-{}-{}", this->node.settings.vm, this->node.incarnation.load(), ++this->attemptCounter);
-    auto timeLeft = std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now());
-    HttpTimeouts timeouts { this->node.settings.connectTimeout, timeLeft };
+    AttemptDetails details { fmt::format("{}-{}-{}", this->node.settings.vm, this->node.incarnation.load(), ++this->attemptCounter), timeLeft(request), lastEventId };
+    HttpTimeouts timeouts { std::min(this->node.settings.connectTimeout, details.timeLeft), details.timeLeft };
     this->node.metrics.count("bilberry_attempts_total");
-    auto exchange = std::make_shared<HttpExchange>(this->node.clients, address, makeForwardedRequest(request, attemptId, timeLeft), timeouts);
+    auto exchange = std::make_shared<HttpExchange>(this->node.clients, address, makeForwardedRequest(request, details), timeouts);
     const HttpReply& head = exchange->waitForHead();
     if (head.status == 0) {
         if (head.failure == CallFailure::NotSent)
-            return { makeRefusal(RefusalReason::ConnectFailed), {} };
+            return { makeRefusal(RefusalReason::ConnectFailed), {}, nullptr };
         exchange.reset();
-        return request.key.empty() ? AttemptOutcome { makeRefusal(RefusalReason::ReplyLost), {} } : this->askKeyOwner(request, address, attemptId);
+        return request.key.empty() ? AttemptOutcome { makeRefusal(RefusalReason::ReplyLost), {}, nullptr } : this->askKeyOwner(request, address, details.id);
+    }
+    if (findHeader(head.headers, wire::attempt) != details.id) {
+        this->node.metrics.count("bilberry_answers_dropped_total");
+        return { makeRefusal(RefusalReason::ReplyLost), {}, nullptr };
     }
-    if (findHeader(head.headers, wire::attempt) != attemptId)
-        return { makeRefusal(RefusalReason::ReplyLost), {} };
-    AttemptOutcome outcome { readRefusal(head.headers), {} };
+    this->noteLoad(table, vm, head.headers);
+    AttemptOutcome outcome { readRefusal(head.headers), {}, nullptr };
     if (outcome.refusal.reason != RefusalReason::None)
         return outcome;
     outcome.response.status = head.status;
     outcome.response.headers = withoutHopHeaders(head.headers);
     if (isEventStream(head.headers))
-        attachStream(outcome.response, exchange);
+        outcome.stream = exchange;
     else if (!exchange->readAll(outcome.response.body))
         outcome.refusal = makeRefusal(RefusalReason::ReplyLost);
     return outcome;
@@ -88,10 +107,105 @@
     return takeFromBudget(this->budgets[request.service]);
 }
 
+void Entry::fillBudget(const EntryRequest& request)
+{
+    const Configuration& configuration = *request.configuration;
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->budgets.resize(std::max(this->budgets.size(), configuration.inventory.services.size()));
+    addToBudget(this->budgets[request.service], configuration.rules.services[request.service].retryShare);
+}
+
+// Whether another endpoint is tried after a refusal; waits before it where that is called for.
+bool Entry::prepareRetry(const EntryRequest& request, const Refusal& refusal, int attempts)
+{
+    AttemptReport report { refusal, !request.isUnrepeatable, false, attempts, timeLeft(request) };
+    auto decision = decideRetry(report);
+    if (decision == RetryDecision::GiveUp)
+        return false;
+    if (decision == RetryDecision::TryAnother) {
+        if (!this->spendRetry(request))
+            return false;
+        auto wait = backOff(attempts, this->nextRandom());
+        if (wait >= report.timeLeft)
+            return false;
+        std::this_thread::sleep_for(wait);
+    }
+    this->node.metrics.count("bilberry_retries_total", { { "reason", std::string(toText(refusal.reason)) } });
+    return true;
+}
+
+/// A stream being passed on, with what is needed to open it again elsewhere.
+struct OpenStream {
+    HttpRequest http;
+    EntryRequest request;
+    std::shared_ptr<const RoutingTable> table; ///< By which the endpoint is counted; null when none is.
+    RowIndex vm = noRow;
+    std::vector<RowIndex> tried;
+};
+
+void Entry::closeStream(OpenStream& stream)
+{
+    if (stream.table)
+        this->router.release(*stream.table, stream.vm);
+    stream.table = nullptr;
+}
+
+std::shared_ptr<HttpExchange> Entry::reopenStream(OpenStream& stream, const std::string& lastId)
+{
+    this->router.noteRefusal(*stream.table, stream.vm, RefusalReason::ReplyLost);
+    this->closeStream(stream);
+    stream.tried.push_back(stream.vm);
+    Refusal last = makeRefusal(RefusalReason::ReplyLost);
+    for (int attempts = 1; this->prepareRetry(stream.request, last, attempts); ++attempts) {
+        auto table = this->router.table();
+        RowIndex vm = this->chooseVm(stream.request, *table, stream.tried);
+        if (vm == noRow)
+            break;
+        auto outcome = this->attempt(stream.request, *table, vm, lastId);
+        if (outcome.stream) {
+            stream.table = std::move(table);
+            stream.vm = vm;
+            this->node.metrics.count("bilberry_streams_resumed_total");
+            return outcome.stream;
+        }
+        this->router.release(*table, vm);
+        this->router.noteRefusal(*table, vm, outcome.refusal.reason);
+        stream.tried.push_back(vm);
+        last = outcome.refusal.reason == RefusalReason::None ? makeRefusal(RefusalReason::ReplyLost) : outcome.refusal;
+    }
+    this->node.metrics.count("bilberry_streams_cut_total");
+    return nullptr;
+}
+
+// The answer as it goes to the caller, with the endpoint counted until its last byte.
+HttpResponse Entry::passOn(const EntryRequest& request, AttemptOutcome outcome, std::shared_ptr<const RoutingTable> table, RowIndex vm)
+{
+    HttpResponse response = std::move(outcome.response);
+    response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
+    const Inventory& inventory = request.configuration->inventory;
+    MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
+    this->node.metrics.count("bilberry_requests_answered_total", labels);
+    this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
+    if (!outcome.stream) {
+        this->router.release(*table, vm);
+        return response;
+    }
+    auto stream = std::make_shared<OpenStream>(OpenStream { *request.http, request, std::move(table), vm, {} });
+    stream->request.http = &stream->http;
+    StreamOpener reopen;
+    if (request.model != noRow && !request.isUnrepeatable)
+        reopen = [this, stream](const std::string& lastId) { return this->reopenStream(*stream, lastId); };
+    if (request.model != noRow)
+        attachStream(response, outcome.stream, std::move(reopen));
+    else
+        response.stream = [exchange = outcome.stream](std::string& piece) { return exchange->readPiece(piece); };
+    response.onFinished = [this, stream] { this->closeStream(*stream); };
+    return response;
+}
+
 HttpResponse Entry::serve(const HttpRequest& http)
 {
     EntryRequest request;
-    request.http = &http;
     request.receivedAt = Clock::now();
     // Step 1. What is asked, by whom, until when.
     request.configuration = this->node.published.configuration();
@@ -100,11 +214,7 @@
     auto reason = readEntryRequest(http, request);
     if (reason != RefusalReason::None)
         return this->refuse(request, makeRefusal(reason));
-    {
-        std::lock_guard<std::mutex> lock(this->mutex);
-        this->budgets.resize(std::max(this->budgets.size(), request.configuration->inventory.services.size()));
-        addToBudget(this->budgets[request.service], request.configuration->rules.services[request.service].retryShare);
-    }
+    this->fillBudget(request);
     // Step 2. One endpoint after the other, as long as a retry is safe and the budget lasts.
     std::vector<RowIndex> tried;
     Refusal last = makeRefusal(RefusalReason::NoEndpoint);
@@ -113,30 +223,15 @@
         RowIndex vm = table ? this->chooseVm(request, *table, tried) : noRow;
         if (vm == noRow)
             return this->refuse(request, last);
-        auto outcome = this->attempt(request, *table, vm);
-        if (outcome.refusal.reason == RefusalReason::None) {
-            // Step 3. The answer, with the endpoint counted until its last byte.
-            outcome.response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
-            if (outcome.response.stream)
-                outcome.response.onFinished = [this, vm] { this->router.release(vm); };
-            else
-                this->router.release(vm);
-            const Inventory& inventory = request.configuration->inventory;
-            MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
-            this->node.metrics.count("bilberry_requests_answered_total", labels);
-            this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
-            return std::move(outcome.response);
-        }
-        this->router.release(vm);
+        auto outcome = this->attempt(request, *table, vm, {});
+        if (outcome.refusal.reason == RefusalReason::None)
+            return this->passOn(request, std::move(outcome), std::move(table), vm);
+        this->router.release(*table, vm);
+        this->router.noteRefusal(*table, vm, outcome.refusal.reason);
         tried.push_back(vm);
         last = outcome.refusal;
-        AttemptReport report { last, !request.isUnrepeatable, false, attempts, std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now()) };
-        if (decideRetry(report) == RetryDecision::GiveUp)
-            return this->refuse(request, last);
-        if (!this->spendRetry(request))
+        if (!this->prepareRetry(request, last, attempts))
             return this->refuse(request, last);
-        this->node.metrics.count("bilberry_retries_total", { { "reason", std::string(toText(last.reason)) } });
-        std::this_thread::sleep_for(backOff(attempts, this->nextRandom()));
     }
 }
 
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -6,6 +6,7 @@
 #include "Router.h"
 
 #include <atomic>
+#include <memory>
 #include <mutex>
 #include <vector>
 
@@ -14,6 +15,8 @@
 struct Node;
 struct EntryRequest;
 struct AttemptOutcome;
+struct OpenStream;
+class HttpExchange;
 
 /// Thread safe.
 class Entry {
@@ -32,7 +35,13 @@
     HttpResponse serve(const HttpRequest&);
     HttpResponse refuse(const EntryRequest&, Refusal);
     RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
-    AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm);
+    AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm, const std::string& lastEventId);
+    void noteLoad(const RoutingTable&, RowIndex vm, const HttpHeaders&);
+    void fillBudget(const EntryRequest&);
+    bool prepareRetry(const EntryRequest&, const Refusal&, int attempts);
+    HttpResponse passOn(const EntryRequest&, AttemptOutcome, std::shared_ptr<const RoutingTable>, RowIndex vm);
+    std::shared_ptr<HttpExchange> reopenStream(OpenStream&, const std::string& lastId);
+    void closeStream(OpenStream&);
     AttemptOutcome askKeyOwner(const EntryRequest&, const std::string& address, const std::string& attemptId);
     bool spendRetry(const EntryRequest&);
     uint64_t nextRandom();
--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -18,12 +18,12 @@
 RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
     if (request.key.empty())
-        return this->router.choose(table, { request.service, request.model }, tried, this->nextRandom());
+        return this->router.choose(table, { request.service, request.model, request.prefixHash }, tried, this->nextRandom());
     RowIndex owner = findKeyOwner(*table.configuration, request.service, request.key);
     bool wasTried = std::find(tried.begin(), tried.end(), owner) != tried.end();
     if (owner == noRow || wasTried)
         return noRow;
-    this->router.acquire(owner);
+    this->router.acquire(table, owner);
     return owner;
 }
 
@@ -32,8 +32,8 @@
     HttpRequest query { "POST", "/key-query", { { wire::idempotencyKey, request.key }, { wire::attempt, attemptId } }, {} };
     auto reply = this->node.clients.call(address, query, { this->node.settings.connectTimeout, keyQueryTimeout }, maxConfigurationBytes);
     if (reply.failure != CallFailure::None || reply.status == 0)
-        return { makeRefusal(RefusalReason::ReplyLost), {} };
-    AttemptOutcome outcome { readRefusal(reply.headers), {} };
+        return { makeRefusal(RefusalReason::ReplyLost), {}, nullptr };
+    AttemptOutcome outcome { readRefusal(reply.headers), {}, nullptr };
     outcome.response.status = reply.status;
     outcome.response.headers = withoutHopHeaders(reply.headers);
     outcome.response.body = reply.body;
--- a/src/EntryRequest.cpp
+++ b/src/EntryRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "Digest.h"
 #include "HttpMessage.h"
+#include "Rendezvous.h"
 #include "WireHeaders.h"
 
 #include <absl/strings/numbers.h>
@@ -12,6 +13,9 @@
 
 using nlohmann::json;
 
+// Part of a prompt that engines are expected to find in their prefix cache, in bytes.
+static constexpr size_t prefixBytes = 256;
+
 static RowIndex findCaller(const Inventory& inventory, const HttpHeaders& headers)
 {
     std::string authorization = findHeader(headers, "Authorization");
@@ -35,15 +39,24 @@
     return isNumber && wanted > 0 ? std::min(Milliseconds(wanted), rule.maxTimeout) : rule.defaultTimeout;
 }
 
+// Hash of the prompt's start, by which requests with one preamble meet; never zero.
+static uint64_t hashPrefix(const json& document)
+{
+    auto prompt = document.find(document.contains("messages") ? "messages" : "prompt");
+    std::string text = prompt == document.end() ? std::string() : prompt->dump(-1, ' ', false, json::error_handler_t::replace);
+    return std::max<uint64_t>(1, hashText(std::string_view(text).substr(0, prefixBytes)));
+}
+
 // Reads what a model request's body says; false when it is no JSON object with a model.
-static bool readModelBody(const std::string& body, std::string& model, bool& isStream)
+static bool readModelBody(const std::string& body, std::string& model, EntryRequest& request)
 {
     auto document = json::parse(body, nullptr, false);
     if (!document.is_object() || !document.contains("model") || !document["model"].is_string())
         return false;
     model = document["model"].get<std::string>();
     auto stream = document.find("stream");
-    isStream = stream != document.end() && stream->is_boolean() && stream->get<bool>();
+    request.prefixHash = hashPrefix(document);
+    request.isStream = stream != document.end() && stream->is_boolean() && stream->get<bool>();
     return true;
 }
 
@@ -58,7 +71,7 @@
     std::string path = http.path.substr(0, http.path.find('?'));
     std::string model;
     if (path.rfind("/v1/", 0) == 0) {
-        if (!readModelBody(http.body, model, request.isStream))
+        if (!readModelBody(http.body, model, request))
             return RefusalReason::BadRequest;
         request.model = findRow(inventory.models, model);
     }
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -21,13 +21,28 @@
     return true;
 }
 
+// Whether the endpoint refused for its state: its back end was spared, and so would be that of another.
+static bool isStaleChoice(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoConfiguration:
+    case RefusalReason::DataCentreOut:
+    case RefusalReason::Leaving:
+    case RefusalReason::VersionNotReady:
+    case RefusalReason::ConnectFailed:
+        return true;
+    default:
+        return false;
+    }
+}
+
 RetryDecision decideRetry(const AttemptReport& report)
 {
     bool isPossible = !report.bytesReachedCaller && report.attempts < maxAttempts && report.timeLeft > Milliseconds(0);
     if (!isPossible)
         return RetryDecision::GiveUp;
     if (mayGoElsewhere(report.refusal))
-        return RetryDecision::TryAnother;
+        return isStaleChoice(report.refusal.reason) ? RetryDecision::TryAtOnce : RetryDecision::TryAnother;
     bool isUnknown = report.refusal.outcome == Outcome::Unknown;
     return isUnknown && report.mayRepeat ? RetryDecision::TryAnother : RetryDecision::GiveUp;
 }
--- a/src/Retry.h
+++ b/src/Retry.h
@@ -27,11 +27,13 @@
 };
 
 enum class RetryDecision : uint8_t {
-    TryAnother,
+    TryAtOnce, ///< The endpoint's state refused, not its load: the choice was stale. No wait, and no part of the budget.
+    TryAnother, ///< After a wait, when the budget allows it.
     GiveUp,
 };
 
-/// Decides whether another endpoint is tried; the budget is asked separately. Thread safe.
+/// Decides whether another endpoint is tried; the budget is asked separately. Attempts are bounded in either case, and
+/// the refusing endpoint is avoided from then on, so that stale choices end with the first few requests. Thread safe.
 RetryDecision decideRetry(const AttemptReport&);
 
 /// Wait before the next attempt: full jitter, up to a bound that doubles with each attempt. `random` is uniform.
--- a/src/Router.h
+++ b/src/Router.h
@@ -1,10 +1,12 @@
-/// Keeps an entry's routing table current and counts its own requests in progress.
+/// Keeps an entry's routing table current and holds what it has seen itself of the endpoints.
 #pragma once
 
 #include "Routing.h"
 
 #include <memory>
 #include <mutex>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bilberry {
@@ -19,16 +21,28 @@
     /// Null until there is a configuration.
     std::shared_ptr<const RoutingTable> table() const;
     /// Chooses an endpoint (see chooseEndpoint()) and counts a request to it. A choice is taken back by release().
-    RowIndex choose(const RoutingTable&, RoutingTarget, const std::vector<RowIndex>& excluded, uint64_t random);
+    RowIndex choose(const RoutingTable&, const RoutingTarget&, const std::vector<RowIndex>& excluded, uint64_t random);
     /// Counts a request to an endpoint that was chosen in another way.
-    void acquire(RowIndex vm);
-    /// Precondition: the endpoint was counted.
-    void release(RowIndex vm);
+    void acquire(const RoutingTable&, RowIndex vm);
+    /// Precondition: the endpoint was counted with the same table.
+    void release(const RoutingTable&, RowIndex vm);
+    /// Takes over the load that an endpoint stated in an answer.
+    void noteLoad(const RoutingTable&, RowIndex vm, uint32_t inProgress, uint32_t limit);
+    /// Avoids an endpoint that refused, for a time that depends on the reason; for one whose data centre is out, all
+    /// endpoints of that data centre.
+    void noteRefusal(const RoutingTable&, RowIndex vm, RefusalReason);
 
 private:
+    EndpointEvidence& evidenceOf(const RoutingTable&, RowIndex vm);
+    void fillSlots(RoutingTable&);
+    void startRamps(const RoutingTable&, TimePoint now);
+
     mutable std::mutex mutex;
     std::shared_ptr<const RoutingTable> current;
-    std::vector<uint32_t> inProgress; ///< By VM.
+    std::unordered_map<std::string, uint32_t> slotByName; ///< A VM keeps its slot when the inventory's rows move.
+    std::vector<EndpointEvidence> evidence; ///< By slot.
+    std::vector<bool> wasEligible; ///< By slot, at the last refresh.
+    TimePoint firstRefreshAt {};
 };
 
 } // namespace bilberry
--- a/src/Routing.cpp
+++ b/src/Routing.cpp
@@ -3,13 +3,18 @@
 #include "Rendezvous.h"
 
 #include <algorithm>
-#include <array>
 #include <unordered_map>
 
 namespace bilberry {
 
-// Data centre, region, elsewhere.
-static constexpr size_t nearnessCount = 3;
+// Pairs of candidates that are compared in one group before the next one is looked at.
+static constexpr int maxPairs = 4;
+// Candidates of one group that are looked at one by one when no pair had room.
+static constexpr size_t maxScanned = 16;
+// How much more load than another's the endpoint preferred for a prefix may have.
+static constexpr double prefixLoadBound = 0.25;
+// Share of its capacity with which an endpoint comes back.
+static constexpr double firstRampShare = 0.1;
 
 static Nearness nearnessOf(const Inventory& inventory, RowIndex ownDataCentre, RowIndex other)
 {
@@ -30,19 +35,37 @@
     return found == live->vms.end() || found->second == LiveState::Live;
 }
 
-static void fillFromReport(RoutingRow& row, const VmStatus& status, const Inventory& inventory)
+static void fillFromReport(RoutingRow& row, const FleetRow& report, const Inventory& inventory, TimePoint now)
 {
-    row.isReported = true;
-    row.isCold = status.isCold;
-    row.inProgress = status.inProgress;
-    row.limit = std::max(1U, status.limit);
-    for (const auto& served : status.served) {
+    row.isReported = now - report.reportedAt <= reportLifetime;
+    row.reported = { report.status.inProgress, std::max(1U, report.status.limit), report.reportedAt };
+    for (const auto& served : report.status.served) {
         RowIndex model = findRow(inventory.models, served.model);
         if (model != noRow)
             row.models.push_back(model);
     }
 }
 
+static RoutingGroup& groupOf(RoutingTable& table, RowIndex service, RowIndex model)
+{
+    for (auto& group : table.groups) {
+        if (group.service == service && group.model == model)
+            return group;
+    }
+    table.groups.push_back({ service, model, {} });
+    return table.groups.back();
+}
+
+static void addToGroups(RoutingTable& table, uint32_t position, bool isPlain)
+{
+    const RoutingRow& row = table.rows[position];
+    auto nearness = static_cast<size_t>(row.nearness);
+    if (isPlain)
+        groupOf(table, row.service, noRow).rows[nearness].push_back(position);
+    for (RowIndex model : row.models)
+        groupOf(table, row.service, model).rows[nearness].push_back(position);
+}
+
 RoutingTable makeRoutingTable(ConfigurationPointer configuration, const LiveList* live, const std::vector<FleetRow>& reports, RowIndex ownDataCentre, TimePoint now)
 {
     RoutingTable table;
@@ -51,71 +74,170 @@
         byName[report.status.vm] = &report;
     const Inventory& inventory = configuration->inventory;
     for (RowIndex vm = 0; vm < inventory.vms.size(); ++vm) {
+        table.slots.push_back(vm);
         if (!mayGetWork(*configuration, live, vm))
             continue;
         RoutingRow row;
         row.vm = vm;
+        row.slot = vm;
         row.service = inventory.vms[vm].service;
         row.nearness = nearnessOf(inventory, ownDataCentre, inventory.vms[vm].dataCentre);
         auto found = byName.find(inventory.vms[vm].name);
         if (found != byName.end() && found->second->status.isLeaving)
             continue;
-        if (found != byName.end() && now - found->second->reportedAt <= reportLifetime)
-            fillFromReport(row, found->second->status, inventory);
+        if (found != byName.end())
+            fillFromReport(row, *found->second, inventory, now);
+        bool isPlain = inventory.services[row.service].kind == ServiceKind::Plain;
         table.rows.push_back(std::move(row));
+        addToGroups(table, static_cast<uint32_t>(table.rows.size() - 1), isPlain);
     }
     table.configuration = std::move(configuration);
     return table;
 }
 
-static bool canServe(const RoutingRow& row, RoutingTarget target)
+double rampShare(TimePoint eligibleSince, TimePoint now)
+{
+    std::chrono::duration<double> since = now - eligibleSince;
+    double share = since / std::chrono::duration<double>(rampDuration);
+    return std::clamp(share, firstRampShare, 1.0);
+}
+
+double loadOf(const RoutingRow& row, const EndpointEvidence& evidence, TimePoint now)
+{
+    bool isAnswerNewer = evidence.answered.limit > 0 && evidence.answered.at >= row.reported.at;
+    const LoadHint& hint = isAnswerNewer ? evidence.answered : row.reported;
+    std::chrono::duration<double> age = now - hint.at;
+    double weight = std::clamp(1 - age / std::chrono::duration<double>(loadHintLifetime), 0.0, 1.0);
+    double others = hint.inProgress > evidence.inProgress ? hint.inProgress - evidence.inProgress : 0;
+    double capacity = std::max(1.0, std::max(1U, hint.limit) * rampShare(evidence.eligibleSince, now));
+    return (evidence.inProgress + others * weight) / capacity;
+}
+
+// One choice being made.
+struct Selection {
+    const RoutingTable& table;
+    const std::vector<EndpointEvidence>& evidence;
+    const std::vector<RowIndex>& excluded;
+    TimePoint now;
+    bool takesAvoided = false;
+};
+
+static const EndpointEvidence& evidenceOf(const Selection& selection, const RoutingRow& row)
 {
-    if (row.service != target.service || !row.isReported)
+    static const EndpointEvidence none;
+    return row.slot < selection.evidence.size() ? selection.evidence[row.slot] : none;
+}
+
+static bool isCandidate(const Selection& selection, const RoutingRow& row)
+{
+    const auto& excluded = selection.excluded;
+    if (std::find(excluded.begin(), excluded.end(), row.vm) != excluded.end())
         return false;
-    return target.model == noRow || std::find(row.models.begin(), row.models.end(), target.model) != row.models.end();
+    return selection.takesAvoided || (row.isReported && evidenceOf(selection, row).avoidUntil <= selection.now);
+}
+
+// A candidate and its load; no row when there is none.
+struct Candidate {
+    const RoutingRow* row = nullptr;
+    double load = 0;
+};
+
+static Candidate candidateAt(const Selection& selection, uint32_t position)
+{
+    const RoutingRow& row = selection.table.rows[position];
+    if (!isCandidate(selection, row))
+        return {};
+    return { &row, loadOf(row, evidenceOf(selection, row), selection.now) };
 }
 
-static bool contains(const std::vector<RowIndex>& rows, RowIndex row)
+// The second one when it is there and less loaded by more than the bound.
+static Candidate lessLoaded(Candidate first, Candidate second, double bound = 0)
 {
-    return std::find(rows.begin(), rows.end(), row) != rows.end();
+    if (!first.row || !second.row)
+        return first.row ? first : second;
+    return second.load + bound < first.load ? second : first;
 }
 
-// Requests per unit of limit; the entry's own count may be ahead of the report.
-static double loadOf(const RoutingRow& row, const std::vector<uint32_t>& ownInProgress)
+static Candidate scan(const Selection& selection, const std::vector<uint32_t>& positions, size_t start, size_t count)
 {
-    uint32_t own = row.vm < ownInProgress.size() ? ownInProgress[row.vm] : 0;
-    return static_cast<double>(std::max(row.inProgress, own)) / row.limit;
+    Candidate best;
+    for (size_t i = 0; i < std::min(count, positions.size()); ++i)
+        best = lessLoaded(best, candidateAt(selection, positions[(start + i) % positions.size()]));
+    return best;
 }
 
-// Chooses the less loaded of two random candidates. Precondition: there is one.
-static const RoutingRow* chooseOfTwo(const std::vector<const RoutingRow*>& candidates, const std::vector<uint32_t>& ownInProgress, uint64_t random)
+static Candidate chooseInGroup(const Selection& selection, const std::vector<uint32_t>& positions, uint64_t prefixHash, uint64_t random)
 {
-    const RoutingRow* first = candidates[(random & UINT32_MAX) % candidates.size()];
-    const RoutingRow* second = candidates[(random >> 32) % candidates.size()];
-    return loadOf(*second, ownInProgress) < loadOf(*first, ownInProgress) ? second : first;
+    Candidate best;
+    for (int pair = 0; pair < maxPairs; ++pair) {
+        size_t first = static_cast<uint32_t>(random) % positions.size();
+        size_t second = (random >> 32) % positions.size();
+        bool isPreferred = pair == 0 && prefixHash != 0;
+        if (isPreferred)
+            first = prefixHash % positions.size();
+        auto chosen = lessLoaded(candidateAt(selection, positions[first]), candidateAt(selection, positions[second]), isPreferred ? prefixLoadBound : 0);
+        if (chosen.row && chosen.load < 1)
+            return chosen;
+        best = lessLoaded(best, chosen);
+        random = random * 0x9e3779b97f4a7c15 + 0xbf58476d1ce4e5b9;
+    }
+    return lessLoaded(best, scan(selection, positions, random % positions.size(), maxScanned));
 }
 
-RowIndex chooseEndpoint(const RoutingTable& table, RoutingTarget target, const std::vector<uint32_t>& ownInProgress, const std::vector<RowIndex>& excluded, uint64_t random)
+static RowIndex chooseFrom(const Selection& selection, const RoutingGroup& group, uint64_t prefixHash, uint64_t random)
 {
-    // Step 1. Group the endpoints that can serve by nearness, those with room apart.
-    std::array<std::vector<const RoutingRow*>, nearnessCount> withRoom;
-    std::array<std::vector<const RoutingRow*>, nearnessCount> full;
-    for (const auto& row : table.rows) {
-        if (!canServe(row, target) || contains(excluded, row.vm))
+    Candidate nearestFull;
+    for (const auto& positions : group.rows) {
+        if (positions.empty())
             continue;
-        bool hasRoom = loadOf(row, ownInProgress) < 1;
-        (hasRoom ? withRoom : full)[static_cast<size_t>(row.nearness)].push_back(&row);
+        auto chosen = chooseInGroup(selection, positions, prefixHash, random);
+        if (chosen.row && chosen.load < 1)
+            return chosen.row->vm;
+        if (!nearestFull.row)
+            nearestFull = chosen;
     }
-    // Step 2. The nearest group with room decides; without any, the nearest full one, whose reports may be behind.
-    for (const auto* groups : { &withRoom, &full }) {
-        for (const auto& group : *groups) {
-            if (!group.empty())
-                return chooseOfTwo(group, ownInProgress, random)->vm;
-        }
+    if (nearestFull.row)
+        return nearestFull.row->vm;
+    // Nothing was found by sampling; look at all.
+    for (const auto& positions : group.rows) {
+        auto any = scan(selection, positions, 0, positions.size());
+        if (any.row)
+            return any.row->vm;
     }
     return noRow;
 }
 
+RowIndex chooseEndpoint(const RoutingTable& table, const RoutingTarget& target, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now)
+{
+    auto isWanted = [&](const RoutingGroup& group) { return group.service == target.service && group.model == target.model; };
+    auto group = std::find_if(table.groups.begin(), table.groups.end(), isWanted);
+    if (group == table.groups.end())
+        return noRow;
+    Selection selection { table, evidence, excluded, now };
+    RowIndex chosen = chooseFrom(selection, *group, target.prefixHash, random);
+    if (chosen != noRow || !excluded.empty())
+        return chosen;
+    selection.takesAvoided = true;
+    return chooseFrom(selection, *group, 0, random);
+}
+
+Milliseconds avoidTime(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::DataCentreOut:
+    case RefusalReason::Leaving:
+        return Milliseconds(1500);
+    case RefusalReason::NoConfiguration:
+    case RefusalReason::ConnectFailed:
+    case RefusalReason::ReplyLost:
+        return Milliseconds(1000);
+    case RefusalReason::VersionNotReady:
+        return Milliseconds(500);
+    default:
+        return Milliseconds(0);
+    }
+}
+
 RowIndex findKeyOwner(const Configuration& configuration, RowIndex service, std::string_view key)
 {
     RowIndex best = noRow;
--- a/src/Routing.h
+++ b/src/Routing.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "Configuration.h"
+#include "EndpointEvidence.h"
 #include "FleetTable.h"
 #include "LiveList.h"
+#include "Refusal.h"
 #include "Types.h"
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -15,6 +18,7 @@
 enum class Nearness : uint8_t { DataCentre = 0,
     Region = 1,
     Elsewhere = 2 };
+constexpr size_t nearnessCount = 3;
 
 /// One endpoint as an entry sees it; a hint that ages.
 struct RoutingRow {
@@ -22,30 +26,57 @@
     RowIndex service = noRow;
     Nearness nearness = Nearness::Elsewhere;
     bool isReported = false; ///< Heard of within the lifetime of a report.
-    bool isCold = false;
-    uint32_t inProgress = 0;
-    uint32_t limit = 1;
+    LoadHint reported;
+    uint32_t slot = 0; ///< Its row in the table of evidence.
     std::vector<RowIndex> models; ///< Served, by read-back.
 };
 
+/// The endpoints that can serve one target, by nearness, as positions in the table's rows.
+struct RoutingGroup {
+    RowIndex service = noRow;
+    RowIndex model = noRow; ///< noRow for plain services.
+    std::array<std::vector<uint32_t>, nearnessCount> rows;
+};
+
 struct RoutingTable {
     ConfigurationPointer configuration;
     std::vector<RoutingRow> rows; ///< Endpoints that may get new work.
+    std::vector<RoutingGroup> groups;
+    std::vector<uint32_t> slots; ///< Row in the table of evidence, by VM.
 };
 
 /// What a request needs.
 struct RoutingTarget {
     RowIndex service = noRow;
     RowIndex model = noRow; ///< noRow for plain services.
+    uint64_t prefixHash = 0; ///< Of the prompt's start; zero: no endpoint is preferred.
 };
 
+/// Time over which an endpoint that came back is brought up to its full share.
+constexpr Milliseconds rampDuration { 10'000 };
+/// Age at which a statement of load says nothing any more.
+constexpr Milliseconds loadHintLifetime { 2000 };
+
 /// Makes the table: leaves out endpoints of data centres that are out, and those that are leaving by the
-/// configuration, the live list or their own report. Thread safe.
+/// configuration, the live list or their own report. Slots are the VMs' own rows. Thread safe.
 RoutingTable makeRoutingTable(ConfigurationPointer, const LiveList*, const std::vector<FleetRow>&, RowIndex ownDataCentre, TimePoint now);
 
-/// Chooses between two random candidates of the nearest group that has room, by load. `ownInProgress` is indexed by VM
-/// and counts this entry's own requests, which reports lag behind; `excluded` are VMs that were tried. Returns a VM's row or noRow. Thread safe.
-RowIndex chooseEndpoint(const RoutingTable&, RoutingTarget, const std::vector<uint32_t>& ownInProgress, const std::vector<RowIndex>& excluded, uint64_t random);
+/// Share of its capacity that an endpoint may get, between 0 and 1: grows evenly over rampDuration. Thread safe.
+double rampShare(TimePoint eligibleSince, TimePoint now);
+
+/// Requests per unit of capacity: the entry's own, and those of others by the newest statement, which fades with its
+/// age. 1 and more means no room. Thread safe.
+double loadOf(const RoutingRow&, const EndpointEvidence&, TimePoint now);
+
+/// Chooses the less loaded of two candidates of the nearest group that has room; one of the two is the endpoint
+/// preferred for the target's prefix, which is kept while its load is within a bound of the other's. Without room
+/// anywhere, the nearest candidate. Endpoints to be avoided, or not heard of, come last and only when nothing was
+/// tried yet. `evidence` is indexed by slot; `excluded` are VMs that were tried. Returns a VM's row or noRow. The
+/// work does not grow with the fleet, unless nearly all are excluded or avoided. Thread safe.
+RowIndex chooseEndpoint(const RoutingTable&, const RoutingTarget&, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now);
+
+/// How long an endpoint is avoided after it refused for that reason; zero: not at all. Thread safe.
+Milliseconds avoidTime(RefusalReason);
 
 /// The endpoint that owns a key: by rendezvous over all configured endpoints of the service, so that every entry
 /// agrees. noRow when the service has none. Thread safe.
--- a/src/StreamRelay.h
+++ b/src/StreamRelay.h
@@ -1,9 +1,13 @@
-/// Passes an endpoint's event stream on to the caller.
+/// Passes an endpoint's event stream on to the caller, whole events only, and resumes it elsewhere when it breaks.
 #pragma once
 
 #include "HttpMessage.h"
+#include "Refusal.h"
 
+#include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace bilberry {
 
@@ -12,7 +16,36 @@
 /// Whether the answer is a stream of server-sent events. Thread safe.
 bool isEventStream(const HttpHeaders&);
 
-/// Passes a stream on; one that breaks ends with an error event, so that it can't be taken for a whole one.
-void attachStream(HttpResponse&, std::shared_ptr<HttpExchange>);
+/// What one event says that matters for passing it on.
+struct StreamEvent {
+    std::string_view id; ///< Empty without one.
+    std::string_view fingerprint; ///< Of the weights that made it; empty without one.
+    bool isEnd = false; ///< The event that ends a whole stream.
+};
+
+/// Reads one event's text, without the empty line after it. Thread safe.
+StreamEvent readStreamEvent(std::string_view text);
+
+/// What has been passed on so far. Pure: it is fed pieces and gives whole events.
+struct StreamProgress {
+    std::string pending; ///< Start of an event whose rest has not come.
+    std::string lastId;
+    std::string fingerprint;
+    bool isWhole = false; ///< The last event has come.
+    bool isMixed = false; ///< An event came from other weights than those before it.
+};
+
+/// Takes a piece over and returns the whole events in it, to be passed on; stops at an event of other weights.
+std::string takeEvents(StreamProgress&, std::string_view piece);
+
+/// Whether a broken stream can go on elsewhere: some event was numbered, and its weights are known.
+bool mayResume(const StreamProgress&);
+
+/// Opens the stream again after the event with that id, or gives null.
+using StreamOpener = std::function<std::shared_ptr<HttpExchange>(const std::string& lastId)>;
+
+/// Passes a stream on. One that breaks is resumed through `reopen`, which may be empty, as long as the same weights
+/// answer; otherwise it ends with an error event, so that it can't be taken for a whole one.
+void attachStream(HttpResponse&, std::shared_ptr<HttpExchange>, StreamOpener reopen);
 
 } // namespace bilberry
--- /dev/null
+++ b/tests/RetryTest.cpp
@@ -0,0 +1,106 @@
+#define BOOST_TEST_MODULE Retry
+#include "Retry.h"
+#include "StreamRelay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace bilberry;
+
+static RefusalReason anyReason()
+{
+    return static_cast<RefusalReason>(*rc::gen::inRange(1, refusalReasonCount));
+}
+
+RC_BOOST_PROP(nothingIsRepeatedThatMayHaveRun, ())
+{
+    AttemptReport report { makeRefusal(anyReason()), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>(), *rc::gen::inRange(1, 10), Milliseconds(*rc::gen::inRange(-10, 1000)) };
+    bool isTriedAgain = decideRetry(report) != RetryDecision::GiveUp;
+    bool mayHaveRun = report.refusal.outcome != Outcome::NotRun;
+    RC_ASSERT(!isTriedAgain || !mayHaveRun || report.mayRepeat);
+    RC_ASSERT(!isTriedAgain || (!report.bytesReachedCaller && report.timeLeft > Milliseconds(0) && report.attempts < 4));
+    RC_ASSERT(!isTriedAgain || report.refusal.outcome != Outcome::Final);
+}
+
+// The state of an endpoint is known to its process; only load and lost answers cost budget.
+BOOST_AUTO_TEST_CASE(staleChoicesAreCorrectedAtOnce)
+{
+    struct {
+        RefusalReason reason;
+        RetryDecision decision;
+    } const cases[] = {
+        { RefusalReason::DataCentreOut, RetryDecision::TryAtOnce },
+        { RefusalReason::Leaving, RetryDecision::TryAtOnce },
+        { RefusalReason::VersionNotReady, RetryDecision::TryAtOnce },
+        { RefusalReason::ConnectFailed, RetryDecision::TryAtOnce },
+        { RefusalReason::Overloaded, RetryDecision::TryAnother },
+        { RefusalReason::QueueFull, RetryDecision::TryAnother },
+        { RefusalReason::ReplyLost, RetryDecision::TryAnother },
+        { RefusalReason::DeadlineExceeded, RetryDecision::GiveUp },
+        { RefusalReason::CrashedEndpoints, RetryDecision::GiveUp },
+        { RefusalReason::KeyFenced, RetryDecision::GiveUp },
+    };
+    for (const auto& row : cases)
+        BOOST_TEST((decideRetry({ makeRefusal(row.reason), true, false, 1, Milliseconds(100) }) == row.decision), toText(row.reason));
+}
+
+RC_BOOST_PROP(retriesStayWithinTheirShare, ())
+{
+    RetryBudget budget;
+    double share = *rc::gen::inRange(1, 100) / 100.0;
+    int requests = *rc::gen::inRange(1, 2000);
+    int retries = 0;
+    for (int i = 0; i < requests; ++i) {
+        addToBudget(budget, share);
+        for (int tries = *rc::gen::inRange(0, 4); tries > 0; --tries)
+            retries += takeFromBudget(budget) ? 1 : 0;
+    }
+    RC_ASSERT(retries <= budget.maxTokens + share * requests);
+}
+
+RC_BOOST_PROP(backOffStaysUnderItsBound, (uint64_t random))
+{
+    int attempts = *rc::gen::inRange(1, 40);
+    RC_ASSERT(backOff(attempts, random) >= Milliseconds(0));
+    RC_ASSERT(backOff(attempts, random) <= std::min(Milliseconds(500), Milliseconds(10) * (1 << std::min(attempts - 1, 10))));
+}
+
+static std::string makeEvent(int id, const std::string& fingerprint)
+{
+    return "id: " + std::to_string(id) + "\ndata: {\"text\":\"\\\"system_fingerprint\\\":\\\"x\",\"system_fingerprint\":\"" + fingerprint + "\"}\n\n";
+}
+
+// A stream cut anywhere and resumed after its last whole event gives the same bytes as the whole one.
+RC_BOOST_PROP(resumedStreamsAreWhole, ())
+{
+    std::vector<std::string> events;
+    for (int id = 1; id <= 6; ++id)
+        events.push_back(makeEvent(id, "sha256:1"));
+    events.emplace_back("data: [DONE]\n\n");
+    std::string whole;
+    for (const auto& event : events)
+        whole += event;
+    StreamProgress progress;
+    std::string passed;
+    std::string rest = whole.substr(0, *rc::gen::inRange<size_t>(events[0].size(), whole.size()));
+    while (!rest.empty()) {
+        auto size = std::min(rest.size(), *rc::gen::inRange<size_t>(1, 40));
+        passed += takeEvents(progress, rest.substr(0, size));
+        rest.erase(0, size);
+    }
+    RC_ASSERT(!progress.isWhole);
+    RC_ASSERT(mayResume(progress));
+    progress.pending.clear();
+    for (auto id = static_cast<size_t>(std::stoi(progress.lastId)); id < events.size(); ++id)
+        passed += takeEvents(progress, events[id]);
+    RC_ASSERT(passed == whole);
+    RC_ASSERT(progress.isWhole);
+}
+
+BOOST_AUTO_TEST_CASE(otherWeightsEndAStream)
+{
+    StreamProgress progress;
+    BOOST_TEST(takeEvents(progress, makeEvent(1, "sha256:1") + makeEvent(2, "sha256:2")) == makeEvent(1, "sha256:1"));
+    BOOST_TEST(progress.isMixed);
+    BOOST_TEST(!mayResume(progress));
+}
--- /dev/null
+++ b/tests/RoutingTest.cpp
@@ -0,0 +1,162 @@
+#define BOOST_TEST_MODULE Routing
+#include "Routing.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+#include <set>
+
+using namespace bilberry;
+
+static const TimePoint now = TimePoint() + std::chrono::hours(1);
+
+// Three data centres in two regions; the entry is in the first. One model service, one plain one.
+static std::shared_ptr<Configuration> makeConfiguration(uint32_t vms)
+{
+    auto configuration = std::make_shared<Configuration>();
+    auto& inventory = configuration->inventory;
+    inventory.dataCentres = { { "a", "north" }, { "b", "north" }, { "c", "south" } };
+    inventory.services = { { "drafting", ServiceKind::Model, {} }, { "register", ServiceKind::Plain, "/register" } };
+    inventory.models = { { "drafter", "stable", 0, 1 } };
+    for (uint32_t i = 0; i < vms; ++i) {
+        Vm vm;
+        vm.name = "vm-" + std::to_string(i);
+        vm.dataCentre = i % 3;
+        vm.service = i % 4 == 3 ? 1 : 0;
+        inventory.vms.push_back(vm);
+    }
+    return configuration;
+}
+
+static FleetRow makeReport(const std::string& vm, uint32_t inProgress, bool servesModel)
+{
+    FleetRow row;
+    row.status.vm = vm;
+    row.status.inProgress = inProgress;
+    row.status.limit = 8;
+    row.reportedAt = now;
+    if (servesModel)
+        row.status.served.push_back({ "drafter", "sha256:1" });
+    return row;
+}
+
+struct Scene {
+    std::shared_ptr<Configuration> configuration;
+    RoutingTable table;
+    std::vector<EndpointEvidence> evidence;
+    std::vector<RowIndex> excluded;
+    std::set<RowIndex> leaving;
+};
+
+// A fleet with random loads, gaps in what is reported, endpoints out, leaving, avoided and tried.
+static Scene makeScene()
+{
+    Scene scene;
+    auto count = *rc::gen::inRange<uint32_t>(1, 30);
+    scene.configuration = makeConfiguration(count);
+    if (*rc::gen::arbitrary<bool>())
+        scene.configuration->rules.dataCentresOut.push_back(*rc::gen::inRange<RowIndex>(0, 3));
+    std::vector<FleetRow> reports;
+    LiveList live;
+    scene.evidence.resize(count);
+    for (RowIndex vm = 0; vm < count; ++vm) {
+        const auto& name = scene.configuration->inventory.vms[vm].name;
+        auto kind = *rc::gen::inRange(0, 10);
+        if (kind == 0)
+            continue;
+        reports.push_back(makeReport(name, *rc::gen::inRange<uint32_t>(0, 12), kind != 1));
+        if (kind == 2 || kind == 3)
+            scene.leaving.insert(vm);
+        reports.back().status.isLeaving = kind == 2;
+        if (kind == 3)
+            live.vms[name] = LiveState::Leaving;
+        auto& evidence = scene.evidence[vm];
+        evidence.inProgress = *rc::gen::inRange<uint32_t>(0, 10);
+        evidence.eligibleSince = now - Milliseconds(*rc::gen::inRange(0, 20'000));
+        if (kind == 4)
+            evidence.avoidUntil = now + Milliseconds(500);
+        if (kind == 5)
+            scene.excluded.push_back(vm);
+    }
+    scene.table = makeRoutingTable(scene.configuration, &live, reports, 0, now);
+    return scene;
+}
+
+static bool isIn(const std::vector<RowIndex>& rows, RowIndex row)
+{
+    return std::find(rows.begin(), rows.end(), row) != rows.end();
+}
+
+RC_BOOST_PROP(choiceCanServeAndIsInService, ())
+{
+    auto scene = makeScene();
+    RoutingTarget target { *rc::gen::inRange<RowIndex>(0, 2), noRow, *rc::gen::arbitrary<uint64_t>() };
+    target.model = target.service == 0 ? 0 : noRow;
+    RowIndex vm = chooseEndpoint(scene.table, target, scene.evidence, scene.excluded, *rc::gen::arbitrary<uint64_t>(), now);
+    std::vector<const RoutingRow*> usable;
+    for (const auto& row : scene.table.rows) {
+        bool serves = row.service == target.service && (target.model == noRow || isIn(row.models, 0));
+        if (serves && !isIn(scene.excluded, row.vm))
+            usable.push_back(&row);
+    }
+    bool isRetry = !scene.excluded.empty();
+    auto isFit = [&](const RoutingRow* row) { return row->isReported && scene.evidence[row->vm].avoidUntil <= now; };
+    bool anyFit = std::any_of(usable.begin(), usable.end(), isFit);
+    RC_ASSERT((vm == noRow) == (isRetry ? !anyFit : usable.empty()));
+    if (vm == noRow)
+        return;
+    auto chosen = std::find_if(usable.begin(), usable.end(), [&](const RoutingRow* row) { return row->vm == vm; });
+    RC_ASSERT(chosen != usable.end());
+    RC_ASSERT(!isDataCentreOut(*scene.configuration, scene.configuration->inventory.vms[vm].dataCentre));
+    RC_ASSERT(scene.leaving.count(vm) == 0U);
+    RC_ASSERT(!anyFit || isFit(*chosen));
+    // Groups of this size are looked at whole, so that the nearest one with room is always found.
+    for (const auto* row : usable) {
+        bool hasRoom = isFit(row) && loadOf(*row, scene.evidence[row->slot], now) < 1;
+        RC_ASSERT(!hasRoom || (*chosen)->nearness <= row->nearness);
+    }
+}
+
+RC_BOOST_PROP(loadFadesWithAgeAndRampBoundsCapacity, ())
+{
+    RoutingRow row;
+    row.reported = { *rc::gen::inRange<uint32_t>(0, 20), *rc::gen::inRange<uint32_t>(1, 20), now };
+    EndpointEvidence evidence;
+    evidence.inProgress = *rc::gen::inRange<uint32_t>(0, 20);
+    evidence.eligibleSince = now - std::chrono::minutes(1);
+    double previous = loadOf(row, evidence, now);
+    for (auto age = Milliseconds(0); age <= 2 * loadHintLifetime; age += Milliseconds(100)) {
+        double load = loadOf(row, evidence, now + age);
+        RC_ASSERT(load <= previous);
+        RC_ASSERT(load * row.reported.limit >= evidence.inProgress - 1e-9);
+        previous = load;
+    }
+    RC_ASSERT(std::abs(previous * row.reported.limit - evidence.inProgress) < 1e-9);
+    double share = 0;
+    for (auto since = Milliseconds(0); since <= 2 * rampDuration; since += Milliseconds(500)) {
+        RC_ASSERT(rampShare(now, now + since) >= share);
+        share = rampShare(now, now + since);
+    }
+    RC_ASSERT(share == 1.0);
+    RC_ASSERT(rampShare(now, now) <= 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(prefixStaysOnItsEndpointUntilThatIsLoaded)
+{
+    auto configuration = makeConfiguration(9);
+    std::vector<FleetRow> reports;
+    for (const auto& vm : configuration->inventory.vms)
+        reports.push_back(makeReport(vm.name, 0, true));
+    auto table = makeRoutingTable(configuration, nullptr, reports, 0, now);
+    std::vector<EndpointEvidence> evidence(9);
+    RoutingTarget target { 0, 0, 12345 };
+    auto choose = [&](uint64_t random) { return chooseEndpoint(table, target, evidence, {}, random * 0x9e3779b97f4a7c15, now); };
+    RowIndex preferred = choose(1);
+    for (uint64_t random = 2; random < 50; ++random)
+        BOOST_TEST(choose(random) == preferred);
+    evidence[preferred].inProgress = 5;
+    std::set<RowIndex> chosen;
+    for (uint64_t random = 2; random < 50; ++random)
+        chosen.insert(choose(random));
+    BOOST_TEST(chosen.size() > 1U);
+}
