Admit through a fair, deadline-aware queue, and adapt the limit on evidence

Cause: past the limit every request was refused, whoever sent it; the limit grew while it was not in use; a cold turn was seen with the next report only; a plain service's own 503 was given out as not run. Change: a short queue a client account, served by weighted shares, with priorities and no starvation; a request that can't be served in time is refused at once, and a full queue takes a small account's request in place of a large one's. The limit grows only from requests that were at it, falls on late first bytes and broken answers, and drops to the cold limit at once when an engine refuses; the engine's lagging word that it is warm does not lift that for 1 s. Only an engine's 503 is not run (its interface says so); a plain service's 503 reaches the caller as its answer.

--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -17,12 +17,12 @@
 // How long the outcome of a key is remembered.
 static constexpr std::chrono::hours keyLifetime { 24 };
 static constexpr Milliseconds defaultDeadline { 30'000 };
+static constexpr int statusUnavailable = 503;
 
 Endpoint::Endpoint(Node& node)
     : node(node)
     , weights(node)
     , keys(maxKeys)
-    , admission(makeAdmission({}))
 {
 }
 
@@ -38,8 +38,8 @@
 
 uint32_t Endpoint::inProgress() const
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    return this->admission.inProgress;
+    auto load = this->gate.load();
+    return load.inProgress + load.queued;
 }
 
 void Endpoint::tick(TimePoint now)
@@ -52,27 +52,23 @@
     bool isModel = configuration->inventory.services[vm.service].kind == ServiceKind::Model;
     VmStatus status;
     this->weights.fillStatus(status);
-    {
-        std::lock_guard<std::mutex> lock(this->mutex);
-        if (!this->hasBounds) {
-            this->admission = makeAdmission({ vm.coldConcurrency, vm.maxConcurrency });
-            this->hasBounds = true;
-        }
-        reportCold(this->admission, isModel && status.isCold);
-        status.inProgress = this->admission.inProgress;
-        status.limit = static_cast<uint32_t>(this->admission.limit);
-    }
+    this->gate.setBounds({ vm.coldConcurrency, vm.maxConcurrency });
+    this->gate.setCold(isModel && status.isCold);
+    auto load = this->gate.load();
+    status.inProgress = load.inProgress + load.queued;
+    status.limit = load.limit;
     status.isLeaving = this->node.isLeaving || isVmLeaving(*configuration, own);
     publishOwnStatus(this->node, status);
     this->keys.expire(now, keyLifetime);
-    this->node.metrics.set("bilberry_requests_in_progress", status.inProgress);
+    this->node.metrics.set("bilberry_requests_in_progress", load.inProgress);
+    this->node.metrics.set("bilberry_requests_queued", load.queued);
     this->node.metrics.set("bilberry_admission_limit", status.limit);
 }
 
 std::string Endpoint::describeLoad() const
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    return fmt::format("{}/{}", this->admission.inProgress, static_cast<uint32_t>(this->admission.limit));
+    auto load = this->gate.load();
+    return fmt::format("{}/{}", load.inProgress + load.queued, load.limit);
 }
 
 HttpResponse Endpoint::refuse(const HttpRequest& request, RefusalReason reason)
@@ -115,19 +111,7 @@
     const Vm& vm = configuration->inventory.vms[own];
     std::string key = findHeader(request.headers, wire::idempotencyKey);
     bool isKeyed = !key.empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return isKeyed ? this->runKeyed(request, vm, key) : this->runAtBackEnd(request, vm);
-}
-
-RefusalReason Endpoint::admit()
-{
-    std::lock_guard<std::mutex> lock(this->mutex);
-    return tryAdmit(this->admission) ? RefusalReason::None : RefusalReason::Overloaded;
-}
-
-void Endpoint::complete(bool isFailure, bool wasAtLimit)
-{
-    std::lock_guard<std::mutex> lock(this->mutex);
-    completeRequest(this->admission, { isFailure, wasAtLimit });
+    return isKeyed ? this->runKeyed(request, vm, *configuration, key) : this->runAtBackEnd(request, vm, *configuration);
 }
 
 static HttpRequest toBackEnd(const HttpRequest& request)
@@ -138,41 +122,88 @@
     return forwarded;
 }
 
-static Milliseconds remainingTime(const HttpRequest& request)
+static TimePoint readDeadline(const HttpRequest& request)
 {
     int64_t left = 0;
     bool isNumber = absl::SimpleAtoi(findHeader(request.headers, wire::deadlineMs), &left);
-    return isNumber && left > 0 ? Milliseconds(left) : defaultDeadline;
+    return Clock::now() + (isNumber ? Milliseconds(left) : defaultDeadline);
 }
 
-HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm)
+// What the request asks of the gate; an account that this process does not know yet has the smallest share.
+static GateRequest makeGateRequest(const HttpRequest& request, const Configuration& configuration, RowIndex service)
+{
+    GateRequest asked;
+    const auto& callers = configuration.inventory.callers;
+    RowIndex caller = findRow(callers, findHeader(request.headers, wire::caller));
+    asked.caller = caller == noRow ? static_cast<RowIndex>(callers.size()) : caller;
+    asked.share = caller == noRow ? 1 : std::max(1U, callers[caller].share);
+    asked.priority = configuration.rules.services[service].priority;
+    asked.deadline = readDeadline(request);
+    return asked;
+}
+
+/// A request at the back end, with what is learnt from it when it ends.
+struct BackEndRun {
+    std::shared_ptr<HttpExchange> exchange;
+    TimePoint startedAt {};
+    CompletionReport report;
+};
+
+static BodyStep readOn(BackEndRun& run, std::string& piece)
+{
+    auto step = run.exchange->readPiece(piece);
+    if (step == BodyStep::Broken)
+        run.report.isFailure = true;
+    if (step == BodyStep::End)
+        run.report.serviceTime = Clock::now() - run.startedAt;
+    return step;
+}
+
+// Passes the back end's answer on; it is counted until its last byte.
+HttpResponse Endpoint::passOn(const HttpRequest& request, const HttpReply& head, std::shared_ptr<BackEndRun> run)
 {
-    auto reason = this->admit();
-    if (reason != RefusalReason::None)
-        return this->refuse(request, reason);
-    HttpTimeouts timeouts { this->node.settings.connectTimeout, remainingTime(request) };
-    auto exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
-    const HttpReply& head = exchange->waitForHead();
-    if (head.status == 0) {
-        bool wasSent = head.failure != CallFailure::NotSent;
-        this->complete(true, true);
-        return this->refuse(request, wasSent ? RefusalReason::ReplyLost : RefusalReason::ConnectFailed);
-    }
-    if (head.status == 503) {
-        // A back end that refuses has not run the request.
-        this->complete(true, true);
-        return this->refuse(request, RefusalReason::Overloaded);
-    }
     HttpResponse response;
     response.status = head.status;
     response.headers = withoutHopHeaders(head.headers);
     response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
     response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
     response.headers.emplace_back(wire::load, this->describeLoad());
-    response.stream = [exchange](std::string& piece) { return exchange->readPiece(piece); };
-    response.onFinished = [this, exchange] { this->complete(false, true); };
+    response.stream = [run](std::string& piece) { return readOn(*run, piece); };
+    response.onFinished = [this, run] { this->gate.leave(run->report); };
     this->node.metrics.count("bilberry_endpoint_requests_total");
     return response;
 }
 
+HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const Configuration& configuration)
+{
+    auto asked = makeGateRequest(request, configuration, vm.service);
+    auto pass = this->gate.enter(asked);
+    if (pass.reason != RefusalReason::None)
+        return this->refuse(request, pass.reason);
+    auto run = std::make_shared<BackEndRun>();
+    run->startedAt = Clock::now();
+    run->report.wasAtLimit = pass.wasAtLimit;
+    auto timeLeft = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(asked.deadline - run->startedAt));
+    HttpTimeouts timeouts { this->node.settings.connectTimeout, timeLeft };
+    run->exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
+    const HttpReply& head = run->exchange->waitForHead();
+    run->report.headTime = Clock::now() - run->startedAt;
+    if (head.status == 0) {
+        bool wasSent = head.failure != CallFailure::NotSent;
+        run->report = { true, false, pass.wasAtLimit };
+        this->gate.leave(run->report);
+        return this->refuse(request, wasSent ? RefusalReason::ReplyLost : RefusalReason::ConnectFailed);
+    }
+    bool isModel = configuration.inventory.services[vm.service].kind == ServiceKind::Model;
+    run->report.isFailure = head.status == statusUnavailable;
+    if (isModel && head.status == statusUnavailable) {
+        // By its interface an engine that answers so has not run the request. A plain service's own answer is passed on.
+        run->report = { false, true, pass.wasAtLimit };
+        this->gate.leave(run->report);
+        this->node.metrics.count("bilberry_engine_refusals_total");
+        return this->refuse(request, RefusalReason::Overloaded);
+    }
+    return this->passOn(request, head, std::move(run));
+}
+
 } // namespace bilberry
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -1,16 +1,16 @@
 /// The process beside one endpoint: the last check of every request, and the owner of what is true of the endpoint.
 #pragma once
 
-#include "Admission.h"
+#include "AdmissionGate.h"
 #include "HttpMessage.h"
 #include "KeyTable.h"
 #include "WeightAgent.h"
 
-#include <mutex>
-
 namespace bilberry {
 
+struct BackEndRun;
 struct Configuration;
+struct HttpReply;
 struct Node;
 struct Vm;
 
@@ -30,24 +30,21 @@
     HttpResponse answerWeights(const HttpRequest& request) const { return this->weights.answer(request); }
     /// Answers the question for a key's outcome, and fences the attempt when the key was never seen.
     HttpResponse answerKeyQuery(const HttpRequest&);
-    /// Requests at the back end.
+    /// Requests at the back end, and in the queue for it.
     uint32_t inProgress() const;
 
 private:
     HttpResponse refuse(const HttpRequest&, RefusalReason);
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
     std::string describeLoad() const;
-    RefusalReason admit();
-    void complete(bool isFailure, bool wasAtLimit);
-    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&);
-    HttpResponse runKeyed(const HttpRequest&, const Vm&, const std::string& key);
+    HttpResponse passOn(const HttpRequest&, const HttpReply& head, std::shared_ptr<BackEndRun>);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&);
+    HttpResponse runKeyed(const HttpRequest&, const Vm&, const Configuration&, const std::string& key);
 
     Node& node;
     WeightAgent weights;
     KeyTable keys;
-    mutable std::mutex mutex; ///< Guards the admission state.
-    AdmissionState admission;
-    bool hasBounds = false;
+    AdmissionGate gate;
 };
 
 } // namespace bilberry
--- a/src/EndpointKeys.cpp
+++ b/src/EndpointKeys.cpp
@@ -10,7 +10,7 @@
 static constexpr size_t maxKeptAnswer = size_t(64) * 1024;
 
 // Runs a request that has a key: recorded before it is forwarded, its answer kept.
-HttpResponse Endpoint::runKeyed(const HttpRequest& request, const Vm& vm, const std::string& key)
+HttpResponse Endpoint::runKeyed(const HttpRequest& request, const Vm& vm, const Configuration& configuration, const std::string& key)
 {
     KeyedAnswer answer;
     auto decision = this->keys.begin(key, findHeader(request.headers, wire::attempt), Clock::now(), answer);
@@ -35,7 +35,7 @@
     case KeyDecision::TableFull:
         return this->refuse(request, RefusalReason::KeyTableFull);
     }
-    HttpResponse response = this->runAtBackEnd(request, vm);
+    HttpResponse response = this->runAtBackEnd(request, vm, configuration);
     std::string outcome = findHeader(response.headers, wire::outcome);
     if (outcome == toText(Outcome::NotRun)) {
         this->keys.withdraw(key);
--- /dev/null
+++ b/tests/AdmissionTest.cpp
@@ -0,0 +1,107 @@
+#define BOOST_TEST_MODULE Admission
+#include "Admission.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <rapidcheck/boost_test.h>
+
+using namespace bilberry;
+
+static const TimePoint start = TimePoint() + std::chrono::hours(1);
+
+static CompletionReport anyReport(bool wasAtLimit)
+{
+    CompletionReport report;
+    report.isFailure = *rc::gen::inRange(0, 10) == 0;
+    report.isRefusal = *rc::gen::inRange(0, 20) == 0;
+    report.wasAtLimit = wasAtLimit;
+    report.headTime = Milliseconds(*rc::gen::inRange(0, 500));
+    report.serviceTime = report.headTime + Milliseconds(*rc::gen::inRange(0, 500));
+    return report;
+}
+
+// Whatever is reported: nothing is admitted past the limit, past the cold limit while cold, or past the bounds.
+RC_BOOST_PROP(neverAboveTheLimit, ())
+{
+    AdmissionBounds bounds;
+    bounds.cold = *rc::gen::inRange<uint32_t>(1, 4);
+    bounds.warm = bounds.cold + *rc::gen::inRange<uint32_t>(0, 20);
+    auto state = makeAdmission(bounds);
+    std::deque<bool> running;
+    auto now = start;
+    for (int step = *rc::gen::inRange(1, 300); step > 0; --step) {
+        now += Milliseconds(*rc::gen::inRange(0, 100));
+        int action = *rc::gen::inRange(0, 10);
+        if (action == 0)
+            reportCold(state, *rc::gen::arbitrary<bool>(), now);
+        if (action < 6) {
+            uint32_t before = state.inProgress;
+            auto ticket = tryAdmit(state);
+            RC_ASSERT(ticket.isAdmitted == (before < static_cast<uint32_t>(state.limit)));
+            RC_ASSERT(!ticket.isAdmitted || state.inProgress <= (state.isCold ? bounds.cold : bounds.warm));
+            if (ticket.isAdmitted)
+                running.push_back(ticket.wasAtLimit);
+        } else if (!running.empty()) {
+            auto report = anyReport(running.front());
+            running.pop_front();
+            completeRequest(state, report, now);
+            RC_ASSERT(!report.isRefusal || static_cast<uint32_t>(state.limit) == bounds.cold);
+        }
+        RC_ASSERT(state.inProgress == running.size());
+        RC_ASSERT(state.limit >= bounds.cold && state.limit <= (state.isCold ? bounds.cold : bounds.warm));
+    }
+}
+
+// A turn that only the back end's refusal shows holds against a report that lags.
+BOOST_AUTO_TEST_CASE(coldTurnDropsTheLimitAtOnce)
+{
+    auto state = makeAdmission({ 2, 16 });
+    reportCold(state, false, start);
+    for (int i = 0; i < 200; ++i) {
+        std::deque<bool> running;
+        for (auto ticket = tryAdmit(state); ticket.isAdmitted; ticket = tryAdmit(state))
+            running.push_back(ticket.wasAtLimit);
+        for (bool wasAtLimit : running)
+            completeRequest(state, { false, false, wasAtLimit, Milliseconds(5), Milliseconds(20) }, start);
+    }
+    BOOST_TEST(state.limit == 16);
+    tryAdmit(state);
+    completeRequest(state, { false, true, false }, start);
+    BOOST_TEST(state.limit == 2);
+    reportCold(state, false, start + Milliseconds(500));
+    BOOST_TEST(state.isCold);
+    reportCold(state, false, start + Milliseconds(1500));
+    BOOST_TEST(!state.isCold);
+    BOOST_TEST(state.limit == 2);
+}
+
+BOOST_AUTO_TEST_CASE(unusedLimitDoesNotGrow)
+{
+    auto state = makeAdmission({ 2, 16 });
+    reportCold(state, false, start);
+    for (int i = 0; i < 100; ++i) {
+        auto ticket = tryAdmit(state);
+        BOOST_TEST(!ticket.wasAtLimit);
+        completeRequest(state, { false, false, ticket.wasAtLimit, Milliseconds(5), Milliseconds(20) }, start);
+    }
+    BOOST_TEST(state.limit == 2);
+}
+
+BOOST_AUTO_TEST_CASE(lateFirstBytesReduceTheLimit)
+{
+    auto state = makeAdmission({ 2, 16 });
+    reportCold(state, false, start);
+    state.limit = 16;
+    auto now = start;
+    auto complete = [&](Milliseconds headTime) {
+        now += Milliseconds(20);
+        tryAdmit(state);
+        completeRequest(state, { false, false, true, headTime, headTime }, now);
+    };
+    for (int i = 0; i < 50; ++i)
+        complete(Milliseconds(10));
+    BOOST_TEST(state.limit == 16);
+    for (int i = 0; i < 50; ++i)
+        complete(Milliseconds(300));
+    BOOST_TEST(state.limit < 12);
+}
