--- a/src/Bench.cpp
+++ b/src/Bench.cpp
@@ -1,7 +1,223 @@
+/// bilberrybench: drives the decision code on fixed seeds. Prints times, and one signature made of counts of decisions,
+/// which changes only when a decision changes.
+
+#include "Admission.h"
+#include "FairQueue.h"
+#include "Placement.h"
+#include "Retry.h"
+#include "Routing.h"
+
+#include <cinttypes>
 #include <cstdio>
+#include <deque>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr uint32_t endpointCount = 600;
+constexpr uint32_t dataCentreCount = 4;
+constexpr uint32_t modelCount = 6;
+constexpr uint32_t callerCount = 10;
+constexpr int routingDecisions = 1'000'000;
+constexpr int admissionDecisions = 1'000'000;
+constexpr int retryDecisions = 1'000'000;
+constexpr int placements = 20;
+
+// Fixed generator (SplitMix64), so that each machine makes the same decisions.
+struct Random {
+    uint64_t state = 20261203;
+    uint64_t next()
+    {
+        this->state += 0x9e3779b97f4a7c15;
+        uint64_t mixed = this->state;
+        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+        return mixed ^ (mixed >> 31);
+    }
+    uint32_t below(uint32_t bound) { return static_cast<uint32_t>(this->next() % bound); }
+};
+
+/// Counts of what was decided, folded into one number (FNV-1a).
+struct Signature {
+    uint64_t value = 0xcbf29ce484222325;
+    void add(uint64_t count)
+    {
+        for (int byte = 0; byte < 8; ++byte) {
+            this->value ^= (count >> (8 * byte)) & 0xff;
+            this->value *= 0x100000001b3;
+        }
+    }
+};
+
+// A fixed time in place of the clock.
+const TimePoint start = TimePoint() + std::chrono::hours(1);
+
+void printRate(const char* name, int decisions, Duration time)
+{
+    double seconds = std::chrono::duration<double>(time).count();
+    std::printf("%s: %d decisions, %.0f a second, %.0f ns each\n", name, decisions, decisions / seconds, seconds / decisions * 1e9);
+}
+
+std::shared_ptr<Configuration> makeFleet()
+{
+    auto configuration = std::make_shared<Configuration>();
+    auto& inventory = configuration->inventory;
+    for (uint32_t i = 0; i < dataCentreCount; ++i)
+        inventory.dataCentres.push_back({ "dc-" + std::to_string(i), "region-" + std::to_string(i / 2) });
+    inventory.services = { { "drafting", ServiceKind::Model, {} }, { "register", ServiceKind::Plain, "/register" } };
+    for (uint32_t i = 0; i < modelCount; ++i) {
+        inventory.models.push_back({ "model-" + std::to_string(i), "stable", 0, uint64_t(1) << 30 });
+        configuration->rules.placements.push_back({ i, 40 + 10 * i, true });
+    }
+    for (uint32_t i = 0; i < endpointCount; ++i) {
+        Vm vm;
+        vm.name = "vm-" + std::to_string(i);
+        vm.dataCentre = i % dataCentreCount;
+        vm.service = i % 8 == 7 ? 1 : 0;
+        vm.weightMemoryBytes = uint64_t(3) << 30;
+        inventory.vms.push_back(vm);
+    }
+    configuration->rules.services = { { 0 }, { 1 } };
+    return configuration;
+}
+
+std::vector<FleetRow> makeReports(const Configuration& configuration, Random& random)
+{
+    std::vector<FleetRow> reports;
+    for (const auto& vm : configuration.inventory.vms) {
+        FleetRow row;
+        row.status.vm = vm.name;
+        row.status.limit = 4 + random.below(12);
+        row.status.inProgress = random.below(row.status.limit + 2);
+        row.reportedAt = start - Milliseconds(random.below(2000));
+        row.status.served.push_back({ "model-" + std::to_string(random.below(modelCount)), "sha256:1" });
+        reports.push_back(row);
+    }
+    return reports;
+}
+
+// Requests begin and end at random; refusals make some endpoints avoided, and some ramps run.
+Duration benchRouting(const std::shared_ptr<Configuration>& configuration, Signature& signature)
+{
+    Random random;
+    auto table = makeRoutingTable(configuration, nullptr, makeReports(*configuration, random), 0, start);
+    std::vector<EndpointEvidence> evidence(endpointCount);
+    std::vector<uint64_t> chosenBy(endpointCount);
+    std::deque<RowIndex> running;
+    uint64_t none = 0;
+    auto begin = Clock::now();
+    for (int i = 0; i < routingDecisions; ++i) {
+        auto now = start + std::chrono::microseconds(i);
+        RoutingTarget target { 0, random.below(modelCount), random.below(2) == 0 ? 0 : random.below(1000) };
+        RowIndex vm = chooseEndpoint(table, target, evidence, {}, random.next(), now);
+        if (vm == noRow) {
+            ++none;
+            continue;
+        }
+        ++chosenBy[vm];
+        ++evidence[vm].inProgress;
+        running.push_back(vm);
+        if (random.below(20'000) == 0)
+            evidence[vm].avoidUntil = now + avoidTime(RefusalReason::VersionNotReady);
+        if (running.size() > 2000) {
+            --evidence[running.front()].inProgress;
+            running.pop_front();
+        }
+    }
+    auto time = Clock::now() - begin;
+    for (uint64_t count : chosenBy)
+        signature.add(count);
+    signature.add(none);
+    return time;
+}
+
+// One account sends four of five requests; the limit moves with failures, refusals and late answers.
+Duration benchAdmission(Signature& signature)
+{
+    Random random;
+    auto state = makeAdmission({ 2, 16 });
+    FairQueue queue;
+    std::deque<bool> running;
+    uint64_t queued = 0;
+    uint64_t refused = 0;
+    std::vector<uint64_t> served(callerCount);
+    auto begin = Clock::now();
+    for (int i = 0; i < admissionDecisions; ++i) {
+        auto now = start + std::chrono::microseconds(100) * i;
+        RowIndex caller = random.below(5) < 4 ? 0 : random.below(callerCount);
+        auto offer = offerToQueue(queue, { static_cast<uint64_t>(i), caller, Priority::Normal, now }, 1, 32);
+        ++(offer.isQueued ? queued : refused);
+        for (auto ticket = tryAdmit(state); ticket.isAdmitted; ticket = tryAdmit(state)) {
+            auto next = takeFromQueue(queue);
+            running.push_back(ticket.wasAtLimit);
+            if (!next)
+                break;
+            ++served[next->caller];
+        }
+        if (random.below(4) != 0 && !running.empty()) {
+            CompletionReport report { random.below(500) == 0, random.below(5000) == 0, running.front(), Milliseconds(5 + random.below(20)), Milliseconds(40) };
+            running.pop_front();
+            completeRequest(state, report, now);
+        }
+        if (i % 1000 == 0)
+            reportCold(state, false, now);
+    }
+    auto time = Clock::now() - begin;
+    signature.add(queued);
+    signature.add(refused);
+    for (uint64_t count : served)
+        signature.add(count);
+    signature.add(static_cast<uint64_t>(state.limit));
+    return time;
+}
+
+Duration benchRetry(Signature& signature)
+{
+    Random random;
+    RetryBudget budget;
+    uint64_t counts[3] = {};
+    uint64_t granted = 0;
+    auto begin = Clock::now();
+    for (int i = 0; i < retryDecisions; ++i) {
+        addToBudget(budget, 0.1);
+        auto reason = static_cast<RefusalReason>(1 + random.below(static_cast<uint32_t>(RefusalReason::ReplyLost)));
+        AttemptReport report { makeRefusal(reason), random.below(2) == 0, random.below(20) == 0, 1 + static_cast<int>(random.below(4)), Milliseconds(random.below(100)) };
+        auto decision = decideRetry(report);
+        ++counts[static_cast<size_t>(decision)];
+        if (decision == RetryDecision::TryAnother && takeFromBudget(budget))
+            granted += static_cast<uint64_t>(backOff(report.attempts, random.next()).count());
+    }
+    auto time = Clock::now() - begin;
+    for (uint64_t count : counts)
+        signature.add(count);
+    signature.add(granted);
+    return time;
+}
+
+Duration benchPlacement(const std::shared_ptr<Configuration>& configuration, Signature& signature)
+{
+    auto begin = Clock::now();
+    for (int i = 0; i < placements; ++i) {
+        configuration->inventory.vms.back().name = "vm-last-" + std::to_string(i);
+        auto placement = placeModels(*configuration, nullptr, WallTime());
+        signature.add(placement.rows.size());
+        for (const auto& row : placement.rows)
+            signature.add(row.vm * modelCount + row.model);
+    }
+    return Clock::now() - begin;
+}
+
+} // namespace
 
 int main()
 {
-    std::puts("signature 0");
+    Signature signature;
+    auto configuration = makeFleet();
+    printRate("routing, 600 endpoints", routingDecisions, benchRouting(configuration, signature));
+    printRate("admission", admissionDecisions, benchAdmission(signature));
+    printRate("retry", retryDecisions, benchRetry(signature));
+    printRate("placement, 600 endpoints", placements, benchPlacement(configuration, signature));
+    std::printf("signature %" PRIu64 "\n", signature.value);
     return 0;
 }
