Give up silent endpoints and requests whose sender has gone

Cause: a request at a frozen endpoint waited for its whole deadline, and a caller that closed its connection before the head was noticed only when the answer was written. Change: an entry that waits looks ten times a second whether the caller is still there, and whether anything was heard of the endpoint in the last 3 s; a repeatable request or stream then goes on elsewhere, within the retry budget. The endpoint's process looks at its sender in the same way and cancels the run; a request with a key runs on.

--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -18,6 +18,8 @@
 static constexpr std::chrono::hours keyLifetime { 24 };
 static constexpr Milliseconds defaultDeadline { 30'000 };
 static constexpr int statusUnavailable = 503;
+// How often a waiting request looks at its sender.
+static constexpr Milliseconds checkInterval { 100 };
 
 Endpoint::Endpoint(Node& node)
     : node(node)
@@ -186,11 +188,17 @@
     auto timeLeft = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(asked.deadline - run->startedAt));
     HttpTimeouts timeouts { this->node.settings.connectTimeout, timeLeft };
     run->exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
+    while (!run->exchange->waitForProgress(checkInterval)) {
+        // A request with a key runs on, so that its answer can be kept for the next one who asks.
+        bool isKept = !findHeader(request.headers, wire::idempotencyKey).empty();
+        if (!isKept && request.isSenderGone && request.isSenderGone())
+            run->exchange->cancel();
+    }
     const HttpReply& head = run->exchange->waitForHead();
     run->report.headTime = Clock::now() - run->startedAt;
     if (head.status == 0) {
         bool wasSent = head.failure != CallFailure::NotSent;
-        run->report = { true, false, pass.wasAtLimit };
+        run->report = { head.failure != CallFailure::Cancelled, false, pass.wasAtLimit };
         this->gate.leave(run->report);
         return this->refuse(request, wasSent ? RefusalReason::ReplyLost : RefusalReason::ConnectFailed);
     }
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -16,6 +16,9 @@
 
 namespace bilberry {
 
+// How often a waiting request looks at its caller and its endpoint.
+static constexpr Milliseconds checkInterval { 100 };
+
 Entry::Entry(Node& node)
     : node(node)
     , randomState(std::random_device()())
@@ -70,6 +73,22 @@
         this->router.noteLoad(table, vm, inProgress, limit);
 }
 
+// Waits until the exchange has something to read. False when it is given up: the caller has gone, or nothing is heard
+// of the endpoint any more while the request can be run again elsewhere.
+bool Entry::waitForEndpoint(const EntryRequest& request, HttpExchange& exchange, const RoutingTable& table, RowIndex vm)
+{
+    bool mayGiveUp = !request.isUnrepeatable;
+    while (!exchange.waitForProgress(checkInterval)) {
+        if (request.http->isSenderGone && request.http->isSenderGone()) {
+            this->node.metrics.count("bilberry_callers_gone_total");
+            return false;
+        }
+        if (mayGiveUp && this->router.isSilent(table, vm))
+            return false;
+    }
+    return true;
+}
+
 AttemptOutcome Entry::attempt(const EntryRequest& request, const RoutingTable& table, RowIndex vm, const std::string& lastEventId)
 {
     const std::string& address = table.configuration->inventory.vms[vm].address;
@@ -77,6 +96,8 @@
     HttpTimeouts timeouts { std::min(this->node.settings.connectTimeout, details.timeLeft), details.timeLeft };
     this->node.metrics.count("bilberry_attempts_total");
     auto exchange = std::make_shared<HttpExchange>(this->node.clients, address, makeForwardedRequest(request, details), timeouts);
+    if (!this->waitForEndpoint(request, *exchange, table, vm))
+        return { makeRefusal(RefusalReason::ReplyLost), {}, nullptr };
     const HttpReply& head = exchange->waitForHead();
     if (head.status == 0) {
         if (head.failure == CallFailure::NotSent)
@@ -118,6 +139,8 @@
 // Whether another endpoint is tried after a refusal; waits before it where that is called for.
 bool Entry::prepareRetry(const EntryRequest& request, const Refusal& refusal, int attempts)
 {
+    if (request.http->isSenderGone && request.http->isSenderGone())
+        return false;
     AttemptReport report { refusal, !request.isUnrepeatable, false, attempts, timeLeft(request) };
     auto decision = decideRetry(report);
     if (decision == RetryDecision::GiveUp)
@@ -192,11 +215,12 @@
     }
     auto stream = std::make_shared<OpenStream>(OpenStream { *request.http, request, std::move(table), vm, {} });
     stream->request.http = &stream->http;
+    stream->http.isSenderGone = nullptr;
     StreamOpener reopen;
     if (request.model != noRow && !request.isUnrepeatable)
         reopen = [this, stream](const std::string& lastId) { return this->reopenStream(*stream, lastId); };
     if (request.model != noRow)
-        attachStream(response, outcome.stream, std::move(reopen));
+        attachStream(response, outcome.stream, { std::move(reopen), [this, stream](HttpExchange& exchange) { return this->waitForEndpoint(stream->request, exchange, *stream->table, stream->vm); } });
     else
         response.stream = [exchange = outcome.stream](std::string& piece) { return exchange->readPiece(piece); };
     response.onFinished = [this, stream] { this->closeStream(*stream); };
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -36,6 +36,7 @@
     HttpResponse refuse(const EntryRequest&, Refusal);
     RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
     AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm, const std::string& lastEventId);
+    bool waitForEndpoint(const EntryRequest&, HttpExchange&, const RoutingTable&, RowIndex vm);
     void noteLoad(const RoutingTable&, RowIndex vm, const HttpHeaders&);
     void fillBudget(const EntryRequest&);
     bool prepareRetry(const EntryRequest&, const Refusal&, int attempts);
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -135,6 +135,7 @@
     std::condition_variable changed;
     std::unique_ptr<httplib::Client> client;
     bool hasHead = false;
+    bool wasHeadRead = false; ///< By waitForHead().
     bool isDone = false;
     bool isCancelled = false;
     HttpReply head;
@@ -193,9 +194,18 @@
 {
     std::unique_lock<std::mutex> lock(this->state->mutex);
     this->state->changed.wait(lock, [&] { return this->state->hasHead || this->state->isDone; });
+    this->state->wasHeadRead = true;
     return this->state->head;
 }
 
+bool HttpExchange::waitForProgress(Milliseconds time)
+{
+    std::unique_lock<std::mutex> lock(this->state->mutex);
+    auto& state = *this->state;
+    bool needsHead = !state.wasHeadRead;
+    return state.changed.wait_for(lock, time, [&] { return (needsHead && state.hasHead) || !state.buffer.empty() || state.isDone; });
+}
+
 BodyStep HttpExchange::readPiece(std::string& piece)
 {
     std::unique_lock<std::mutex> lock(this->state->mutex);
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -45,6 +45,8 @@
 
     /// Blocks until the head is here or the call failed. The body of the reply is empty.
     const HttpReply& waitForHead();
+    /// Blocks until there is something to read, the answer has ended, or the time is over; false in the last case.
+    bool waitForProgress(Milliseconds);
     /// Reads the next piece of the body. Precondition: waitForHead() gave a head.
     BodyStep readPiece(std::string& piece);
     /// Reads the rest of the body; false when it broke off.
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -18,6 +18,7 @@
     std::string path; ///< With the query.
     HttpHeaders headers;
     std::string body;
+    std::function<bool()> isSenderGone {}; ///< Whether its sender has closed the connection; empty: not known.
 };
 
 /// What came of reading one piece of a body.
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,11 +1,13 @@
 #include "HttpServer.h"
 
 #include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <httplib.h>
 #include <mutex>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 
@@ -17,6 +19,8 @@
 static constexpr Seconds transferTimeout { 30 };
 // The library listens with a queue of 5, too short for a burst of new connections.
 static constexpr int listenQueueLength = 1024;
+// Descriptors that are looked at to find a connection.
+static constexpr int highestSocket = 4096;
 
 namespace {
 
@@ -130,6 +134,36 @@
     return absl::OkStatus();
 }
 
+static std::string addressOf(const sockaddr_in& address)
+{
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+    return text;
+}
+
+static bool isConnectionOf(int socket, const httplib::Request& request)
+{
+    sockaddr_in peer {};
+    sockaddr_in own {};
+    socklen_t peerSize = sizeof peer;
+    socklen_t ownSize = sizeof own;
+    if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &peerSize) != 0 || getsockname(socket, reinterpret_cast<sockaddr*>(&own), &ownSize) != 0)
+        return false;
+    return peer.sin_family == AF_INET && ntohs(peer.sin_port) == request.remote_port && ntohs(own.sin_port) == request.local_port && addressOf(peer) == request.remote_addr;
+}
+
+// Whether the sender of the request has closed its connection. The library does not say which socket that is, so it is
+// looked for; it stays the same while the handler runs.
+static bool isGone(const httplib::Request& request, int& socket)
+{
+    for (int candidate = 0; socket < 0 && candidate < highestSocket; ++candidate) {
+        if (isConnectionOf(candidate, request))
+            socket = candidate;
+    }
+    pollfd state { socket, POLLRDHUP, 0 };
+    return socket >= 0 && poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 static HttpRequest toOwn(const httplib::Request& request)
 {
     HttpRequest own;
@@ -137,6 +171,7 @@
     own.path = request.target;
     own.headers.assign(request.headers.begin(), request.headers.end());
     own.body = request.body;
+    own.isSenderGone = [&request, socket = -1]() mutable { return isGone(request, socket); };
     return own;
 }
 
--- a/src/Router.cpp
+++ b/src/Router.cpp
@@ -6,6 +6,9 @@
 
 namespace bilberry {
 
+// An endpoint's process reports several times in this time.
+static constexpr Milliseconds silenceLimit { 3000 };
+
 void Router::fillSlots(RoutingTable& table)
 {
     const auto& vms = table.configuration->inventory.vms;
@@ -102,4 +105,15 @@
     }
 }
 
+bool Router::isSilent(const RoutingTable& table, RowIndex vm) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    uint32_t slot = table.slots[vm];
+    for (const auto& row : this->current->rows) {
+        if (row.slot == slot)
+            return Clock::now() - std::max(row.reported.at, this->evidence[slot].answered.at) > silenceLimit;
+    }
+    return false;
+}
+
 } // namespace bilberry
--- a/src/Router.h
+++ b/src/Router.h
@@ -32,6 +32,9 @@
     /// endpoints of that data centre.
     void noteRefusal(const RoutingTable&, RowIndex vm, RefusalReason);
 
+    /// Whether nothing was heard of the endpoint for so long that it may be frozen or cut off.
+    bool isSilent(const RoutingTable&, RowIndex vm) const;
+
 private:
     EndpointEvidence& evidenceOf(const RoutingTable&, RowIndex vm);
     void fillSlots(RoutingTable&);
--- a/src/StreamRelay.cpp
+++ b/src/StreamRelay.cpp
@@ -71,7 +71,7 @@
 
 struct StreamRelay {
     std::shared_ptr<HttpExchange> exchange;
-    StreamOpener reopen;
+    StreamSource source;
     StreamProgress progress;
     int resumes = 0;
     bool hasFailed = false;
@@ -80,16 +80,17 @@
     bool advance(std::string& events)
     {
         std::string piece;
-        auto step = this->exchange->readPiece(piece);
+        bool isHeard = this->source.wait(*this->exchange);
+        auto step = isHeard ? this->exchange->readPiece(piece) : BodyStep::Broken;
         if (step == BodyStep::More) {
             events = takeEvents(this->progress, piece);
             return !this->progress.isMixed;
         }
-        if (!this->reopen || !mayResume(this->progress) || this->resumes >= maxResumes)
+        if (!this->source.reopen || !mayResume(this->progress) || this->resumes >= maxResumes)
             return false;
         ++this->resumes;
         this->progress.pending.clear();
-        auto next = this->reopen(this->progress.lastId);
+        auto next = this->source.reopen(this->progress.lastId);
         if (!next)
             return false;
         this->exchange = std::move(next);
@@ -118,9 +119,9 @@
 
 } // namespace
 
-void attachStream(HttpResponse& response, std::shared_ptr<HttpExchange> exchange, StreamOpener reopen)
+void attachStream(HttpResponse& response, std::shared_ptr<HttpExchange> exchange, StreamSource source)
 {
-    auto relay = std::make_shared<StreamRelay>(StreamRelay { std::move(exchange), std::move(reopen), {}, 0, false });
+    auto relay = std::make_shared<StreamRelay>(StreamRelay { std::move(exchange), std::move(source), {}, 0, false });
     response.stream = [relay](std::string& piece) {
         piece.clear();
         return relay->read(piece);
--- a/src/StreamRelay.h
+++ b/src/StreamRelay.h
@@ -44,8 +44,17 @@
 /// Opens the stream again after the event with that id, or gives null.
 using StreamOpener = std::function<std::shared_ptr<HttpExchange>(const std::string& lastId)>;
 
-/// Passes a stream on. One that breaks is resumed through `reopen`, which may be empty, as long as the same weights
-/// answer; otherwise it ends with an error event, so that it can't be taken for a whole one.
-void attachStream(HttpResponse&, std::shared_ptr<HttpExchange>, StreamOpener reopen);
+/// Waits for the next piece; false when the endpoint is given up.
+using StreamWaiter = std::function<bool(HttpExchange&)>;
+
+/// What a relay asks of its owner.
+struct StreamSource {
+    StreamOpener reopen; ///< Empty for a stream that must not be run twice.
+    StreamWaiter wait;
+};
+
+/// Passes a stream on. One that breaks is resumed, as long as the same weights answer; otherwise it ends with an error
+/// event, so that it can't be taken for a whole one.
+void attachStream(HttpResponse&, std::shared_ptr<HttpExchange>, StreamSource);
 
 } // namespace bilberry
--- /dev/null
+++ b/tests/process_requests_leaving.py
@@ -0,0 +1,105 @@
+#!/usr/bin/env python3
+"""A data centre is taken out and returned, processes are stopped, all under load: no request fails or is cut off."""
+
+import json
+import signal
+import threading
+import time
+
+import harness
+
+OUT = "sousse-a"
+LAST_NEW_REQUEST_SECONDS = 3
+
+
+class StaleEntry(threading.Thread):
+    """Sends requests straight to an endpoint's process, as an entry would that has not heard of any change."""
+
+    def __init__(self, fleet, endpoint):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.address = fleet.processes[endpoint].address
+        self.ends = False
+        self.ran = []
+        self.refused = []
+
+    def run(self):
+        model = self.fleet.inventory["models"][0]
+        headers = {**self.fleet.account(), "X-Bilberry-Model": model["name"], "X-Bilberry-Service": model["service"], "X-Bilberry-Attempt": "stale-1",
+                   "X-Bilberry-Deadline-Ms": "5000", "X-Bilberry-Caller": self.fleet.inventory["callers"][0]["name"]}
+        body = json.dumps({"model": model["name"], "prompt": "stale", "max_tokens": 1})
+        while not self.ends:
+            status, answer, _ = harness.call("POST", self.address, "/forward/v1/completions", body, headers)
+            (self.ran if status == 200 else self.refused).append((time.monotonic(), answer.get("X-Bilberry-Reason")))
+            time.sleep(0.02)
+
+
+def started(fleet, data_centre):
+    names = [name for name in fleet.endpoints(fleet.model_service()) if fleet.vm(name)["data_centre"] == data_centre]
+    return sum(fleet.back_end(name).counts()["started"] for name in names)
+
+
+def start_load(fleet, seconds, seed):
+    accounts = ",".join(f"{row['name']}:{row['share']}" for row in fleet.inventory["callers"])
+    return fleet.load(f"--account={accounts}", f"--seconds={seconds}", "--timeout_ms=10000", "--rate=60", "--workers=48", "--max_tokens=10", "--stream",
+                      f"--model={fleet.inventory['models'][0]['name']}", f"--expect_fingerprints={fleet.digest}", f"--seed={seed}")
+
+
+def assert_none_failed(report, what):
+    assert report["ok"] == report["sent"], (what, {key: report[key] for key in ("sent", "ok", "refused", "lost", "cut", "wrong", "mixed")})
+
+
+def take_out_and_return(fleet):
+    load = start_load(fleet, 10, 1)
+    stale = StaleEntry(fleet, f"{OUT}-draft-1")
+    stale.start()
+    harness.wait_until(lambda: started(fleet, OUT) > 20 and stale.ran, 10, "load in the data centre")
+    taken_out_at = time.monotonic()
+    fleet.take_out(OUT)
+    time.sleep(LAST_NEW_REQUEST_SECONDS)
+    count = started(fleet, OUT)
+    time.sleep(1.5)
+    assert started(fleet, OUT) == count, "new work after the data centre was taken out"
+    last = max(when for when, _ in stale.ran) - taken_out_at
+    assert last <= LAST_NEW_REQUEST_SECONDS, f"a stale entry's last request ran after {last:.2f} s"
+    assert stale.refused[-1][1] == "data-centre-out", stale.refused[-1]
+    fleet.bring_back()
+    harness.wait_until(lambda: started(fleet, OUT) > count, 10, "work returns")
+    stale.ends = True
+    assert_none_failed(harness.finish(load), "data centre out and back")
+
+
+def stop_under_load(fleet):
+    """SIGTERM of an endpoint's process under load cuts nothing off; its exit code says so."""
+    load = start_load(fleet, 4, 2)
+    name = f"{OUT}-draft-2"
+    harness.wait_until(lambda: fleet.back_end(name).counts()["running"] > 0, 10, "work at the endpoint")
+    assert fleet.processes[name].stop() == 0
+    assert_none_failed(harness.finish(load), "endpoint stopped")
+
+
+def stop_entry(fleet):
+    """SIGTERM of an entry with streams in hand: they all end whole."""
+    entry = fleet.entries()[0]
+    load = start_load(fleet, 3, 3)
+    harness.wait_until(lambda: fleet.processes[entry].metric("bilberry_requests_in_progress") > 0, 10, "work at the entry")
+    fleet.processes[entry].signal(signal.SIGTERM)
+    report = harness.finish(load)
+    assert fleet.processes[entry].process.wait(30) == 0
+    # The load generator does not take an entry out, as the balancer would: its new connections are lost, not cut.
+    bad = {field: report[field] for field in ("cut", "wrong", "mixed") if report[field]}
+    assert not bad and not report["refused"], (bad, report["refused"])
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__)
+    with harness.Fleet(arguments.build, engine_flags=["--slots=8", "--token_ms=10", "--cold_ms=100", "--cold_slots=2"]) as fleet:
+        fleet.wait_for_replicas(9)
+        fleet.wait_for_entries()
+        take_out_and_return(fleet)
+        stop_under_load(fleet)
+        stop_entry(fleet)
+
+
+if __name__ == "__main__":
+    harness.main(main)
