--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -12,10 +12,6 @@
 
 namespace bilberry {
 
-// Keys of unrepeatable requests that are held at a time.
-static constexpr size_t maxKeys = 100'000;
-// How long the outcome of a key is remembered.
-static constexpr std::chrono::hours keyLifetime { 24 };
 static constexpr Milliseconds defaultDeadline { 30'000 };
 static constexpr int statusUnavailable = 503;
 // How often a waiting request looks at its sender.
@@ -24,17 +20,19 @@
 Endpoint::Endpoint(Node& node)
     : node(node)
     , weights(node)
-    , keys(maxKeys)
+    , keyed(node)
 {
 }
 
 void Endpoint::start()
 {
     this->weights.start();
+    this->keyed.start();
 }
 
 void Endpoint::stop()
 {
+    this->keyed.stop();
     this->weights.stop();
 }
 
@@ -61,7 +59,7 @@
     status.limit = load.limit;
     status.isLeaving = this->node.isLeaving || isVmLeaving(*configuration, own);
     publishOwnStatus(this->node, status);
-    this->keys.expire(now, keyLifetime);
+    this->keyed.tick(now);
     this->node.metrics.set("bilberry_requests_in_progress", load.inProgress);
     this->node.metrics.set("bilberry_requests_queued", load.queued);
     this->node.metrics.set("bilberry_admission_limit", status.limit);
@@ -93,6 +91,8 @@
         return RefusalReason::Leaving;
     if (isDataCentreOut(configuration, vm.dataCentre))
         return RefusalReason::DataCentreOut;
+    if (!mayAcceptWork(this->node))
+        return RefusalReason::NoConfiguration;
     if (configuration.inventory.services[vm.service].name != findHeader(request.headers, wire::service))
         return RefusalReason::UnknownService;
     std::string model = findHeader(request.headers, wire::model);
@@ -107,13 +107,14 @@
     RowIndex own = configuration ? findOwnVm(this->node, *configuration) : noRow;
     if (own == noRow)
         return this->refuse(request, RefusalReason::NoConfiguration);
-    auto reason = this->checkState(request, *configuration, own);
-    if (reason != RefusalReason::None)
-        return this->refuse(request, reason);
-    const Vm& vm = configuration->inventory.vms[own];
-    std::string key = findHeader(request.headers, wire::idempotencyKey);
-    bool isKeyed = !key.empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return isKeyed ? this->runKeyed(request, vm, *configuration, key) : this->runAtBackEnd(request, vm, *configuration);
+    auto run = [&](const DispatchCheck& mayDispatch) {
+        auto reason = this->checkState(request, *configuration, own);
+        if (reason != RefusalReason::None)
+            return this->refuse(request, reason);
+        return this->runAtBackEnd(request, configuration->inventory.vms[own], *configuration, mayDispatch);
+    };
+    bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
+    return hasKey ? this->keyed.handle(request, run) : run(nullptr);
 }
 
 static HttpRequest toBackEnd(const HttpRequest& request)
@@ -176,12 +177,16 @@
     return response;
 }
 
-HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const Configuration& configuration)
+HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const Configuration& configuration, const DispatchCheck& mayDispatch)
 {
     auto asked = makeGateRequest(request, configuration, vm.service);
     auto pass = this->gate.enter(asked);
     if (pass.reason != RefusalReason::None)
         return this->refuse(request, pass.reason);
+    if (mayDispatch && !mayDispatch()) {
+        this->gate.leave({});
+        return this->refuse(request, RefusalReason::KeyFenced);
+    }
     auto run = std::make_shared<BackEndRun>();
     run->startedAt = Clock::now();
     run->report.wasAtLimit = pass.wasAtLimit;
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -3,7 +3,7 @@
 
 #include "AdmissionGate.h"
 #include "HttpMessage.h"
-#include "KeyTable.h"
+#include "KeyedRequests.h"
 #include "WeightAgent.h"
 
 namespace bilberry {
@@ -29,7 +29,9 @@
     /// Handles a peer's or the engine's read of weights.
     HttpResponse answerWeights(const HttpRequest& request) const { return this->weights.answer(request); }
     /// Answers the question for a key's outcome, and fences the attempt when the key was never seen.
-    HttpResponse answerKeyQuery(const HttpRequest&);
+    HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
+    /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
+    std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
     /// Requests at the back end, and in the queue for it.
     uint32_t inProgress() const;
 
@@ -38,12 +40,11 @@
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
     std::string describeLoad() const;
     HttpResponse passOn(const HttpRequest&, const HttpReply& head, std::shared_ptr<BackEndRun>);
-    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&);
-    HttpResponse runKeyed(const HttpRequest&, const Vm&, const Configuration&, const std::string& key);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&, const DispatchCheck&);
 
     Node& node;
     WeightAgent weights;
-    KeyTable keys;
+    KeyedRequests keyed;
     AdmissionGate gate;
 };
 
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -44,6 +44,9 @@
 
 HttpResponse Entry::refuse(const EntryRequest& request, Refusal refusal)
 {
+    bool isKeyed = request.configuration ? !request.key.empty() : !findHeader(request.http->headers, wire::idempotencyKey).empty();
+    if (isKeyed)
+        refusal = refusalForKey(refusal);
     MetricLabels labels { { "reason", std::string(toText(refusal.reason)) }, { "outcome", std::string(toText(refusal.outcome)) } };
     bool isKnown = request.configuration && request.service != noRow;
     labels["service"] = isKnown ? request.configuration->inventory.services[request.service].name : "";
@@ -254,7 +257,9 @@
         this->router.noteRefusal(*table, vm, outcome.refusal.reason);
         tried.push_back(vm);
         last = outcome.refusal;
-        if (!this->prepareRetry(request, last, attempts))
+        // What a key's owner says is not better known elsewhere.
+        bool isSettled = !request.key.empty() && last.isFromOwner;
+        if (isSettled || !this->prepareRetry(request, last, attempts))
             return this->refuse(request, last);
     }
 }
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -30,6 +30,7 @@
     case RefusalReason::Leaving:
     case RefusalReason::VersionNotReady:
     case RefusalReason::ConnectFailed:
+    case RefusalReason::KeyNotOwned:
         return true;
     default:
         return false;
--- a/src/Routing.h
+++ b/src/Routing.h
@@ -78,8 +78,4 @@
 /// How long an endpoint is avoided after it refused for that reason; zero: not at all. Thread safe.
 Milliseconds avoidTime(RefusalReason);
 
-/// The endpoint that owns a key: by rendezvous over all configured endpoints of the service, so that every entry
-/// agrees. noRow when the service has none. Thread safe.
-RowIndex findKeyOwner(const Configuration&, RowIndex service, std::string_view key);
-
 } // namespace bilberry
--- a/tests/RetryTest.cpp
+++ b/tests/RetryTest.cpp
@@ -33,6 +33,7 @@
         { RefusalReason::Leaving, RetryDecision::TryAtOnce },
         { RefusalReason::VersionNotReady, RetryDecision::TryAtOnce },
         { RefusalReason::ConnectFailed, RetryDecision::TryAtOnce },
+        { RefusalReason::KeyNotOwned, RetryDecision::TryAtOnce },
         { RefusalReason::Overloaded, RetryDecision::TryAnother },
         { RefusalReason::QueueFull, RetryDecision::TryAnother },
         { RefusalReason::ReplyLost, RetryDecision::TryAnother },
