--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -17,12 +17,12 @@
 RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
     if (request.key.empty())
-        return this->router.choose(table, { request.service, request.model }, tried, this->nextRandom());
+        return this->router.choose(table, { request.service, request.model, request.prefixHash }, tried, this->nextRandom());
     const Inventory& inventory = request.configuration->inventory;
     auto scopedKey = makeScopedKey(inventory.services[request.service].name, inventory.callers[request.caller].name, request.key);
     RowIndex owner = chooseKeyOwner(table, request.service, scopedKey, tried);
     if (owner != noRow)
-        this->router.acquire(owner);
+        this->router.acquire(table, owner);
     return owner;
 }
 
@@ -35,8 +35,8 @@
     query.headers.emplace_back(wire::caller, inventory.callers[request.caller].name);
     auto reply = this->node.clients.call(address, query, { this->node.settings.connectTimeout, keyQueryTimeout }, maxConfigurationBytes);
     if (reply.failure != CallFailure::None || reply.status == 0)
-        return { makeRefusal(RefusalReason::ReplyLost), {} };
-    AttemptOutcome outcome { readRefusal(reply.headers), {} };
+        return { makeRefusal(RefusalReason::ReplyLost), {}, nullptr };
+    AttemptOutcome outcome { readRefusal(reply.headers), {}, nullptr };
     outcome.response.status = reply.status;
     outcome.response.headers = withoutHopHeaders(reply.headers);
     outcome.response.body = reply.body;
