Test fleet state under faults, and offer documents to processes that have none

Cause: a process whose seeds have no configuration could not be reached by push, since it can't look up the address of the teller (process_fleet_faults failed in its last part: four processes cut off from the service held nothing after 10 s). A relayed row of a VM's former process replaced that of its successor when the VM's clock had stepped back (FleetTableTest failed).

Ruled out: fetching from an address that a message names.

Change: who exchanges with a process that holds no document sends it; between two processes of one VM the time of the report decides. Tests: 1,000 histories of faulty answers and restarts, membership and peer choice, tables of offers, signatures and messages out of bounds, fuzz of each parser, and process-level faults of the service, watchers, pauses, quick changes and keys.

--- a/src/DocumentSpread.cpp
+++ b/src/DocumentSpread.cpp
@@ -6,6 +6,7 @@
 #include "PeerCall.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace bilberry {
 
@@ -61,20 +62,62 @@
     return "{}";
 }
 
-static std::string answerDocument(Node& node, const std::string& parameters)
+// A document as one peer gives it to another.
+static std::string documentText(const Node& node, DocumentKind kind)
+{
+    auto document = node.published.document(kind);
+    json object { { "kind", static_cast<int>(kind) }, { "generation", document.generation }, { "text", document.text } };
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// Takes such a document over; false when it is malformed. The text is checked by the adoption.
+static bool takeDocument(Node& node, const std::string& message, DocumentKind kind)
+{
+    auto object = json::parse(message, nullptr, false);
+    bool isDocument = object.is_object() && object.contains("generation") && object["generation"].is_number_unsigned() && object.contains("text") && object["text"].is_string();
+    if (!isDocument || object["text"].get_ref<const std::string&>().size() > maxConfigurationBytes)
+        return false;
+    adoptDocument(node, kind, object["generation"].get<Generation>(), object["text"].get<std::string>(), DocumentSource::Peer);
+    return true;
+}
+
+// The document that a message names by its number.
+static std::optional<DocumentKind> readKind(const std::string& parameters)
 {
     auto message = json::parse(parameters, nullptr, false);
     if (!message.is_object() || !message.contains("kind") || !message["kind"].is_number_integer())
-        return {};
+        return std::nullopt;
     auto kind = message["kind"].get<int64_t>();
     if (kind < 0 || kind >= documentKindCount)
-        return {};
-    auto document = node.published.document(static_cast<DocumentKind>(kind));
-    return json { { "generation", document.generation }, { "text", document.text } }.dump(-1, ' ', false, json::error_handler_t::replace);
+        return std::nullopt;
+    return static_cast<DocumentKind>(kind);
+}
+
+static std::string answerDocument(Node& node, const std::string& parameters)
+{
+    auto kind = readKind(parameters);
+    return kind ? documentText(node, *kind) : std::string();
+}
+
+static std::string answerOffer(Node& node, const std::string& parameters)
+{
+    auto kind = readKind(parameters);
+    bool isTaken = kind && takeDocument(node, parameters, *kind);
+    return isTaken ? "{}" : std::string();
+}
+
+void offerMissing(Node& node, const std::string& address, const DocumentVersion (&versions)[documentKindCount])
+{
+    for (int i = 0; i < documentKindCount; ++i) {
+        auto kind = static_cast<DocumentKind>(i);
+        if (versions[i].generation == 0 && node.published.generation(kind) != 0)
+            callPeer(node, address, "offer", documentText(node, kind), node.settings.callTimeout);
+    }
 }
 
 void addSpreadMethods(JsonRpcDispatcher& dispatcher, Node& node)
 {
+    dispatcher.addMethod("offer", [&node](const std::string& parameters) { return answerOffer(node, parameters); });
     dispatcher.addMethod("announce", [&node](const std::string& parameters) { return answerAnnounce(node, parameters); });
     dispatcher.addMethod("document", [&node](const std::string& parameters) { return answerDocument(node, parameters); });
 }
@@ -82,11 +125,8 @@
 static void fetchDocument(Node& node, const std::string& address, DocumentKind kind)
 {
     auto parameters = json { { "kind", static_cast<int>(kind) } }.dump();
-    auto answer = json::parse(callPeer(node, address, "document", parameters, node.settings.callTimeout), nullptr, false);
-    bool isDocument = answer.is_object() && answer.contains("generation") && answer["generation"].is_number_unsigned() && answer.contains("text") && answer["text"].is_string();
+    bool isDocument = takeDocument(node, callPeer(node, address, "document", parameters, node.settings.callTimeout), kind);
     node.metrics.count("bilberry_document_fetches_total", { { "document", std::string(toText(kind)) }, { "result", isDocument ? "ok" : "failed" } });
-    if (isDocument)
-        adoptDocument(node, kind, answer["generation"].get<Generation>(), answer["text"].get<std::string>(), DocumentSource::Peer);
 }
 
 static void announceDocument(Node& node, DocumentKind kind)
--- a/src/DocumentWatcher.cpp
+++ b/src/DocumentWatcher.cpp
@@ -14,7 +14,7 @@
 // A document that is absent is asked for again after this; every process of a fleet without one does so.
 static constexpr Milliseconds absentPause { 1500 };
 // A process that holds no watch looks so often whether it should.
-static constexpr Milliseconds roleCheckInterval { 500 };
+static constexpr Milliseconds roleCheckInterval { 250 };
 // A process that failed to read is passed over as a watcher for so long, while others can.
 static constexpr Milliseconds failureLifetime { 30'000 };
 // After an answer that comes at once, so that one that always does costs few calls.
--- a/src/ExchangeMessage.cpp
+++ b/src/ExchangeMessage.cpp
@@ -11,8 +11,6 @@
 static constexpr size_t maxNameLength = 256;
 // Ages above this are no ages.
 static constexpr Milliseconds maxAge { 24 * 3'600'000 };
-// Characters of a digest that a message carries; enough to tell two documents of one generation apart.
-static constexpr size_t digestLength = 64;
 
 uint64_t hashMembers(const std::vector<std::string>& names)
 {
@@ -31,7 +29,7 @@
 {
     object.at("generation").get_to(version.generation);
     object.at("digest").get_to(version.digest);
-    return version.digest.size() <= digestLength && version.generation <= maxGeneration;
+    return version.digest.size() <= versionDigestLength && version.generation <= maxGeneration;
 }
 
 std::string toText(const ExchangeMessage& message)
--- a/src/FleetTable.cpp
+++ b/src/FleetTable.cpp
@@ -1,18 +1,16 @@
 #include "FleetTable.h"
 
-#include <algorithm>
-#include <tuple>
-
 namespace bilberry {
 
 bool supersedes(const VmStatus& offered, Duration offeredAge, const FleetRow& held, TimePoint now)
 {
-    auto position = [](const VmStatus& status) { return std::tie(status.incarnation, status.sequence); };
-    if (position(offered) > position(held.status))
-        return true;
-    bool isRestart = offered.incarnation != held.status.incarnation;
-    bool isHeldSilent = now - held.reportedAt > silentIncarnation;
-    return isRestart && isHeldSilent && now - offeredAge > held.reportedAt;
+    if (offered.incarnation == held.status.incarnation)
+        return offered.sequence > held.status.sequence;
+    // A later process of the VM has the higher incarnation, unless its clock stepped back; then only time tells.
+    TimePoint offeredAt = now - offeredAge;
+    if (offered.incarnation > held.status.incarnation)
+        return offeredAt > held.reportedAt - silentIncarnation;
+    return offeredAt > held.reportedAt + silentIncarnation;
 }
 
 MergeResult FleetTable::merge(const VmStatus& status, Duration age, TimePoint now)
--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -128,6 +128,7 @@
     // Ages count from the send time of the request: the peer made its answer later, so no report looks fresher than it is.
     takeRows(node, reply->rows, sentAt);
     noteVersionsAt(node, address, reply->documents);
+    offerMissing(node, address, reply->documents);
     auto other = readDigest(*reply, coverage);
     if (!other)
         return true;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -28,7 +28,7 @@
 /// A report older than this makes a VM suspect.
 constexpr Milliseconds suspicionAge { 5000 };
 /// Watchers are replaced earlier, since one too many costs little.
-constexpr Milliseconds watcherSuspicionAge { 2500 };
+constexpr Milliseconds watcherSuspicionAge { 2000 };
 /// Rows without a report for so long are dropped.
 constexpr Milliseconds rowLifetime { 60'000 };
 
--- a/src/ProcessPaths.cpp
+++ b/src/ProcessPaths.cpp
@@ -9,8 +9,8 @@
 
 namespace bilberry {
 
-// Largest JSON-RPC message that is read, in bytes.
-static constexpr size_t maxRpcBytes = size_t(2) << 20;
+// Largest JSON-RPC message that is read, in bytes: a document and its framing, escaped.
+static constexpr size_t maxRpcBytes = 4 * maxConfigurationBytes;
 
 static bool isReady(const Process& process)
 {
--- a/src/PublishedState.cpp
+++ b/src/PublishedState.cpp
@@ -37,6 +37,11 @@
     return source == DocumentSource::Service ? "service" : "peer";
 }
 
+DocumentVersion makeVersion(Generation generation, const std::string& text)
+{
+    return { generation, sha256Hex(text).substr(0, versionDigestLength) };
+}
+
 static bool isSame(const DocumentVersion& first, const DocumentVersion& second)
 {
     return first.generation == second.generation && first.digest == second.digest;
@@ -78,7 +83,7 @@
 {
     // Parsing a large document takes long, so readers are locked out only while the result is put in place.
     std::lock_guard<std::mutex> offerLock(this->offerMutex);
-    DocumentVersion offered { generation, sha256Hex(text) };
+    DocumentVersion offered = makeVersion(generation, text);
     AdoptionState& state = this->states[static_cast<int>(kind)];
     {
         std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/PublishedState.h
+++ b/src/PublishedState.h
@@ -20,17 +20,20 @@
 enum class DocumentSource : uint8_t { Service,
     Peer };
 
+/// Digits that tell documents of one generation apart.
+constexpr size_t versionDigestLength = 16;
+
 /// Identity of a published document.
 struct DocumentVersion {
     Generation generation = 0; ///< Zero: there is none.
-    std::string digest; ///< SHA-256 of the text, hex.
+    std::string digest; ///< First versionDigestLength digits of the text's SHA-256, hex.
 };
 
 /// A document as the platform gave it.
 struct PublishedDocument {
     DocumentKind kind = DocumentKind::Configuration;
     Generation generation = 0; ///< Zero: there is none yet.
-    std::string digest; ///< SHA-256 of the text, hex.
+    std::string digest; ///< As in DocumentVersion.
     std::string text;
 };
 
@@ -67,6 +70,9 @@
 /// Whether a version that a peer holds is worth fetching. Thread safe.
 bool isWanted(const AdoptionState&, const DocumentVersion& offered);
 
+/// The version of a text. Thread safe.
+DocumentVersion makeVersion(Generation, const std::string& text);
+
 /// Names for logs and metrics. Thread safe.
 std::string_view toText(Adoption);
 std::string_view toText(DocumentKind);
--- /dev/null
+++ b/tests/MembershipTest.cpp
@@ -0,0 +1,173 @@
+#define BOOST_TEST_MODULE Membership
+#include "Membership.h"
+
+#include "Backoff.h"
+#include "PeerChoice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+#include <set>
+
+using namespace bilberry;
+
+static constexpr Milliseconds recent { 1000 };
+static constexpr Milliseconds silent { 6000 };
+
+BOOST_AUTO_TEST_CASE(theSourcesOfMembershipHaveAPrecedence)
+{
+    struct Row {
+        const char* name;
+        MemberEvidence evidence; // Configured, listed, listed leaving, configured leaving, age, reports leaving.
+        MemberState expected;
+    };
+    const Row rows[] = {
+        { "outside the configuration", { false, true, false, false, recent, false }, MemberState::Removed },
+        { "all say live", { true, true, false, false, recent, false }, MemberState::Active },
+        { "the list lags behind a new VM", { true, false, false, false, recent, false }, MemberState::Active },
+        { "the list lags behind a dead VM", { true, true, false, false, silent, false }, MemberState::Suspect },
+        { "never heard", { true, true, false, false, std::nullopt, false }, MemberState::Suspect },
+        { "its own report says leaving", { true, true, false, false, recent, true }, MemberState::Leaving },
+        { "operators remove it", { true, true, false, true, recent, false }, MemberState::Leaving },
+        { "the platform removes it", { true, true, true, false, recent, false }, MemberState::Leaving },
+    };
+    for (const auto& row : rows)
+        BOOST_TEST((judgeMember(row.evidence) == row.expected), row.name);
+}
+
+RC_BOOST_PROP(oneSourceThatSaysLeavingIsEnough, (bool isListed, bool byList, bool byOperators, bool byItself, uint16_t age))
+{
+    MemberEvidence evidence { true, isListed, byList, byOperators, Milliseconds(age), byItself };
+    RC_ASSERT((judgeMember(evidence) == MemberState::Leaving) == (byList || byOperators || byItself));
+}
+
+// A fleet of `regions` with two data centres each.
+static Inventory makeInventory(size_t regions, size_t vmsPerDataCentre)
+{
+    Inventory inventory;
+    for (size_t i = 0; i < 2 * regions; ++i) {
+        inventory.dataCentres.push_back({ "dc-" + std::to_string(i), "region-" + std::to_string(i / 2) });
+        for (size_t vm = 0; vm < vmsPerDataCentre; ++vm) {
+            Vm row;
+            row.name = "vm-" + std::to_string(i) + "-" + std::to_string(vm);
+            row.dataCentre = static_cast<RowIndex>(i);
+            inventory.vms.push_back(row);
+        }
+    }
+    return inventory;
+}
+
+static bool anyone(RowIndex)
+{
+    return true;
+}
+
+RC_BOOST_PROP(theCostOfARoundDoesNotGrowWithTheFleet, ())
+{
+    auto inventory = makeInventory(*rc::gen::inRange<size_t>(1, 3), *rc::gen::inRange<size_t>(1, 60));
+    auto own = *rc::gen::inRange<RowIndex>(0, static_cast<RowIndex>(inventory.vms.size()));
+    std::set<RowIndex> dead;
+    for (int i = 0; i < 5; ++i)
+        dead.insert(*rc::gen::inRange<RowIndex>(0, static_cast<RowIndex>(inventory.vms.size())));
+    auto isUsable = [&](RowIndex vm) { return dead.count(vm) == 0; };
+    size_t asked = 0;
+    constexpr size_t rounds = 64;
+    for (uint64_t round = 0; round < rounds; ++round) {
+        auto peers = choosePeers(inventory, own, round, isUsable);
+        asked += peers.size();
+        RC_ASSERT(std::count(peers.begin(), peers.end(), own) == 0);
+    }
+    // One a round, each eighth round one more of the region, each second one of another region for a relay.
+    RC_ASSERT(asked <= rounds + rounds / 8 + rounds / 2);
+    auto announced = chooseAnnouncePeers(inventory, own, 7, isUsable);
+    RC_ASSERT(std::set<RowIndex>(announced.begin(), announced.end()).size() == announced.size());
+    RC_ASSERT(announced.size() <= 6);
+}
+
+BOOST_AUTO_TEST_CASE(onlyRelaysTalkToOtherRegions)
+{
+    auto inventory = makeInventory(2, 40);
+    std::set<RowIndex> talkers;
+    for (RowIndex own = 0; own < inventory.vms.size(); ++own) {
+        for (uint64_t round = 0; round < 16; ++round) {
+            for (RowIndex peer : choosePeers(inventory, own, round, anyone)) {
+                if (!inSameRegion(inventory, inventory.vms[own].dataCentre, inventory.vms[peer].dataCentre))
+                    talkers.insert(own);
+            }
+        }
+    }
+    BOOST_TEST(talkers.size() == 4 * relaysPerDataCentre);
+}
+
+// Rounds that announcements and exchanges need until every process holds a document that one has adopted.
+static int roundsToAll(size_t vmsPerDataCentre)
+{
+    auto inventory = makeInventory(2, vmsPerDataCentre);
+    std::vector<bool> holds(inventory.vms.size(), false);
+    holds[0] = true;
+    for (int round = 0; round < 60; ++round) {
+        if (std::all_of(holds.begin(), holds.end(), [](bool held) { return held; }))
+            return round;
+        auto next = holds;
+        for (RowIndex vm = 0; vm < holds.size(); ++vm) {
+            auto peers = choosePeers(inventory, vm, static_cast<uint64_t>(round), anyone);
+            for (RowIndex peer : peers)
+                next[vm] = next[vm] || holds[peer], next[peer] = next[peer] || holds[vm];
+            if (!holds[vm])
+                continue;
+            for (RowIndex peer : chooseAnnouncePeers(inventory, vm, static_cast<uint64_t>(round) * 1000 + vm, anyone))
+                next[peer] = true;
+        }
+        holds = next;
+    }
+    return 60;
+}
+
+BOOST_AUTO_TEST_CASE(aDocumentReachesAllInRoundsThatGrowNoFasterThanTheLogarithm)
+{
+    // Eight rounds of half a second are the promise of four seconds.
+    for (size_t vms : { 2, 8, 32, 128, 233 })
+        BOOST_TEST(roundsToAll(vms) <= 8, vms << " VMs a data centre: " << roundsToAll(vms));
+    BOOST_TEST(roundsToAll(233) - roundsToAll(8) <= 5); // log2(233 / 8)
+}
+
+BOOST_AUTO_TEST_CASE(watchersAreFewAndPassOnTheWatch)
+{
+    std::vector<WatchCandidate> candidates;
+    for (int i = 0; i < 30; ++i)
+        candidates.push_back({ "vm-" + std::to_string(i), false });
+    auto watchers = chooseWatchers(candidates);
+    BOOST_TEST(watchers.size() == watchersPerDataCentre);
+    auto lack = [&](const std::string& name) {
+        for (auto& candidate : candidates)
+            candidate.lacksService = candidate.lacksService || candidate.vm == name;
+    };
+    lack(watchers[0]);
+    auto others = chooseWatchers(candidates);
+    BOOST_TEST(others.size() == watchersPerDataCentre);
+    BOOST_TEST(std::count(others.begin(), others.end(), watchers[0]) == 0);
+    for (const auto& candidate : candidates)
+        lack(candidate.vm);
+    BOOST_TEST(chooseWatchers(candidates).size() == maxWatcherCandidates);
+}
+
+RC_BOOST_PROP(aFleetThatStartsWhileTheServiceIsDownKeepsItsCallRate, (uint64_t seed))
+{
+    // 930 processes without a configuration, two documents each, ten minutes of errors.
+    constexpr int readers = 2 * 930;
+    constexpr size_t seconds = 600;
+    std::vector<int> calls(seconds, 0);
+    for (int reader = 0; reader < readers; ++reader) {
+        Backoff backoff { Milliseconds(500), Milliseconds(4000), 0 };
+        uint64_t random = seed + static_cast<uint64_t>(reader) * 0x9E3779B97F4A7C15ULL;
+        auto next = [&] { return random = random * 6364136223846793005ULL + 1442695040888963407ULL, random >> 20; };
+        auto at = Milliseconds(next() % 1000);
+        while (at < Seconds(seconds)) {
+            ++calls[static_cast<size_t>(std::chrono::duration_cast<Seconds>(at).count())];
+            at += nextWait(backoff, next());
+        }
+    }
+    // The first second has the first call of all and early second ones; from then on the rate falls.
+    for (size_t second = 5; second < seconds; ++second)
+        RC_ASSERT(calls[second] <= 2000);
+    RC_ASSERT(calls[0] + calls[1] + calls[2] + calls[3] + calls[4] <= 5 * 2000);
+}
--- /dev/null
+++ b/tests/MessageAuthenticationTest.cpp
@@ -0,0 +1,78 @@
+#define BOOST_TEST_MODULE MessageAuthentication
+#include "MessageAuthentication.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace bilberry;
+
+static const WallTime now = WallTime() + std::chrono::hours(500'000);
+static const std::string oldKey = "old-key-0123456789";
+static const std::string newKey = "new-key-0123456789";
+
+static HttpRequest makeRequest()
+{
+    return { "POST", "/forward/v1/completions", { { "X-Bilberry-Attempt", "a-1" }, { "Idempotency-Key", "k" }, { "Accept", "x" } }, "body" };
+}
+
+BOOST_AUTO_TEST_CASE(whatIsSignedCannotBeChanged)
+{
+    AuthenticationKeys keys { oldKey, {} };
+    struct Row {
+        const char* name;
+        std::function<void(HttpRequest&)> change;
+        Authenticity expected;
+    };
+    const Row rows[] = {
+        { "unchanged", [](HttpRequest&) {}, Authenticity::Accepted },
+        { "a header that means nothing here", [](HttpRequest& request) { setHeader(request.headers, "Accept", "y"); }, Authenticity::Accepted },
+        { "method", [](HttpRequest& request) { request.method = "GET"; }, Authenticity::Wrong },
+        { "path", [](HttpRequest& request) { request.path += "?x"; }, Authenticity::Wrong },
+        { "body", [](HttpRequest& request) { request.body += "x"; }, Authenticity::Wrong },
+        { "attempt", [](HttpRequest& request) { setHeader(request.headers, "X-Bilberry-Attempt", "a-2"); }, Authenticity::Wrong },
+        { "key of the request", [](HttpRequest& request) { setHeader(request.headers, "idempotency-key", "l"); }, Authenticity::Wrong },
+        { "added header", [](HttpRequest& request) { request.headers.emplace_back("x-bilberry-unrepeatable", "0"); }, Authenticity::Wrong },
+        { "no signature", [](HttpRequest& request) { request.headers.clear(); }, Authenticity::Missing },
+        { "broken signature", [](HttpRequest& request) { setHeader(request.headers, signatureHeader, "v1 12"); }, Authenticity::Malformed },
+    };
+    for (const auto& row : rows) {
+        auto request = makeRequest();
+        signRequest(keys, request, now);
+        row.change(request);
+        BOOST_TEST((verifyRequest(keys, request, now) == row.expected), row.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(signaturesExpireAndClocksMayDiffer)
+{
+    AuthenticationKeys keys { oldKey, {} };
+    auto request = makeRequest();
+    signRequest(keys, request, now);
+    for (auto offset : { -signatureLifetime, Milliseconds(0), signatureLifetime })
+        BOOST_TEST((verifyRequest(keys, request, now + offset) == Authenticity::Accepted));
+    for (auto offset : { -signatureLifetime - Milliseconds(1), signatureLifetime + Milliseconds(1) })
+        BOOST_TEST((verifyRequest(keys, request, now + offset) == Authenticity::Expired));
+}
+
+BOOST_AUTO_TEST_CASE(keysAreChangedWithoutACut)
+{
+    // Step by step: all accept both, then sign with the new one, then drop the old one.
+    const AuthenticationKeys steps[] = { { oldKey, {} }, { oldKey, newKey }, { newKey, oldKey }, { newKey, {} } };
+    for (size_t step = 0; step + 1 < 4; ++step) {
+        for (const auto& [from, to] : { std::pair(step, step + 1), std::pair(step + 1, step) }) {
+            auto request = makeRequest();
+            signRequest(steps[from], request, now);
+            BOOST_TEST((verifyRequest(steps[to], request, now) == Authenticity::Accepted), from << " to " << to);
+        }
+    }
+    auto request = makeRequest();
+    signRequest(steps[0], request, now);
+    BOOST_TEST((verifyRequest(steps[3], request, now) == Authenticity::Wrong));
+}
+
+RC_BOOST_PROP(noTextPassesForASignature, (std::string text))
+{
+    auto request = makeRequest();
+    request.headers.emplace_back(signatureHeader, text);
+    RC_ASSERT(verifyRequest({ oldKey, newKey }, request, now) != Authenticity::Accepted);
+}
--- /dev/null
+++ b/tests/ParserFuzzTest.cpp
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE ParserFuzz
+#include "ExchangeMessage.h"
+#include "Flags.h"
+#include "Manifest.h"
+#include "Settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
+#include <sstream>
+
+using namespace bilberry;
+using nlohmann::json;
+
+static std::string readExample(const char* name)
+{
+    std::ifstream file(std::string(BILBERRY_SOURCE_DIR) + "/examples/registry/" + name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+static std::string exampleConfiguration()
+{
+    return json { { "inventory", json::parse(readExample("inventory.json")) }, { "rules", json::parse(readExample("rules.json")) } }.dump();
+}
+
+static std::string exampleExchange()
+{
+    ExchangeMessage message;
+    message.vm = "a";
+    message.membersHash = UINT64_MAX;
+    message.digest = packDigest({ {} });
+    VmStatus status;
+    status.vm = "b";
+    status.served = { { "m", "d" } };
+    status.holdings = { { "d", { true, false, true, true, true } } };
+    message.rows = { { status, Milliseconds(5) } };
+    return toText(message);
+}
+
+// A text with a few bytes changed, taken out, doubled or cut off, or replaced by a hostile one.
+static std::string mutate(std::string text)
+{
+    static const std::vector<std::string> pieces { "", "-1", "1e999", "null", "{}", "[]", "\"\"", "18446744073709551616", "\\u0000", "\xff", std::string(3000, '['), std::string(3000, 'x') };
+    int changes = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < changes && !text.empty(); ++i) {
+        auto at = *rc::gen::inRange<size_t>(0, text.size());
+        auto length = *rc::gen::inRange<size_t>(0, std::min<size_t>(text.size() - at, 12) + 1);
+        text.replace(at, length, *rc::gen::elementOf(pieces));
+    }
+    if (*rc::gen::inRange(0, 5) == 0)
+        text.resize(*rc::gen::inRange<size_t>(0, text.size() + 1));
+    return text;
+}
+
+RC_BOOST_PROP(noConfigurationTextBreaksTheParser, ())
+{
+    static const std::string example = exampleConfiguration();
+    auto parsed = parseConfiguration(mutate(example), 1);
+    // Whatever is accepted has every reference in bounds.
+    if (!parsed.ok()) {
+        RC_ASSERT(!parsed.status().message().empty());
+        return;
+    }
+    for (const auto& vm : parsed->inventory.vms) {
+        RC_ASSERT(vm.dataCentre < parsed->inventory.dataCentres.size());
+        RC_ASSERT(vm.role == Role::Entry || vm.service < parsed->inventory.services.size());
+    }
+}
+
+RC_BOOST_PROP(noLiveListTextBreaksTheParser, ())
+{
+    auto text = mutate(R"({"vms":[{"vm":"a","state":"live"},{"vm":"b","state":"leaving"}]})");
+    auto parsed = parseLiveList(text, 1);
+    if (parsed.ok())
+        RC_ASSERT(parsed->vms.size() <= text.size());
+}
+
+RC_BOOST_PROP(noManifestTextBreaksTheParser, ())
+{
+    std::string digest = "sha256:" + std::string(64, 'a');
+    auto text = mutate(R"({"schemaVersion":2,"layers":[{"digest":")" + digest + R"(","size":9},{"digest":")" + digest + R"(","size":7}]})");
+    auto parsed = parseManifest(text);
+    if (parsed.ok())
+        RC_ASSERT(!parsed->chunks.empty() && parsed->text == text);
+}
+
+RC_BOOST_PROP(noExchangeTextBreaksTheParser, ())
+{
+    static const std::string example = exampleExchange();
+    auto message = parseExchange(mutate(example));
+    if (!message)
+        return;
+    RC_ASSERT(message->rows.size() <= maxRowsPerMessage);
+    for (const auto& row : message->rows) {
+        RC_ASSERT(row.age >= Milliseconds(0));
+        RC_ASSERT(!row.status.vm.empty());
+    }
+    RC_ASSERT(parseExchange(toText(*message)).has_value());
+    parseAnnouncement(mutate(R"({"vm":"a","kind":1,"generation":5,"digest":"x"})"));
+    unpackDigest(message->digest, 1);
+}
+
+BOOST_AUTO_TEST_CASE(messagesOutOfBoundsAreRefused)
+{
+    auto whole = json::parse(exampleExchange());
+    BOOST_REQUIRE(parseExchange(whole.dump()));
+    struct Row {
+        const char* pointer;
+        json value;
+    };
+    const Row rows[] = { { "/rows/0/age_ms", -1 }, { "/rows/0/age_ms", int64_t(1) << 60 }, { "/rows/0/age_ms", "1" },
+        { "/rows/0/status/vm", "" }, { "/rows/0/status/vm", std::string(300, 'x') }, { "/rows/0/status/incarnation", UINT64_MAX },
+        { "/rows/0/status/sequence", UINT64_MAX }, { "/rows/0/status/holdings/0/count", 1 << 30 }, { "/rows", json::object() },
+        { "/documents/0/generation", UINT64_MAX }, { "/documents", json::array() }, { "/members", "x" }, { "/members", 5 },
+        { "/vm", std::string(300, 'x') } };
+    for (const auto& row : rows) {
+        auto changed = whole;
+        changed[json::json_pointer(row.pointer)] = row.value;
+        BOOST_TEST(!parseExchange(changed.dump()), row.pointer << " " << row.value.dump().substr(0, 20));
+    }
+    auto many = whole;
+    for (size_t i = 0; i < maxRowsPerMessage; ++i)
+        many["rows"].push_back(whole["rows"][0]);
+    BOOST_TEST(!parseExchange(many.dump()));
+    BOOST_TEST(!parseExchange(std::string(maxExchangeBytes + 1, ' ')));
+}
+
+RC_BOOST_PROP(noCommandLineBreaksTheReader, (std::vector<std::string> words))
+{
+    std::vector<std::string> kept { "bilberryd" };
+    for (const auto& word : words)
+        kept.push_back(*rc::gen::element<std::string>("", "--", "--vm=", "--tick_ms=", "--no", "--nohelp", "--role") + word.c_str());
+    std::vector<char*> arguments;
+    for (auto& word : kept)
+        arguments.push_back(word.data());
+    auto line = readCommandLine(static_cast<int>(arguments.size()), arguments.data());
+    auto settings = makeSettings(line.faults);
+    RC_ASSERT(line.faults.empty() || !settings.ok());
+}
--- /dev/null
+++ b/tests/PublishedStateTest.cpp
@@ -0,0 +1,184 @@
+#define BOOST_TEST_MODULE PublishedState
+#include "PublishedState.h"
+
+#include "PauseGuard.h"
+#include "StartGate.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace bilberry;
+
+// One document as a faulty service may give it.
+struct Offer {
+    Generation generation;
+    std::string text;
+};
+
+static std::string listText(int variant)
+{
+    return R"({"vms":[{"vm":"vm-)" + std::to_string(variant) + R"(","state":"live"}]})";
+}
+
+static rc::Gen<Offer> arbitraryOffer()
+{
+    auto generation = rc::gen::weightedOneOf<Generation>({ { 12, rc::gen::inRange<Generation>(0, 12) }, { 1, rc::gen::element<Generation>(UINT64_MAX, maxGeneration + 1, maxGeneration, maxGenerationStep + 20) } });
+    auto text = rc::gen::weightedOneOf<std::string>({ { 8, rc::gen::map(rc::gen::inRange(0, 3), listText) },
+        { 1, rc::gen::element<std::string>("", "{", "null", "[]", listText(1).substr(0, 20), std::string(1 << 16, '['), std::string(1 << 20, 'x')) },
+        { 1, rc::gen::arbitrary<std::string>() } });
+    return rc::gen::construct<Offer>(generation, text);
+}
+
+// One process of the history below: reads a service that answers anything, hears peers, and may start again.
+struct HistoryProcess {
+    std::unique_ptr<PublishedState> state = std::make_unique<PublishedState>();
+    Generation highest = 0;
+    std::string bytes;
+};
+
+static void offerAndCheck(HistoryProcess& process, const Offer& offer, DocumentSource source)
+{
+    std::string error;
+    auto adoption = process.state->offer(DocumentKind::LiveList, offer.generation, offer.text, source, error);
+    auto held = process.state->document(DocumentKind::LiveList);
+    // Never back, never other bytes under one generation, never what does not parse.
+    RC_ASSERT(held.generation >= process.highest);
+    RC_ASSERT(held.generation > process.highest || held.text == process.bytes);
+    RC_ASSERT(held.generation <= maxGeneration);
+    RC_ASSERT(held.generation == 0 || parseLiveList(held.text, held.generation).ok());
+    RC_ASSERT((adoption == Adoption::Adopted) == (held.generation > process.highest));
+    process.highest = held.generation;
+    process.bytes = held.text;
+}
+
+// One history: answers of a faulty service, relays between processes, restarts, then anti-entropy.
+static void runHistory()
+{
+    std::vector<HistoryProcess> processes(3);
+    auto steps = *rc::gen::container<std::vector<Offer>>(40, arbitraryOffer());
+    Generation highestOfAll = 0;
+    for (const auto& step : steps) {
+        auto& process = processes[*rc::gen::inRange<size_t>(0, processes.size())];
+        const auto& peer = processes[*rc::gen::inRange<size_t>(0, processes.size())];
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+            // A restart: it asks a peer and the service before it acts, and takes the higher one.
+            process = HistoryProcess();
+            offerAndCheck(process, step, DocumentSource::Service);
+            offerAndCheck(process, { peer.highest, peer.bytes }, DocumentSource::Peer);
+            RC_ASSERT(process.highest >= peer.highest);
+            break;
+        case 1:
+        case 2:
+            offerAndCheck(process, { peer.highest, peer.bytes }, DocumentSource::Peer);
+            break;
+        default:
+            offerAndCheck(process, step, DocumentSource::Service);
+        }
+    }
+    for (const auto& process : processes)
+        highestOfAll = std::max(highestOfAll, process.highest);
+    // Anti-entropy brings all to the highest.
+    for (auto& process : processes) {
+        for (const auto& peer : processes)
+            offerAndCheck(process, { peer.highest, peer.bytes }, DocumentSource::Peer);
+        RC_ASSERT(process.highest == highestOfAll);
+    }
+}
+
+RC_BOOST_PROP(noHistoryOfAnswersAndRestartsReverts, ())
+{
+    // Ten a case: 1,000 histories with the library's 100 cases.
+    for (int i = 0; i < 10; ++i)
+        runHistory();
+}
+
+BOOST_AUTO_TEST_CASE(offersAreJudgedByGenerationBytesAndSource)
+{
+    struct Row {
+        Generation generation;
+        const char* digest;
+        DocumentSource source;
+        Adoption expected;
+    };
+    const Row rows[] = {
+        { 5, "a", DocumentSource::Service, Adoption::AlreadyHeld },
+        { 5, "b", DocumentSource::Service, Adoption::Conflicting },
+        { 4, "a", DocumentSource::Peer, Adoption::Older },
+        { 0, "a", DocumentSource::Service, Adoption::Implausible },
+        { 6, "b", DocumentSource::Service, Adoption::Adopted },
+        { 7, "bad", DocumentSource::Peer, Adoption::AlreadyRejected },
+        { 7, "whole", DocumentSource::Peer, Adoption::Adopted },
+        { maxGeneration + 1, "b", DocumentSource::Peer, Adoption::Implausible },
+        { 5 + maxGenerationStep, "b", DocumentSource::Service, Adoption::Adopted },
+        { 6 + maxGenerationStep, "b", DocumentSource::Service, Adoption::Implausible },
+        { 6 + maxGenerationStep, "b", DocumentSource::Peer, Adoption::Adopted },
+    };
+    for (const auto& row : rows) {
+        AdoptionState state { { 5, "a" }, { 7, "bad" }, 0, {} };
+        BOOST_TEST((judgeOffer(state, { row.generation, row.digest }, row.source, Clock::now()) == row.expected), row.generation << " " << row.digest);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLargeStepCountsOnlyAfterASecondRead)
+{
+    AdoptionState state { { 5, "a" }, {}, 0, {} };
+    DocumentVersion jump { maxGenerationStep * 2, "b" };
+    auto now = Clock::now();
+    auto judge = [&](Milliseconds after) { return judgeOffer(state, jump, DocumentSource::Service, now + after); };
+    BOOST_TEST((judge(Milliseconds(0)) == Adoption::Implausible));
+    BOOST_TEST((judge(jumpConfirmation / 2) == Adoption::Implausible));
+    BOOST_TEST((judge(jumpConfirmation) == Adoption::Adopted));
+    // Served once and never again, it leaves the way free.
+    BOOST_TEST((judgeOffer(state, { 6, "c" }, DocumentSource::Service, now) == Adoption::Adopted));
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsShownBeforeRelease)
+{
+    PublishedState state;
+    std::string error;
+    BOOST_TEST((state.offer(DocumentKind::LiveList, 3, listText(1), DocumentSource::Peer, error) == Adoption::Adopted));
+    BOOST_TEST(!state.liveList());
+    state.release();
+    BOOST_TEST(state.liveList()->generation == 3);
+    BOOST_TEST((state.offer(DocumentKind::LiveList, 4, "{", DocumentSource::Peer, error) == Adoption::Invalid));
+    BOOST_TEST(state.liveList()->generation == 3);
+    BOOST_TEST(!state.wants(DocumentKind::LiveList, makeVersion(4, "{")));
+    BOOST_TEST(state.wants(DocumentKind::LiveList, { 4, "another" }));
+}
+
+BOOST_AUTO_TEST_CASE(aProcessStartsAfterItHasAskedOrWaited)
+{
+    TimePoint start = Clock::now();
+    BOOST_TEST(!mayStart({ start, false, true, true }, start + std::chrono::hours(1)));
+    BOOST_TEST(mayStart({ start, true, true, true }, start));
+    BOOST_TEST(!mayStart({ start, true, false, true }, start));
+    BOOST_TEST(!mayStart({ start, true, true, false }, start));
+    BOOST_TEST(mayStart({ start, true, false, false }, start + startLimit));
+}
+
+RC_BOOST_PROP(afterAPauseNothingActsBeforeAReadOrTheLimit, (std::vector<uint16_t> gaps, std::vector<bool> answers))
+{
+    PauseState state;
+    TimePoint now = TimePoint {} + std::chrono::hours(1);
+    TimePoint resumedAt {};
+    bool hasRead = true;
+    for (size_t i = 0; i < gaps.size(); ++i) {
+        TimePoint before = now;
+        now += Milliseconds(gaps[i] % (2 * pauseLimit.count()));
+        bool wasPaused = i > 0 && now - before > pauseLimit;
+        RC_ASSERT(!wasPaused || !mayAct(state, now));
+        noteTick(state, now);
+        if (wasPaused) {
+            resumedAt = now;
+            hasRead = false;
+            // An answer to what was sent before the pause proves nothing.
+            noteReread(state, before);
+        }
+        if (i < answers.size() && answers[i]) {
+            noteReread(state, now);
+            hasRead = true;
+        }
+        RC_ASSERT(mayAct(state, now) == (hasRead || now - resumedAt >= rereadLimit));
+    }
+}
--- /dev/null
+++ b/tests/bare_fleet.py
@@ -0,0 +1,117 @@
+"""Daemons and a configuration service without back ends: for what the processes know of each other."""
+
+import json
+import pathlib
+import signal
+import tempfile
+import time
+
+import harness
+
+PROMISE_SECONDS = 4.0
+START_SECONDS = 10.0
+DEAD_ADDRESS = "127.0.9.9:1"
+
+
+class BareFleet:
+    """`size` daemons, a third of them entries, evenly in the data centres. Use it as a context manager."""
+
+    def __init__(self, build, size, data_centres=3, cut_off=lambda index: False, flags=(), publish=True):
+        self.build = pathlib.Path(build)
+        self.folder = tempfile.mkdtemp(prefix="bilberry-")
+        self.flags = list(flags)
+        self.cut_off = cut_off
+        self.processes = []
+        self.filler = ""
+        names = [f"dc-{index}" for index in range(data_centres)]
+        self.inventory = {
+            "data_centres": [{"name": name, "region": f"region-{index % 2}"} for index, name in enumerate(names)],
+            "services": [{"name": "plain", "kind": "plain", "path_prefix": "/plain"}],
+            "models": [], "callers": [{"name": "caller", "share": 1}],
+            "weight_store": {"address": DEAD_ADDRESS, "region": "region-0"},
+            "vms": [self._row(index, names[index % data_centres]) for index in range(size)],
+        }
+        self.rules = {"placements": [], "bursts": [], "unrepeatable": [], "services": [], "data_centres_out": [], "vms_leaving": []}
+        self.publish_at_start = publish
+
+    @staticmethod
+    def _row(index, data_centre):
+        row = {"name": f"vm-{index}", "data_centre": data_centre, "address": ""}
+        if index % 3 == 0:
+            return {**row, "role": "entry"}
+        return {**row, "service": "plain", "back_end": DEAD_ADDRESS}
+
+    def __enter__(self):
+        try:
+            self.config = harness.Process("config", [str(self.build / "standin"), "--kind=config", "--listen=127.0.9.1:0"], self.folder)
+            for index in range(len(self.inventory["vms"])):
+                self.processes.append(self.launch(index))
+            if self.publish_at_start:
+                self.publish()
+                self.wait_in_force(START_SECONDS)
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        for process in [*self.processes, getattr(self, "config", None)]:
+            if process:
+                process.signal(signal.SIGCONT)
+                process.kill()
+
+    def launch(self, index, flags=None, peers=None):
+        row = self.inventory["vms"][index]
+        service = DEAD_ADDRESS if self.cut_off(index) else self.config.address
+        seeds = [other["address"] for other in self.inventory["vms"][:3] if other["address"] and other is not row] if peers is None else peers
+        listen = row["address"] or f"127.0.{10 + index % 3}.1:0"
+        command = [str(self.build / "bilberryd"), f"--role={row.get('role', 'endpoint')}", f"--vm={row['name']}",
+                   f"--data_centre={row['data_centre']}", f"--listen={listen}", f"--configuration_service={service}",
+                   f"--peers={','.join(seeds)}", "--http_threads=16", *(self.flags if flags is None else flags)]
+        process = harness.Process(row["name"], command, self.folder)
+        row["address"] = process.address
+        return process
+
+    def restart(self, index, **options):
+        self.processes[index].kill()
+        self.processes[index] = self.launch(index, **options)
+
+    def document(self):
+        return json.dumps({"inventory": self.inventory, "rules": self.rules}) + " " * len(self.filler)
+
+    def publish(self):
+        """Publishes; gives the time."""
+        at = time.monotonic()
+        status = harness.call("PUT", self.config.address, harness.CONFIGURATION_KEY, self.document(), {"Content-Type": "application/json"})[0]
+        assert status == 200, status
+        self.generation = int(harness.call("GET", self.config.address, harness.CONFIGURATION_KEY)[1].get("X-Consul-Index", 0)) or self.generation + 1
+        return at
+
+    def held(self, process):
+        """The generation in force at a process, 0 for none."""
+        if harness.call("GET", process.address, "/readyz", timeout=1)[0] != 200:
+            return 0
+        return process.metrics().get('bilberry_document_generation{document="configuration"}', 0)
+
+    def wait_in_force(self, seconds=PROMISE_SECONDS, processes=None, generation=None):
+        """Waits until the generation is in force at all these processes; gives the time of each in order."""
+        waiting = list(processes or self.processes)
+        times = []
+        end = time.monotonic() + seconds
+        while waiting:
+            assert time.monotonic() < end, f"not within {seconds} s: {[process.name for process in waiting]} {waiting[0].log()[-600:]}"
+            for process in list(waiting):
+                if self.held(process) >= (generation or self.generation):
+                    waiting.remove(process)
+                    times.append(time.monotonic())
+            time.sleep(0.01)
+        return times
+
+    def watchers(self):
+        """Processes that read the service lately."""
+        before = [process.metric("bilberry_configuration_reads_total") for process in self.processes]
+        time.sleep(2.5)
+        return [process for process, count in zip(self.processes, before) if process.metric("bilberry_configuration_reads_total") > count]
