--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -15,7 +15,7 @@
 DEFINE_string(peers, "", "comma-separated IP:port of processes to ask at start");
 DEFINE_string(authentication_key, "", "key that signs requests between the system's processes, 16 characters or more; empty: they are not checked");
 DEFINE_string(authentication_key_accepted, "", "second key that is accepted from peers, while keys are being changed");
-DEFINE_int32(http_threads, 64, "connections served at a time, 4 to 1024");
+DEFINE_int32(http_threads, 256, "connections served at a time, 4 to 1024; each holds a thread, started on demand");
 DEFINE_int32(tick_ms, 100, "interval of the periodic work in ms, 10 to 1000");
 DEFINE_int32(gossip_ms, 500, "interval of exchanges with peers in ms, 50 to 2000");
 DEFINE_int32(connect_timeout_ms, 500, "time to connect in ms, 10 to 10000");
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -19,7 +19,7 @@
     std::string configurationService; ///< IP:port of the platform's configuration service.
     std::vector<std::string> peers; ///< IP:port of processes to ask first, before any configuration is known.
     AuthenticationKeys keys; ///< Of requests between the system's processes.
-    int httpThreads = 64; ///< Connections served at a time.
+    int httpThreads = 256; ///< Connections served at a time.
     Milliseconds tickInterval { 100 };
     Milliseconds gossipInterval { 500 };
     Milliseconds connectTimeout { 500 };
