--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -160,6 +160,8 @@
         exchangeWithPeer(node, peer.address, isPartial ? inventory.dataCentres[peer.dataCentre].name : std::string());
     }
     node.fleet.expire(now, rowLifetime);
+    auto suspects = std::count_if(inventory.vms.begin(), inventory.vms.end(), [&](const Vm& vm) { return !isUsable(static_cast<RowIndex>(&vm - inventory.vms.data())); });
+    node.metrics.set("bilberry_suspect_vms", static_cast<double>(suspects));
     node.metrics.set("bilberry_fleet_rows", static_cast<double>(node.fleet.size()));
 }
 
--- a/src/PauseGuard.cpp
+++ b/src/PauseGuard.cpp
@@ -7,7 +7,7 @@
 
 bool isPaused(const PauseState& state, TimePoint now)
 {
-    return state.lastTickAt != TimePoint {} && now - state.lastTickAt > pauseLimit;
+    return state.lastTickAt != TimePoint {} && now - state.lastTickAt > processPauseLimit;
 }
 
 void noteTick(PauseState& state, TimePoint now)
--- a/src/PauseGuard.h
+++ b/src/PauseGuard.h
@@ -8,7 +8,7 @@
 namespace bilberry {
 
 /// A gap between ticks longer than this means that the process was paused.
-constexpr Milliseconds pauseLimit { 3000 };
+constexpr Milliseconds processPauseLimit { 3000 };
 /// Longest refusal of work after a pause when neither a peer nor the service answers.
 constexpr Milliseconds rereadLimit { 2000 };
 
--- a/src/Process.cpp
+++ b/src/Process.cpp
@@ -102,8 +102,8 @@
 {
     auto now = Clock::now();
     if (process.node.pause.tick(now)) {
-        process.node.metrics.count("bilberry_pauses_total");
-        logEvent(LogLevel::Warning, "paused", "limit_ms={}", pauseLimit.count());
+        process.node.metrics.count("bilberry_process_pauses_total");
+        logEvent(LogLevel::Warning, "paused", "limit_ms={}", processPauseLimit.count());
     }
     if (process.entry) {
         publishOwnStatus(process.node, {});
--- a/tests/PublishedStateTest.cpp
+++ b/tests/PublishedStateTest.cpp
@@ -165,8 +165,8 @@
     bool hasRead = true;
     for (size_t i = 0; i < gaps.size(); ++i) {
         TimePoint before = now;
-        now += Milliseconds(gaps[i] % (2 * pauseLimit.count()));
-        bool wasPaused = i > 0 && now - before > pauseLimit;
+        now += Milliseconds(gaps[i] % (2 * processPauseLimit.count()));
+        bool wasPaused = i > 0 && now - before > processPauseLimit;
         RC_ASSERT(!wasPaused || !mayAct(state, now));
         noteTick(state, now);
         if (wasPaused) {
--- a/tests/process_fleet_faults.py
+++ b/tests/process_fleet_faults.py
@@ -25,7 +25,7 @@
 def refuse_after_pause(fleet):
     """A paused endpoint is refused work until it has heard the fleet again, then adopts what it missed."""
     paused = fleet.processes[4]
-    pauses = paused.metric("bilberry_pauses_total")
+    pauses = paused.metric("bilberry_process_pauses_total")
     paused.signal(signal.SIGSTOP)
     fleet.rules["data_centres_out"] = ["dc-0"]
     fleet.publish()
@@ -35,7 +35,7 @@
     status, headers, _ = harness.call("POST", paused.address, "/forward/plain/x", "{}", {"X-Bilberry-Service": "plain"})
     reason = {name.lower(): value for name, value in headers.items()}.get("x-bilberry-reason")
     assert status == 503 and reason in ("no-configuration", "data-centre-out"), (status, headers)
-    harness.wait_until(lambda: paused.metric("bilberry_pauses_total") == pauses + 1, PROMISE_SECONDS, "pause noticed")
+    harness.wait_until(lambda: paused.metric("bilberry_process_pauses_total") == pauses + 1, PROMISE_SECONDS, "pause noticed")
     fleet.wait_in_force(PROMISE_SECONDS)
 
 
