Give each VM of a region an equal share of the chunks to bring in

Cause: with plain rendezvous one of three VMs brought in 29 of 64 chunks and sent 1.19 copies where the others sent 0.9.

--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -16,17 +16,33 @@
 // Ranks by which VMs far from the origin wait longer than those near it.
 static constexpr uint32_t farOriginRanks = 3;
 
+std::vector<std::string> assignChunks(const std::vector<std::string>& digests, const std::vector<std::string>& members)
+{
+    size_t share = (digests.size() + members.size() - 1) / members.size();
+    std::unordered_map<std::string, size_t> assigned;
+    std::vector<std::string> first;
+    first.reserve(digests.size());
+    for (const auto& digest : digests) {
+        auto ranked = rankMembers(digest, members, members.size());
+        auto hasRoom = [&](const std::string& member) { return assigned[member] < share; };
+        first.push_back(*std::find_if(ranked.begin(), ranked.end(), hasRoom));
+        ++assigned[first.back()];
+    }
+    return first;
+}
+
 std::vector<ChunkRoute> makeRoutes(const std::vector<std::string>& digests, const std::vector<std::string>& members, const std::string& ownVm)
 {
+    auto first = assignChunks(digests, members);
     std::vector<ChunkRoute> routes(digests.size());
     for (size_t chunk = 0; chunk < digests.size(); ++chunk) {
+        auto ranked = rankMembers(digests[chunk], members, members.size());
+        auto position = std::find(ranked.begin(), ranked.end(), first[chunk]);
+        std::rotate(ranked.begin(), position, position + 1);
         ChunkRoute& route = routes[chunk];
-        uint64_t own = rendezvousScore(digests[chunk], ownVm);
-        for (const auto& member : members) {
-            if (member != ownVm && std::make_pair(rendezvousScore(digests[chunk], member), member) > std::make_pair(own, ownVm))
-                ++route.rank;
-        }
-        route.ahead = rankMembers(digests[chunk], members, std::min<size_t>(route.rank, maxRouteDepth));
+        route.rank = static_cast<uint32_t>(std::find(ranked.begin(), ranked.end(), ownVm) - ranked.begin());
+        ranked.resize(std::min<size_t>(route.rank, maxRouteDepth));
+        route.ahead = std::move(ranked);
     }
     return routes;
 }
--- a/src/ChunkPlan.h
+++ b/src/ChunkPlan.h
@@ -36,6 +36,10 @@
 /// VMs of a region that may be waited for before this one brings a chunk in.
 constexpr size_t maxRouteDepth = 3;
 
+/// For each chunk the member that brings it in: the first in rendezvous order that has no more than its equal share of
+/// the chunks yet. Equal on all processes with the same lists. Precondition: there are members. Thread safe.
+std::vector<std::string> assignChunks(const std::vector<std::string>& digests, const std::vector<std::string>& members);
+
 /// The routes of all chunks, with no source. Precondition: `members` are the region's VMs with the model, this one included.
 /// Thread safe.
 std::vector<ChunkRoute> makeRoutes(const std::vector<std::string>& digests, const std::vector<std::string>& members, const std::string& ownVm);
--- a/src/SpreadView.cpp
+++ b/src/SpreadView.cpp
@@ -51,26 +51,24 @@
 }
 
 // Gives each route the VM of the region before this one that brings the chunk in there.
-static void setSources(SpreadView& view, const Configuration& configuration, const std::vector<RowIndex>& vms, const std::string& ownRegion, const Manifest& manifest)
+static void setSources(SpreadView& view, const Configuration& configuration, const std::vector<RowIndex>& vms, const std::string& ownRegion, const std::vector<std::string>& digests)
 {
     const Inventory& inventory = configuration.inventory;
     std::vector<std::string> regions;
-    std::vector<std::vector<std::string>> members;
+    std::vector<std::vector<std::string>> first; // By region, then by chunk.
     for (RowIndex vm : vms) {
         const std::string& region = inventory.dataCentres[inventory.vms[vm].dataCentre].region;
         if (positionOf(regions, region) < regions.size())
             continue;
         regions.push_back(region);
-        members.push_back(namesInRegion(configuration, vms, region));
+        first.push_back(assignChunks(digests, namesInRegion(configuration, vms, region)));
     }
     for (size_t chunk = 0; chunk < view.routes.size(); ++chunk) {
-        const std::string& digest = manifest.chunks[chunk].digest;
-        auto order = regionOrder(digest, regions, inventory.weightStoreRegion);
+        auto order = regionOrder(digests[chunk], regions, inventory.weightStoreRegion);
         size_t position = positionOf(order, ownRegion);
         if (position == 0)
             continue;
-        const auto& before = members[positionOf(regions, order[position - 1])];
-        view.routes[chunk].source = rankMembers(digest, before, 1).front();
+        view.routes[chunk].source = first[positionOf(regions, order[position - 1])][chunk];
     }
 }
 
@@ -123,7 +121,7 @@
     }
     view.routes = makeRoutes(digests, inRegion, own.name);
     if (!view.isOriginNear)
-        setSources(view, configuration, vms, ownRegion, manifest);
+        setSources(view, configuration, vms, ownRegion, digests);
     auto first = std::count_if(view.routes.begin(), view.routes.end(), [](const ChunkRoute& route) { return route.rank == 0; });
     view.regionShare = static_cast<double>(first) / static_cast<double>(std::max<size_t>(view.routes.size(), 1));
     const Model& row = inventory.models[model];
