--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -8,8 +8,12 @@
 
 namespace bilberry {
 
-// Fetches that one process has open to one peer.
+// Fetches that one process has open to one peer of its region, and to one of another region. In a region of many VMs
+// there are fewer, which leaves a sender's link to the transfers that a whole region waits for.
 static constexpr uint32_t maxFetchesPerPeer = 2;
+static constexpr uint32_t maxFetchesPerPeerInLargeRegion = 1;
+static constexpr std::ptrdiff_t largeRegionPeers = 4;
+static constexpr uint32_t maxFetchesPerRemotePeer = 2;
 // Fetches from the origin and from other regions leave slots for those inside the region.
 static constexpr size_t maxOriginFetches = 3;
 static constexpr size_t maxRegionFetches = 3;
@@ -58,13 +62,17 @@
     std::vector<uint32_t> holders; ///< Peers that hold a chunk, by chunk.
     size_t originFetches = 0;
     size_t regionFetches = 0;
+    uint32_t perPeer = maxFetchesPerPeer;
 };
 
 } // namespace
 
 static PlanWork makeWork(const ChunkPlanInput& input, TimePoint now)
 {
-    PlanWork work { input, now, {}, std::vector<uint32_t>(input.peers.size(), 0), std::vector<uint32_t>(input.chunks.size(), 0), input.originFetches, input.regionFetches };
+    PlanWork work { input, now, {}, std::vector<uint32_t>(input.peers.size(), 0), std::vector<uint32_t>(input.chunks.size(), 0), input.originFetches, input.regionFetches, maxFetchesPerPeer };
+    auto regionPeers = std::count_if(input.peers.begin(), input.peers.end(), [](const ChunkPeer& peer) { return peer.isSameRegion; });
+    if (regionPeers >= largeRegionPeers)
+        work.perPeer = maxFetchesPerPeerInLargeRegion;
     for (size_t i = 0; i < input.peers.size(); ++i) {
         const ChunkPeer& peer = input.peers[i];
         work.positions.emplace(peer.vm, i);
@@ -84,7 +92,7 @@
 static const ChunkPeer* choosePeer(const PlanWork& work, size_t chunk, bool isSameRegion)
 {
     const ChunkPeer* best = nullptr;
-    uint32_t bestLoad = maxFetchesPerPeer;
+    uint32_t bestLoad = isSameRegion ? work.perPeer : maxFetchesPerRemotePeer;
     for (size_t i = 0; i < work.input.peers.size(); ++i) {
         const ChunkPeer& peer = work.input.peers[i];
         uint32_t load = peer.fetchesInProgress + work.started[i];
@@ -116,7 +124,7 @@
         return choosePeer(work, chunk, false);
     size_t position = work.positions.at(work.input.routes[chunk].source);
     const ChunkPeer& source = work.input.peers[position];
-    bool isFree = source.fetchesInProgress + work.started[position] < maxFetchesPerPeer;
+    bool isFree = source.fetchesInProgress + work.started[position] < maxFetchesPerRemotePeer;
     return isFree && isUsable(work, source, chunk) ? &source : nullptr;
 }
 
--- a/tests/measure_weights.py
+++ b/tests/measure_weights.py
@@ -4,10 +4,10 @@
 The origin sends four copies a window and each VM's link (a relay in front of its process) two. Receiving is not paced.
 """
 
-import socket
 import time
 
 import harness
+from weights_fleet import LinkedFleet, start_without_model
 
 WINDOW_SECONDS = 8.0
 MODEL_BYTES = 4 << 20
@@ -20,69 +20,14 @@
 LIVE_SECONDS = 8
 
 
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
-class PacedFleet(harness.Fleet):
-    """N endpoints of one model, each behind a paced link, and one entry."""
-
-    def __init__(self, build, count, strategy="peers", has_entry=False, engine_flags=()):
-        self.count = count
-        self.has_entry = has_entry
-        flags = [f"--weight_strategy={strategy}", "--http_threads=256", f"--weight_upload_bytes_per_second={int(LINK_RATE * 0.9)}"]
-        super().__init__(build, model_bytes=MODEL_BYTES, chunk_bytes=CHUNK_BYTES, store_rate=ORIGIN_RATE, engine_flags=engine_flags,
-                         daemon_flags=flags, edit=PacedFleet.shape)
-
-    def shape(self):
-        centres = [row["name"] for row in self.inventory["data_centres"]]
-        template = next(row for row in self.inventory["vms"] if row.get("service") == "drafting")
-        vms = [row for row in self.inventory["vms"] if row.get("role") == "entry"][:1 if self.has_entry else 0]
-        for i in range(self.count):
-            vms.append({**template, "name": f"vm-{i}", "data_centre": centres[i % len(centres)]})
-        self.inventory["vms"] = vms
-        self.inventory["services"] = [row for row in self.inventory["services"] if row["kind"] == "model"]
-        self.rules["services"] = [row for row in self.rules["services"] if row["service"] == "drafting"]
-        self.rules["unrepeatable"] = []
-        self.rules["bursts"] = []
-        self.rules["placements"] = [{"model": self.inventory["models"][0]["name"], "replicas": self.count, "survive_data_centre_loss": False}]
-
-    def start_daemon(self, name, listen_port=0):
-        row = self.vm(name)
-        process = super().start_daemon(name, listen_port or free_port(self.host(row)))
-        if row.get("role") != "entry":
-            link = self.standin(f"{name}.link", "link", self.host(row), f"--target={process.address}", f"--bytes_per_second={LINK_RATE}")
-            row["address"] = link.address
-        return process
-
-    def sum_metric(self, prefix):
-        return sum(self.processes[name].metric(prefix) for name in self.endpoints())
-
-    def crossings(self):
-        """Copies that each region but the origin's received from elsewhere."""
-        received = {}
-        for row in self.inventory["vms"]:
-            if row["data_centre"] != self.inventory["data_centres"][0]["name"] and row.get("role") != "entry":
-                process = self.processes[row["name"]]
-                crossed = process.metric('bilberry_chunk_bytes_total{source="region"}') + process.metric('bilberry_chunk_bytes_total{source="origin"}')
-                received[row["data_centre"]] = received.get(row["data_centre"], 0) + crossed / MODEL_BYTES
-        return received
-
-
-def start_without_model(fleet):
-    """Starts everything, but publishes no version yet."""
-    fleet.put_model = lambda *_: None
-    fleet.start()
-    del fleet.put_model
-    for name in fleet.endpoints():
-        harness.wait_until(lambda name=name: harness.call("GET", fleet.processes[name].address, "/readyz")[0] == 200, 20, f"{name} ready")
+def paced_fleet(build, count, strategy="peers", **others):
+    return LinkedFleet(build, count, link_rate=LINK_RATE, model_bytes=MODEL_BYTES, chunk_bytes=CHUNK_BYTES, store_rate=ORIGIN_RATE,
+                       daemon_flags=[f"--weight_strategy={strategy}"], **others)
 
 
 def spread(build, count, strategy):
     """Gives seconds from publication until all serve, origin copies, and the most copies a region received."""
-    fleet = PacedFleet(build, count, strategy)
+    fleet = paced_fleet(build, count, strategy)
     try:
         start_without_model(fleet)
         digest = fleet.put_model()
@@ -94,7 +39,7 @@
 
 def live_requests(build):
     """Latency of live requests without and with a spread; answers from other weights than whole published ones."""
-    with PacedFleet(build, 8, has_entry=True, engine_flags=["--slots=16", "--token_ms=10", "--prefill_ms=20"]) as fleet:
+    with paced_fleet(build, 8, has_entry=True, engine_flags=["--slots=16", "--token_ms=10", "--prefill_ms=20"]) as fleet:
         fleet.wait_for_replicas(8, 60)
         fleet.wait_for_entries()
         first = fleet.digest
