--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -20,7 +20,7 @@
     return start && now >= *start - before && now < *start + after;
 }
 
-ReplicaWish wantedReplicas(const Configuration& configuration, RowIndex model, WallTime now)
+ReplicaWish findReplicaWish(const Configuration& configuration, RowIndex model, WallTime now)
 {
     ReplicaWish wish;
     auto raise = [&](uint32_t replicas, const std::string& reason) {
@@ -38,6 +38,11 @@
     return wish;
 }
 
+uint32_t wantedReplicas(const Configuration& configuration, RowIndex model, WallTime now)
+{
+    return findReplicaWish(configuration, model, now).replicas;
+}
+
 // State of one placement: the VMs' free memory and the candidates of the model at hand.
 struct PlacementWork {
     const Configuration& configuration;
@@ -141,7 +146,7 @@
         work.freeBytes.push_back(vm.weightMemoryBytes);
     Placement placement;
     for (RowIndex model = 0; model < configuration.inventory.models.size(); ++model) {
-        auto wish = wantedReplicas(configuration, model, now);
+        auto wish = findReplicaWish(configuration, model, now);
         if (wish.replicas == 0)
             continue;
         collectCandidates(work, live, model);
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -36,8 +36,11 @@
     std::string reason; ///< The rule that asks for the most.
 };
 
-/// Replicas that the rules want of a model at a time, bursts within their lead time included. Thread safe.
-ReplicaWish wantedReplicas(const Configuration&, RowIndex model, WallTime now);
+/// What the rules want of a model at a time, bursts within their lead time included. Thread safe.
+ReplicaWish findReplicaWish(const Configuration&, RowIndex model, WallTime now);
+
+/// Only the number of it. Thread safe.
+uint32_t wantedReplicas(const Configuration&, RowIndex model, WallTime now);
 
 /// Places every model. Data centres that are out keep their weights, so that they return at once; VMs that the live
 /// list does not have get none, unless there is no list. Thread safe.
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -139,11 +139,11 @@
     auto first = civilDay(2026, 2, 18);
     auto day = std::chrono::hours(24);
     auto second = std::chrono::seconds(1);
-    BOOST_TEST(wantedReplicas(configuration, 0, first - day * 2 - second).replicas == 2U);
-    BOOST_TEST(wantedReplicas(configuration, 0, first - day * 2).replicas == 6U);
-    BOOST_TEST(wantedReplicas(configuration, 0, first + day * 30 - second).replicas == 6U);
-    BOOST_TEST(wantedReplicas(configuration, 0, first + day * 30).replicas == 2U);
-    BOOST_TEST(wantedReplicas(configuration, 0, first).reason == "burst ramadan");
+    BOOST_TEST(wantedReplicas(configuration, 0, first - day * 2 - second) == 2U);
+    BOOST_TEST(wantedReplicas(configuration, 0, first - day * 2) == 6U);
+    BOOST_TEST(wantedReplicas(configuration, 0, first + day * 30 - second) == 6U);
+    BOOST_TEST(wantedReplicas(configuration, 0, first + day * 30) == 2U);
+    BOOST_TEST(findReplicaWish(configuration, 0, first).reason == "burst ramadan");
 }
 
 // In 2027 and 2030 a new moon minutes from midnight puts the library's day one off the published one.
@@ -153,9 +153,9 @@
     configuration.rules.bursts.push_back({ "new-year", 0, "chinese", 1, 1, std::nullopt, 1, 1, 6 });
     auto day = std::chrono::hours(24);
     for (auto published : { civilDay(2026, 2, 17), civilDay(2027, 2, 6), civilDay(2028, 1, 26), civilDay(2029, 2, 13), civilDay(2030, 2, 3) }) {
-        BOOST_TEST(wantedReplicas(configuration, 0, published - day).replicas == 6U);
-        BOOST_TEST(wantedReplicas(configuration, 0, published + day - std::chrono::seconds(1)).replicas == 6U);
-        BOOST_TEST(wantedReplicas(configuration, 0, published + day * 40).replicas == 2U);
+        BOOST_TEST(wantedReplicas(configuration, 0, published - day) == 6U);
+        BOOST_TEST(wantedReplicas(configuration, 0, published + day - std::chrono::seconds(1)) == 6U);
+        BOOST_TEST(wantedReplicas(configuration, 0, published + day * 40) == 2U);
     }
 }
 
