--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -1,16 +1,16 @@
 /// The process beside one endpoint: the last check of every request, and the owner of what is true of the endpoint.
 #pragma once
 
-#include "Admission.h"
+#include "AdmissionGate.h"
 #include "HttpMessage.h"
 #include "KeyedRequests.h"
 #include "WeightAgent.h"
 
-#include <mutex>
-
 namespace bilberry {
 
+struct BackEndRun;
 struct Configuration;
+struct HttpReply;
 struct Node;
 struct Vm;
 
@@ -32,22 +32,20 @@
     HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
     /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
     std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
-    /// Requests at the back end.
+    /// Requests at the back end, and in the queue for it.
     uint32_t inProgress() const;
 
 private:
     HttpResponse refuse(const HttpRequest&, RefusalReason);
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
-    RefusalReason admit();
-    void complete(bool isFailure, bool wasAtLimit);
-    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const DispatchCheck&);
+    std::string describeLoad() const;
+    HttpResponse passOn(const HttpRequest&, const HttpReply& head, std::shared_ptr<BackEndRun>);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&, const DispatchCheck&);
 
     Node& node;
     WeightAgent weights;
     KeyedRequests keyed;
-    mutable std::mutex mutex; ///< Guards the admission state.
-    AdmissionState admission;
-    bool hasBounds = false;
+    AdmissionGate gate;
 };
 
 } // namespace bilberry
--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -128,6 +128,7 @@
     // Ages count from the send time of the request: the peer made its answer later, so no report looks fresher than it is.
     takeRows(node, reply->rows, sentAt);
     noteVersionsAt(node, address, reply->documents);
+    offerMissing(node, address, reply->documents);
     auto other = readDigest(*reply, coverage);
     if (!other)
         return true;
@@ -159,6 +160,8 @@
         exchangeWithPeer(node, peer.address, isPartial ? inventory.dataCentres[peer.dataCentre].name : std::string());
     }
     node.fleet.expire(now, rowLifetime);
+    auto suspects = std::count_if(inventory.vms.begin(), inventory.vms.end(), [&](const Vm& vm) { return !isUsable(static_cast<RowIndex>(&vm - inventory.vms.data())); });
+    node.metrics.set("bilberry_suspect_vms", static_cast<double>(suspects));
     node.metrics.set("bilberry_fleet_rows", static_cast<double>(node.fleet.size()));
 }
 
