--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -39,7 +39,7 @@
     const Inventory& inventory = configuration.inventory;
     const Vm& row = inventory.vms[vm];
     const Model& wanted = inventory.models[model];
-    uint32_t replicas = wantedReplicas(configuration, model, day).replicas;
+    uint32_t replicas = wantedReplicas(configuration, model, day);
     if (row.role == Role::Entry)
         return "an entry VM carries no model";
     if (row.service != wanted.service)
