Keep relays inside the byte target, and measure adoption at the process

Cause: worked out from the messages, a relay of the target fleet of 932 VMs exchanged 27.5 KB/s (target 25). The measurement polled 128 processes in turn, so that its times were mostly its own. Ruled out: a longer round for all (the promise of 4 s counts eight of 0.5 s).

--- a/src/DocumentSpread.cpp
+++ b/src/DocumentSpread.cpp
@@ -146,11 +146,11 @@
 void tickSpread(Node& node, Milliseconds wait)
 {
     auto work = node.spread.take(wait);
-    for (int i = 0; i < documentKindCount; ++i) {
+    for (size_t i = 0; i < documentKindCount; ++i) {
         if (!work.fetchFrom[i].empty())
             fetchDocument(node, work.fetchFrom[i], static_cast<DocumentKind>(i));
     }
-    for (int i = 0; i < documentKindCount; ++i) {
+    for (size_t i = 0; i < documentKindCount; ++i) {
         if (work.announce[i])
             announceDocument(node, static_cast<DocumentKind>(i));
     }
--- a/src/FleetView.cpp
+++ b/src/FleetView.cpp
@@ -30,6 +30,7 @@
 {
     RowIndex wanted = dataCentre.empty() ? noRow : findRow(inventory.dataCentres, dataCentre);
     std::vector<std::string> names;
+    names.reserve(inventory.vms.size());
     for (const auto& vm : inventory.vms) {
         if (dataCentre.empty() || vm.dataCentre == wanted)
             names.push_back(vm.name);
@@ -53,6 +54,7 @@
     std::sort(rows.begin(), rows.end(), [](const FleetRow& first, const FleetRow& second) { return first.changedAt > second.changedAt; });
     rows.resize(std::min(rows.size(), limit));
     std::vector<AgedStatus> aged;
+    aged.reserve(rows.size());
     for (auto& row : rows)
         aged.push_back({ std::move(row.status), std::chrono::duration_cast<Milliseconds>(now - row.reportedAt) });
     return aged;
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -40,6 +40,8 @@
     if (adoption == Adoption::Adopted) {
         node.spread.requestAnnouncement(kind);
         node.metrics.set("bilberry_document_generation", static_cast<double>(generation), { { "document", std::string(toText(kind)) } });
+        auto adoptedAt = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+        node.metrics.set("bilberry_document_adopted_time_seconds", adoptedAt, { { "document", std::string(toText(kind)) } });
         logEvent(LogLevel::Info, "document_adopted", "document={} generation={} source={}", toText(kind), generation, toText(source));
     }
     if (adoption == Adoption::Invalid)
--- a/src/PeerChoice.cpp
+++ b/src/PeerChoice.cpp
@@ -9,7 +9,7 @@
 // Rounds between exchanges with another data centre of the region, of a process that is no relay.
 static constexpr uint64_t crossInterval = 8;
 // Rounds between exchanges of a relay with another region.
-static constexpr uint64_t relayInterval = 2;
+static constexpr uint64_t relayInterval = 16;
 // Rounds between those that also try suspect peers.
 static constexpr uint64_t probeInterval = 8;
 // Peers of the own data centre that are told of a document at once.
@@ -80,10 +80,11 @@
     IsUsable isAllowed = turn % probeInterval == 0 ? IsUsable([](RowIndex) { return true; }) : isUsable;
     std::vector<RowIndex> chosen;
     addSome(chosen, peersAt(inventory, own, Distance::SameDataCentre, isAllowed), seed, 1);
-    bool isAlone = chosen.empty();
-    if (isAlone || turn % crossInterval == 1)
+    // A relay goes to another region in every second of its turns, in place of its own, so that it costs no more bytes.
+    bool isRelayTurn = turn % relayInterval == 1 && isRelay(inventory, own, isUsable);
+    bool isRegionTurn = turn % crossInterval == 1 && !isRelayTurn;
+    if (chosen.empty() || isRegionTurn)
         addSome(chosen, peersAt(inventory, own, Distance::SameRegion, isAllowed), seed, 1);
-    bool isRelayTurn = turn % relayInterval == 0 && isRelay(inventory, own, isUsable);
     if (chosen.empty() || isRelayTurn)
         addSome(chosen, peersAt(inventory, own, Distance::OtherRegion, isAllowed), seed, 1);
     return chosen;
@@ -102,6 +103,7 @@
 std::vector<std::string> chooseWatchers(const std::vector<WatchCandidate>& candidates)
 {
     std::vector<std::string> names;
+    names.reserve(candidates.size());
     for (const auto& candidate : candidates)
         names.push_back(candidate.vm);
     auto ranked = rankMembers("watch", names, maxWatcherCandidates);
--- a/src/SpreadQueue.cpp
+++ b/src/SpreadQueue.cpp
@@ -7,7 +7,7 @@
 void SpreadQueue::requestFetch(DocumentKind kind, const std::string& address)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->work.fetchFrom[static_cast<int>(kind)] = address;
+    this->work.fetchFrom[static_cast<size_t>(kind)] = address;
     this->hasWork = true;
     this->changed.notify_one();
 }
@@ -15,7 +15,7 @@
 void SpreadQueue::requestAnnouncement(DocumentKind kind)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->work.announce[static_cast<int>(kind)] = true;
+    this->work.announce[static_cast<size_t>(kind)] = true;
     this->hasWork = true;
     this->changed.notify_one();
 }
--- a/src/SpreadQueue.h
+++ b/src/SpreadQueue.h
@@ -3,6 +3,7 @@
 
 #include "PublishedState.h"
 
+#include <array>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -12,8 +13,8 @@
 
 /// What is to be done for each document, by DocumentKind.
 struct SpreadWork {
-    std::string fetchFrom[documentKindCount]; ///< Address; empty: nothing to fetch.
-    bool announce[documentKindCount] = { false, false };
+    std::array<std::string, documentKindCount> fetchFrom; ///< Address; empty: nothing to fetch.
+    std::array<bool, documentKindCount> announce {};
 };
 
 /// Thread safe.
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -2,6 +2,7 @@
 #include "Membership.h"
 
 #include "Backoff.h"
+#include "ExchangeMessage.h"
 #include "PeerChoice.h"
 
 #include <boost/test/unit_test.hpp>
@@ -76,8 +77,8 @@
         asked += peers.size();
         RC_ASSERT(std::count(peers.begin(), peers.end(), own) == 0);
     }
-    // One a round, each eighth round one more of the region, each second one of another region for a relay.
-    RC_ASSERT(asked <= rounds + rounds / 8 + rounds / 2);
+    // One a round, and each eighth round one more of the region or, for a relay, of another region.
+    RC_ASSERT(asked <= rounds + rounds / 8);
     auto announced = chooseAnnouncePeers(inventory, own, 7, isUsable);
     RC_ASSERT(std::set<RowIndex>(announced.begin(), announced.end()).size() == announced.size());
     RC_ASSERT(announced.size() <= 6);
@@ -88,7 +89,7 @@
     auto inventory = makeInventory(2, 40);
     std::set<RowIndex> talkers;
     for (RowIndex own = 0; own < inventory.vms.size(); ++own) {
-        for (uint64_t round = 0; round < 16; ++round) {
+        for (uint64_t round = 0; round < 32; ++round) {
             for (RowIndex peer : choosePeers(inventory, own, round, anyone)) {
                 if (!inSameRegion(inventory, inventory.vms[own].dataCentre, inventory.vms[peer].dataCentre))
                     talkers.insert(own);
@@ -98,6 +99,48 @@
     BOOST_TEST(talkers.size() == 4 * relaysPerDataCentre);
 }
 
+// Bytes of one exchange, both messages, that covers so many VMs of which none has changed.
+static size_t exchangeBytes(size_t vms)
+{
+    constexpr size_t headAndFraming = 400 + 100;
+    ExchangeMessage message;
+    message.vm = "eu-central-b-entry-100";
+    message.dataCentre = "eu-central-b";
+    message.membersHash = UINT64_MAX;
+    message.digest = packDigest(std::vector<DigestEntry>(vms));
+    for (auto& version : message.documents)
+        version = { 1'000'000, std::string(versionDigestLength, 'a') };
+    return 2 * (toText(message).size() + headAndFraming);
+}
+
+BOOST_AUTO_TEST_CASE(controlBytesOfTheTargetFleetStayUnderTheTarget)
+{
+    constexpr double targetBytesPerSecond = 25'000;
+    constexpr double roundsPerSecond = 2;
+    constexpr uint64_t rounds = 128;
+    auto inventory = makeInventory(2, 233);
+    const auto partialBytes = static_cast<double>(exchangeBytes(233));
+    const auto wholeBytes = static_cast<double>(exchangeBytes(inventory.vms.size()));
+    std::vector<double> bytes(inventory.vms.size(), 0);
+    for (RowIndex own = 0; own < inventory.vms.size(); ++own) {
+        for (uint64_t round = 0; round < rounds; ++round) {
+            for (RowIndex peer : choosePeers(inventory, own, round, anyone)) {
+                bool isPartial = coversOneDataCentre(inventory, inventory.vms[own].dataCentre, inventory.vms[peer].dataCentre);
+                auto size = isPartial ? partialBytes : wholeBytes;
+                bytes[own] += size;
+                bytes[peer] += size;
+            }
+        }
+    }
+    double sum = 0;
+    for (double value : bytes)
+        sum += value;
+    double mean = sum * roundsPerSecond / rounds / static_cast<double>(bytes.size());
+    double most = *std::max_element(bytes.begin(), bytes.end()) * roundsPerSecond / rounds;
+    BOOST_TEST_MESSAGE("bytes a second, both ways: mean " << mean << ", most " << most);
+    BOOST_TEST(most <= targetBytesPerSecond);
+}
+
 // Rounds that announcements and exchanges need until every process holds a document that one has adopted.
 static int roundsToAll(size_t vmsPerDataCentre)
 {
--- a/tests/bare_fleet.py
+++ b/tests/bare_fleet.py
@@ -96,6 +96,10 @@
             return 0
         return process.metrics().get('bilberry_document_generation{document="configuration"}', 0)
 
+    def adopted_at(self, process):
+        """Wall-clock time at which a process adopted the configuration that it holds."""
+        return process.metrics()['bilberry_document_adopted_time_seconds{document="configuration"}']
+
     def wait_in_force(self, seconds=PROMISE_SECONDS, processes=None, generation=None):
         """Waits until the generation is in force at all these processes; gives the time of each in order."""
         waiting = list(processes or self.processes)
--- a/tests/measure_fleet.py
+++ b/tests/measure_fleet.py
@@ -37,13 +37,15 @@
     every, last = [], []
     for _ in range(CHANGES):
         fleet.rules["data_centres_out"] = [] if fleet.rules["data_centres_out"] else ["dc-1"]
-        at = fleet.publish()
+        at = time.time()
+        fleet.publish()
         if is_down:
             harness.wait_until(lambda: any(fleet.held(process) >= fleet.generation for process in fleet.processes[:8]), 10, "first read")
             fleet.config.fault(down=True)
-        times = [moment - at for moment in fleet.wait_in_force(20)]
+        fleet.wait_in_force(20)
+        times = [fleet.adopted_at(process) - at for process in fleet.processes]
         every += times
-        last.append(times[-1])
+        last.append(max(times))
         fleet.config.fault(down=False)
         time.sleep(1)
     return every, last
@@ -96,7 +98,11 @@
 
 
 def print_slopes(results, small, large):
-    """The slope between the smallest and the largest size, and the value that it gives at the target size."""
+    """The slope between the smallest and the largest size, and the value on that line at the target size.
+
+    For the bytes the line does not hold above 256 processes, where digests no longer cover the whole fleet; see
+    MembershipTest/controlBytesOfTheTargetFleet…, which works them out from the messages.
+    """
     if small == large:
         return
     units = {"service_calls": ("calls/s", 1, 2000), "control_bytes": ("KB/s", 1000, 25), "core_share": ("%", 1, 2.1), "resident": ("MB", 1e6, 128)}
@@ -104,7 +110,7 @@
         slope = (results[large][name] - results[small][name]) / (large - small)
         at_target = results[large][name] + slope * (TARGET_SIZE - large)
         print(f"fleet_{name}_slope {slope / scale:.5f} {unit}/process -")
-        print(f"fleet_{name}_at_{TARGET_SIZE} {at_target / scale:.2f} {unit} {target}")
+        print(f"fleet_{name}_line_at_{TARGET_SIZE} {at_target / scale:.2f} {unit} {target}")
     growth = results[large]["last"] / max(results[small]["last"], 0.01)
     print(f"fleet_in_force_growth {growth:.2f} x {math.log(large) / math.log(small):.2f}")
 
