--- a/src/WeightPeers.cpp
+++ b/src/WeightPeers.cpp
@@ -13,13 +13,15 @@
 // How often a peer is asked while chunks are missing, and when none are.
 static constexpr Milliseconds pollInterval { 120 };
 static constexpr Milliseconds idlePollInterval { 500 };
+// Least time between two questions of one process, on average.
+static constexpr Milliseconds pollSpacing { 12 };
 static constexpr Milliseconds pollCheckInterval { 15 };
 // A peer that does not answer is asked after twice the time each try, up to this.
 static constexpr Milliseconds maxPollBackOff { 4000 };
 static constexpr uint32_t maxDoublings = 4;
 static constexpr Milliseconds resolveCheckInterval { 50 };
 // Pause after a call to the store that failed.
-static constexpr Milliseconds resolveRetryInterval { 1000 };
+static constexpr Milliseconds resolveRetryInterval { 500 };
 
 namespace {
 
@@ -43,6 +45,19 @@
     adoptManifest(*row, std::move(manifest), confirmedAt, state.store, Clock::now());
 }
 
+// When to ask a peer again: seldom once either side has all chunks, else less often the more peers are asked, which
+// bounds the questions of one process. Precondition: the lock is held.
+static Milliseconds nextPollInterval(const WeightState& state, const WeightRow& row, const WeightPeer& peer)
+{
+    bool isIdle = hasAllChunks(row.wanted) || row.isTooLarge;
+    const auto& held = peer.holdings.chunks;
+    bool isComplete = peer.holdings.digest == row.wanted.manifest.digest && !held.empty() && std::find(held.begin(), held.end(), false) == held.end();
+    if (isIdle || isComplete)
+        return idlePollInterval;
+    auto polled = std::count_if(state.peers.begin(), state.peers.end(), [](const auto& entry) { return entry.second.isPolled; });
+    return std::max(pollInterval, pollSpacing * static_cast<int>(polled));
+}
+
 // The peer that is due for longest, marked as asked; nothing when none is due.
 static std::optional<Poll> takeDuePoll(WeightState& state)
 {
@@ -60,8 +75,7 @@
     if (!due)
         return std::nullopt;
     const WeightRow* row = findWeightRow(state.rows, model);
-    bool isIdle = hasAllChunks(row->wanted) || row->isTooLarge;
-    state.peers[{ model, due->vm }].nextPoll = now + (isIdle ? idlePollInterval : pollInterval);
+    state.peers[{ model, due->vm }].nextPoll = now + nextPollInterval(state, *row, *due);
     return Poll { model, due->vm, due->address };
 }
 
--- a/src/WeightTable.cpp
+++ b/src/WeightTable.cpp
@@ -5,7 +5,7 @@
 namespace bilberry {
 
 // How often a label is resolved, to see a new version under it.
-static constexpr Milliseconds resolveInterval { 1000 };
+static constexpr Milliseconds resolveInterval { 500 };
 // How much longer each rank waits for the ones before it.
 static constexpr Milliseconds resolvePatience { 2000 };
 
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -19,7 +19,7 @@
         self.count = count
         self.has_entry = has_entry
         self.link_rate = link_rate
-        flags = ["--http_threads=256", f"--weight_upload_bytes_per_second={int(link_rate * 0.9)}", *daemon_flags]
+        flags = ["--http_threads=256", f"--weight_upload_bytes_per_second={int(link_rate * 0.95)}", *daemon_flags]
         super().__init__(build, daemon_flags=flags, edit=LinkedFleet.shape, **others)
 
     def shape(self):
