--- a/tests/process_weights_partition.py
+++ b/tests/process_weights_partition.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Regions that lose each other during a spread, with a peer that claims all chunks and sends other bytes."""
+"""Regions that lose each other during a spread, a peer that claims all chunks and sends other bytes, a stalled link."""
 
 import http.server
 import json
@@ -55,9 +55,15 @@
         assert fleet.origin_copies() - origin <= MAX_COPIES_WITH_FAULTS, fleet.origin_copies() - origin
         assert fleet.sum_metric('bilberry_chunk_fetches_total{result="corrupt",source="peer"}') > 0
         fleet.cut([], [])
-        third = fleet.put_model(seed=3)
         CorruptingPeer.claim = None
+        # A seeder's link stalls mid-transfer: what only it holds is brought in again by another.
+        origin = fleet.origin_copies()
+        copies = fleet.received()
+        third = fleet.put_model(seed=3)
+        harness.wait_until(lambda: fleet.received() > copies + 0.2, 20, "the third version spreads")
+        fleet.fault_link("vm-0", stall=True)
         harness.wait_until(lambda: all(fleet.served(name) == third for name in names), 25, "all serve the third version")
+        assert fleet.origin_copies() - origin <= MAX_COPIES_WITH_FAULTS, fleet.origin_copies() - origin
 
 
 if __name__ == "__main__":
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -51,7 +51,11 @@
             foes = others if row["data_centre"] in data_centres else data_centres
             prefixes = [self.host({"data_centre": name}).rsplit(".", 1)[0] + "." for name in foes]
             if link:
-                assert harness.call("POST", link.control, "/fault", json.dumps({"cut_from": prefixes}))[0] == 200
+                self.fault_link(row["name"], cut_from=prefixes)
+
+    def fault_link(self, name, **switches):
+        control = self.processes[f"{name}.link"].control
+        assert harness.call("POST", control, "/fault", json.dumps(switches))[0] == 200
 
     def restart_back_end(self, name):
         """Kills the engine beside an endpoint and starts an empty one at its address."""
