--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -212,10 +212,11 @@
     MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
     this->node.metrics.count("bilberry_requests_answered_total", labels);
     this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
-    auto watch = [&] { watchAnswer(this->node.metrics, response, labels, Clock::now() - request.receivedAt, request.configuration->rules.services[request.service].latencyObjective); };
+    auto objective = request.configuration->rules.services[request.service].latencyObjective;
+    auto firstByte = Clock::now() - request.receivedAt;
     if (!outcome.stream) {
         this->router.release(*table, vm);
-        watch();
+        watchAnswer(this->node.metrics, response, labels, firstByte, objective);
         return response;
     }
     auto stream = std::make_shared<OpenStream>(OpenStream { *request.http, request, std::move(table), vm, {} });
@@ -229,13 +230,14 @@
     else
         response.stream = [exchange = outcome.stream](std::string& piece) { return exchange->readPiece(piece); };
     response.onFinished = [this, stream] { this->closeStream(*stream); };
-    watch();
+    watchAnswer(this->node.metrics, response, labels, firstByte, objective);
     return response;
 }
 
 HttpResponse Entry::serve(const HttpRequest& http)
 {
     EntryRequest request;
+    request.http = &http;
     request.receivedAt = Clock::now();
     // Step 1. What is asked, by whom, until when.
     request.configuration = this->node.published.configuration();
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -19,7 +19,7 @@
         self.count = count
         self.has_entry = has_entry
         self.link_rate = link_rate
-        flags = ["--http_threads=256", f"--weight_upload_bytes_per_second={int(link_rate * 0.9)}", *daemon_flags]
+        flags = ["--http_threads=256", f"--weight_upload_bytes_per_second={int(link_rate * 0.95)}", *daemon_flags]
         super().__init__(build, daemon_flags=flags, edit=LinkedFleet.shape, **others)
 
     def shape(self):
@@ -51,7 +51,11 @@
             foes = others if row["data_centre"] in data_centres else data_centres
             prefixes = [self.host({"data_centre": name}).rsplit(".", 1)[0] + "." for name in foes]
             if link:
-                assert harness.call("POST", link.control, "/fault", json.dumps({"cut_from": prefixes}))[0] == 200
+                self.fault_link(row["name"], cut_from=prefixes)
+
+    def fault_link(self, name, **switches):
+        control = self.processes[f"{name}.link"].control
+        assert harness.call("POST", control, "/fault", json.dumps(switches))[0] == 200
 
     def restart_back_end(self, name):
         """Kills the engine beside an endpoint and starts an empty one at its address."""
