--- a/tests/BurnReportTest.cpp
+++ b/tests/BurnReportTest.cpp
@@ -115,7 +115,7 @@
     std::string text = "bilberry_requests_answered_total" + labels + "} " + std::to_string(answered) + "\n";
     text += "bilberry_slow_answers_total" + labels + "} " + std::to_string(*rc::gen::inRange(0, answered + 1)) + "\n";
     for (const auto& reason : reasons)
-        text += "bilberry_refusals_total" + labels + ",reason=\"" + reason + "\"} " + count() + "\n";
+        text.append("bilberry_refusals_total").append(labels).append(",reason=\"").append(reason).append("\"} ").append(count()).append("\n");
     return counters(dataCentre, text);
 }
 
