--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -4,6 +4,7 @@
 #include "EntryRequest.h"
 #include "HttpClient.h"
 #include "Node.h"
+#include "RequestPolicy.h"
 #include "ServiceLevel.h"
 #include "StreamRelay.h"
 #include "WireHeaders.h"
@@ -147,6 +148,8 @@
         return false;
     AttemptReport report { refusal, !request.isUnrepeatable, false, attempts, timeLeft(request) };
     auto decision = decideRetry(report);
+    if (usesSimplePolicy())
+        return decision != RetryDecision::GiveUp && attempts < simplePolicyAttempts;
     if (decision == RetryDecision::GiveUp)
         return false;
     if (decision == RetryDecision::TryAnother) {
@@ -200,7 +203,6 @@
         stream.tried.push_back(vm);
         last = outcome.refusal.reason == RefusalReason::None ? makeRefusal(RefusalReason::ReplyLost) : outcome.refusal;
     }
-    this->node.metrics.count("bilberry_streams_cut_total");
     return nullptr;
 }
 
@@ -213,11 +215,10 @@
     MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
     this->node.metrics.count("bilberry_requests_answered_total", labels);
     this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
-    auto objective = request.configuration->rules.services[request.service].latencyObjective;
-    auto firstByte = Clock::now() - request.receivedAt;
+    auto watch = [&] { watchAnswer(this->node.metrics, response, labels, Clock::now() - request.receivedAt, request.configuration->rules.services[request.service].latencyObjective); };
     if (!outcome.stream) {
         this->router.release(*table, vm);
-        watchAnswer(this->node.metrics, response, labels, firstByte, objective);
+        watch();
         return response;
     }
     auto stream = std::make_shared<OpenStream>(OpenStream { *request.http, request, std::move(table), vm, {} });
@@ -231,7 +232,7 @@
     else
         response.stream = [exchange = outcome.stream](std::string& piece) { return exchange->readPiece(piece); };
     response.onFinished = [this, stream] { this->closeStream(*stream); };
-    watchAnswer(this->node.metrics, response, labels, firstByte, objective);
+    watch();
     return response;
 }
 
--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -7,6 +7,7 @@
 #include "HttpClient.h"
 #include "KeyOwner.h"
 #include "Node.h"
+#include "RequestPolicy.h"
 #include "WireHeaders.h"
 
 namespace bilberry {
@@ -16,6 +17,12 @@
 
 RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
+    if (usesSimplePolicy() && request.key.empty()) {
+        RowIndex next = chooseInTurn(table, { request.service, request.model }, tried, this->attemptCounter);
+        if (next != noRow)
+            this->router.acquire(table, next);
+        return next;
+    }
     if (request.key.empty())
         return this->router.choose(table, { request.service, request.model, request.prefixHash }, tried, this->nextRandom());
     const Inventory& inventory = request.configuration->inventory;
