--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "Node.h"
 #include "Refusal.h"
+#include "RequestPolicy.h"
 #include "WireHeaders.h"
 
 #include <absl/strings/numbers.h>
@@ -52,7 +53,8 @@
     bool isModel = configuration->inventory.services[vm.service].kind == ServiceKind::Model;
     VmStatus status;
     this->weights.fillStatus(status);
-    this->gate.setBounds({ vm.coldConcurrency, vm.maxConcurrency });
+    AdmissionBounds bounds { vm.coldConcurrency, vm.maxConcurrency };
+    this->gate.setBounds(usesSimplePolicy() ? AdmissionBounds { simplePolicyLimit, simplePolicyLimit } : bounds);
     this->gate.setCold(isModel && status.isCold);
     auto load = this->gate.load();
     status.inProgress = load.inProgress + load.queued;
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -4,6 +4,7 @@
 #include "EntryRequest.h"
 #include "HttpClient.h"
 #include "Node.h"
+#include "RequestPolicy.h"
 #include "ServiceLevel.h"
 #include "StreamRelay.h"
 #include "WireHeaders.h"
@@ -147,6 +148,8 @@
         return false;
     AttemptReport report { refusal, !request.isUnrepeatable, false, attempts, timeLeft(request) };
     auto decision = decideRetry(report);
+    if (usesSimplePolicy())
+        return decision != RetryDecision::GiveUp && attempts < simplePolicyAttempts;
     if (decision == RetryDecision::GiveUp)
         return false;
     if (decision == RetryDecision::TryAnother) {
