--- a/src/SpreadView.cpp
+++ b/src/SpreadView.cpp
@@ -92,6 +92,9 @@
     for (auto& route : view.routes)
         route = {};
     view.isOriginNear = true;
+    // Versions come the way that the chunks do.
+    view.resolverRank = strategy == SpreadStrategy::Tree ? positionOf(order, ownVm) : 0;
+    view.resolvers.clear();
     if (strategy == SpreadStrategy::OriginOnly)
         view.members.clear();
     else
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -56,6 +56,7 @@
         : random(seed)
         , faults(faults)
     {
+        this->digests.reserve(chunkCount);
         for (size_t i = 0; i < chunkCount; ++i)
             this->digests.push_back("sha256:" + std::to_string(seed) + "-" + std::to_string(i));
         for (size_t region = 0; region < regionSizes.size(); ++region) {
