Refuse requests that crashed two back ends, through every entry

Cause: nothing remembered which request crashed a back end, so each re-send could harm another one.

Change: the process beside a back end that goes while a request runs there reports the request's fingerprint to all entries and the service's endpoints before it answers. One further try runs alone on one endpoint that all entries choose; after two crashes the request is refused as final. Ruled out: spreading with the periodic reports, which leaves a re-send time to harm a third.

--- /dev/null
+++ b/src/CrashGuard.cpp
@@ -0,0 +1,115 @@
+#include "CrashGuard.h"
+
+#include "HttpClient.h"
+#include "Log.h"
+#include "Node.h"
+#include "PeerCall.h"
+#include "Refusal.h"
+#include "WireHeaders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+static constexpr Milliseconds probeTimeout { 200 };
+static constexpr size_t maxProbeBytes = 64 << 10;
+// Longest time of telling one process, and all of them.
+static constexpr Milliseconds reportTimeout { 300 };
+static constexpr Milliseconds allReportsTimeout { 1500 };
+
+std::string answerCrashReport(Quarantine& quarantine, Node& node, const std::string& parameters)
+{
+    auto message = json::parse(parameters, nullptr, false);
+    auto found = message.is_object() ? message.find("fingerprint") : message.end();
+    bool isReadable = message.is_object() && found != message.end() && found->is_number_unsigned() && message.contains("vm") && message["vm"].is_string();
+    if (!isReadable) {
+        node.metrics.count("bilberry_messages_refused_total", { { "method", "crash" } });
+        return {};
+    }
+    quarantine.add(found->get<uint64_t>(), message["vm"].get<std::string>(), Clock::now());
+    node.metrics.set("bilberry_crash_fingerprints", static_cast<double>(quarantine.size()));
+    return "{}";
+}
+
+CrashGuard::CrashGuard(Node& node)
+    : node(node)
+{
+}
+
+HttpResponse CrashGuard::refuse(const HttpRequest& request, RefusalReason reason)
+{
+    Refusal refusal = makeRefusal(reason);
+    this->node.metrics.count("bilberry_endpoint_refusals_total", { { "reason", std::string(toText(reason)) } });
+    HttpResponse response = jsonResponse(httpStatus(refusal), problemDetails(refusal));
+    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
+    response.headers.emplace_back(wire::reason, std::string(toText(reason)));
+    response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
+    return response;
+}
+
+// A back end that is only slow, or that closed one connection, still accepts others.
+bool CrashGuard::isBackEndGone(const std::string& address)
+{
+    HttpRequest probe;
+    probe.method = "GET";
+    probe.path = "/";
+    probe.headers.emplace_back("Connection", "close");
+    return this->node.clients.call(address, probe, { probeTimeout, probeTimeout }, maxProbeBytes).failure == CallFailure::NotSent;
+}
+
+void CrashGuard::report(uint64_t fingerprint, const Configuration& configuration, RowIndex own)
+{
+    const auto& vms = configuration.inventory.vms;
+    this->quarantine.add(fingerprint, vms[own].name, Clock::now());
+    this->node.metrics.count("bilberry_back_end_crashes_total");
+    logEvent(LogLevel::Warning, "back_end_crashed", "fingerprint={}", fingerprint);
+    std::string message = json { { "fingerprint", fingerprint }, { "vm", vms[own].name } }.dump();
+    auto giveUpAt = Clock::now() + allReportsTimeout;
+    for (auto role : { Role::Entry, Role::Endpoint }) {
+        for (RowIndex vm = 0; vm < vms.size() && Clock::now() < giveUpAt; ++vm) {
+            bool isConcerned = vm != own && vms[vm].role == role && (role == Role::Entry || vms[vm].service == vms[own].service);
+            if (isConcerned)
+                callPeer(this->node, vms[vm].address, "crash", message, reportTimeout);
+        }
+    }
+}
+
+HttpResponse CrashGuard::run(const HttpRequest& request, const ConfigurationPointer& configuration, RowIndex own, const BackEndRunner& runner)
+{
+    std::string path = request.path.substr(sizeof(wire::forwardPrefix) - 1);
+    uint64_t fingerprint = fingerprintOf(request.method, path, request.body);
+    auto decision = this->quarantine.decide(fingerprint, Clock::now());
+    if (decision == QuarantineDecision::Refuse)
+        return this->refuse(request, RefusalReason::CrashedEndpoints);
+    bool isSuspect = decision == QuarantineDecision::RunAlone;
+    if (isSuspect && this->hasSuspect.exchange(true))
+        return this->refuse(request, RefusalReason::Overloaded);
+    HttpResponse response = runner();
+    std::string backEnd = configuration->inventory.vms[own].backEnd;
+    if (findHeader(response.headers, wire::reason) == toText(RefusalReason::ReplyLost) && this->isBackEndGone(backEnd))
+        this->report(fingerprint, *configuration, own);
+    if (!response.stream) {
+        if (isSuspect)
+            this->hasSuspect = false;
+        return response;
+    }
+    response.stream = [this, configuration, own, fingerprint, backEnd, next = std::move(response.stream)](std::string& piece) {
+        auto step = next(piece);
+        if (step == BodyStep::Broken && this->isBackEndGone(backEnd))
+            this->report(fingerprint, *configuration, own);
+        if (step == BodyStep::End)
+            this->quarantine.clear(fingerprint);
+        return step;
+    };
+    response.onFinished = [this, isSuspect, next = std::move(response.onFinished)] {
+        if (isSuspect)
+            this->hasSuspect = false;
+        if (next)
+            next();
+    };
+    return response;
+}
+
+} // namespace bilberry
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -21,6 +21,7 @@
     : node(node)
     , weights(node)
     , keyed(node)
+    , crashes(node)
 {
 }
 
@@ -114,7 +115,10 @@
         return this->runAtBackEnd(request, configuration->inventory.vms[own], *configuration, mayDispatch);
     };
     bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return hasKey ? this->keyed.handle(request, run) : run(nullptr);
+    auto guarded = [&](const DispatchCheck& mayDispatch) {
+        return this->crashes.run(request, configuration, own, [&] { return run(mayDispatch); });
+    };
+    return hasKey ? this->keyed.handle(request, guarded) : guarded(nullptr);
 }
 
 static HttpRequest toBackEnd(const HttpRequest& request)
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "AdmissionGate.h"
+#include "CrashGuard.h"
 #include "HttpMessage.h"
 #include "KeyedRequests.h"
 #include "WeightAgent.h"
@@ -32,6 +33,8 @@
     HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
     /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
     std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
+    /// Answers the JSON-RPC method `crash` of other endpoints' processes.
+    std::string answerCrash(const std::string& parameters) { return this->crashes.answer(parameters); }
     /// Requests at the back end, and in the queue for it.
     uint32_t inProgress() const;
 
@@ -45,6 +48,7 @@
     Node& node;
     WeightAgent weights;
     KeyedRequests keyed;
+    CrashGuard crashes;
     AdmissionGate gate;
 };
 
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -45,9 +45,11 @@
 
 HttpResponse Entry::refuse(const EntryRequest& request, Refusal refusal)
 {
-    bool isKeyed = request.configuration ? !request.key.empty() : !findHeader(request.http->headers, wire::idempotencyKey).empty();
+    bool isKeyed = request.configuration ? !request.key.empty() : request.http && !findHeader(request.http->headers, wire::idempotencyKey).empty();
     if (isKeyed)
         refusal = refusalForKey(refusal);
+    else if (this->checkQuarantine(request) == QuarantineDecision::Refuse)
+        refusal = makeRefusal(RefusalReason::CrashedEndpoints);
     MetricLabels labels { { "reason", std::string(toText(refusal.reason)) }, { "outcome", std::string(toText(refusal.outcome)) } };
     bool isKnown = request.configuration && request.service != noRow;
     labels["service"] = isKnown ? request.configuration->inventory.services[request.service].name : "";
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -1,6 +1,7 @@
 /// The process in front: takes callers' requests, chooses endpoints, forwards, retries and answers.
 #pragma once
 
+#include "CrashGuard.h"
 #include "HttpMessage.h"
 #include "Retry.h"
 #include "Router.h"
@@ -28,12 +29,15 @@
     void tick(TimePoint now);
     /// Handles a caller's request.
     HttpResponse handle(const HttpRequest&);
+    /// Answers the JSON-RPC method `crash` of endpoints' processes.
+    std::string answerCrash(const std::string& parameters) { return answerCrashReport(this->quarantine, this->node, parameters); }
     /// Requests that are not answered to the end yet.
     uint32_t inProgress() const { return this->requestsInProgress; }
 
 private:
     HttpResponse serve(const HttpRequest&);
     HttpResponse refuse(const EntryRequest&, Refusal);
+    QuarantineDecision checkQuarantine(const EntryRequest&) const;
     RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
     AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm, const std::string& lastEventId);
     bool waitForEndpoint(const EntryRequest&, HttpExchange&, const RoutingTable&, RowIndex vm);
@@ -49,6 +53,7 @@
 
     Node& node;
     Router router;
+    Quarantine quarantine;
     std::atomic<uint32_t> requestsInProgress { 0 };
     std::atomic<uint64_t> attemptCounter { 0 };
     std::mutex mutex; ///< Guards the budgets and the random state.
--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -14,8 +14,25 @@
 // Longest time that a key query may take.
 static constexpr Milliseconds keyQueryTimeout { 1000 };
 
+QuarantineDecision Entry::checkQuarantine(const EntryRequest& request) const
+{
+    // Nothing was ever reported in most fleets; then no body is hashed.
+    if (!request.http || this->quarantine.size() == 0)
+        return QuarantineDecision::Run;
+    return this->quarantine.decide(fingerprintOf(request.http->method, request.http->path, request.http->body), Clock::now());
+}
+
 RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
+    auto quarantined = request.key.empty() ? this->checkQuarantine(request) : QuarantineDecision::Run;
+    if (quarantined == QuarantineDecision::Refuse)
+        return noRow;
+    if (quarantined == QuarantineDecision::RunAlone) {
+        RowIndex vm = chooseForSuspect(table, request.service, request.model, fingerprintOf(request.http->method, request.http->path, request.http->body), tried);
+        if (vm != noRow)
+            this->router.acquire(table, vm);
+        return vm;
+    }
     if (request.key.empty())
         return this->router.choose(table, { request.service, request.model, request.prefixHash }, tried, this->nextRandom());
     const Inventory& inventory = request.configuration->inventory;
--- a/src/KeyLeaseAgent.cpp
+++ b/src/KeyLeaseAgent.cpp
@@ -1,7 +1,7 @@
 #include "KeyLeaseAgent.h"
 
-#include "JsonRpcBridge.h"
 #include "Node.h"
+#include "PeerCall.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -10,9 +10,8 @@
 
 using nlohmann::json;
 
-// Longest time of one request to a voter, and longest answer, in bytes.
+// Longest time of one request to a voter.
 static constexpr Milliseconds leaseCallTimeout { 500 };
-static constexpr size_t maxLeaseReplyBytes = 64 << 10;
 
 KeyLeaseAgent::KeyLeaseAgent(Node& node)
     : node(node)
@@ -186,15 +185,8 @@
 
 void KeyLeaseAgent::askVoter(const std::string& address, const LeaseRequest& request)
 {
-    auto carrier = [&](const std::string& message, std::string& response) {
-        HttpRequest http { "POST", "/rpc", { { "Content-Type", "application/json" }, { "Connection", "close" } }, message };
-        auto reply = this->node.clients.call(address, http, { leaseCallTimeout, leaseCallTimeout }, maxLeaseReplyBytes);
-        response = std::move(reply.body);
-        return reply.failure == CallFailure::None && reply.status == 200;
-    };
     auto sentAt = Clock::now();
-    auto answered = callJsonRpc("key_lease", toJson(request).dump(), carrier);
-    auto reply = answered.error.empty() ? parseLeaseReply(answered.result) : std::nullopt;
+    auto reply = parseLeaseReply(callPeer(this->node, address, "key_lease", toJson(request).dump(), leaseCallTimeout));
     this->node.metrics.count("bilberry_key_lease_requests_total", { { "result", reply ? "ok" : "failed" } });
     if (!reply)
         return;
--- a/src/KeyedRequests.cpp
+++ b/src/KeyedRequests.cpp
@@ -150,7 +150,7 @@
     };
     HttpResponse response = runner(mayDispatch);
     std::string outcome = findHeader(response.headers, wire::outcome);
-    if (outcome == toText(Outcome::NotRun)) {
+    if (outcome == toText(Outcome::NotRun) || outcome == toText(Outcome::Final)) {
         this->table.withdraw(attempt, Clock::now());
         return response;
     }
--- a/src/Process.cpp
+++ b/src/Process.cpp
@@ -167,6 +167,9 @@
         process.endpoint = std::make_unique<Endpoint>(process.node);
     if (process.endpoint)
         process.rpc.addMethod("key_lease", [&process](const std::string& parameters) { return process.endpoint->answerKeyLease(parameters); });
+    process.rpc.addMethod("crash", [&process](const std::string& parameters) {
+        return process.entry ? process.entry->answerCrash(parameters) : process.endpoint->answerCrash(parameters);
+    });
     addStatusMethod(process.rpc, process.node, [&process] { return requestsInProgress(process); });
     process.server.start([&process](const HttpRequest& request) { return answerRequest(process, request); });
     std::printf("listening %s:%d\n", settings.listen.host.c_str(), process.server.port());
