--- a/src/FairQueue.cpp
+++ b/src/FairQueue.cpp
@@ -91,13 +91,15 @@
     return offer;
 }
 
-static QueuedRequest takeNext(FairQueue& queue, PriorityLevel& level)
+static std::optional<QueuedRequest> takeNext(FairQueue& queue, PriorityLevel& level)
 {
     QueuedAccount* next = nullptr;
     for (auto& account : level.accounts) {
         if (!account.waiting.empty() && (!next || account.virtualTime < next->virtualTime))
             next = &account;
     }
+    if (!next)
+        return std::nullopt;
     QueuedRequest request = next->waiting.front();
     next->waiting.pop_front();
     level.virtualTime = next->virtualTime;
--- a/src/StreamRelay.cpp
+++ b/src/StreamRelay.cpp
@@ -59,12 +59,15 @@
     }
     std::string events = progress.pending.substr(0, passed);
     progress.pending.erase(0, passed);
+    progress.hasPassed = progress.hasPassed || passed > 0;
     return events;
 }
 
 bool mayResume(const StreamProgress& progress)
 {
-    return !progress.isMixed && !progress.isWhole && !progress.lastId.empty() && !progress.fingerprint.empty();
+    if (progress.isMixed || progress.isWhole)
+        return false;
+    return !progress.hasPassed || (!progress.lastId.empty() && !progress.fingerprint.empty());
 }
 
 namespace {
