--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -61,6 +61,7 @@
             this->digests.push_back("sha256:" + std::to_string(seed) + "-" + std::to_string(i));
         for (size_t region = 0; region < regionSizes.size(); ++region) {
             std::vector<std::string> names;
+            names.reserve(static_cast<size_t>(regionSizes[region]));
             for (int i = 0; i < regionSizes[region]; ++i)
                 names.push_back("vm-" + std::to_string(region) + "-" + std::to_string(i));
             for (const auto& name : names)
