--- a/tests/FleetTableTest.cpp
+++ b/tests/FleetTableTest.cpp
@@ -18,7 +18,7 @@
     return status;
 }
 
-RC_BOOST_PROP(rowsNeverGoBackWhileTheirProcessReports, (std::vector<std::pair<uint8_t, uint8_t>> reports))
+RC_BOOST_PROP(rowsNeverGoBackWhileTheirProcessReports, (const std::vector<std::pair<uint8_t, uint8_t>>& reports))
 {
     FleetTable table;
     auto now = Clock::now();
@@ -69,7 +69,7 @@
     BOOST_TEST(table.size() == maxFleetRows);
 }
 
-RC_BOOST_PROP(digestsSurviveThePacking, (std::vector<std::pair<uint64_t, uint64_t>> numbers))
+RC_BOOST_PROP(digestsSurviveThePacking, (const std::vector<std::pair<uint64_t, uint64_t>>& numbers))
 {
     std::vector<DigestEntry> entries;
     auto now = Clock::now();
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -176,6 +176,7 @@
 BOOST_AUTO_TEST_CASE(watchersAreFewAndPassOnTheWatch)
 {
     std::vector<WatchCandidate> candidates;
+    candidates.reserve(30);
     for (int i = 0; i < 30; ++i)
         candidates.push_back({ "vm-" + std::to_string(i), false });
     auto watchers = chooseWatchers(candidates);
--- a/tests/MessageAuthenticationTest.cpp
+++ b/tests/MessageAuthenticationTest.cpp
@@ -70,7 +70,7 @@
     BOOST_TEST((verifyRequest(steps[3], request, now) == Authenticity::Wrong));
 }
 
-RC_BOOST_PROP(noTextPassesForASignature, (std::string text))
+RC_BOOST_PROP(noTextPassesForASignature, (const std::string& text))
 {
     auto request = makeRequest();
     request.headers.emplace_back(signatureHeader, text);
--- a/tests/ParserFuzzTest.cpp
+++ b/tests/ParserFuzzTest.cpp
@@ -128,12 +128,13 @@
     BOOST_TEST(!parseExchange(std::string(maxExchangeBytes + 1, ' ')));
 }
 
-RC_BOOST_PROP(noCommandLineBreaksTheReader, (std::vector<std::string> words))
+RC_BOOST_PROP(noCommandLineBreaksTheReader, (const std::vector<std::string>& words))
 {
     std::vector<std::string> kept { "bilberryd" };
     for (const auto& word : words)
-        kept.push_back(*rc::gen::element<std::string>("", "--", "--vm=", "--tick_ms=", "--no", "--nohelp", "--role") + word.c_str());
+        kept.push_back(*rc::gen::element<std::string>("", "--", "--vm=", "--tick_ms=", "--no", "--nohelp", "--role") + word);
     std::vector<char*> arguments;
+    arguments.reserve(kept.size());
     for (auto& word : kept)
         arguments.push_back(word.data());
     auto line = readCommandLine(static_cast<int>(arguments.size()), arguments.data());
