--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "Node.h"
 #include "Refusal.h"
+#include "RequestPolicy.h"
 #include "WireHeaders.h"
 
 #include <absl/strings/numbers.h>
@@ -21,6 +22,7 @@
     : node(node)
     , weights(node)
     , keyed(node)
+    , crashes(node)
 {
 }
 
@@ -52,7 +54,8 @@
     bool isModel = configuration->inventory.services[vm.service].kind == ServiceKind::Model;
     VmStatus status;
     this->weights.fillStatus(status);
-    this->gate.setBounds({ vm.coldConcurrency, vm.maxConcurrency });
+    AdmissionBounds bounds { vm.coldConcurrency, vm.maxConcurrency };
+    this->gate.setBounds(usesSimplePolicy() ? AdmissionBounds { simplePolicyLimit, simplePolicyLimit } : bounds);
     this->gate.setCold(isModel && status.isCold);
     auto load = this->gate.load();
     status.inProgress = load.inProgress + load.queued;
@@ -114,7 +117,10 @@
         return this->runAtBackEnd(request, configuration->inventory.vms[own], *configuration, mayDispatch);
     };
     bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    return hasKey ? this->keyed.handle(request, run) : run(nullptr);
+    auto guarded = [&](const DispatchCheck& mayDispatch) {
+        return this->crashes.run(request, configuration, own, [&] { return run(mayDispatch); });
+    };
+    return hasKey ? this->keyed.handle(request, guarded) : guarded(nullptr);
 }
 
 static HttpRequest toBackEnd(const HttpRequest& request)
