Probe a crashed back end past kept connections; split the tests of a key's owner

Change: probes go on until one says that the back end answers or accepts no connection.

Tests: the tests of a killed and of a frozen owner have a script of their own. Two checks were wrong and are replaced: a key that was never submitted may fall into another endpoint's slot, where it runs, once; and of a woken owner it is now checked that its back end ran none of the keys in hand, rather than that no endpoint ran a key that was sent again.

--- a/src/CrashGuard.cpp
+++ b/src/CrashGuard.cpp
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 static constexpr Milliseconds probeTimeout { 200 };
+// One more than the connections that are kept to an address.
+static constexpr int maxProbes = 9;
 static constexpr size_t maxProbeBytes = 64 << 10;
 // Longest time of telling one process, and all of them.
 static constexpr Milliseconds reportTimeout { 300 };
@@ -49,14 +51,20 @@
     return response;
 }
 
-// A back end that is only slow, or that closed one connection, still accepts others.
+// A back end that is only slow, or that closed one connection, still accepts others. The first probes may go over kept
+// connections that its end has cut, which says nothing yet.
 bool CrashGuard::isBackEndGone(const std::string& address)
 {
     HttpRequest probe;
     probe.method = "GET";
     probe.path = "/";
     probe.headers.emplace_back("Connection", "close");
-    return this->node.clients.call(address, probe, { probeTimeout, probeTimeout }, maxProbeBytes).failure == CallFailure::NotSent;
+    for (int probes = 0; probes < maxProbes; ++probes) {
+        auto reply = this->node.clients.call(address, probe, { probeTimeout, probeTimeout }, maxProbeBytes);
+        if (reply.failure != CallFailure::Lost)
+            return reply.failure == CallFailure::NotSent;
+    }
+    return false;
 }
 
 void CrashGuard::report(uint64_t fingerprint, const Configuration& configuration, RowIndex own)
--- /dev/null
+++ b/tests/process_keys_owner.py
@@ -0,0 +1,85 @@
+#!/usr/bin/env python3
+"""A key runs at most once when the process that owns it is killed and restarted, or frozen and woken."""
+
+import signal
+import threading
+import time
+
+import harness
+from keys_fleet import Caller, start_fleet
+
+# A silent owner's report expires (10 s), its lease runs out (4 s), and an attempt at it may be under way (2.5 s).
+TAKE_OVER_SECONDS = 20
+
+
+def test_owner_restarts(fleet, caller):
+    key, minted = caller.run_key()
+    name = caller.owner(key)
+    before = caller.mint()
+    fleet.processes[name].kill()
+    for entry in (0, 1):
+        answer = caller.submit(key, minted, entry)
+        assert answer[1] == "outcome-unknown", ("a key that ran", answer)
+        # It may fall into a slot of another endpoint, where it runs, once.
+        answer = caller.submit(*before, entry)
+        assert answer[1] in ("outcome-unknown", "ran"), answer
+    fleet.restart_daemon(name)
+    # Another endpoint or the restarted one takes the slot over; neither can vouch for the old keys.
+    end = time.monotonic() + 8
+    while time.monotonic() < end:
+        answer = caller.submit(key, minted, 1)
+        assert answer[1] == "outcome-unknown", ("a key that ran", answer)
+        if answer[2] == "not-vouched":
+            break
+        time.sleep(0.1)
+    assert answer[2] == "not-vouched", answer
+    caller.check(key)
+    caller.check(before[0])
+    caller.run_key()
+
+
+def runs_at(fleet, name):
+    """The keys that an endpoint's back end has run."""
+    return set(fleet.back_end(name).counts().get("runs_by_key", {}))
+
+
+def test_owner_frozen(fleet, caller):
+    """Woken with requests in hand past every timeout, the process sends none of them."""
+    owned = caller.run_key()
+    name = caller.owner(owned[0])
+    frozen = fleet.processes[name]
+    frozen.signal(signal.SIGSTOP)
+    keys = [caller.mint() for _ in range(6)]
+    threads = [threading.Thread(target=caller.submit, args=(*key, n % 2)) for n, key in enumerate(keys)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    harness.wait_until(lambda: caller.submit(*owned, 1)[2] == "not-vouched", TAKE_OVER_SECONDS, "the slot is taken over")
+    ran_there = runs_at(fleet, name)
+    frozen.signal(signal.SIGCONT)
+    harness.wait_until(lambda: caller.submit(*owned, 0)[1] == "ran", 10, "the owner is back and answers from its table")
+    for key, minted in keys:
+        for entry in (0, 1):
+            caller.submit(key, minted, entry)
+        caller.check(key)
+    late = (runs_at(fleet, name) - ran_there) & {key for key, _ in keys}
+    assert not late, (late, [caller.answers[key] for key in late])
+    caller.check(owned[0])
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__, only="")
+    tests = (test_owner_restarts, test_owner_frozen)
+    with start_fleet(arguments.build) as fleet:
+        caller = Caller(fleet)
+        for test in tests:
+            if arguments.only in test.__name__:
+                start = time.monotonic()
+                caller.wait_for_owners()
+                test(fleet, caller)
+                print(f"{test.__name__} {time.monotonic() - start:.1f} s", flush=True)
+
+
+if __name__ == "__main__":
+    harness.main(main)
