--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -7,6 +7,7 @@
 #include "HttpClient.h"
 #include "KeyOwner.h"
 #include "Node.h"
+#include "RequestPolicy.h"
 #include "WireHeaders.h"
 
 namespace bilberry {
@@ -24,6 +25,12 @@
 
 RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
+    if (usesSimplePolicy() && request.key.empty()) {
+        RowIndex next = chooseInTurn(table, { request.service, request.model }, tried, this->attemptCounter);
+        if (next != noRow)
+            this->router.acquire(table, next);
+        return next;
+    }
     auto quarantined = request.key.empty() ? this->checkQuarantine(request) : QuarantineDecision::Run;
     if (quarantined == QuarantineDecision::Refuse)
         return noRow;
--- /dev/null
+++ b/tests/measure_requests.py
@@ -0,0 +1,97 @@
+#!/usr/bin/env python3
+"""Requests: goodput under overload, fairness, attempts and added latency, beside a simple policy in the same run.
+
+The simple policy (round robin, three attempts, no admission limit) is the daemon's own, set by --simple_request_policy.
+"""
+
+import json
+import statistics
+import time
+
+import harness
+
+SLOTS = 4
+TOKEN_MS = 10
+TOKENS = 20
+SECONDS = 5
+TIMEOUT_MS = 1500
+SMALL_ACCOUNTS = 9
+
+
+def edit(fleet):
+    """Ten accounts with equal shares."""
+    fleet.inventory["callers"] = [{"name": f"account-{index}", "share": 1} for index in range(SMALL_ACCOUNTS + 1)]
+
+
+def capacity(fleet):
+    """Requests a second that the engines can finish."""
+    return len(fleet.replicas()) * SLOTS / (TOKENS * TOKEN_MS / 1000)
+
+
+def totals(fleet, metric):
+    return sum(fleet.processes[name].metric(metric) for name in fleet.entries())
+
+
+def over_cold(fleet):
+    return sum(fleet.back_end(name).counts()["over_cold_limit"] for name in fleet.endpoints(fleet.model_service()))
+
+
+def overload(fleet, factor, policy):
+    """Offers a multiple of the capacity, four fifths of it from one account; gives the share of the capacity that was answered."""
+    rate = capacity(fleet) * factor
+    attempts = totals(fleet, "bilberry_attempts_total")
+    accounts = ",".join(["account-0:36"] + [f"account-{index}:1" for index in range(1, SMALL_ACCOUNTS + 1)])
+    load = fleet.load(f"--account={accounts}", f"--seconds={SECONDS}", f"--timeout_ms={TIMEOUT_MS}", f"--rate={rate}", "--workers=400",
+                      f"--max_tokens={TOKENS}", f"--model={fleet.inventory['models'][0]['name']}", "--seed=5")
+    report = harness.finish(load, 90)
+    attempts = totals(fleet, "bilberry_attempts_total") - attempts
+    goodput = report["ok"] / SECONDS / min(rate, capacity(fleet))
+    print(f"requests_goodput_{policy}_{factor}x {goodput:.3f} share_of_capacity {'>=0.95' if policy == 'own' else '-'}")
+    print(f"requests_attempts_{policy}_{factor}x {attempts / report['sent']:.3f} attempts_per_request {'<=1.1' if policy == 'own' else '-'}")
+    print(f"requests_latency_p99_{policy}_{factor}x {report['latency_ms']['p99']} ms -")
+    print(f"requests_lost_cut_crossed_{policy}_{factor}x {report['lost'] + report['cut'] + report['wrong'] + report['mixed']} count {'0' if policy == 'own' else '-'}")
+    if factor == 3:
+        # Each account's fair share is a tenth of the capacity, or all that it sends when that is less.
+        small = [account for name, account in report["per_account"].items() if name != "account-0"]
+        fair = min(capacity(fleet) * SECONDS / (SMALL_ACCOUNTS + 1), min(account["sent"] for account in small))
+        print(f"requests_smallest_share_{policy}_3x {min(account['ok'] for account in small) / fair:.3f} of_fair_share {'>=0.9' if policy == 'own' else '-'}")
+
+
+def added_latency(fleet):
+    """One request at a time: time through the system less the time straight to an engine."""
+    entry = fleet.processes[fleet.entries()[0]].address
+    engine = fleet.back_end(fleet.replicas()[0]).address
+    body = json.dumps({"model": fleet.inventory["models"][0]["name"], "prompt": "hello", "max_tokens": 1})
+    headers = {**fleet.account(), "Content-Type": "application/json"}
+
+    def measure(address):
+        start = time.monotonic()
+        assert harness.call("POST", address, "/v1/completions", body, headers)[0] == 200
+        return (time.monotonic() - start) * 1000
+
+    through, straight = zip(*[(measure(entry), measure(engine)) for _ in range(200)])
+    base = statistics.median(straight)
+    print(f"requests_added_p50 {statistics.median(through) - base:.2f} ms -")
+    print(f"requests_added_p99 {statistics.quantiles(through, n=100)[98] - base:.2f} ms <=5")
+
+
+def run(build, policy, daemon_flags):
+    flags = [f"--slots={SLOTS}", f"--token_ms={TOKEN_MS}", "--cold_ms=300", "--cold_slots=2"]
+    with harness.Fleet(build, engine_flags=flags, daemon_flags=daemon_flags, edit=edit) as fleet:
+        fleet.wait_for_replicas(9)
+        fleet.wait_for_entries()
+        if policy == "own":
+            added_latency(fleet)
+        for factor in (0.5, 1, 2, 3):
+            overload(fleet, factor, policy)
+        print(f"requests_over_cold_limit_{policy} {over_cold(fleet)} count {'0' if policy == 'own' else '-'}")
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__)
+    run(arguments.build, "own", [])
+    run(arguments.build, "simple", ["--simple_request_policy=true"])
+
+
+if __name__ == "__main__":
+    harness.main(main)
