Ask only engines what they serve, never a plain service

Cause: every endpoint's process read its back end back each 200 ms as if it were an engine. A plain service ran these questions: in process_keys_once they used up the armed fault of a stand-in, so that drop_reply was answered and a back end had crashed before the keyed request came (seen 4 times: 3 of 3 and 1 of 1 runs beside other tests, 2 of about 48 in six at a time). Ruled out: a second run (each key had one run at most), an automatic re-send of the HTTP library (the error was one of connecting), the owner's lease (the slot's holder had not changed). Also mended: the stand-ins found a connection by its ports alone, though each loopback address has ports of its own; they compare the addresses, too.

--- a/src/WeightOrders.cpp
+++ b/src/WeightOrders.cpp
@@ -28,11 +28,17 @@
     state.readBack = { std::move(*models), askedAt, isCold.ok() ? *isCold : wasCold };
 }
 
+// Address of the engine beside this process; empty when there is none. A plain service is no engine: it would run
+// what an engine takes for a question.
 static std::string findEngine(const Node& node)
 {
     auto configuration = node.published.configuration();
     RowIndex own = configuration ? findOwnVm(node, *configuration) : noRow;
-    return own == noRow ? std::string() : configuration->inventory.vms[own].backEnd;
+    if (own == noRow)
+        return {};
+    const Vm& vm = configuration->inventory.vms[own];
+    bool isModel = configuration->inventory.services[vm.service].kind == ServiceKind::Model;
+    return isModel ? vm.backEnd : std::string();
 }
 
 void runReadBack(WeightState& state)
--- a/tests/StandInServer.cpp
+++ b/tests/StandInServer.cpp
@@ -23,21 +23,25 @@
     void shutdown() override { }
 };
 
-int portOf(const sockaddr_storage& address)
+// Whether the socket's address is that IP number and port. Each loopback address has ports of its own.
+bool isAt(const sockaddr_storage& address, const std::string& host, int port)
 {
     if (address.ss_family != AF_INET)
-        return -1;
-    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+        return false;
+    const auto& internet = reinterpret_cast<const sockaddr_in&>(address);
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &internet.sin_addr, text, sizeof(text));
+    return host == text && ntohs(internet.sin_port) == port;
 }
 
 bool isConnectionOf(int socket, const httplib::Request& request)
 {
     sockaddr_storage address {};
     socklen_t size = sizeof(address);
-    if (getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0 || portOf(address) != request.remote_port)
+    if (getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0 || !isAt(address, request.remote_addr, request.remote_port))
         return false;
     size = sizeof(address);
-    return getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0 && portOf(address) == request.local_port;
+    return getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0 && isAt(address, request.local_addr, request.local_port);
 }
 
 int findConnection(const httplib::Request& request)
--- a/tests/process_path.py
+++ b/tests/process_path.py
@@ -10,6 +10,9 @@
     arguments = harness.parse_arguments(__doc__)
     with harness.Fleet(arguments.build) as fleet:
         fleet.wait_for_replicas(9)
+        for name in set(fleet.endpoints()) - set(fleet.endpoints(fleet.model_service())):
+            started = fleet.back_end(name).counts()["started"]
+            assert started == 0, f"{name}: a plain service got {started} requests that no caller sent"
         fleet.wait_for_entries()
         for name in fleet.entries():
             status, headers, body = fleet.ask_model(fleet.processes[name].address, max_tokens=5)
