--- a/src/BurnReport.cpp
+++ b/src/BurnReport.cpp
@@ -80,6 +80,15 @@
     }
 }
 
+static void addTally(BurnTally& sum, const BurnTally& tally)
+{
+    sum.good += tally.good;
+    for (const auto& [cause, count] : tally.bad)
+        sum.bad[cause] += count;
+    for (const auto& [cause, count] : tally.callerFaults)
+        sum.callerFaults[cause] += count;
+}
+
 static std::map<RowKey, TalliesByDataCentre> tallyRows(const BurnSnapshot& growth)
 {
     std::map<RowKey, TalliesByDataCentre> rows;
@@ -90,12 +99,7 @@
             addSample(own[{ findLabel(sample.labels, "service"), findLabel(sample.labels, "caller") }], sample);
         for (auto& [key, tally] : own) {
             takeBadFromGood(tally);
-            BurnTally& sum = rows[key][process.dataCentre];
-            sum.good += tally.good;
-            for (const auto& [cause, count] : tally.bad)
-                sum.bad[cause] += count;
-            for (const auto& [cause, count] : tally.callerFaults)
-                sum.callerFaults[cause] += count;
+            addTally(rows[key][process.dataCentre], tally);
         }
     }
     return rows;
@@ -104,13 +108,8 @@
 static BurnTally sumDataCentres(const TalliesByDataCentre& tallies)
 {
     BurnTally sum;
-    for (const auto& [dataCentre, tally] : tallies) {
-        sum.good += tally.good;
-        for (const auto& [cause, count] : tally.bad)
-            sum.bad[cause] += count;
-        for (const auto& [cause, count] : tally.callerFaults)
-            sum.callerFaults[cause] += count;
-    }
+    for (const auto& [dataCentre, tally] : tallies)
+        addTally(sum, tally);
     return sum;
 }
 
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -169,7 +169,7 @@
 }
 
 // Passes the back end's answer on; it is counted until its last byte.
-HttpResponse Endpoint::passOn(const HttpRequest& request, const HttpReply& head, std::shared_ptr<BackEndRun> run)
+HttpResponse Endpoint::passOn(const HttpRequest& request, const HttpReply& head, const std::shared_ptr<BackEndRun>& run)
 {
     HttpResponse response;
     response.status = head.status;
@@ -222,7 +222,7 @@
         this->node.metrics.count("bilberry_engine_refusals_total");
         return this->refuse(request, RefusalReason::Overloaded);
     }
-    return this->passOn(request, head, std::move(run));
+    return this->passOn(request, head, run);
 }
 
 } // namespace bilberry
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -42,7 +42,7 @@
     HttpResponse refuse(const HttpRequest&, RefusalReason);
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
     std::string describeLoad() const;
-    HttpResponse passOn(const HttpRequest&, const HttpReply& head, std::shared_ptr<BackEndRun>);
+    HttpResponse passOn(const HttpRequest&, const HttpReply& head, const std::shared_ptr<BackEndRun>&);
     HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&, const DispatchCheck&);
 
     Node& node;
