--- a/src/CrashGuard.cpp
+++ b/src/CrashGuard.cpp
@@ -5,6 +5,7 @@
 #include "Node.h"
 #include "PeerCall.h"
 #include "Refusal.h"
+#include "RefusalResponse.h"
 #include "WireHeaders.h"
 
 #include <nlohmann/json.hpp>
@@ -40,17 +41,6 @@
 {
 }
 
-HttpResponse CrashGuard::refuse(const HttpRequest& request, RefusalReason reason)
-{
-    Refusal refusal = makeRefusal(reason);
-    this->node.metrics.count("bilberry_endpoint_refusals_total", { { "reason", std::string(toText(reason)) } });
-    HttpResponse response = jsonResponse(httpStatus(refusal), problemDetails(refusal));
-    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
-    response.headers.emplace_back(wire::reason, std::string(toText(reason)));
-    response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
-    return response;
-}
-
 // A back end that is only slow, or that closed one connection, still accepts others. The first probes may go over kept
 // connections that its end has cut, which says nothing yet.
 bool CrashGuard::isBackEndGone(const std::string& address)
@@ -90,10 +80,10 @@
     uint64_t fingerprint = fingerprintOf(request.method, path, request.body);
     auto decision = this->quarantine.decide(fingerprint, Clock::now());
     if (decision == QuarantineDecision::Refuse)
-        return this->refuse(request, RefusalReason::CrashedEndpoints);
+        return refuseForwarded(this->node, request, RefusalReason::CrashedEndpoints);
     bool isSuspect = decision == QuarantineDecision::RunAlone;
     if (isSuspect && this->hasSuspect.exchange(true))
-        return this->refuse(request, RefusalReason::Overloaded);
+        return refuseForwarded(this->node, request, RefusalReason::Overloaded);
     HttpResponse response = runner();
     std::string backEnd = configuration->inventory.vms[own].backEnd;
     if (findHeader(response.headers, wire::reason) == toText(RefusalReason::ReplyLost) && this->isBackEndGone(backEnd))
--- a/src/CrashGuard.h
+++ b/src/CrashGuard.h
@@ -32,7 +32,6 @@
     std::string answer(const std::string& parameters) { return answerCrashReport(this->quarantine, this->node, parameters); }
 
 private:
-    HttpResponse refuse(const HttpRequest&, RefusalReason);
     bool isBackEndGone(const std::string& address);
     void report(uint64_t fingerprint, const Configuration&, RowIndex own);
 
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "Node.h"
 #include "Refusal.h"
+#include "RefusalResponse.h"
 #include "RequestPolicy.h"
 #include "WireHeaders.h"
 
@@ -76,12 +77,7 @@
 
 HttpResponse Endpoint::refuse(const HttpRequest& request, RefusalReason reason)
 {
-    Refusal refusal = makeRefusal(reason);
-    this->node.metrics.count("bilberry_endpoint_refusals_total", { { "reason", std::string(toText(reason)) } });
-    HttpResponse response = jsonResponse(httpStatus(refusal), problemDetails(refusal));
-    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
-    response.headers.emplace_back(wire::reason, std::string(toText(reason)));
-    response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
+    HttpResponse response = refuseForwarded(this->node, request, reason);
     response.headers.emplace_back(wire::load, this->describeLoad());
     return response;
 }
--- a/src/KeyedRequests.cpp
+++ b/src/KeyedRequests.cpp
@@ -4,6 +4,7 @@
 #include "KeyVouch.h"
 #include "Node.h"
 #include "Refusal.h"
+#include "RefusalResponse.h"
 #include "Rendezvous.h"
 #include "WireHeaders.h"
 
@@ -32,21 +33,10 @@
     this->node.metrics.set("bilberry_key_answer_bytes", static_cast<double>(this->table.answerBytes()));
 }
 
-HttpResponse KeyedRequests::refuse(const HttpRequest& request, RefusalReason reason)
-{
-    Refusal refusal = makeRefusal(reason);
-    this->node.metrics.count("bilberry_endpoint_refusals_total", { { "reason", std::string(toText(reason)) } });
-    HttpResponse response = jsonResponse(httpStatus(refusal), problemDetails(refusal));
-    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
-    response.headers.emplace_back(wire::reason, std::string(toText(reason)));
-    response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
-    return response;
-}
-
 HttpResponse KeyedRequests::answerAgain(const HttpRequest& request, const KeyedAnswer& answer)
 {
     if (!answer.isKept)
-        return this->refuse(request, RefusalReason::AnswerNotKept);
+        return refuseForwarded(this->node, request, RefusalReason::AnswerNotKept);
     HttpResponse response;
     response.status = answer.status;
     response.headers.emplace_back("Content-Type", answer.contentType);
@@ -79,13 +69,13 @@
     auto now = Clock::now();
     // Step 1. Keys that are never taken.
     if (findHeader(request.headers, wire::idempotencyKey).size() > maxKeyLength)
-        return this->refuse(request, RefusalReason::KeyMalformed);
+        return refuseForwarded(this->node, request, RefusalReason::KeyMalformed);
     auto minted = parseMintTime(findHeader(request.headers, wire::idempotencyMinted));
     auto fault = checkMint(minted, std::chrono::system_clock::now());
     if (fault == MintFault::Missing)
-        return this->refuse(request, RefusalReason::KeyMalformed);
+        return refuseForwarded(this->node, request, RefusalReason::KeyMalformed);
     if (fault == MintFault::Ahead)
-        return this->refuse(request, RefusalReason::KeyMintedAhead);
+        return refuseForwarded(this->node, request, RefusalReason::KeyMintedAhead);
     // Step 2. Known keys are answered by the table, unseen ones only run where they are vouched for.
     auto attempt = readAttempt(request);
     KeyedAnswer answer;
@@ -95,20 +85,20 @@
     case KeyDecision::AnswerAgain:
         return this->answerAgain(request, answer);
     case KeyDecision::InProgress:
-        return this->refuse(request, RefusalReason::KeyInProgress);
+        return refuseForwarded(this->node, request, RefusalReason::KeyInProgress);
     case KeyDecision::Fenced:
-        return this->refuse(request, RefusalReason::KeyFenced);
+        return refuseForwarded(this->node, request, RefusalReason::KeyFenced);
     case KeyDecision::OutcomeUnknown:
-        return this->refuse(request, RefusalReason::ReplyLost);
+        return refuseForwarded(this->node, request, RefusalReason::ReplyLost);
     case KeyDecision::TableFull:
-        return this->refuse(request, RefusalReason::KeyTableFull);
+        return refuseForwarded(this->node, request, RefusalReason::KeyTableFull);
     case KeyDecision::OtherRequest:
-        return this->refuse(request, RefusalReason::KeyReused);
+        return refuseForwarded(this->node, request, RefusalReason::KeyReused);
     case KeyDecision::NotVouched:
         break;
     }
     bool isOwner = this->leases.tenure(findKeySlot(attempt.key)).has_value();
-    return this->refuse(request, isOwner ? RefusalReason::NotVouched : RefusalReason::KeyNotOwned);
+    return refuseForwarded(this->node, request, isOwner ? RefusalReason::NotVouched : RefusalReason::KeyNotOwned);
 }
 
 static TimePoint readDeadline(const HttpRequest& request, TimePoint receivedAt)
@@ -158,7 +148,7 @@
     bool isAnswer = outcome == toText(Outcome::Ran);
     if (!readWhole(response) || !isAnswer) {
         this->table.markLost(attempt.key, Clock::now());
-        return isAnswer ? this->refuse(request, RefusalReason::ReplyLost) : response;
+        return isAnswer ? refuseForwarded(this->node, request, RefusalReason::ReplyLost) : response;
     }
     this->table.finish(attempt.key, { response.status, findHeader(response.headers, "Content-Type"), response.body }, Clock::now());
     return response;
@@ -175,14 +165,14 @@
     case KeyState::Fenced:
         // A process that ran at this address before may have run an older key.
         if (minted && (this->isVouched(attempt.key, minted) || coversMint(this->startedAt, *minted)))
-            return this->refuse(request, RefusalReason::KeyFenced);
-        return this->refuse(request, RefusalReason::ReplyLost);
+            return refuseForwarded(this->node, request, RefusalReason::KeyFenced);
+        return refuseForwarded(this->node, request, RefusalReason::ReplyLost);
     case KeyState::Recorded:
     case KeyState::Running:
-        return this->refuse(request, RefusalReason::KeyInProgress);
+        return refuseForwarded(this->node, request, RefusalReason::KeyInProgress);
     case KeyState::Unseen:
     case KeyState::Lost:
-        return this->refuse(request, RefusalReason::ReplyLost);
+        return refuseForwarded(this->node, request, RefusalReason::ReplyLost);
     case KeyState::Finished:
         break;
     }
--- a/src/KeyedRequests.h
+++ b/src/KeyedRequests.h
@@ -37,7 +37,6 @@
     bool isVouched(const std::string& scopedKey, std::optional<WallTime> minted) const;
     HttpResponse run(const HttpRequest&, const KeyedAttempt&, const KeyedRunner&, TimePoint receivedAt);
     HttpResponse answerAgain(const HttpRequest&, const KeyedAnswer&);
-    HttpResponse refuse(const HttpRequest&, RefusalReason);
 
     Node& node;
     KeyTable table;
--- /dev/null
+++ b/src/RefusalResponse.cpp
@@ -0,0 +1,20 @@
+#include "RefusalResponse.h"
+
+#include "Node.h"
+#include "Refusal.h"
+#include "WireHeaders.h"
+
+namespace bilberry {
+
+HttpResponse refuseForwarded(Node& node, const HttpRequest& request, RefusalReason reason)
+{
+    Refusal refusal = makeRefusal(reason);
+    node.metrics.count("bilberry_endpoint_refusals_total", { { "reason", std::string(toText(reason)) } });
+    HttpResponse response = jsonResponse(httpStatus(refusal), problemDetails(refusal));
+    response.headers.emplace_back(wire::outcome, std::string(toText(refusal.outcome)));
+    response.headers.emplace_back(wire::reason, std::string(toText(reason)));
+    response.headers.emplace_back(wire::attempt, findHeader(request.headers, wire::attempt));
+    return response;
+}
+
+} // namespace bilberry
--- a/tests/keys_fleet.py
+++ b/tests/keys_fleet.py
@@ -96,3 +96,16 @@
     fleet = harness.Fleet(build, edit=edit)
     fleet.gone = []
     return fleet
+
+
+def run_tests(description, tests):
+    """Runs the tests on one fleet, each once every slot has an owner; --only=TEXT runs those with TEXT in their name."""
+    arguments = harness.parse_arguments(description, only="")
+    with start_fleet(arguments.build) as fleet:
+        caller = Caller(fleet)
+        for test in tests:
+            if arguments.only in test.__name__:
+                start = time.monotonic()
+                caller.wait_for_owners()
+                test(fleet, caller)
+                print(f"{test.__name__} {time.monotonic() - start:.1f} s", flush=True)
--- a/tests/process_keys_once.py
+++ b/tests/process_keys_once.py
@@ -6,7 +6,7 @@
 import uuid
 
 import harness
-from keys_fleet import REGISTER, Caller, start_fleet
+from keys_fleet import REGISTER, run_tests
 
 
 def replace_back_end(fleet, name):
@@ -62,18 +62,5 @@
         caller.wait_for_owners()
 
 
-def main():
-    arguments = harness.parse_arguments(__doc__, only="")
-    tests = (test_repeats, test_concurrent, test_back_end_faults)
-    with start_fleet(arguments.build) as fleet:
-        caller = Caller(fleet)
-        for test in tests:
-            if arguments.only in test.__name__:
-                start = time.monotonic()
-                caller.wait_for_owners()
-                test(fleet, caller)
-                print(f"{test.__name__} {time.monotonic() - start:.1f} s", flush=True)
-
-
 if __name__ == "__main__":
-    harness.main(main)
+    harness.main(lambda: run_tests(__doc__, (test_repeats, test_concurrent, test_back_end_faults)))
--- a/tests/process_keys_owner.py
+++ b/tests/process_keys_owner.py
@@ -6,7 +6,7 @@
 import time
 
 import harness
-from keys_fleet import Caller, start_fleet
+from keys_fleet import run_tests
 
 # A silent owner's report expires (10 s), its lease runs out (4 s), and an attempt at it may be under way (2.5 s).
 TAKE_OVER_SECONDS = 20
@@ -68,18 +68,5 @@
     caller.check(owned[0])
 
 
-def main():
-    arguments = harness.parse_arguments(__doc__, only="")
-    tests = (test_owner_restarts, test_owner_frozen)
-    with start_fleet(arguments.build) as fleet:
-        caller = Caller(fleet)
-        for test in tests:
-            if arguments.only in test.__name__:
-                start = time.monotonic()
-                caller.wait_for_owners()
-                test(fleet, caller)
-                print(f"{test.__name__} {time.monotonic() - start:.1f} s", flush=True)
-
-
 if __name__ == "__main__":
-    harness.main(main)
+    harness.main(lambda: run_tests(__doc__, (test_owner_restarts, test_owner_frozen)))
