Show both deployments of the demo side by side

Cause: one after the other they took more than the minute that make demo should take after the build. Ruled out: shorter load, which would leave less time to see the data centre leave and return. Change: both run at once; each report is printed whole.

--- a/tests/demo.py
+++ b/tests/demo.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """The whole path of both deployments: spread a model, serve, take a data centre out and back, report."""
 
+import concurrent.futures
 import sys
 import time
 
@@ -49,25 +50,30 @@
             refused[reason] = refused.get(reason, 0) + count
     doubled = sum(1 for count in runs.values() if count > 1)
     unclean = {name: code for name, code in codes.items() if code != 0}
-    print(f"deployment          {deployment}")
-    print(f"replicas            {wanted} after {spread_seconds:.2f} s, origin sent {origin:.2f} copies")
-    print(f"data centre         {out} taken out and returned under load")
-    print(f"requests            {total['sent']} sent, {total['ok']} answered")
-    print(f"refused             {refused or 'none'}")
-    print(f"lost, cut off       {total['lost']}, {total['cut']}")
-    print(f"crossed, mixed      {total['wrong']}, {total['mixed']}")
-    print(f"unrepeatable calls  {len(runs)} ran, {doubled} of them doubled")
-    print(f"processes stopped   {len(codes)}, {len(unclean)} of them not clean {unclean or ''}")
-    print(f"first byte          p50 {reports[0]['ttft_ms']['p50']} ms, p95 {reports[0]['ttft_ms']['p95']} ms")
     bad = total["lost"] + total["cut"] + total["wrong"] + total["mixed"] + doubled + len(unclean)
-    print(f"result              {'ok' if bad == 0 else 'FAILED'}\n")
+    lines = [
+        f"deployment          {deployment}",
+        f"replicas            {wanted} after {spread_seconds:.2f} s, origin sent {origin:.2f} copies",
+        f"data centre         {out} taken out and returned under load",
+        f"requests            {total['sent']} sent, {total['ok']} answered",
+        f"refused             {refused or 'none'}",
+        f"lost, cut off       {total['lost']}, {total['cut']}",
+        f"crossed, mixed      {total['wrong']}, {total['mixed']}",
+        f"unrepeatable calls  {len(runs)} ran, {doubled} of them doubled",
+        f"processes stopped   {len(codes)}, {len(unclean)} of them not clean {unclean or ''}",
+        f"first byte          p50 {reports[0]['ttft_ms']['p50']} ms, p95 {reports[0]['ttft_ms']['p95']} ms",
+        f"result              {'ok' if bad == 0 else 'FAILED'}",
+    ]
+    print("\n".join(lines) + "\n", flush=True)
     return 0 if bad == 0 else 1
 
 
 def main():
     arguments = harness.parse_arguments(__doc__, deployment="")
     names = [arguments.deployment] if arguments.deployment else ["registry", "spendlens"]
-    return max(run(arguments.build, name) for name in names)
+    # Side by side, so that both take less than a minute.
+    with concurrent.futures.ThreadPoolExecutor(len(names)) as pool:
+        return max(pool.map(lambda name: run(arguments.build, name), names))
 
 
 if __name__ == "__main__":
