Wait for an endpoint in a short gap, and in the queue at hand when all are full

Cause, by trace and counters of process_requests_leaving and of a burst of 40 requests on fresh replicas: an entry that knew no endpoint refused at once (no-endpoint), though one was reported within seconds; and a request queued at a full endpoint was refused after 500 ms and sent to the next full one, which used up the ten retries at hand, so that later requests were refused (overloaded, queue-full) with their deadline 13 s away.

Ruled out: limits that grow too slowly (all replicas had free places once the entries knew them); asking endpoints that have not said that they serve the model (needless attempts while it is nowhere).

Change: a request waits up to 3 s for an endpoint when none is known, if one was within 5 s and none refused for load (mayAwaitEndpoint); an attempt carries how long it may queue: 500 ms where room was expected, else half of the time left, at most 5 s (queueWait). A gauge tells how many endpoints an entry knows for each model.

RetryTest has the two decisions as tables; RoutingTest asserts hasRoom. The new process test of a burst also passed on the old build in two of three runs; it is no test that surely fails before.

--- a/src/AdmissionGate.cpp
+++ b/src/AdmissionGate.cpp
@@ -8,8 +8,6 @@
 static constexpr double queuePlacesPerLimit = 4;
 static constexpr size_t fewestQueuePlaces = 8;
 static constexpr size_t mostQueuePlaces = 64;
-// Longest wait in the queue; past it another endpoint, or coming back later, is the better choice.
-static constexpr Milliseconds maxQueueWait { 500 };
 
 size_t maxQueueSize(double limit)
 {
@@ -50,7 +48,7 @@
     auto waitTime = estimateWait(this->admission, countAhead(this->queue, request.priority, request.caller, request.share));
     if (request.deadline - now <= waitTime)
         return RefusalReason::DeadlineExceeded;
-    return waitTime > maxQueueWait ? RefusalReason::Overloaded : RefusalReason::None;
+    return waitTime > request.maxWait ? RefusalReason::Overloaded : RefusalReason::None;
 }
 
 void AdmissionGate::decide(uint64_t ticket, GatePass pass)
@@ -76,7 +74,7 @@
 GatePass AdmissionGate::wait(const GateRequest& request, TimePoint now, std::unique_lock<std::mutex>& lock)
 {
     uint64_t ticket = this->nextTicket++;
-    auto latestStart = std::min(request.deadline, now + maxQueueWait);
+    auto latestStart = std::min(request.deadline, now + request.maxWait);
     auto offer = offerToQueue(this->queue, { ticket, request.caller, request.priority, latestStart }, request.share, maxQueueSize(this->admission.limit));
     if (offer.evicted)
         this->decide(*offer.evicted, { RefusalReason::QueueFull, false });
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -23,6 +23,7 @@
 struct AttemptDetails {
     std::string id; ///< Identity of the attempt; its answer carries it back.
     Milliseconds timeLeft { 0 };
+    Milliseconds queueWait { 0 }; ///< Longest wait in the endpoint's queue.
     std::string lastEventId; ///< Last event that the caller has, when a stream is resumed; else empty.
 };
 
--- a/src/Bench.cpp
+++ b/src/Bench.cpp
@@ -110,7 +110,7 @@
     for (int i = 0; i < routingDecisions; ++i) {
         auto now = start + std::chrono::microseconds(i);
         RoutingTarget target { 0, random.below(modelCount), random.below(2) == 0 ? 0 : random.below(1000) };
-        RowIndex vm = chooseEndpoint(table, target, evidence, {}, random.next(), now);
+        RowIndex vm = chooseEndpoint(table, target, evidence, {}, random.next(), now).vm;
         if (vm == noRow) {
             ++none;
             continue;
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -127,6 +127,9 @@
     return forwarded;
 }
 
+// Longest wait that an entry may ask for.
+static constexpr Milliseconds maxQueueWait { 5000 };
+
 static TimePoint readDeadline(const HttpRequest& request)
 {
     int64_t left = 0;
@@ -144,6 +147,9 @@
     asked.share = caller == noRow ? 1 : std::max(1U, callers[caller].share);
     asked.priority = configuration.rules.services[service].priority;
     asked.deadline = readDeadline(request);
+    int64_t maxWait = 0;
+    if (absl::SimpleAtoi(findHeader(request.headers, wire::queueWaitMs), &maxWait) && maxWait >= 0)
+        asked.maxWait = Milliseconds(std::min<int64_t>(maxWait, maxQueueWait.count()));
     return asked;
 }
 
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -20,6 +20,8 @@
 
 // How often a waiting request looks at its caller and its endpoint.
 static constexpr Milliseconds checkInterval { 100 };
+// How often a request that waits for an endpoint looks at the routing table.
+static constexpr Milliseconds endpointWaitStep { 50 };
 
 Entry::Entry(Node& node)
     : node(node)
@@ -27,9 +29,25 @@
 {
 }
 
+// Tells how many endpoints in service are known to this entry, by what they serve.
+static void setAvailableEndpoints(Metrics& metrics, const RoutingTable& table)
+{
+    const Inventory& inventory = table.configuration->inventory;
+    for (RowIndex service = 0; service < inventory.services.size(); ++service) {
+        if (inventory.services[service].kind == ServiceKind::Plain)
+            metrics.set("bilberry_available_endpoints", static_cast<double>(countEndpoints(table, { service })), { { "service", inventory.services[service].name }, { "model", "" } });
+    }
+    for (RowIndex model = 0; model < inventory.models.size(); ++model) {
+        RowIndex service = inventory.models[model].service;
+        metrics.set("bilberry_available_endpoints", static_cast<double>(countEndpoints(table, { service, model })), { { "service", inventory.services[service].name }, { "model", inventory.models[model].name } });
+    }
+}
+
 void Entry::tick(TimePoint)
 {
     this->router.refresh(this->node);
+    if (auto table = this->router.table())
+        setAvailableEndpoints(this->node.metrics, *table);
     this->node.metrics.set("bilberry_requests_in_progress", this->requestsInProgress);
 }
 
@@ -96,10 +114,11 @@
     return true;
 }
 
-AttemptOutcome Entry::attempt(const EntryRequest& request, const RoutingTable& table, RowIndex vm, const std::string& lastEventId)
+AttemptOutcome Entry::attempt(const EntryRequest& request, const RoutingTable& table, RoutingChoice choice, const std::string& lastEventId)
 {
+    RowIndex vm = choice.vm;
     const std::string& address = table.configuration->inventory.vms[vm].address;
-    AttemptDetails details { fmt::format("{}-{}-{}", this->node.settings.vm, this->node.incarnation.load(), ++this->attemptCounter), timeLeft(request), lastEventId };
+    AttemptDetails details { fmt::format("{}-{}-{}", this->node.settings.vm, this->node.incarnation.load(), ++this->attemptCounter), timeLeft(request), queueWait(choice.hasRoom, timeLeft(request)), lastEventId };
     HttpTimeouts timeouts { std::min(this->node.settings.connectTimeout, details.timeLeft), details.timeLeft };
     this->node.metrics.count("bilberry_attempts_total");
     auto exchange = std::make_shared<HttpExchange>(this->node.clients, address, makeForwardedRequest(request, details), timeouts);
@@ -143,6 +162,24 @@
     addToBudget(this->budgets[request.service], configuration.rules.services[request.service].retryShare);
 }
 
+// Waits a moment when no endpoint is left that could be tried; false when the request is refused instead.
+bool Entry::awaitEndpoint(const EntryRequest& request, const RoutingTable* table, const Refusal& last, Duration& waited)
+{
+    bool isGone = request.http->isSenderGone && request.http->isSenderGone();
+    bool isRouted = table && request.key.empty() && this->checkQuarantine(request) == QuarantineDecision::Run;
+    if (isGone || !isRouted || usesSimplePolicy())
+        return false;
+    auto now = Clock::now();
+    EndpointGap gap { last, this->router.sinceServed(*table, { request.service, request.model, 0 }, now), waited, timeLeft(request) };
+    if (!mayAwaitEndpoint(gap))
+        return false;
+    if (waited == Duration(0))
+        this->node.metrics.count("bilberry_endpoint_waits_total");
+    std::this_thread::sleep_for(endpointWaitStep);
+    waited += endpointWaitStep;
+    return true;
+}
+
 // Whether another endpoint is tried after a refusal; waits before it where that is called for.
 bool Entry::prepareRetry(const EntryRequest& request, const Refusal& refusal, int attempts)
 {
@@ -190,10 +227,11 @@
     Refusal last = makeRefusal(RefusalReason::ReplyLost);
     for (int attempts = 1; this->prepareRetry(stream.request, last, attempts); ++attempts) {
         auto table = this->router.table();
-        RowIndex vm = this->chooseVm(stream.request, *table, stream.tried);
+        auto choice = this->chooseVm(stream.request, *table, stream.tried);
+        RowIndex vm = choice.vm;
         if (vm == noRow)
             break;
-        auto outcome = this->attempt(stream.request, *table, vm, lastId);
+        auto outcome = this->attempt(stream.request, *table, choice, lastId);
         if (outcome.stream) {
             stream.table = std::move(table);
             stream.vm = vm;
@@ -255,12 +293,19 @@
     // Step 2. One endpoint after the other, as long as a retry is safe and the budget lasts.
     std::vector<RowIndex> tried;
     Refusal last = makeRefusal(RefusalReason::NoEndpoint);
+    Duration waited { 0 };
     for (int attempts = 1;; ++attempts) {
         auto table = this->router.table();
-        RowIndex vm = table ? this->chooseVm(request, *table, tried) : noRow;
-        if (vm == noRow)
-            return this->refuse(request, last);
-        auto outcome = this->attempt(request, *table, vm, {});
+        auto choice = table ? this->chooseVm(request, *table, tried) : RoutingChoice();
+        while (choice.vm == noRow) {
+            if (!this->awaitEndpoint(request, table.get(), last, waited))
+                return this->refuse(request, last);
+            tried.clear();
+            table = this->router.table();
+            choice = this->chooseVm(request, *table, tried);
+        }
+        RowIndex vm = choice.vm;
+        auto outcome = this->attempt(request, *table, choice, {});
         if (outcome.refusal.reason == RefusalReason::None)
             return this->passOn(request, std::move(outcome), std::move(table), vm);
         this->router.release(*table, vm);
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -38,11 +38,12 @@
     HttpResponse serve(const HttpRequest&);
     HttpResponse refuse(const EntryRequest&, Refusal);
     QuarantineDecision checkQuarantine(const EntryRequest&) const;
-    RowIndex chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
-    AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RowIndex vm, const std::string& lastEventId);
+    RoutingChoice chooseVm(const EntryRequest&, const RoutingTable&, const std::vector<RowIndex>& tried);
+    AttemptOutcome attempt(const EntryRequest&, const RoutingTable&, RoutingChoice, const std::string& lastEventId);
     bool waitForEndpoint(const EntryRequest&, HttpExchange&, const RoutingTable&, RowIndex vm);
     void noteLoad(const RoutingTable&, RowIndex vm, const HttpHeaders&);
     void fillBudget(const EntryRequest&);
+    bool awaitEndpoint(const EntryRequest&, const RoutingTable*, const Refusal& last, Duration& waited);
     bool prepareRetry(const EntryRequest&, const Refusal&, int attempts);
     HttpResponse passOn(const EntryRequest&, AttemptOutcome, std::shared_ptr<const RoutingTable>, RowIndex vm);
     std::shared_ptr<HttpExchange> reopenStream(OpenStream&, const std::string& lastId);
--- a/src/EntryKeys.cpp
+++ b/src/EntryKeys.cpp
@@ -23,22 +23,22 @@
     return this->quarantine.decide(fingerprintOf(request.http->method, request.http->path, request.http->body), Clock::now());
 }
 
-RowIndex Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
+RoutingChoice Entry::chooseVm(const EntryRequest& request, const RoutingTable& table, const std::vector<RowIndex>& tried)
 {
     if (usesSimplePolicy() && request.key.empty()) {
         RowIndex next = chooseInTurn(table, { request.service, request.model }, tried, this->attemptCounter);
         if (next != noRow)
             this->router.acquire(table, next);
-        return next;
+        return { next, false };
     }
     auto quarantined = request.key.empty() ? this->checkQuarantine(request) : QuarantineDecision::Run;
     if (quarantined == QuarantineDecision::Refuse)
-        return noRow;
+        return {};
     if (quarantined == QuarantineDecision::RunAlone) {
         RowIndex vm = chooseForSuspect(table, request.service, request.model, fingerprintOf(request.http->method, request.http->path, request.http->body), tried);
         if (vm != noRow)
             this->router.acquire(table, vm);
-        return vm;
+        return { vm, false };
     }
     if (request.key.empty())
         return this->router.choose(table, { request.service, request.model, request.prefixHash }, tried, this->nextRandom());
@@ -47,7 +47,7 @@
     RowIndex owner = chooseKeyOwner(table, request.service, scopedKey, tried);
     if (owner != noRow)
         this->router.acquire(table, owner);
-    return owner;
+    return { owner, false };
 }
 
 AttemptOutcome Entry::askKeyOwner(const EntryRequest& request, const std::string& address, const std::string& attemptId)
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -7,6 +7,11 @@
 static constexpr int maxAttempts = 4;
 static constexpr Milliseconds firstBackOff { 10 };
 static constexpr Milliseconds largestBackOff { 500 };
+static constexpr Milliseconds shortQueueWait { 500 };
+static constexpr Milliseconds longQueueWait { 5000 };
+// Longest wait of one request for an endpoint, and the age of a gap from which on none waits.
+static constexpr Milliseconds longestEndpointWait { 3000 };
+static constexpr Milliseconds longestGap { 5000 };
 
 void addToBudget(RetryBudget& budget, double share)
 {
@@ -54,4 +59,18 @@
     return Milliseconds(static_cast<int64_t>(random % static_cast<uint64_t>(bound.count() + 1)));
 }
 
+Milliseconds queueWait(bool hasRoom, Milliseconds timeLeft)
+{
+    if (hasRoom)
+        return shortQueueWait;
+    return std::clamp(timeLeft / 2, shortQueueWait, longQueueWait);
+}
+
+bool mayAwaitEndpoint(const EndpointGap& gap)
+{
+    bool isForLoad = gap.last.reason != RefusalReason::NoEndpoint && !isStaleChoice(gap.last.reason);
+    bool isShort = gap.sinceServed < longestGap && gap.waited < longestEndpointWait;
+    return !isForLoad && isShort && gap.timeLeft > Milliseconds(0);
+}
+
 } // namespace bilberry
--- a/src/Retry.h
+++ b/src/Retry.h
@@ -39,4 +39,21 @@
 /// Wait before the next attempt: full jitter, up to a bound that doubles with each attempt. `random` is uniform.
 Milliseconds backOff(int attempts, uint64_t random);
 
+/// Longest time that an attempt may wait in an endpoint's queue. Short when that endpoint was thought to have room: others
+/// may have it then. Without room anywhere a queue elsewhere is no better, and it is up to half of the time left. Thread
+/// safe.
+Milliseconds queueWait(bool hasRoom, Milliseconds timeLeft);
+
+/// What is known when no endpoint is left to be tried.
+struct EndpointGap {
+    Refusal last; ///< Of the last attempt; NoEndpoint when there was none.
+    Duration sinceServed { 0 }; ///< Since an endpoint in service was known to serve the target.
+    Duration waited { 0 }; ///< By this request, for an endpoint.
+    Milliseconds timeLeft { 0 };
+};
+
+/// Whether the request waits for an endpoint to be heard of rather than be refused: only for a short time, after
+/// refusals that say nothing of load, and while the gap itself is a short one. Thread safe.
+bool mayAwaitEndpoint(const EndpointGap&);
+
 } // namespace bilberry
--- a/src/Router.cpp
+++ b/src/Router.cpp
@@ -8,6 +8,8 @@
 
 // An endpoint's process reports several times in this time.
 static constexpr Milliseconds silenceLimit { 3000 };
+// Age at which it is forgotten that a target was served.
+static constexpr Seconds longestServedAge { 60 };
 
 void Router::fillSlots(RoutingTable& table)
 {
@@ -38,6 +40,26 @@
     this->wasEligible = std::move(isEligible);
 }
 
+static std::pair<std::string, std::string> targetName(const Inventory& inventory, RowIndex service, RowIndex model)
+{
+    return { inventory.services[service].name, model == noRow ? std::string() : inventory.models[model].name };
+}
+
+void Router::noteServed(const RoutingTable& table, TimePoint now)
+{
+    for (const auto& group : table.groups)
+        this->servedAt[targetName(table.configuration->inventory, group.service, group.model)] = now;
+    for (auto position = this->servedAt.begin(); position != this->servedAt.end();)
+        position = now - position->second > longestServedAge ? this->servedAt.erase(position) : std::next(position);
+}
+
+Duration Router::sinceServed(const RoutingTable& table, const RoutingTarget& target, TimePoint now) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->servedAt.find(targetName(table.configuration->inventory, target.service, target.model));
+    return found == this->servedAt.end() ? Duration::max() : now - found->second;
+}
+
 void Router::refresh(const Node& node)
 {
     auto configuration = node.published.configuration();
@@ -49,6 +71,7 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     this->fillSlots(*made);
     this->startRamps(*made, now);
+    this->noteServed(*made, now);
     this->current = std::move(made);
 }
 
@@ -63,13 +86,13 @@
     return this->evidence[table.slots[vm]];
 }
 
-RowIndex Router::choose(const RoutingTable& table, const RoutingTarget& target, const std::vector<RowIndex>& excluded, uint64_t random)
+RoutingChoice Router::choose(const RoutingTable& table, const RoutingTarget& target, const std::vector<RowIndex>& excluded, uint64_t random)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    RowIndex vm = chooseEndpoint(table, target, this->evidence, excluded, random, Clock::now());
-    if (vm != noRow)
-        ++this->evidenceOf(table, vm).inProgress;
-    return vm;
+    auto choice = chooseEndpoint(table, target, this->evidence, excluded, random, Clock::now());
+    if (choice.vm != noRow)
+        ++this->evidenceOf(table, choice.vm).inProgress;
+    return choice;
 }
 
 void Router::acquire(const RoutingTable& table, RowIndex vm)
--- a/src/Router.h
+++ b/src/Router.h
@@ -3,6 +3,7 @@
 
 #include "Routing.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,7 +22,7 @@
     /// Null until there is a configuration.
     std::shared_ptr<const RoutingTable> table() const;
     /// Chooses an endpoint (see chooseEndpoint()) and counts a request to it. A choice is taken back by release().
-    RowIndex choose(const RoutingTable&, const RoutingTarget&, const std::vector<RowIndex>& excluded, uint64_t random);
+    RoutingChoice choose(const RoutingTable&, const RoutingTarget&, const std::vector<RowIndex>& excluded, uint64_t random);
     /// Counts a request to an endpoint that was chosen in another way.
     void acquire(const RoutingTable&, RowIndex vm);
     /// Precondition: the endpoint was counted with the same table.
@@ -32,12 +33,15 @@
     /// endpoints of that data centre.
     void noteRefusal(const RoutingTable&, RowIndex vm, RefusalReason);
 
+    /// Time since an endpoint in service was known to serve the target; the longest duration when none ever was.
+    Duration sinceServed(const RoutingTable&, const RoutingTarget&, TimePoint now) const;
     /// Whether nothing was heard of the endpoint for so long that it may be frozen or cut off.
     bool isSilent(const RoutingTable&, RowIndex vm) const;
 
 private:
     EndpointEvidence& evidenceOf(const RoutingTable&, RowIndex vm);
     void fillSlots(RoutingTable&);
+    void noteServed(const RoutingTable&, TimePoint now);
     void startRamps(const RoutingTable&, TimePoint now);
 
     mutable std::mutex mutex;
@@ -46,6 +50,7 @@
     std::vector<EndpointEvidence> evidence; ///< By slot.
     std::vector<bool> wasEligible; ///< By slot, at the last refresh.
     TimePoint firstRefreshAt {};
+    std::map<std::pair<std::string, std::string>, TimePoint> servedAt; ///< By names of service and model.
 };
 
 } // namespace bilberry
--- a/src/Routing.cpp
+++ b/src/Routing.cpp
@@ -182,7 +182,12 @@
     return lessLoaded(best, scan(selection, positions, random % positions.size(), maxScanned));
 }
 
-static RowIndex chooseFrom(const Selection& selection, const RoutingGroup& group, uint64_t prefixHash, uint64_t random)
+static RoutingChoice toChoice(const Candidate& candidate)
+{
+    return { candidate.row->vm, candidate.load < 1 };
+}
+
+static RoutingChoice chooseFrom(const Selection& selection, const RoutingGroup& group, uint64_t prefixHash, uint64_t random)
 {
     Candidate nearestFull;
     for (const auto& positions : group.rows) {
@@ -190,30 +195,47 @@
             continue;
         auto chosen = chooseInGroup(selection, positions, prefixHash, random);
         if (chosen.row && chosen.load < 1)
-            return chosen.row->vm;
+            return toChoice(chosen);
         if (!nearestFull.row)
             nearestFull = chosen;
     }
     if (nearestFull.row)
-        return nearestFull.row->vm;
+        return toChoice(nearestFull);
     // Nothing was found by sampling; look at all.
     for (const auto& positions : group.rows) {
         auto any = scan(selection, positions, 0, positions.size());
         if (any.row)
-            return any.row->vm;
+            return toChoice(any);
     }
-    return noRow;
+    return {};
 }
 
-RowIndex chooseEndpoint(const RoutingTable& table, const RoutingTarget& target, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now)
+static const RoutingGroup* findGroup(const RoutingTable& table, const RoutingTarget& target)
 {
     auto isWanted = [&](const RoutingGroup& group) { return group.service == target.service && group.model == target.model; };
     auto group = std::find_if(table.groups.begin(), table.groups.end(), isWanted);
-    if (group == table.groups.end())
-        return noRow;
+    return group == table.groups.end() ? nullptr : &*group;
+}
+
+size_t countEndpoints(const RoutingTable& table, const RoutingTarget& target)
+{
+    const auto* group = findGroup(table, target);
+    if (!group)
+        return 0;
+    size_t count = 0;
+    for (const auto& positions : group->rows)
+        count += positions.size();
+    return count;
+}
+
+RoutingChoice chooseEndpoint(const RoutingTable& table, const RoutingTarget& target, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now)
+{
+    const auto* group = findGroup(table, target);
+    if (!group)
+        return {};
     Selection selection { table, evidence, excluded, now };
-    RowIndex chosen = chooseFrom(selection, *group, target.prefixHash, random);
-    if (chosen != noRow || !excluded.empty())
+    auto chosen = chooseFrom(selection, *group, target.prefixHash, random);
+    if (chosen.vm != noRow || !excluded.empty())
         return chosen;
     selection.takesAvoided = true;
     return chooseFrom(selection, *group, 0, random);
--- a/src/Routing.h
+++ b/src/Routing.h
@@ -52,6 +52,12 @@
     uint64_t prefixHash = 0; ///< Of the prompt's start; zero: no endpoint is preferred.
 };
 
+/// An endpoint that was chosen.
+struct RoutingChoice {
+    RowIndex vm = noRow; ///< noRow when there is none.
+    bool hasRoom = false; ///< As far as is known; without room there, none was known elsewhere either.
+};
+
 /// Time over which an endpoint that came back is brought up to its full share.
 constexpr Milliseconds rampDuration { 10'000 };
 /// Age at which a statement of load says nothing any more.
@@ -71,9 +77,12 @@
 /// Chooses the less loaded of two candidates of the nearest group that has room; one of the two is the endpoint
 /// preferred for the target's prefix, which is kept while its load is within a bound of the other's. Without room
 /// anywhere, the nearest candidate. Endpoints to be avoided, or not heard of, come last and only when nothing was
-/// tried yet. `evidence` is indexed by slot; `excluded` are VMs that were tried. Returns a VM's row or noRow. The
-/// work does not grow with the fleet, unless nearly all are excluded or avoided. Thread safe.
-RowIndex chooseEndpoint(const RoutingTable&, const RoutingTarget&, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now);
+/// tried yet. `evidence` is indexed by slot; `excluded` are VMs that were tried. The work does not grow with the fleet,
+/// unless nearly all are excluded or avoided. Thread safe.
+RoutingChoice chooseEndpoint(const RoutingTable&, const RoutingTarget&, const std::vector<EndpointEvidence>& evidence, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now);
+
+/// Endpoints in the table that can serve the target. Thread safe.
+size_t countEndpoints(const RoutingTable&, const RoutingTarget&);
 
 /// How long an endpoint is avoided after it refused for that reason; zero: not at all. Thread safe.
 Milliseconds avoidTime(RefusalReason);
--- a/src/WireHeaders.h
+++ b/src/WireHeaders.h
@@ -6,6 +6,7 @@
 // Between the system's processes.
 constexpr char attempt[] = "X-Bilberry-Attempt"; ///< Identity of one attempt; an answer carries it back.
 constexpr char deadlineMs[] = "X-Bilberry-Deadline-Ms"; ///< Time left, in ms.
+constexpr char queueWaitMs[] = "X-Bilberry-Queue-Wait-Ms"; ///< Longest wait in the endpoint's queue, in ms.
 constexpr char generation[] = "X-Bilberry-Generation"; ///< Of the sender's configuration.
 constexpr char service[] = "X-Bilberry-Service";
 constexpr char model[] = "X-Bilberry-Model";
--- a/tests/ExplainTest.cpp
+++ b/tests/ExplainTest.cpp
@@ -70,7 +70,7 @@
     RoutingTarget target { 0, 0, 0 };
     auto verdicts = explainRequest(*configuration, &live, reports, target, now);
     auto table = makeRoutingTable(configuration, &live, reports, 0, now);
-    RowIndex chosen = chooseEndpoint(table, target, {}, {}, random, now);
+    RowIndex chosen = chooseEndpoint(table, target, {}, {}, random, now).vm;
     bool hasAvailable = hasState(verdicts, EndpointState::Available);
     bool hasServing = hasAvailable || hasState(verdicts, EndpointState::AtLimit);
     RC_ASSERT(!hasServing || chosen != noRow);
--- a/tests/RetryTest.cpp
+++ b/tests/RetryTest.cpp
@@ -66,6 +66,37 @@
     RC_ASSERT(backOff(attempts, random) <= std::min(Milliseconds(500), Milliseconds(10) * (1 << std::min(attempts - 1, 10))));
 }
 
+// Without room anywhere the queue at hand is as good as any other; with room elsewhere the wait is short.
+BOOST_AUTO_TEST_CASE(queuesAreWaitedInLongerWhenNoOtherHasRoom)
+{
+    BOOST_TEST((queueWait(true, Seconds(60)) == Milliseconds(500)));
+    BOOST_TEST((queueWait(false, Seconds(4)) == Seconds(2)));
+    BOOST_TEST((queueWait(false, Seconds(60)) == Seconds(5)));
+    BOOST_TEST((queueWait(false, Milliseconds(100)) == Milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(onlyShortGapsAreWaitedOut)
+{
+    struct {
+        const char* name;
+        RefusalReason last;
+        Milliseconds sinceServed;
+        Milliseconds waited;
+        Milliseconds timeLeft;
+        bool mayWait;
+    } const cases[] = {
+        { "served a moment ago", RefusalReason::NoEndpoint, Milliseconds(100), Milliseconds(0), Seconds(5), true },
+        { "all that were known are out", RefusalReason::DataCentreOut, Milliseconds(0), Milliseconds(500), Seconds(5), true },
+        { "never or long not served", RefusalReason::NoEndpoint, Seconds(5), Milliseconds(0), Seconds(5), false },
+        { "waited long enough", RefusalReason::NoEndpoint, Milliseconds(100), Seconds(3), Seconds(5), false },
+        { "no time left", RefusalReason::NoEndpoint, Milliseconds(100), Milliseconds(0), Milliseconds(0), false },
+        { "refused for load", RefusalReason::Overloaded, Milliseconds(0), Milliseconds(0), Seconds(5), false },
+        { "may have run", RefusalReason::ReplyLost, Milliseconds(0), Milliseconds(0), Seconds(5), false },
+    };
+    for (const auto& row : cases)
+        BOOST_TEST(mayAwaitEndpoint({ makeRefusal(row.last), row.sinceServed, row.waited, row.timeLeft }) == row.mayWait, row.name);
+}
+
 static std::string makeEvent(int id, const std::string& fingerprint)
 {
     return "id: " + std::to_string(id) + "\ndata: {\"text\":\"\\\"system_fingerprint\\\":\\\"x\",\"system_fingerprint\":\"" + fingerprint + "\"}\n\n";
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -92,7 +92,8 @@
     auto scene = makeScene();
     RoutingTarget target { *rc::gen::inRange<RowIndex>(0, 2), noRow, *rc::gen::arbitrary<uint64_t>() };
     target.model = target.service == 0 ? 0 : noRow;
-    RowIndex vm = chooseEndpoint(scene.table, target, scene.evidence, scene.excluded, *rc::gen::arbitrary<uint64_t>(), now);
+    auto choice = chooseEndpoint(scene.table, target, scene.evidence, scene.excluded, *rc::gen::arbitrary<uint64_t>(), now);
+    RowIndex vm = choice.vm;
     std::vector<const RoutingRow*> usable;
     for (const auto& row : scene.table.rows) {
         bool serves = row.service == target.service && (target.model == noRow || isIn(row.models, 0));
@@ -114,6 +115,7 @@
     for (const auto* row : usable) {
         bool hasRoom = isFit(row) && loadOf(*row, scene.evidence[row->slot], now) < 1;
         RC_ASSERT(!hasRoom || (*chosen)->nearness <= row->nearness);
+        RC_ASSERT(!hasRoom || choice.hasRoom);
     }
 }
 
@@ -150,7 +152,7 @@
     auto table = makeRoutingTable(configuration, nullptr, reports, 0, now);
     std::vector<EndpointEvidence> evidence(9);
     RoutingTarget target { 0, 0, 12345 };
-    auto choose = [&](uint64_t random) { return chooseEndpoint(table, target, evidence, {}, random * 0x9e3779b97f4a7c15, now); };
+    auto choose = [&](uint64_t random) { return chooseEndpoint(table, target, evidence, {}, random * 0x9e3779b97f4a7c15, now).vm; };
     RowIndex preferred = choose(1);
     for (uint64_t random = 2; random < 50; ++random)
         BOOST_TEST(choose(random) == preferred);
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -83,11 +83,21 @@
     return over
 
 
+def burst(fleet):
+    """More requests at once than the replicas' first limits hold, with time enough: each is answered."""
+    for name in fleet.entries():
+        known = f'bilberry_available_endpoints{{model="{fleet.inventory["models"][0]["name"]}"'
+        harness.wait_until(lambda: fleet.processes[name].metric(known) == 9, 10, f"{name} knows the replicas")
+    report = harness.finish(start_load(fleet, 0.1, "--rate=400", "--workers=64", "--seed=4"))
+    assert_whole(report, "burst")
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with harness.Fleet(arguments.build, engine_flags=ENGINE_FLAGS) as fleet:
         fleet.wait_for_replicas(9)
         fleet.wait_for_entries()
+        burst(fleet)
         caller_gone(fleet)
         cold_turn(fleet)
         freeze(fleet)
