Try again after a wait when four endpoints refused for their state

Cause: with all processes paused at once for 3.6 s (a stalled host), each endpoint refuses as no-configuration until a peer has answered it, up to 2 s; four such refusals took an entry milliseconds, and it refused for good with the deadline 10 s away.

Ruled out: a shorter re-read after a pause (peers that were paused, too, refuse to vouch for the ages they tell).

Change: after four refusals the request waits as for a missing endpoint (50 ms, doubled up to 400 ms, 3 s in all) and makes one attempt more after each wait, when the last refusal was for the endpoint's state.

The new test fails on the old build (no-configuration 11 and 47, reply-lost 37 and 0) and passes on the new one.

--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -20,8 +20,9 @@
 
 // How often a waiting request looks at its caller and its endpoint.
 static constexpr Milliseconds checkInterval { 100 };
-// How often a request that waits for an endpoint looks at the routing table.
-static constexpr Milliseconds endpointWaitStep { 50 };
+// A request that waits for an endpoint tries again after this time, then after twice of it and so on up to a bound.
+static constexpr Milliseconds firstEndpointWait { 50 };
+static constexpr Milliseconds largestEndpointWait { 400 };
 
 Entry::Entry(Node& node)
     : node(node)
@@ -162,7 +163,8 @@
     addToBudget(this->budgets[request.service], configuration.rules.services[request.service].retryShare);
 }
 
-// Waits a moment when no endpoint is left that could be tried; false when the request is refused instead.
+// Waits a moment when no endpoint is left that could be tried, or all that were refused for their state; false when the
+// request is refused instead.
 bool Entry::awaitEndpoint(const EntryRequest& request, const RoutingTable* table, const Refusal& last, Duration& waited)
 {
     bool isGone = request.http->isSenderGone && request.http->isSenderGone();
@@ -175,8 +177,9 @@
         return false;
     if (waited == Duration(0))
         this->node.metrics.count("bilberry_endpoint_waits_total");
-    std::this_thread::sleep_for(endpointWaitStep);
-    waited += endpointWaitStep;
+    auto step = std::clamp<Duration>(waited, firstEndpointWait, largestEndpointWait);
+    std::this_thread::sleep_for(step);
+    waited += step;
     return true;
 }
 
@@ -314,8 +317,14 @@
         last = outcome.refusal;
         // What a key's owner says is not better known elsewhere.
         bool isSettled = !request.key.empty() && last.isFromOwner;
-        if (isSettled || !this->prepareRetry(request, last, attempts))
+        if (isSettled)
             return this->refuse(request, last);
+        if (this->prepareRetry(request, last, attempts))
+            continue;
+        if (!this->awaitEndpoint(request, table.get(), last, waited))
+            return this->refuse(request, last);
+        tried.clear();
+        --attempts;
     }
 }
 
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -55,6 +55,18 @@
     assert_whole(harness.finish(load), "frozen and woken")
 
 
+def freeze_all(fleet):
+    """All processes are paused at once, as by a stalled host, and wake: what came meanwhile is answered, or refused for load."""
+    load = start_load(fleet, 6, "--rate=10", "--workers=64", "--seed=5")
+    busiest(fleet)
+    names = [name for name in fleet.processes if name not in ("config", "store")]
+    for number, seconds in ((signal.SIGSTOP, 3.6), (signal.SIGCONT, 0)):
+        for name in names:
+            fleet.processes[name].signal(number)
+        time.sleep(seconds)
+    assert_whole(harness.finish(load), "all frozen and woken", allowed=("overloaded",))
+
+
 def caller_gone(fleet):
     """A caller that goes away while it waits for the head has its work cancelled."""
     before = sum(fleet.back_end(name).counts()["cancelled"] for name in fleet.replicas())
@@ -101,6 +113,7 @@
         caller_gone(fleet)
         cold_turn(fleet)
         freeze(fleet)
+        freeze_all(fleet)
         kill_during_streams(fleet)
 
 
