Start and end test processes in one place; give bare fleets links

bare_fleet.py and harness.py each had their own enter, exit and close. Both fleets are now a harness.ProcessGroup, which ends all it has started. BareFleet runs its processes behind links on request, each process from its data centre's own loopback address (before: by index modulo three), and cut() parts data centres and the service.

--- a/tests/bare_fleet.py
+++ b/tests/bare_fleet.py
@@ -1,9 +1,6 @@
 """Daemons and a configuration service without back ends: for what the processes know of each other."""
 
 import json
-import pathlib
-import signal
-import tempfile
 import time
 
 import harness
@@ -11,14 +8,18 @@
 PROMISE_SECONDS = 4.0
 START_SECONDS = 10.0
 DEAD_ADDRESS = "127.0.9.9:1"
+SERVICE_HOST = "127.0.9.1"
 
 
-class BareFleet:
-    """`size` daemons, a third of them entries, evenly in the data centres. Use it as a context manager."""
+class BareFleet(harness.ProcessGroup):
+    """`size` daemons, a third of them entries, evenly in the data centres. Use it as a context manager.
 
-    def __init__(self, build, size, data_centres=3, cut_off=lambda index: False, flags=(), publish=True):
-        self.build = pathlib.Path(build)
-        self.folder = tempfile.mkdtemp(prefix="bilberry-")
+    With links, the daemons reach the service and each other through links, which cut() cuts, and the endpoints
+    have a back end.
+    """
+
+    def __init__(self, build, size, data_centres=3, cut_off=lambda index: False, flags=(), publish=True, has_links=False):
+        super().__init__(build)
         self.flags = list(flags)
         self.cut_off = cut_off
         self.processes = []
@@ -33,6 +34,8 @@
         }
         self.rules = {"placements": [], "bursts": [], "unrepeatable": [], "services": [], "data_centres_out": [], "vms_leaving": []}
         self.publish_at_start = publish
+        self.has_links = has_links
+        self.links = {}
 
     @staticmethod
     def _row(index, data_centre):
@@ -41,38 +44,51 @@
             return {**row, "role": "entry"}
         return {**row, "service": "plain", "back_end": DEAD_ADDRESS}
 
-    def __enter__(self):
-        try:
-            self.config = harness.Process("config", [str(self.build / "standin"), "--kind=config", "--listen=127.0.9.1:0"], self.folder)
-            for index in range(len(self.inventory["vms"])):
-                self.processes.append(self.launch(index))
-            if self.publish_at_start:
-                self.publish()
-                self.wait_in_force(START_SECONDS)
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(self, *_):
-        self.close()
-
-    def close(self):
-        for process in [*self.processes, getattr(self, "config", None)]:
-            if process:
-                process.signal(signal.SIGCONT)
-                process.kill()
+    def start(self):
+        self.config = self.standin("config", "config", SERVICE_HOST)
+        self.service = self.add_link("config", SERVICE_HOST, self.config) if self.has_links else self.config
+        if self.has_links:
+            back_end = self.standin("plain", "plain", SERVICE_HOST, "--name=plain")
+            for row in self.inventory["vms"]:
+                row.update({"back_end": back_end.address} if "service" in row else {})
+        for index in range(len(self.inventory["vms"])):
+            self.processes.append(self.launch(index))
+        if self.publish_at_start:
+            self.publish()
+            self.wait_in_force(START_SECONDS)
+
+    def standin(self, name, kind, host, *flags):
+        return self.run(name, self.build / "standin", f"--kind={kind}", f"--listen={host}:0", *flags)
+
+    def add_link(self, name, host, target):
+        self.links[name] = self.standin(f"{name}.link", "link", host, f"--target={target.address}")
+        self.links[name].control = self.links[name].lines.get(timeout=10).split()[1]
+        return self.links[name]
+
+    def cut(self, data_centres, others, from_service):
+        """Cuts the links between processes of the first and of the other data centres, and of the last to the service."""
+        foes = {**{name: others for name in data_centres}, **{name: data_centres for name in others}}
+        cut_from = {row["name"]: foes.get(row["data_centre"], []) for row in self.inventory["vms"]}
+        cut_from["config"] = from_service
+        for name, link in self.links.items():
+            switches = json.dumps({"cut_from": [self.host(foe) for foe in cut_from[name]]})
+            assert harness.call("POST", link.control, "/fault", switches)[0] == 200
+
+    @staticmethod
+    def host(data_centre):
+        return f"127.0.{10 + int(data_centre.rsplit('-', 1)[1])}.1"
 
     def launch(self, index, flags=None, peers=None):
         row = self.inventory["vms"][index]
-        service = DEAD_ADDRESS if self.cut_off(index) else self.config.address
+        service = DEAD_ADDRESS if self.cut_off(index) else self.service.address
         seeds = [other["address"] for other in self.inventory["vms"][:3] if other["address"] and other is not row] if peers is None else peers
-        listen = row["address"] or f"127.0.{10 + index % 3}.1:0"
-        command = [str(self.build / "bilberryd"), f"--role={row.get('role', 'endpoint')}", f"--vm={row['name']}",
-                   f"--data_centre={row['data_centre']}", f"--listen={listen}", f"--configuration_service={service}",
-                   f"--peers={','.join(seeds)}", "--http_threads=16", *(self.flags if flags is None else flags)]
-        process = harness.Process(row["name"], command, self.folder)
-        row["address"] = process.address
+        host = self.host(row["data_centre"])
+        listen = self.processes[index].address if index < len(self.processes) else f"{host}:0"
+        process = self.run(row["name"], self.build / "bilberryd", f"--role={row.get('role', 'endpoint')}", f"--vm={row['name']}",
+                           f"--data_centre={row['data_centre']}", f"--listen={listen}", f"--configuration_service={service}",
+                           f"--peers={','.join(seeds)}", "--http_threads=16", *(self.flags if flags is None else flags))
+        if not row["address"]:
+            row["address"] = (self.add_link(row["name"], host, process) if self.has_links else process).address
         return process
 
     def restart(self, index, **options):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -116,27 +116,13 @@
         return sum(value for name, value in self.metrics().items() if name.startswith(prefix))
 
 
-class Fleet:
-    """The whole path of one deployment. Use it as a context manager."""
+class ProcessGroup:
+    """Processes that end with it, also when its start fails. Use it as a context manager; a subclass has start()."""
 
-    def __init__(self, build, deployment="registry", model_bytes=8 << 20, chunk_bytes=256 << 10, store_rate=0,
-                 engine_flags=(), daemon_flags=(), edit=None):
+    def __init__(self, build):
         self.build = pathlib.Path(build)
-        self.model_bytes = model_bytes
-        self.chunk_bytes = chunk_bytes
-        self.store_rate = store_rate
-        self.engine_flags = list(engine_flags)
-        self.daemon_flags = list(daemon_flags)
-        self.processes = {}
-        self.live_states = {}
         self.folder = tempfile.mkdtemp(prefix="bilberry-")
-        folder = ROOT / "examples" / deployment
-        self.inventory = json.loads((folder / "inventory.json").read_text())
-        self.rules = json.loads((folder / "rules.json").read_text())
-        for model in self.inventory["models"]:
-            model["size_bytes"] = model_bytes
-        if edit:
-            edit(self)
+        self.started = []
 
     def __enter__(self):
         try:
@@ -150,10 +136,36 @@
         self.close()
 
     def close(self):
-        for process in self.processes.values():
+        for process in self.started:
             with contextlib.suppress(OSError):
                 process.kill()
 
+    def run(self, name, *command):
+        self.started.append(Process(name, [str(part) for part in command], self.folder))
+        return self.started[-1]
+
+
+class Fleet(ProcessGroup):
+    """The whole path of one deployment. Use it as a context manager."""
+
+    def __init__(self, build, deployment="registry", model_bytes=8 << 20, chunk_bytes=256 << 10, store_rate=0,
+                 engine_flags=(), daemon_flags=(), edit=None):
+        super().__init__(build)
+        self.model_bytes = model_bytes
+        self.chunk_bytes = chunk_bytes
+        self.store_rate = store_rate
+        self.engine_flags = list(engine_flags)
+        self.daemon_flags = list(daemon_flags)
+        self.processes = {}
+        self.live_states = {}
+        folder = ROOT / "examples" / deployment
+        self.inventory = json.loads((folder / "inventory.json").read_text())
+        self.rules = json.loads((folder / "rules.json").read_text())
+        for model in self.inventory["models"]:
+            model["size_bytes"] = model_bytes
+        if edit:
+            edit(self)
+
     # Addresses and parts.
 
     def host(self, vm):
@@ -176,7 +188,7 @@
         return self.processes[f"{name}.backend"]
 
     def add(self, name, *command):
-        self.processes[name] = Process(name, [str(part) for part in command], self.folder)
+        self.processes[name] = self.run(name, *command)
         return self.processes[name]
 
     def standin(self, name, kind, host, *flags):
