Prove a partition between two regions with processes

The test cuts two data centres' processes from each other both ways, and one side from the service: the other side has a change in force within 4 s, the cut side keeps the last good configuration and its entry serves, each side holds the other's four VMs suspect. With the links between processes healed and the service still cut, all have the change within 4 s, no VM is suspect, and nothing has reverted.

--- a/tests/process_fleet_faults.py
+++ b/tests/process_fleet_faults.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Processes that die, pause and come back, and changes in quick succession."""
+"""Processes that die, pause and come back, a partition, and changes in quick succession."""
 
 import signal
 import time
@@ -49,6 +49,29 @@
         fleet.wait_in_force(PROMISE_SECONDS)
 
 
+def lose_region(fleet):
+    """Two regions lose each other, and one the service: it serves on as before and catches up from the other alone."""
+    near = [process for index, process in enumerate(fleet.processes) if index % 2 == 0]
+    far = [process for process in fleet.processes if process not in near]
+    before = fleet.generation
+    fleet.cut(["dc-0"], ["dc-1"], from_service=["dc-1"])
+    fleet.rules["data_centres_out"] = ["dc-1"]
+    fleet.publish()
+    fleet.wait_in_force(PROMISE_SECONDS, near)
+    wait_for_suspects(fleet, len(near))
+    assert all(fleet.held(process) == before for process in far)
+    status = harness.call("GET", far[1].address, "/plain/x", headers={"X-Client-Account": "caller"})[0]
+    assert status == 200, status
+    fleet.cut([], [], from_service=["dc-1"])
+    fleet.wait_in_force(PROMISE_SECONDS)
+    wait_for_suspects(fleet, 0)
+
+
+def wait_for_suspects(fleet, count):
+    suspects = lambda: [process.metric("bilberry_suspect_vms") for process in fleet.processes]
+    harness.wait_until(lambda: set(suspects()) == {count}, START_SECONDS, f"{count} suspects at each process")
+
+
 def check_order(fleet):
     """No process took over a lower generation than the one before; one that was started again has two runs."""
     for process in fleet.processes:
@@ -69,6 +92,11 @@
         change_quickly(fleet)
         print("ok  changes in quick succession")
         check_order(fleet)
+    with BareFleet(arguments.build, 8, data_centres=2, has_links=True) as fleet:
+        wait_for_suspects(fleet, 0)
+        lose_region(fleet)
+        print("ok  partition between regions, the service on one side")
+        check_order(fleet)
     # The watch has to reach one of the two that can read.
     with BareFleet(arguments.build, 6, data_centres=1, cut_off=lambda index: index < 4) as fleet:
         fleet.publish()
