--- a/src/PeerChoice.cpp
+++ b/src/PeerChoice.cpp
@@ -8,10 +8,10 @@
 
 // Rounds between exchanges with another data centre of the region, of a process that is no relay.
 static constexpr uint64_t crossInterval = 8;
-// Rounds between exchanges of a relay with another region.
-static constexpr uint64_t relayInterval = 16;
-// The same in a fleet whose digest covers all, where such an exchange costs no more than any other.
-static constexpr uint64_t smallFleetRelayInterval = 2;
+// Rounds between exchanges of a relay with another region, in a fleet whose exchanges cover all of it.
+static constexpr uint64_t relayInterval = 2;
+// Rounds between exchanges with another data centre in a fleet whose exchanges cover one data centre each.
+static constexpr uint64_t foreignInterval = 3;
 // Rounds between those that also try suspect peers.
 static constexpr uint64_t probeInterval = 8;
 // Peers of the own data centre that are told of a document at once.
@@ -33,13 +33,15 @@
     return inSameRegion(inventory, ownDataCentre, dataCentre) ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-// The usable ones; all when none is, as in a fleet that has just started or on the far side of a partition.
-static std::vector<RowIndex> peersAt(const Inventory& inventory, RowIndex own, Distance distance, const IsUsable& isUsable)
+// The usable ones among the others; all when none is, as in a fleet that has just started or on the far side of a
+// partition.
+template <typename IsWanted>
+static std::vector<RowIndex> peersThat(const Inventory& inventory, RowIndex own, const IsWanted& isWanted, const IsUsable& isUsable)
 {
     std::vector<RowIndex> all;
     std::vector<RowIndex> usable;
     for (RowIndex vm = 0; vm < inventory.vms.size(); ++vm) {
-        if (vm == own || distanceTo(inventory, own, vm) != distance)
+        if (vm == own || !isWanted(vm))
             continue;
         all.push_back(vm);
         if (isUsable(vm))
@@ -48,6 +50,18 @@
     return usable.empty() ? all : usable;
 }
 
+static std::vector<RowIndex> peersAt(const Inventory& inventory, RowIndex own, Distance distance, const IsUsable& isUsable)
+{
+    auto isThere = [&](RowIndex vm) { return distanceTo(inventory, own, vm) == distance; };
+    return peersThat(inventory, own, isThere, isUsable);
+}
+
+static std::vector<RowIndex> peersIn(const Inventory& inventory, RowIndex own, RowIndex dataCentre, const IsUsable& isUsable)
+{
+    auto isThere = [&](RowIndex vm) { return inventory.vms[vm].dataCentre == dataCentre; };
+    return peersThat(inventory, own, isThere, isUsable);
+}
+
 // Adds `count` of the peers, chosen evenly by the seed.
 static void addSome(std::vector<RowIndex>& chosen, std::vector<RowIndex> peers, uint64_t seed, size_t count)
 {
@@ -69,34 +83,67 @@
     return static_cast<size_t>(ahead) < relaysPerDataCentre;
 }
 
-bool coversOneDataCentre(const Inventory& inventory, RowIndex ownDataCentre, RowIndex peerDataCentre)
+bool coversOneDataCentre(const Inventory& inventory)
 {
-    return ownDataCentre == peerDataCentre && inventory.vms.size() > maxWholeExchange;
+    return inventory.vms.size() > maxWholeExchange;
 }
 
-std::vector<RowIndex> choosePeers(const Inventory& inventory, RowIndex own, uint64_t round, const IsUsable& isUsable)
+// The data centre whose turn it is: each of the others in its turn, so that their number does not raise the cost.
+static RowIndex foreignDataCentre(const Inventory& inventory, RowIndex own, uint64_t turn)
+{
+    auto others = inventory.dataCentres.size() - 1;
+    auto step = 1 + turn / foreignInterval % others;
+    return static_cast<RowIndex>((inventory.vms[own].dataCentre + step) % inventory.dataCentres.size());
+}
+
+// One process's choice in one round.
+namespace {
+struct PeerTurn {
+    const Inventory& inventory;
+    RowIndex own;
+    uint64_t seed;
+    uint64_t turn; ///< The round, shifted for each process, so that those of a fleet that started at once are spread out.
+    IsUsable isAllowed; ///< Suspect peers have their turn, too.
+};
+} // namespace
+
+// In a small fleet all exchanges cost the same: relays go to another region in place of their own data centre every
+// second round, so that reports cross within seconds.
+static std::vector<RowIndex> choosePeersOfSmallFleet(const PeerTurn& turn, bool isRelay)
 {
-    uint64_t seed = hashText(inventory.vms[own].name, round);
-    // Each process has its own turn, so that those of a fleet that started at once are spread out.
-    uint64_t turn = round + hashText(inventory.vms[own].name);
-    IsUsable isAllowed = turn % probeInterval == 0 ? IsUsable([](RowIndex) { return true; }) : isUsable;
     std::vector<RowIndex> chosen;
-    // In a small fleet a relay goes to another region in place of its own data centre, so that a report crosses within seconds.
-    bool isSmall = inventory.vms.size() <= maxWholeExchange;
-    if (isSmall && turn % smallFleetRelayInterval == 1 && isRelay(inventory, own, isUsable))
-        addSome(chosen, peersAt(inventory, own, Distance::OtherRegion, isAllowed), seed, 1);
+    auto add = [&](Distance distance) { addSome(chosen, peersAt(turn.inventory, turn.own, distance, turn.isAllowed), turn.seed, 1); };
+    if (isRelay && turn.turn % relayInterval == 1)
+        add(Distance::OtherRegion);
     if (chosen.empty())
-        addSome(chosen, peersAt(inventory, own, Distance::SameDataCentre, isAllowed), seed, 1);
-    // A relay goes to another region in every second of its turns, in place of its own, so that it costs no more bytes.
-    bool isRelayTurn = !isSmall && turn % relayInterval == 1 && isRelay(inventory, own, isUsable);
-    bool isRegionTurn = turn % crossInterval == 1 && !isRelayTurn;
-    if (chosen.empty() || isRegionTurn)
-        addSome(chosen, peersAt(inventory, own, Distance::SameRegion, isAllowed), seed, 1);
-    if (chosen.empty() || isRelayTurn)
-        addSome(chosen, peersAt(inventory, own, Distance::OtherRegion, isAllowed), seed, 1);
+        add(Distance::SameDataCentre);
+    if (chosen.empty() || turn.turn % crossInterval == 1)
+        add(Distance::SameRegion);
+    if (chosen.empty())
+        add(Distance::OtherRegion);
+    return chosen;
+}
+
+static std::vector<RowIndex> choosePeersOfLargeFleet(const PeerTurn& turn)
+{
+    std::vector<RowIndex> chosen;
+    addSome(chosen, peersAt(turn.inventory, turn.own, Distance::SameDataCentre, turn.isAllowed), turn.seed, 1);
+    bool isForeignTurn = turn.turn % foreignInterval == 0 || chosen.empty();
+    if (isForeignTurn && turn.inventory.dataCentres.size() > 1)
+        addSome(chosen, peersIn(turn.inventory, turn.own, foreignDataCentre(turn.inventory, turn.own, turn.turn), turn.isAllowed), turn.seed, 1);
     return chosen;
 }
 
+std::vector<RowIndex> choosePeers(const Inventory& inventory, RowIndex own, uint64_t round, const IsUsable& isUsable)
+{
+    uint64_t turn = round + hashText(inventory.vms[own].name);
+    IsUsable isAllowed = turn % probeInterval == 0 ? IsUsable([](RowIndex) { return true; }) : isUsable;
+    PeerTurn ownTurn { inventory, own, hashText(inventory.vms[own].name, round), turn, std::move(isAllowed) };
+    if (coversOneDataCentre(inventory))
+        return choosePeersOfLargeFleet(ownTurn);
+    return choosePeersOfSmallFleet(ownTurn, isRelay(inventory, own, isUsable));
+}
+
 std::vector<RowIndex> chooseAnnouncePeers(const Inventory& inventory, RowIndex own, uint64_t seed, const IsUsable& isUsable)
 {
     std::vector<RowIndex> chosen;
