Bound the size of an event in a relayed stream

Cause: the entry keeps the start of an event until its end comes. An engine that never ends an event made that grow without bound. Each piece was also searched from the start of what was kept.

Ruled out: dropping the rest of the event and going on, since the caller would take a stream with a hole for a whole one; resuming elsewhere, since the same request would make the same event.

Change: an event of more than 1 MiB (maxEventBytes) ends the stream with the error event `stream-cut`, and it is not resumed. The search starts where the last one ended. The stand-in engine has a switch for such an event.

--- a/src/StreamRelay.cpp
+++ b/src/StreamRelay.cpp
@@ -42,9 +42,15 @@
 
 std::string takeEvents(StreamProgress& progress, std::string_view piece)
 {
+    if (progress.isMixed || progress.isOversized)
+        return {};
+    // What is pending holds no whole end of an event, but perhaps the first half of one.
+    size_t searchStart = progress.pending.empty() ? 0 : progress.pending.size() - 1;
     progress.pending += piece;
     size_t passed = 0;
-    for (size_t end = progress.pending.find(eventEnd); end != std::string::npos; end = progress.pending.find(eventEnd, passed)) {
+    for (size_t end = progress.pending.find(eventEnd, searchStart); end != std::string::npos; end = progress.pending.find(eventEnd, passed)) {
+        if (end - passed > maxEventBytes)
+            break;
         auto event = readStreamEvent(std::string_view(progress.pending).substr(passed, end - passed));
         bool isOther = !event.fingerprint.empty() && !progress.fingerprint.empty() && event.fingerprint != progress.fingerprint;
         progress.isMixed = progress.isMixed || isOther;
@@ -60,12 +66,15 @@
     std::string events = progress.pending.substr(0, passed);
     progress.pending.erase(0, passed);
     progress.hasPassed = progress.hasPassed || passed > 0;
+    progress.isOversized = progress.isOversized || progress.pending.size() >= maxEventBytes + eventEnd.size();
+    if (progress.isOversized)
+        progress.pending.clear();
     return events;
 }
 
 bool mayResume(const StreamProgress& progress)
 {
-    if (progress.isMixed || progress.isWhole)
+    if (progress.isMixed || progress.isOversized || progress.isWhole)
         return false;
     return !progress.hasPassed || (!progress.lastId.empty() && !progress.fingerprint.empty());
 }
@@ -87,7 +96,7 @@
         auto step = isHeard ? this->exchange->readPiece(piece) : BodyStep::Broken;
         if (step == BodyStep::More) {
             events = takeEvents(this->progress, piece);
-            return !this->progress.isMixed;
+            return !this->progress.isMixed && !this->progress.isOversized;
         }
         if (!this->source.reopen || !mayResume(this->progress) || this->resumes >= maxResumes)
             return false;
--- a/src/StreamRelay.h
+++ b/src/StreamRelay.h
@@ -26,6 +26,9 @@
 /// Reads one event's text, without the empty line after it. Thread safe.
 StreamEvent readStreamEvent(std::string_view text);
 
+/// Largest event that is passed on, and so the most that is kept of one that has not ended.
+constexpr size_t maxEventBytes = size_t(1) << 20;
+
 /// What has been passed on so far. Pure: it is fed pieces and gives whole events.
 struct StreamProgress {
     std::string pending; ///< Start of an event whose rest has not come.
@@ -34,9 +37,11 @@
     bool hasPassed = false; ///< The caller has some event.
     bool isWhole = false; ///< The last event has come.
     bool isMixed = false; ///< An event came from other weights than those before it.
+    bool isOversized = false; ///< An event is larger than maxEventBytes.
 };
 
-/// Takes a piece over and returns the whole events in it, to be passed on; stops at an event of other weights.
+/// Takes a piece over and returns the whole events in it, to be passed on; stops at an event of other weights
+/// and at one that is too large.
 std::string takeEvents(StreamProgress&, std::string_view piece);
 
 /// Whether a broken stream can go on elsewhere: the last event was numbered and its weights are known, or there was none.
--- a/tests/LoadGenerator.cpp
+++ b/tests/LoadGenerator.cpp
@@ -141,6 +141,7 @@
     std::atomic<uint64_t> nextNumber { 0 };
     Tally tally;
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<size_t>(FLAGS_workers));
     for (int worker = 0; worker < FLAGS_workers; ++worker)
         workers.emplace_back([&] { runWorker(plan, nextNumber, tally); });
     for (std::thread& worker : workers)
--- a/tests/RetryTest.cpp
+++ b/tests/RetryTest.cpp
@@ -105,3 +105,22 @@
     BOOST_TEST(progress.isMixed);
     BOOST_TEST(!mayResume(progress));
 }
+
+// What is kept of an event that does not end is bounded, and so is the largest one that is passed on.
+BOOST_AUTO_TEST_CASE(anEventOverTheLimitEndsAStream)
+{
+    constexpr size_t limit = size_t(1) << 20;
+    const std::string piece(limit / 16, 'x');
+    for (size_t size : { limit - piece.size(), 8 * limit }) {
+        StreamProgress progress;
+        std::string whole = makeEvent(1, "sha256:1") + "data: ";
+        std::string passed = takeEvents(progress, whole);
+        for (size_t sent = 0; sent < size; sent += piece.size()) {
+            passed += takeEvents(progress, piece);
+            BOOST_REQUIRE(progress.pending.size() <= limit + piece.size());
+        }
+        passed += takeEvents(progress, "\n\n");
+        BOOST_TEST(passed.size() == (size < limit ? whole.size() + size + 2 : makeEvent(1, "sha256:1").size()));
+        BOOST_TEST(mayResume(progress) == (size < limit));
+    }
+}
--- a/tests/StandInEngineCompletions.cpp
+++ b/tests/StandInEngineCompletions.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int defaultMaximumTokens = 16;
+constexpr size_t endlessPieceBytes = 65'536;
 
 /// One request to an engine. It keeps the version that served when it started.
 struct Completion {
@@ -104,6 +105,11 @@
 bool writeStream(RunGuard& run, httplib::DataSink& sink)
 {
     const Completion& completion = run.completion;
+    if (switchValue(completion.engine.switches, "endless_event", false)) {
+        const std::string piece(endlessPieceBytes, 'x');
+        while (sink.write(piece.data(), piece.size())) { }
+        return false;
+    }
     TimePoint due = Clock::now();
     for (int token = completion.resumeAfter + 1; token <= completion.tokens; ++token) {
         due += switchDuration(completion.engine.switches, "token_ms");
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Endpoints that die, freeze or turn cold under load: every answer is whole, and nothing is lost or crossed."""
 
+import http.client
 import json
 import signal
 import socket
@@ -76,6 +77,20 @@
     return over
 
 
+def endless_event(fleet):
+    """A stream of one event that does not end is ended with an error event, and without the mark of a whole answer."""
+    for name in fleet.replicas():
+        fleet.back_end(name).fault(endless_event=True)
+    entry = fleet.processes[fleet.entries()[0]]
+    try:
+        answer = fleet.ask_model(entry.address, stream=True)
+        raise AssertionError(f"an answer that looks whole, or none: {answer[0]} {answer[2][:100]}")
+    except http.client.IncompleteRead as cut:
+        assert cut.partial.startswith(b"event: error\ndata: ") and b"stream-cut" in cut.partial, cut.partial[:100]
+    for name in fleet.replicas():
+        fleet.back_end(name).fault(endless_event=False)
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with harness.Fleet(arguments.build, engine_flags=ENGINE_FLAGS) as fleet:
@@ -84,6 +99,7 @@
         caller_gone(fleet)
         cold_turn(fleet)
         freeze(fleet)
+        endless_event(fleet)
         kill_during_streams(fleet)
 
 
