Prove refusals after a change between choice and dispatch

Cause: docs/PROOFS.md had no test of a configuration that changes after an entry has chosen an endpoint.

Change: process_requests_leaving sends requests straight to an endpoint's process, as an entry would that chose under the old configuration. change_after_choice: data centre out, VM leaving, VM's service changed; each of 20 requests is refused as not run with the right reason, and the engine counts 0 runs of them. change_label: while a label's version changes, each request is answered by one version, never by the old one after the new one. A changed label alone is no reason to refuse: by design the old version serves until the new one is whole, so no refusal is required there.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -5,6 +5,7 @@
 
 import argparse
 import contextlib
+import hashlib
 import json
 import pathlib
 import queue
@@ -282,6 +283,27 @@
         body = {"model": self.inventory["models"][0]["name"], "prompt": prompt, "max_tokens": max_tokens, **fields}
         return call("POST", address, "/v1/completions", json.dumps(body), {**self.account(), "Content-Type": "application/json"})
 
+    def forward(self, endpoint, prompt):
+        """A request straight to an endpoint's process, as by an entry that chose it; gives status, reason, outcome and body."""
+        model = self.inventory["models"][0]
+        headers = {**self.account(), "X-Bilberry-Model": model["name"], "X-Bilberry-Service": model["service"], "X-Bilberry-Attempt": prompt,
+                   "X-Bilberry-Deadline-Ms": "5000", "X-Bilberry-Caller": self.inventory["callers"][0]["name"]}
+        body = json.dumps({"model": model["name"], "prompt": prompt, "max_tokens": 1})
+        status, answer, text = call("POST", self.processes[endpoint].address, "/forward/v1/completions", body, headers)
+        return status, answer.get("X-Bilberry-Reason"), answer.get("X-Bilberry-Outcome"), text
+
+    def runs_of(self, endpoint, prompts):
+        """How often the engine beside an endpoint started these prompts."""
+        runs = self.back_end(endpoint).counts().get("runs", {})
+        return sum(runs.get(hashlib.sha256(prompt.encode()).hexdigest()[:8], 0) for prompt in prompts)
+
+    def add_link(self, endpoint, bytes_per_second=0):
+        """Puts a link in front of an endpoint's process and publishes its address; switch it with link.fault()."""
+        row = self.vm(endpoint)
+        link = self.standin(f"{endpoint}.link", "link", self.host(row), f"--target={self.processes[endpoint].address}", f"--bytes_per_second={bytes_per_second}")
+        row["address"], link.address = link.address, link.lines.get(timeout=10).split()[1]
+        return link
+
     def take_out(self, data_centre):
         self.rules["data_centres_out"] = [data_centre]
         return self.publish()
--- a/tests/process_requests_leaving.py
+++ b/tests/process_requests_leaving.py
@@ -18,19 +18,15 @@
     def __init__(self, fleet, endpoint):
         super().__init__(daemon=True)
         self.fleet = fleet
-        self.address = fleet.processes[endpoint].address
+        self.endpoint = endpoint
         self.ends = False
         self.ran = []
         self.refused = []
 
     def run(self):
-        model = self.fleet.inventory["models"][0]
-        headers = {**self.fleet.account(), "X-Bilberry-Model": model["name"], "X-Bilberry-Service": model["service"], "X-Bilberry-Attempt": "stale-1",
-                   "X-Bilberry-Deadline-Ms": "5000", "X-Bilberry-Caller": self.fleet.inventory["callers"][0]["name"]}
-        body = json.dumps({"model": model["name"], "prompt": "stale", "max_tokens": 1})
         while not self.ends:
-            status, answer, _ = harness.call("POST", self.address, "/forward/v1/completions", body, headers)
-            (self.ran if status == 200 else self.refused).append((time.monotonic(), answer.get("X-Bilberry-Reason")))
+            status, reason, *_ = self.fleet.forward(self.endpoint, "stale")
+            (self.ran if status == 200 else self.refused).append((time.monotonic(), reason))
             time.sleep(0.02)
 
 
@@ -63,6 +59,46 @@
     harness.assert_whole(harness.finish(load), "data centre out and back")
 
 
+def change_after_choice(fleet):
+    """Requests of an entry that chose under the old configuration are refused as not run, and the engine has no run of them."""
+    name = f"{OUT}-draft-1"
+    for document, field, value, status, reason in ((fleet.rules, "data_centres_out", [OUT], 503, "data-centre-out"),
+                                                   (fleet.rules, "vms_leaving", [name], 503, "leaving"),
+                                                   (fleet.vm(name), "service", "portal", 404, "unknown-service")):
+        before, document[field] = document[field], value
+        fleet.publish()
+        harness.wait_until(lambda: fleet.forward(name, "probe")[1] == reason, 4, f"{name} refuses with {reason}")
+        prompts = [f"late-{reason}-{index}" for index in range(20)]
+        answers = {fleet.forward(name, prompt)[:3] for prompt in prompts}
+        assert answers == {(status, reason, "not-run")}, answers
+        assert fleet.runs_of(name, prompts) == 0, f"ran after {reason}"
+        document[field] = before
+        fleet.publish()
+        harness.wait_until(lambda: fleet.forward(name, "probe")[0] == 200, 15, f"{name} serves again after {reason}")
+
+
+def change_label(fleet):
+    """While a label's version changes, an endpoint answers by the old version, then by the new one; a refused request has not run."""
+    name, model = f"{OUT}-draft-1", fleet.inventory["models"][0]
+    old, model["label"] = fleet.digest, "next"
+    fleet.digest = fleet.put_model(seed=2)
+    fleet.publish()
+    versions = [old]
+    for index in range(1000):
+        prompt = f"label-{index}"
+        status, reason, outcome, text = fleet.forward(name, prompt)
+        if status != 200:
+            assert (reason, outcome, fleet.runs_of(name, [prompt])) == ("version-not-ready", "not-run", 0), (status, reason, outcome)
+            continue
+        version = json.loads(text)["system_fingerprint"]
+        assert version in (versions[-1], fleet.digest), f"answered by {version} after {versions[-1]}"
+        versions.append(version)
+        if versions[-20:] == [fleet.digest] * 20:
+            return
+        time.sleep(0.01)
+    raise AssertionError(f"{name} does not serve the new version")
+
+
 def stop_under_load(fleet):
     """SIGTERM of an endpoint's process under load cuts nothing off; its exit code says so."""
     load = start_load(fleet, 4, 2)
@@ -89,6 +125,8 @@
         fleet.wait_for_replicas(9)
         fleet.wait_for_entries()
         take_out_and_return(fleet)
+        change_after_choice(fleet)
+        change_label(fleet)
         stop_under_load(fleet)
         stop_entry(fleet)
 
