Send chunks to peers in turn, to other regions first

Cause: a holder served all askers at once, up to 12 in a region of 11 VMs and from others, so that all of these sends ended late and nobody could pass the chunk on before. Ruled out: processor time as the first cause. Change: TransferQueue lets two sends through at a time, those that cross regions first; none waits longer than 1 s. The asker gives its VM in a header. Tests: the property of the order fails when the region is left out of it (sends_to_other_regions_go_first_then_the_oldest) and passes now; a unit test bounds what a receiver that stalls costs the others.

--- /dev/null
+++ b/src/TransferQueue.cpp
@@ -0,0 +1,36 @@
+#include "TransferQueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bilberry {
+
+size_t chooseTransfer(const std::vector<WaitingTransfer>& waiting)
+{
+    auto isBefore = [](const WaitingTransfer& first, const WaitingTransfer& second) {
+        return std::make_tuple(!first.crossesRegions, first.ticket) < std::make_tuple(!second.crossesRegions, second.ticket);
+    };
+    return static_cast<size_t>(std::min_element(waiting.begin(), waiting.end(), isBefore) - waiting.begin());
+}
+
+void TransferQueue::enter(bool crossesRegions)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    uint64_t ticket = this->nextTicket++;
+    this->waiting.push_back({ ticket, crossesRegions });
+    auto isTurn = [&] { return this->inProgress < maxTransfers && this->waiting[chooseTransfer(this->waiting)].ticket == ticket; };
+    this->changed.wait_for(lock, maxTransferWait, isTurn);
+    auto isOwn = [&](const WaitingTransfer& other) { return other.ticket == ticket; };
+    this->waiting.erase(std::find_if(this->waiting.begin(), this->waiting.end(), isOwn));
+    ++this->inProgress;
+    this->changed.notify_all();
+}
+
+void TransferQueue::leave()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    --this->inProgress;
+    this->changed.notify_all();
+}
+
+} // namespace bilberry
--- a/src/WeightAgent.cpp
+++ b/src/WeightAgent.cpp
@@ -1,6 +1,7 @@
 #include "WeightAgent.h"
 
 #include "WeightState.h"
+#include "WireHeaders.h"
 
 #include <algorithm>
 
@@ -89,26 +90,53 @@
     return response;
 }
 
-static HttpResponse answerChunk(WeightState& state, const std::string& digest)
+namespace {
+
+// One chunk on its way to a peer.
+struct ChunkSend {
+    WeightState& state;
+    ChunkBytes bytes;
+    bool crossesRegions = false;
+    bool hasEntered = false; ///< Its turn in the queue has come.
+    size_t offset = 0;
+};
+
+} // namespace
+
+// Gives the next piece when its turn and its time have come.
+static BodyStep sendPiece(ChunkSend& send, std::string& piece)
+{
+    if (send.offset == send.bytes->size())
+        return BodyStep::End;
+    if (!send.hasEntered)
+        send.state.uploadQueue.enter(send.crossesRegions);
+    send.hasEntered = true;
+    piece = send.bytes->substr(send.offset, uploadPieceBytes);
+    send.offset += piece.size();
+    double rate = static_cast<double>(send.state.settings.uploadBytesPerSecond);
+    std::this_thread::sleep_until(send.state.uploadPacer.reserve(piece.size(), rate, Clock::now()));
+    return BodyStep::More;
+}
+
+// Whether a VM with one of the models is known to be in another region.
+static bool isElsewhere(WeightState& state, const std::string& vm)
+{
+    std::lock_guard<std::mutex> lock(state.mutex);
+    return std::any_of(state.peers.begin(), state.peers.end(), [&](const auto& entry) { return entry.second.vm == vm && !entry.second.isSameRegion; });
+}
+
+static HttpResponse answerChunk(WeightState& state, const std::string& digest, const std::string& receiver)
 {
     auto bytes = state.store.find(digest);
     if (!bytes)
         return jsonResponse(404, "{}");
     state.node.metrics.count("bilberry_chunk_bytes_served_total", {}, static_cast<double>(bytes->size()));
     HttpResponse response;
-    double rate = static_cast<double>(state.settings.uploadBytesPerSecond);
-    if (rate <= 0) {
-        response.body = *bytes;
-        return response;
-    }
-    auto offset = std::make_shared<size_t>(0);
-    response.stream = [&state, bytes, offset, rate](std::string& piece) {
-        if (*offset == bytes->size())
-            return BodyStep::End;
-        piece = bytes->substr(*offset, uploadPieceBytes);
-        *offset += piece.size();
-        std::this_thread::sleep_until(state.uploadPacer.reserve(piece.size(), rate, Clock::now()));
-        return BodyStep::More;
+    auto send = std::make_shared<ChunkSend>(ChunkSend { state, bytes, isElsewhere(state, receiver) });
+    response.stream = [send](std::string& piece) { return sendPiece(*send, piece); };
+    response.onFinished = [send] {
+        if (send->hasEntered)
+            send->state.uploadQueue.leave();
     };
     return response;
 }
@@ -160,7 +188,7 @@
     std::string kind = request.path.substr(1, slash - 1);
     std::string name = request.path.substr(slash + 1);
     if (kind == "chunks")
-        return answerChunk(*this->state, name);
+        return answerChunk(*this->state, name, findHeader(request.headers, wire::vm));
     if (kind == "holdings")
         return answerHoldings(*this->state, name);
     if (kind == "manifests")
--- a/src/WeightSpread.cpp
+++ b/src/WeightSpread.cpp
@@ -5,6 +5,7 @@
 #include "Log.h"
 #include "Transfer.h"
 #include "WeightState.h"
+#include "WireHeaders.h"
 
 namespace bilberry {
 
@@ -216,7 +217,7 @@
 {
     TransferLimits limits { job.chunk.sizeBytes, job.bytesPerSecond, job.isPaced ? &state.regionPacer : nullptr };
     if (job.fetch.source != ChunkSource::Origin)
-        return fetchBytes(state.node, job.fetch.peerAddress, { "GET", "/chunks/" + job.chunk.digest, {}, {} }, limits, state.receivedBytes);
+        return fetchBytes(state.node, job.fetch.peerAddress, { "GET", "/chunks/" + job.chunk.digest, { { wire::vm, state.node.settings.vm } }, {} }, limits, state.receivedBytes);
     auto configuration = state.node.published.configuration();
     HttpRequest request { "GET", "/v2/" + job.model + "/blobs/" + job.chunk.digest, {}, {} };
     return fetchBytes(state.node, configuration->inventory.weightStore, request, limits, state.receivedBytes);
--- a/src/WeightState.h
+++ b/src/WeightState.h
@@ -8,6 +8,7 @@
 #include "PlacementCache.h"
 #include "SpreadView.h"
 #include "TransferPacer.h"
+#include "TransferQueue.h"
 #include "WeightSettings.h"
 #include "WeightTable.h"
 
@@ -63,6 +64,7 @@
     PlacementCache placements;
     TransferPacer regionPacer; ///< Of what comes from other regions.
     TransferPacer uploadPacer; ///< Of chunks sent to peers.
+    TransferQueue uploadQueue; ///< Of chunks sent to peers.
     std::atomic<uint64_t> receivedBytes { 0 };
 
     mutable std::mutex mutex; ///< Guards all below.
--- a/src/WireHeaders.h
+++ b/src/WireHeaders.h
@@ -9,6 +9,7 @@
 constexpr char generation[] = "X-Bilberry-Generation"; ///< Of the sender's configuration.
 constexpr char service[] = "X-Bilberry-Service";
 constexpr char model[] = "X-Bilberry-Model";
+constexpr char vm[] = "X-Bilberry-Vm"; ///< Name of the VM whose process sends the message.
 constexpr char caller[] = "X-Bilberry-Caller";
 constexpr char unrepeatable[] = "X-Bilberry-Unrepeatable"; ///< "1" when the request may run at most once.
 constexpr char load[] = "X-Bilberry-Load"; ///< "in progress/limit" of the endpoint.
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -1,6 +1,7 @@
 /// The chunk choice, driven as a small fleet in simulated time.
 #define BOOST_TEST_MODULE ChunkPlan
 #include "ChunkPlan.h"
+#include "TransferQueue.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -238,3 +239,33 @@
     BOOST_TEST(planFetches(input, slots, now).empty());
     BOOST_TEST(planFetches(input, slots, now + routePatience).size() == 1U);
 }
+
+RC_BOOST_PROP(sends_to_other_regions_go_first_then_the_oldest, (const std::vector<bool>& crossing))
+{
+    RC_PRE(!crossing.empty());
+    std::vector<WaitingTransfer> waiting;
+    for (size_t i = 0; i < crossing.size(); ++i)
+        waiting.push_back({ i, crossing[i] });
+    std::shuffle(waiting.begin(), waiting.end(), std::mt19937(static_cast<unsigned>(crossing.size())));
+    const WaitingTransfer& next = waiting[chooseTransfer(waiting)];
+    for (const auto& other : waiting) {
+        RC_ASSERT(next.crossesRegions || !other.crossesRegions);
+        RC_ASSERT(next.crossesRegions != other.crossesRegions || next.ticket <= other.ticket);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(receivers_that_stall_hold_up_the_others_for_a_bounded_time)
+{
+    TransferQueue queue;
+    auto begin = Clock::now();
+    for (size_t i = 0; i < maxTransfers; ++i)
+        queue.enter(false);
+    BOOST_TEST((Clock::now() - begin < maxTransferWait));
+    queue.enter(true);
+    BOOST_TEST((Clock::now() - begin >= maxTransferWait));
+    for (size_t i = 0; i < maxTransfers; ++i)
+        queue.leave();
+    begin = Clock::now();
+    queue.enter(false);
+    BOOST_TEST((Clock::now() - begin < maxTransferWait));
+}
