Take one chunk at a time from the origin in a large region

Cause: each VM of the origin's region had three fetches open to the origin, 33 of them at 32 processes, so that the first chunks were whole only after half of the origin's time for a copy; with T = 24 s that was longer than the patience of the VMs behind, which went to the origin as well. Change: one fetch a VM where the region has four other VMs or more. Test: in_a_large_region_a_vm_takes_one_chunk_at_a_time_from_the_origin failed before (3 != 1) and passes now.

--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -14,8 +14,10 @@
 static constexpr uint32_t maxFetchesPerPeerInLargeRegion = 1;
 static constexpr std::ptrdiff_t largeRegionPeers = 4;
 static constexpr uint32_t maxFetchesPerRemotePeer = 2;
-// Fetches from the origin and from other regions leave slots for those inside the region.
+// Fetches from the origin and from other regions leave slots for those inside the region. The VMs of a large region use
+// up the origin's rate with one fetch each; the fewer it serves at a time, the sooner the first chunks are whole.
 static constexpr size_t maxOriginFetches = 3;
+static constexpr size_t maxOriginFetchesInLargeRegion = 1;
 static constexpr size_t maxRegionFetches = 3;
 // Ranks by which VMs far from the origin wait longer than those near it.
 static constexpr uint32_t farOriginRanks = 3;
@@ -63,16 +65,19 @@
     size_t originFetches = 0;
     size_t regionFetches = 0;
     uint32_t perPeer = maxFetchesPerPeer;
+    size_t fromOrigin = maxOriginFetches;
 };
 
 } // namespace
 
 static PlanWork makeWork(const ChunkPlanInput& input, TimePoint now)
 {
-    PlanWork work { input, now, {}, std::vector<uint32_t>(input.peers.size(), 0), std::vector<uint32_t>(input.chunks.size(), 0), input.originFetches, input.regionFetches, maxFetchesPerPeer };
+    PlanWork work { input, now, {}, std::vector<uint32_t>(input.peers.size(), 0), std::vector<uint32_t>(input.chunks.size(), 0), input.originFetches, input.regionFetches };
     auto regionPeers = std::count_if(input.peers.begin(), input.peers.end(), [](const ChunkPeer& peer) { return peer.isSameRegion; });
-    if (regionPeers >= largeRegionPeers)
+    if (regionPeers >= largeRegionPeers) {
         work.perPeer = maxFetchesPerPeerInLargeRegion;
+        work.fromOrigin = maxOriginFetchesInLargeRegion;
+    }
     for (size_t i = 0; i < input.peers.size(); ++i) {
         const ChunkPeer& peer = input.peers[i];
         work.positions.emplace(peer.vm, i);
@@ -198,7 +203,7 @@
         return;
     }
     bool isElsewhere = remote || isSourceAwaited(work, chunk);
-    if (isElsewhere || !work.input.originAllowed || work.originFetches >= maxOriginFetches)
+    if (isElsewhere || !work.input.originAllowed || work.originFetches >= work.fromOrigin)
         return;
     if (work.input.isOriginNear || isTurn(work, chunk, farOriginRanks)) {
         ++work.originFetches;
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -240,6 +240,23 @@
     BOOST_TEST(planFetches(input, slots, now + routePatience).size() == 1U);
 }
 
+// First of its route for all chunks, which no peer has yet.
+BOOST_AUTO_TEST_CASE(in_a_large_region_a_vm_takes_one_chunk_at_a_time_from_the_origin)
+{
+    TimePoint now { Milliseconds(10'000) };
+    std::vector<std::string> digests { "sha256:a", "sha256:b", "sha256:c", "sha256:d" };
+    std::vector<ChunkState> chunks(digests.size(), { false, false, now });
+    std::vector<ChunkRoute> routes(digests.size());
+    std::string own = "own";
+    std::vector<ChunkPeer> peers(3, { "other", "o:1", true, {}, 0, {}, {} });
+    ChunkPlanInput input { chunks, routes, digests, peers, own, true, true, 0, 0 };
+    BOOST_TEST(planFetches(input, slots, now).size() == 3U);
+    peers.push_back(peers[0]);
+    BOOST_TEST(planFetches(input, slots, now).size() == 1U);
+    input.originFetches = 1;
+    BOOST_TEST(planFetches(input, slots, now).empty());
+}
+
 RC_BOOST_PROP(sends_to_other_regions_go_first_then_the_oldest, (const std::vector<bool>& crossing))
 {
     RC_PRE(!crossing.empty());
