Tell holdings with the chunks, and ask peers heard that way less

Cause: while chunks are missing a process asks some 80 times a second, over the control budget, and learns late what the peers that it trades with have. Change: a request for a chunk and its answer carry the sender's VM and holdings in headers; a peer heard so is not asked for 400 ms. Versions are still taken from questions only.

--- a/src/Holdings.cpp
+++ b/src/Holdings.cpp
@@ -34,6 +34,11 @@
     return bits;
 }
 
+bool replacesHoldings(const Holdings& known, const Holdings& told)
+{
+    return known.digest != told.digest || told.receivedBytes >= known.receivedBytes;
+}
+
 std::string toText(const Holdings& holdings)
 {
     return json { { "label", holdings.label }, { "digest", holdings.digest }, { "age_ms", holdings.confirmedAge.count() }, { "received", holdings.receivedBytes }, { "count", holdings.chunks.size() }, { "chunks", packBits(holdings.chunks) } }.dump();
--- a/src/Transfer.cpp
+++ b/src/Transfer.cpp
@@ -34,9 +34,12 @@
 absl::StatusOr<std::string> fetchBytes(Node& node, const std::string& address, const HttpRequest& request, const TransferLimits& limits, std::atomic<uint64_t>& receivedBytes)
 {
     HttpExchange exchange(node.clients, address, request, { node.settings.connectTimeout, silenceLimit });
-    auto status = toStatus(exchange.waitForHead());
+    const HttpReply& head = exchange.waitForHead();
+    auto status = toStatus(head);
     if (!status.ok())
         return status;
+    if (limits.onHead)
+        limits.onHead(head.headers);
     auto giveUpAt = Clock::now() + silenceLimit + transferTime(limits.sizeBytes, minBytesPerSecond);
     std::string body;
     std::string piece;
--- a/src/Transfer.h
+++ b/src/Transfer.h
@@ -1,7 +1,7 @@
 /// Fetches one chunk over HTTP, within a progress deadline and paced.
 #pragma once
 
-#include "Types.h"
+#include "HttpMessage.h"
 
 #include <absl/status/statusor.h>
 #include <atomic>
@@ -9,7 +9,6 @@
 
 namespace bilberry {
 
-struct HttpRequest;
 struct Node;
 class TransferPacer;
 
@@ -18,6 +17,7 @@
     uint64_t sizeBytes = 0; ///< That the manifest states.
     double bytesPerSecond = 0; ///< Pace; 0 is unbounded.
     TransferPacer* pacer = nullptr; ///< Shared by the transfers of one link; null when not paced.
+    std::function<void(const HttpHeaders&)> onHead {}; ///< Called with the headers of the answer; may be empty.
 };
 
 /// Reads a whole body of the stated size, not yet verified, and adds each piece to `receivedBytes` as it comes.
--- a/src/WeightAgent.cpp
+++ b/src/WeightAgent.cpp
@@ -125,14 +125,15 @@
     return std::any_of(state.peers.begin(), state.peers.end(), [&](const auto& entry) { return entry.second.vm == vm && !entry.second.isSameRegion; });
 }
 
-static HttpResponse answerChunk(WeightState& state, const std::string& digest, const std::string& receiver)
+static HttpResponse answerChunk(WeightState& state, const std::string& digest, const HttpHeaders& headers)
 {
     auto bytes = state.store.find(digest);
     if (!bytes)
         return jsonResponse(404, "{}");
     state.node.metrics.count("bilberry_chunk_bytes_served_total", {}, static_cast<double>(bytes->size()));
     HttpResponse response;
-    auto send = std::make_shared<ChunkSend>(ChunkSend { state, bytes, isElsewhere(state, receiver) });
+    tellHoldings(state, takeToldHoldings(state, headers), response.headers);
+    auto send = std::make_shared<ChunkSend>(ChunkSend { state, bytes, isElsewhere(state, findHeader(headers, wire::vm)) });
     response.stream = [send](std::string& piece) { return sendPiece(*send, piece); };
     response.onFinished = [send] {
         if (send->hasEntered)
@@ -147,8 +148,7 @@
     const WeightRow* row = findWeightRow(state.rows, model);
     if (!row || row->wanted.manifest.digest.empty())
         return jsonResponse(404, "{}");
-    auto age = std::chrono::ceil<Milliseconds>(Clock::now() - row->confirmedAt);
-    return jsonResponse(200, toText(Holdings { row->label, row->wanted.manifest.digest, age, state.receivedBytes, heldBits(row->wanted) }));
+    return jsonResponse(200, toText(ownHoldings(state, *row)));
 }
 
 static HttpResponse answerManifest(WeightState& state, const std::string& digest)
@@ -188,7 +188,7 @@
     std::string kind = request.path.substr(1, slash - 1);
     std::string name = request.path.substr(slash + 1);
     if (kind == "chunks")
-        return answerChunk(*this->state, name, findHeader(request.headers, wire::vm));
+        return answerChunk(*this->state, name, request.headers);
     if (kind == "holdings")
         return answerHoldings(*this->state, name);
     if (kind == "manifests")
--- /dev/null
+++ b/src/WeightHoldings.cpp
@@ -0,0 +1,66 @@
+/// What this process tells peers of its chunks and takes from theirs, beside the chunks that they send each other.
+
+#include "HttpMessage.h"
+#include "WeightState.h"
+#include "WireHeaders.h"
+
+namespace bilberry {
+
+// A peer that told its holdings with a chunk is not asked for them for so long.
+static constexpr Milliseconds toldInterval { 400 };
+// Chunks of a version up to which holdings fit into a header.
+static constexpr size_t maxToldChunks = 16384;
+
+Holdings ownHoldings(const WeightState& state, const WeightRow& row)
+{
+    Holdings holdings { row.label, row.wanted.manifest.digest, std::chrono::ceil<Milliseconds>(Clock::now() - row.confirmedAt), state.receivedBytes, {} };
+    for (const auto& chunk : row.wanted.chunks)
+        holdings.chunks.push_back(chunk.isHeld);
+    return holdings;
+}
+
+void noteHoldings(WeightPeer& peer, const Holdings& holdings)
+{
+    bool hasGrown = holdings.receivedBytes != peer.holdings.receivedBytes || holdings.digest != peer.holdings.digest;
+    if (hasGrown)
+        peer.lastProgress = Clock::now();
+    peer.pollFailures = 0;
+    peer.holdings = holdings;
+}
+
+void tellHoldings(WeightState& state, const std::string& manifestDigest, HttpHeaders& headers)
+{
+    headers.emplace_back(wire::vm, state.node.settings.vm);
+    std::lock_guard<std::mutex> lock(state.mutex);
+    for (const auto& row : state.rows) {
+        bool isAsked = !manifestDigest.empty() && row.wanted.manifest.digest == manifestDigest;
+        if (!isAsked || row.wanted.chunks.size() > maxToldChunks)
+            continue;
+        headers.emplace_back(wire::holdings, toText(ownHoldings(state, row)));
+        return;
+    }
+}
+
+std::string takeToldHoldings(WeightState& state, const HttpHeaders& headers)
+{
+    std::string text = findHeader(headers, wire::holdings);
+    auto holdings = parseHoldings(text);
+    if (!holdings)
+        return {};
+    state.node.metrics.count("bilberry_holdings_bytes_total", { { "with", "chunk" } }, static_cast<double>(text.size()));
+    std::string vm = findHeader(headers, wire::vm);
+    std::lock_guard<std::mutex> lock(state.mutex);
+    for (const auto& row : state.rows) {
+        auto found = state.peers.find({ row.model, vm });
+        if (found == state.peers.end() || row.wanted.manifest.digest != holdings->digest)
+            continue;
+        WeightPeer& peer = found->second;
+        if (!replacesHoldings(peer.holdings, *holdings))
+            continue;
+        noteHoldings(peer, *holdings);
+        peer.nextPoll = std::max(peer.nextPoll, Clock::now() + toldInterval);
+    }
+    return holdings->digest;
+}
+
+} // namespace bilberry
--- a/src/WeightPeers.cpp
+++ b/src/WeightPeers.cpp
@@ -92,11 +92,7 @@
 {
     std::lock_guard<std::mutex> lock(state.mutex);
     WeightPeer& peer = state.peers[{ poll.model, poll.vm }];
-    bool hasGrown = holdings.receivedBytes != peer.holdings.receivedBytes || holdings.digest != peer.holdings.digest;
-    if (hasGrown)
-        peer.lastProgress = Clock::now();
-    peer.pollFailures = 0;
-    peer.holdings = holdings;
+    noteHoldings(peer, holdings);
     WeightRow* row = findWeightRow(state.rows, poll.model);
     if (!row || !supersedes(*row, holdings.label, confirmedAt))
         return false;
@@ -118,6 +114,7 @@
     auto holdings = reply.status == 200 ? parseHoldings(reply.body) : std::nullopt;
     if (!holdings)
         return;
+    state.node.metrics.count("bilberry_holdings_bytes_total", { { "with", "question" } }, static_cast<double>(reply.body.size()));
     auto confirmedAt = sentAt - holdings->confirmedAge;
     if (!takeHoldings(state, poll, *holdings, confirmedAt))
         return;
--- a/src/WeightSpread.cpp
+++ b/src/WeightSpread.cpp
@@ -5,7 +5,6 @@
 #include "Log.h"
 #include "Transfer.h"
 #include "WeightState.h"
-#include "WireHeaders.h"
 
 namespace bilberry {
 
@@ -109,7 +108,7 @@
     // Shares by chunks, so that all VMs of the region end together. One that replaces another has a small share still.
     double share = std::max(view.regionShare, minRegionShare);
     double rate = static_cast<double>(state.settings.regionBytesPerSecond) * share;
-    state.jobs.push_back({ row.model, row.wanted.manifest.chunks[fetch.chunk], std::move(fetch), isPaced, rate });
+    state.jobs.push_back({ row.model, row.wanted.manifest.digest, row.wanted.manifest.chunks[fetch.chunk], std::move(fetch), isPaced, rate });
 }
 
 // Precondition: the lock is held.
@@ -215,9 +214,13 @@
 
 static absl::StatusOr<std::string> fetchChunk(WeightState& state, const FetchJob& job)
 {
-    TransferLimits limits { job.chunk.sizeBytes, job.bytesPerSecond, job.isPaced ? &state.regionPacer : nullptr };
-    if (job.fetch.source != ChunkSource::Origin)
-        return fetchBytes(state.node, job.fetch.peerAddress, { "GET", "/chunks/" + job.chunk.digest, { { wire::vm, state.node.settings.vm } }, {} }, limits, state.receivedBytes);
+    TransferLimits limits { job.chunk.sizeBytes, job.bytesPerSecond, job.isPaced ? &state.regionPacer : nullptr, {} };
+    if (job.fetch.source != ChunkSource::Origin) {
+        limits.onHead = [&](const HttpHeaders& headers) { takeToldHoldings(state, headers); };
+        HttpRequest request { "GET", "/chunks/" + job.chunk.digest, {}, {} };
+        tellHoldings(state, job.manifestDigest, request.headers);
+        return fetchBytes(state.node, job.fetch.peerAddress, request, limits, state.receivedBytes);
+    }
     auto configuration = state.node.published.configuration();
     HttpRequest request { "GET", "/v2/" + job.model + "/blobs/" + job.chunk.digest, {}, {} };
     return fetchBytes(state.node, configuration->inventory.weightStore, request, limits, state.receivedBytes);
--- a/src/WeightState.h
+++ b/src/WeightState.h
@@ -37,6 +37,7 @@
 /// One chunk to be fetched.
 struct FetchJob {
     std::string model;
+    std::string manifestDigest; ///< Of the version that the chunk is wanted for.
     ManifestChunk chunk;
     ChunkFetch fetch;
     bool isPaced = false; ///< It crosses regions.
@@ -100,6 +101,20 @@
 /// Makes a version the wanted one of its model, if it supersedes the one held. Call without the lock.
 void offerVersion(WeightState&, const std::string& model, const std::string& label, Manifest, TimePoint confirmedAt);
 
+/// What this process holds of the row's wanted version. Precondition: the lock is held.
+Holdings ownHoldings(const WeightState&, const WeightRow&);
+
+/// Keeps what a peer told. Precondition: the lock is held.
+void noteHoldings(WeightPeer&, const Holdings&);
+
+/// Adds headers with the sender's name and its holdings of the version with that manifest; only the name when it does not
+/// want that version. Call without the lock.
+void tellHoldings(WeightState&, const std::string& manifestDigest, HttpHeaders&);
+
+/// Takes over what tellHoldings() added at a peer; gives the manifest's digest, empty when nothing was told. Call
+/// without the lock.
+std::string takeToldHoldings(WeightState&, const HttpHeaders&);
+
 /// Bodies of the threads that fetch, at a time.
 constexpr size_t fetchThreads = 8;
 constexpr size_t pollThreads = 3;
--- a/src/WireHeaders.h
+++ b/src/WireHeaders.h
@@ -10,6 +10,7 @@
 constexpr char service[] = "X-Bilberry-Service";
 constexpr char model[] = "X-Bilberry-Model";
 constexpr char vm[] = "X-Bilberry-Vm"; ///< Name of the VM whose process sends the message.
+constexpr char holdings[] = "X-Bilberry-Holdings"; ///< What the sender holds of a version, as the text of Holdings.
 constexpr char caller[] = "X-Bilberry-Caller";
 constexpr char unrepeatable[] = "X-Bilberry-Unrepeatable"; ///< "1" when the request may run at most once.
 constexpr char load[] = "X-Bilberry-Load"; ///< "in progress/limit" of the endpoint.
--- a/tests/ActivationTest.cpp
+++ b/tests/ActivationTest.cpp
@@ -6,6 +6,7 @@
 #include "Holdings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 #include <rapidcheck/boost_test.h>
 
 using namespace bilberry;
@@ -154,6 +155,22 @@
     BOOST_TEST(nextFencing(9, good) == 10U);
 }
 
+RC_BOOST_PROP(holdings_told_in_any_order_end_at_the_latest, (const std::vector<uint8_t>& growth))
+{
+    std::vector<Holdings> told { { "stable", "sha256:x", {}, 0, {} } };
+    for (uint8_t bytes : growth)
+        told.push_back({ "stable", "sha256:x", {}, told.back().receivedBytes + bytes + 1, std::vector<bool>(told.size()) });
+    Holdings latest = told.back();
+    std::shuffle(told.begin(), told.end(), std::mt19937(static_cast<unsigned>(growth.size())));
+    Holdings known { "stable", "sha256:before", {}, UINT64_MAX, {} };
+    for (const auto& holdings : told) {
+        if (replacesHoldings(known, holdings))
+            known = holdings;
+    }
+    RC_ASSERT(known.receivedBytes == latest.receivedBytes);
+    RC_ASSERT(known.chunks == latest.chunks);
+}
+
 RC_BOOST_PROP(holdings_survive_the_wire, (const std::vector<bool>& chunks, uint64_t received, uint16_t age))
 {
     Holdings holdings { "stable", "sha256:x", Milliseconds(age), received, chunks };
--- a/tests/process_weights_faults.py
+++ b/tests/process_weights_faults.py
@@ -43,6 +43,7 @@
         drawn = fleet.origin_copies() - origin
         assert drawn <= MAX_COPIES_WITH_FAULTS, drawn
         assert fleet.sum_metric('bilberry_chunk_fetches_total{result="corrupt",source="origin"}') > 0
+        assert fleet.sum_metric('bilberry_holdings_bytes_total{with="chunk"}') > 0
 
 
 if __name__ == "__main__":
