Give way to live requests only while there are some

Cause: the share of a link that weights use was fixed, so that it cost time or latency always; and a first byte waited behind pieces of 16 KiB, 16 ms each on the measured link. The measure takes both shares as A/B.

--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -25,6 +25,7 @@
     , keyed(node)
     , crashes(node)
 {
+    this->weights.watchLiveRequests([this] { return this->gate.load().inProgress; });
 }
 
 void Endpoint::start()
--- a/src/WeightAgent.cpp
+++ b/src/WeightAgent.cpp
@@ -7,9 +7,6 @@
 
 namespace bilberry {
 
-// Pieces in which a paced chunk is sent, in bytes.
-static constexpr size_t uploadPieceBytes = size_t(16) * 1024;
-
 WeightAgent::WeightAgent(Node& node)
     : state(std::make_unique<WeightState>(node))
 {
@@ -20,6 +17,11 @@
     this->stop();
 }
 
+void WeightAgent::watchLiveRequests(std::function<uint32_t()> liveRequests)
+{
+    this->state->liveRequests = std::move(liveRequests);
+}
+
 void WeightAgent::start()
 {
     WeightState& own = *this->state;
@@ -103,6 +105,12 @@
 
 } // namespace
 
+static TransferPace uploadPace(const WeightState& state)
+{
+    uint32_t liveRequests = state.liveRequests ? state.liveRequests() : 0;
+    return choosePace({ liveRequests, static_cast<double>(state.settings.uploadBytesPerSecond), state.settings.liveShare });
+}
+
 // Gives the next piece when its turn and its time have come.
 static BodyStep sendPiece(ChunkSend& send, std::string& piece)
 {
@@ -111,10 +119,10 @@
     if (!send.hasEntered)
         send.state.uploadQueue.enter(send.crossesRegions);
     send.hasEntered = true;
-    piece = send.bytes->substr(send.offset, uploadPieceBytes);
+    auto pace = uploadPace(send.state);
+    piece = send.bytes->substr(send.offset, pace.pieceBytes);
     send.offset += piece.size();
-    double rate = static_cast<double>(send.state.settings.uploadBytesPerSecond);
-    std::this_thread::sleep_until(send.state.uploadPacer.reserve(piece.size(), rate, Clock::now()));
+    std::this_thread::sleep_until(send.state.uploadPacer.reserve(piece.size(), pace.bytesPerSecond, Clock::now()));
     return BodyStep::More;
 }
 
--- a/src/WeightAgent.h
+++ b/src/WeightAgent.h
@@ -4,6 +4,7 @@
 #include "ChunkStore.h"
 #include "VmStatus.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,9 @@
     WeightAgent(const WeightAgent&) = delete;
     WeightAgent& operator=(const WeightAgent&) = delete;
 
+    /// Sets where the number of live requests in progress is read, which chunks sent to peers give way to. The function is
+    /// thread safe. Precondition: not started yet.
+    void watchLiveRequests(std::function<uint32_t()>);
     /// Starts the threads. Call once.
     void start();
     /// Ends them; fetches in progress are given up.
--- a/src/WeightSettings.h
+++ b/src/WeightSettings.h
@@ -13,6 +13,7 @@
 struct WeightSettings {
     uint64_t regionBytesPerSecond = 0; ///< That all VMs of a region together may take from other regions; 0: unbounded.
     uint64_t uploadBytesPerSecond = 0; ///< That this VM sends of chunks to peers; 0: unbounded.
+    double liveShare = 1; ///< Of that bound, while live requests are in progress at this VM.
     SpreadStrategy strategy = SpreadStrategy::Peers;
 };
 
--- a/src/WeightState.h
+++ b/src/WeightState.h
@@ -7,6 +7,7 @@
 #include "Node.h"
 #include "PlacementCache.h"
 #include "SpreadView.h"
+#include "TransferPace.h"
 #include "TransferPacer.h"
 #include "TransferQueue.h"
 #include "WeightSettings.h"
@@ -15,6 +16,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -65,6 +67,7 @@
     PlacementCache placements;
     TransferPacer regionPacer; ///< Of what comes from other regions.
     TransferPacer uploadPacer; ///< Of chunks sent to peers.
+    std::function<uint32_t()> liveRequests; ///< In progress at the back end; empty: not known.
     TransferQueue uploadQueue; ///< Of chunks sent to peers.
     std::atomic<uint64_t> receivedBytes { 0 };
 
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -1,6 +1,7 @@
 /// The chunk choice, driven as a small fleet in simulated time.
 #define BOOST_TEST_MODULE ChunkPlan
 #include "ChunkPlan.h"
+#include "TransferPace.h"
 #include "TransferQueue.h"
 
 #include <boost/test/unit_test.hpp>
@@ -286,3 +287,22 @@
     queue.enter(false);
     BOOST_TEST((Clock::now() - begin < maxTransferWait));
 }
+
+RC_BOOST_PROP(sends_give_way_only_while_live_requests_are_in_progress, (uint32_t liveRequests, uint32_t bound))
+{
+    double share = *rc::gen::inRange(-10, 20) / 10.0;
+    auto idle = choosePace({ 0, static_cast<double>(bound), share });
+    auto live = choosePace({ liveRequests, static_cast<double>(bound), share });
+    RC_ASSERT(idle.bytesPerSecond == bound);
+    RC_ASSERT(live.pieceBytes > 0U);
+    if (liveRequests == 0) {
+        RC_ASSERT(live.bytesPerSecond == bound);
+        return;
+    }
+    RC_ASSERT(live.pieceBytes < idle.pieceBytes);
+    RC_ASSERT(live.bytesPerSecond <= bound);
+    // A rate of 0 would be unbounded.
+    RC_ASSERT((live.bytesPerSecond > 0) == (bound > 0));
+    if (share >= 0.1 && share <= 1)
+        RC_ASSERT(live.bytesPerSecond == bound * share);
+}
--- a/tests/measure_weights.py
+++ b/tests/measure_weights.py
@@ -17,9 +17,10 @@
 LIVE_SECONDS = 8
 
 
-def paced_fleet(build, count, strategy="peers", window=WINDOW_SECONDS, **others):
+def paced_fleet(build, count, strategy="peers", window=WINDOW_SECONDS, live_share="", **others):
+    flags = [f"--weight_strategy={strategy}"] + ([f"--weight_live_share={live_share}"] if live_share else [])
     return LinkedFleet(build, count, link_rate=int(2 * MODEL_BYTES / window), model_bytes=MODEL_BYTES, chunk_bytes=CHUNK_BYTES,
-                       store_rate=int(4 * MODEL_BYTES / window), daemon_flags=[f"--weight_strategy={strategy}"], **others)
+                       store_rate=int(4 * MODEL_BYTES / window), daemon_flags=flags, **others)
 
 
 def spread(build, count, strategy, window):
@@ -34,9 +35,10 @@
         fleet.close()
 
 
-def live_requests(build, upload_share):
+def live_requests(build, share):
     """Latency of live requests without and with a spread; answers from other weights than whole published ones."""
-    with paced_fleet(build, 8, has_entry=True, upload_share=upload_share, engine_flags=["--slots=16", "--token_ms=10", "--prefill_ms=20"]) as fleet:
+    upload_share, _, live_share = share.partition("/")
+    with paced_fleet(build, 8, has_entry=True, upload_share=float(upload_share), live_share=live_share, engine_flags=["--slots=16", "--token_ms=10", "--prefill_ms=20"]) as fleet:
         fleet.wait_for_replicas(8, 60)
         fleet.wait_for_entries()
         first = fleet.digest
@@ -50,7 +52,7 @@
 
 
 def print_live(build, share):
-    """Weights may use `share` of each VM's link; live requests have the rest and what the weights leave."""
+    """Weights may use `share` of each VM's link; with A/B, A of it and A times B while live requests are in progress."""
     quiet, busy, seconds = live_requests(build, share)
     prefix = f"weights_live_share_{share}"
     for name in ("p50", "p95"):
@@ -62,7 +64,7 @@
 
 
 def main():
-    arguments = harness.parse_arguments(__doc__, sizes=",".join(map(str, SIZES)), strategies=",".join(STRATEGIES), live_shares="0.95,0.7",
+    arguments = harness.parse_arguments(__doc__, sizes=",".join(map(str, SIZES)), strategies=",".join(STRATEGIES), live_shares="0.95,0.95/1,0.7/1",
                                         window=WINDOW_SECONDS)
     for count in map(int, filter(None, arguments.sizes.split(","))):
         for strategy in arguments.strategies.split(","):
@@ -75,7 +77,7 @@
             if strategy == "peers":
                 print(f"weights_{strategy}_{count}_crossing {crossed:.2f} copies {targets[2]}", flush=True)
             assert time.monotonic() - started < 240
-    for share in map(float, filter(None, arguments.live_shares.split(","))):
+    for share in filter(None, arguments.live_shares.split(",")):
         print_live(arguments.build, share)
 
 
