Fetch an announced document once a process

Cause: a process that was fetching a document queued a second fetch when another peer announced the same one meanwhile, and fetched it again after it had adopted it.

Change: a request carries the version that was offered, and the spreading thread looks again whether it is wanted. A waiting request gives way only to one of the same or a higher generation (PublishedStateTest/aWaitingFetch...; new interface, so not run on the old code).

--- a/src/DocumentSpread.cpp
+++ b/src/DocumentSpread.cpp
@@ -30,7 +30,7 @@
     for (int i = 0; i < documentKindCount; ++i) {
         auto kind = static_cast<DocumentKind>(i);
         if (isAhead(node, kind, versions[i]))
-            node.spread.requestFetch(kind, address);
+            node.spread.requestFetch(kind, { address, versions[i] });
     }
 }
 
@@ -58,7 +58,7 @@
     }
     auto address = addressOf(node, announcement->vm);
     if (!address.empty() && isAhead(node, announcement->kind, announcement->document))
-        node.spread.requestFetch(announcement->kind, address);
+        node.spread.requestFetch(announcement->kind, { address, announcement->document });
     return "{}";
 }
 
@@ -147,8 +147,11 @@
 {
     auto work = node.spread.take(wait);
     for (size_t i = 0; i < documentKindCount; ++i) {
-        if (!work.fetchFrom[i].empty())
-            fetchDocument(node, work.fetchFrom[i], static_cast<DocumentKind>(i));
+        auto kind = static_cast<DocumentKind>(i);
+        const FetchRequest& fetch = work.fetches[i];
+        // Others may have announced it while an earlier request was being served.
+        if (!fetch.address.empty() && node.published.wants(kind, fetch.offered))
+            fetchDocument(node, fetch.address, kind);
     }
     for (size_t i = 0; i < documentKindCount; ++i) {
         if (work.announce[i])
--- a/src/SpreadQueue.cpp
+++ b/src/SpreadQueue.cpp
@@ -4,10 +4,13 @@
 
 namespace bilberry {
 
-void SpreadQueue::requestFetch(DocumentKind kind, const std::string& address)
+void SpreadQueue::requestFetch(DocumentKind kind, const FetchRequest& request)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->work.fetchFrom[static_cast<size_t>(kind)] = address;
+    FetchRequest& waiting = this->work.fetches[static_cast<size_t>(kind)];
+    if (request.offered.generation < waiting.offered.generation)
+        return;
+    waiting = request;
     this->hasWork = true;
     this->changed.notify_one();
 }
--- a/src/SpreadQueue.h
+++ b/src/SpreadQueue.h
@@ -6,22 +6,27 @@
 #include <array>
 #include <condition_variable>
 #include <mutex>
-#include <optional>
 #include <string>
 
 namespace bilberry {
 
+/// A document that a peer holds.
+struct FetchRequest {
+    std::string address; ///< Of the peer; empty: nothing to fetch.
+    DocumentVersion offered;
+};
+
 /// What is to be done for each document, by DocumentKind.
 struct SpreadWork {
-    std::array<std::string, documentKindCount> fetchFrom; ///< Address; empty: nothing to fetch.
+    std::array<FetchRequest, documentKindCount> fetches;
     std::array<bool, documentKindCount> announce {};
 };
 
 /// Thread safe.
 class SpreadQueue {
 public:
-    /// Asks for a fetch; a later request replaces an earlier one that has not begun.
-    void requestFetch(DocumentKind, const std::string& address);
+    /// Asks for a fetch; a later request replaces an earlier one that has not begun, unless it offers a lower generation.
+    void requestFetch(DocumentKind, const FetchRequest&);
     void requestAnnouncement(DocumentKind);
     /// Takes all work; waits up to `wait` for some.
     SpreadWork take(Milliseconds wait);
--- a/tests/PublishedStateTest.cpp
+++ b/tests/PublishedStateTest.cpp
@@ -2,6 +2,7 @@
 #include "PublishedState.h"
 
 #include "PauseGuard.h"
+#include "SpreadQueue.h"
 #include "StartGate.h"
 
 #include <boost/test/unit_test.hpp>
@@ -182,3 +183,15 @@
         RC_ASSERT(mayAct(state, now) == (hasRead || now - resumedAt >= rereadLimit));
     }
 }
+
+BOOST_AUTO_TEST_CASE(aWaitingFetchGivesWayToThatOfAHigherGenerationOnly)
+{
+    SpreadQueue queue;
+    auto request = [&](const char* address, Generation generation) { queue.requestFetch(DocumentKind::Configuration, { address, { generation, "digest" } }); };
+    request("a", 4);
+    request("b", 5);
+    request("c", 4);
+    auto work = queue.take(Milliseconds(0));
+    BOOST_TEST(work.fetches[static_cast<size_t>(DocumentKind::Configuration)].address == "b");
+    BOOST_TEST(queue.take(Milliseconds(0)).fetches[0].address.empty());
+}
