Wait at most a quarter of the time left in a queue

Cause: measure_requests at 3 x capacity fell behind after requests were allowed to queue for half of their time left when no endpoint had room: with a deadline of 1.5 s they waited 0.75 s, then once more elsewhere, and their answers came too late.

Change: a quarter of the time left, so that a deadline of 2 s or less gives the 500 ms as before; one of 15 s gives 3.75 s.

--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -63,7 +63,7 @@
 {
     if (hasRoom)
         return shortQueueWait;
-    return std::clamp(timeLeft / 2, shortQueueWait, longQueueWait);
+    return std::clamp(timeLeft / 4, shortQueueWait, longQueueWait);
 }
 
 bool mayAwaitEndpoint(const EndpointGap& gap)
--- a/src/Retry.h
+++ b/src/Retry.h
@@ -40,7 +40,7 @@
 Milliseconds backOff(int attempts, uint64_t random);
 
 /// Longest time that an attempt may wait in an endpoint's queue. Short when that endpoint was thought to have room: others
-/// may have it then. Without room anywhere a queue elsewhere is no better, and it is up to half of the time left. Thread
+/// may have it then. Without room anywhere a queue elsewhere is no better, and it is up to a quarter of the time left. Thread
 /// safe.
 Milliseconds queueWait(bool hasRoom, Milliseconds timeLeft);
 
