Measure service while a data centre leaves and returns

Change: data_centre_change() loads the fleet before, while and after sousse-a is out, and prints the share answered and the first byte's p50, p95 and p99 with their ratios to the time before.

--- a/tests/measure_requests.py
+++ b/tests/measure_requests.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Requests: goodput under overload, fairness, attempts and added latency, beside a simple policy in the same run.
+"""Requests: goodput under overload, fairness, attempts and added latency, beside a simple policy in the same run; and
+service before, while and after a data centre is out.
 
 The simple policy (round robin, three attempts, no admission limit) is the daemon's own, set by --simple_request_policy.
 """
@@ -16,6 +17,10 @@
 SECONDS = 5
 TIMEOUT_MS = 1500
 SMALL_ACCOUNTS = 9
+OUT = "sousse-a"
+CHANGE_RATE = 60
+# The ramp of return takes ten seconds.
+PHASE_SECONDS = {"before": 8, "during": 8, "after": 12}
 
 
 def edit(fleet):
@@ -75,6 +80,25 @@
     print(f"requests_added_p99 {statistics.quantiles(through, n=100)[98] - base:.2f} ms <=5")
 
 
+def data_centre_change(fleet):
+    """A load for each phase; the change comes half a second after the phase's load has started."""
+    changes = {"before": lambda: None, "during": lambda: fleet.take_out(OUT), "after": fleet.bring_back}
+    first_bytes = {}
+    for seed, (phase, seconds) in enumerate(PHASE_SECONDS.items(), 11):
+        load = fleet.load_model(seconds, "--timeout_ms=10000", f"--rate={CHANGE_RATE}", "--workers=128", f"--max_tokens={TOKENS}", "--stream", f"--seed={seed}")
+        time.sleep(0.5)
+        changes[phase]()
+        report = harness.finish(load)
+        first_bytes[phase] = report["ttft_ms"]
+        print(f"requests_change_answered_{phase} {report['ok'] / report['sent']:.4f} share 1")
+        print(f"requests_change_refused_{phase} {sum(report['refused'].values())} count 0")
+        print(f"requests_change_lost_cut_crossed_{phase} {report['lost'] + report['cut'] + report['wrong'] + report['mixed']} count 0")
+        for share in ("p50", "p95", "p99"):
+            target = "<=1.2" if (phase, share) == ("during", "p95") else "-"
+            print(f"requests_change_first_byte_{share}_{phase} {first_bytes[phase][share]} ms -")
+            print(f"requests_change_first_byte_{share}_{phase}_ratio {first_bytes[phase][share] / first_bytes['before'][share]:.2f} of_before {target}", flush=True)
+
+
 def run(build, policy, daemon_flags):
     flags = [f"--slots={SLOTS}", f"--token_ms={TOKEN_MS}", "--cold_ms=300", "--cold_slots=2"]
     with harness.Fleet(build, engine_flags=flags, daemon_flags=daemon_flags, edit=edit) as fleet:
@@ -82,6 +106,7 @@
         fleet.wait_for_entries()
         if policy == "own":
             added_latency(fleet)
+            data_centre_change(fleet)
         for factor in (0.5, 1, 2, 3):
             overload(fleet, factor, policy)
         print(f"requests_over_cold_limit_{policy} {over_cold(fleet)} count {'0' if policy == 'own' else '-'}")
