--- a/tests/measure_fleet.py
+++ b/tests/measure_fleet.py
@@ -12,6 +12,8 @@
 CHANGES = 6
 TARGET_SIZE = 930
 STEADY_SECONDS = 10
+SIGNING_SIZE = 8
+SIGNING_TURNS = 3
 FLAGS = ["--gossip_ms=500", "--http_threads=16"]
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -75,6 +77,29 @@
     return time.monotonic() - at
 
 
+def exchange_cost(build, flags):
+    """Processor time of the whole fleet an exchange, in microseconds; the rounds are short, so that little else counts."""
+    with BareFleet(build, SIGNING_SIZE, data_centres=4, flags=["--gossip_ms=50", "--http_threads=16", *flags]) as fleet:
+        time.sleep(2)
+
+        def totals():
+            return (sum(process_seconds(process.process.pid) for process in fleet.processes),
+                    sum(process.metric("bilberry_exchanges_total") for process in fleet.processes))
+        before = totals()
+        time.sleep(STEADY_SECONDS)
+        busy, exchanges = (second - first for first, second in zip(before, totals()))
+        return 1e6 * busy / exchanges
+
+
+def print_signing(build):
+    """The cost of an exchange with and without keys, in turn; both its messages, one of which is signed and checked."""
+    for turn in range(SIGNING_TURNS):
+        plain = exchange_cost(build, [])
+        signed = exchange_cost(build, [f"--authentication_key={'k' * 32}"])
+        print(f"fleet_exchange_unsigned_{turn} {plain:.0f} us -")
+        print(f"fleet_exchange_signed_{turn} {signed:.0f} us -", flush=True)
+
+
 def main():
     arguments = harness.parse_arguments(__doc__, sizes="8,32,128")
     sizes = [int(size) for size in arguments.sizes.split(",")]
@@ -95,6 +120,7 @@
         print(f"fleet_core_share_{size} {figures['core_share']:.2f} % 2.1")
         print(f"fleet_resident_max_{size} {figures['resident'] / 1e6:.1f} MB 128", flush=True)
     print_slopes(results, sizes[0], sizes[-1])
+    print_signing(arguments.build)
 
 
 def print_slopes(results, small, large):
