Make process_dies sure that a reply is held

Cause: process_requests_failures failed once of one ctest run at a load average of 165 to 300 on 10 cores with "no reply was lost: after": nothing may have been held by the link when the process was killed. It is not proved that this was process_dies and not back_end_dies, which says the same words.

Change: the link is stalled until a run that was in progress then has finished, so that its reply is held for sure. No check is eased.

--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -122,6 +122,14 @@
             fleet.wait_for_entries()
 
 
+def hold_reply(fleet, name, link):
+    """Stalls the link while a request runs, and waits until it has finished; false when none ran."""
+    link.fault(stall=True)
+    counts = fleet.back_end(name).counts()
+    link.fault(stall=counts["running"] > 0)
+    return counts["running"] > 0 and harness.wait_until(lambda: fleet.back_end(name).counts()["finished"] > counts["finished"], 5, "the run has finished")
+
+
 def process_dies(fleet):
     """An endpoint's process is killed before the engine has the requests, during their run, or after it with the replies on their way."""
     name = fleet.endpoints(fleet.model_service())[0]
@@ -132,9 +140,8 @@
         before = total(fleet, RETRIED)
         load = start_load(fleet, 3, "--rate=20", "--workers=32", f"--seed={seed}")
         harness.wait_until(running, 10, "work at the endpoint")
-        link.fault(stall=moment != "during")
         if moment != "during":
-            harness.wait_until(lambda: not running(), 5, "the engine has done what it got")
+            harness.wait_until(lambda: hold_reply(fleet, name, link), 3, "a reply is held")
         if moment == "before":
             time.sleep(0.5)
         fleet.processes[name].kill()
