Hand key slots over to their next owner when it changes by plan

Change: the former owner ends its tenure (nothing is dispatched in it any more), waits up to 500 ms for its running requests, tells the successor its tenure and rows, then gives the slot back. Voters number their grants; the successor vouches since the former tenure began only when a majority's grant to it is the very next one. Not run is said only while the tenure is not closed, and no longer by a process that does not vouch for the key.

Test: KeyHistoryTest has hand-overs lost, late, doubled, to any successor, paused in the middle. It does not compile on the old code.

--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -33,6 +33,8 @@
     HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
     /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
     std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
+    /// Answers the JSON-RPC method `key_hand_over` of other endpoints' processes.
+    std::string answerKeyHandOver(const std::string& parameters) { return this->keyed.answerHandOver(parameters); }
     /// Answers the JSON-RPC method `crash` of other endpoints' processes.
     std::string answerCrash(const std::string& parameters) { return this->crashes.answer(parameters); }
     /// Requests at the back end, and in the queue for it.
--- a/src/KeyLease.cpp
+++ b/src/KeyLease.cpp
@@ -9,7 +9,7 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-static size_t majorityOf(const VoterSet& voters)
+size_t majorityOf(const VoterSet& voters)
 {
     return voters.size() / 2 + 1;
 }
@@ -25,23 +25,36 @@
     return true;
 }
 
+// Grants a slot that no other holds.
+static SlotGrant renewGrant(LeaseGrant& grant, const LeaseHolderId& holder, const SlotClaim& claim, TimePoint now)
+{
+    bool isSame = grant.number != 0 && grant.lastHolder == holder && grant.lastClaim == claim.claim;
+    if (!isSame)
+        ++grant.number;
+    grant.holder = grant.lastHolder = holder;
+    grant.lastClaim = claim.claim;
+    grant.until = now + keyLeaseTime;
+    return { claim.slot, grant.number };
+}
+
 LeaseReply grantLease(LeaseVoter& voter, const LeaseRequest& request, Generation ownGeneration, TimePoint now)
 {
     LeaseReply reply;
     reply.generation = ownGeneration;
+    reply.memory = voter.memory;
     bool isStarting = now - voter.startedAt < keyLeaseTime;
     if (isStarting || request.generation < ownGeneration || !isLatestRequest(voter, request))
         return reply;
     for (uint32_t slot = 0; slot < keySlotCount; ++slot) {
         LeaseGrant& grant = voter.grants[slot];
         bool isOwn = grant.holder == request.holder;
-        bool isWanted = std::find(request.slots.begin(), request.slots.end(), slot) != request.slots.end();
+        auto claim = std::find_if(request.slots.begin(), request.slots.end(), [slot](const auto& row) { return row.slot == slot; });
+        bool isWanted = claim != request.slots.end();
         if (isOwn && !isWanted)
-            grant = {};
-        if (!isWanted || (!isOwn && now < grant.until))
+            grant.holder = {};
+        if (!isWanted || (!isOwn && !(grant.holder == LeaseHolderId {}) && now < grant.until))
             continue;
-        grant = { request.holder, now + keyLeaseTime };
-        reply.granted.push_back(slot);
+        reply.granted.push_back(renewGrant(grant, request.holder, *claim, now));
     }
     return reply;
 }
@@ -66,6 +79,7 @@
         return;
     VoterSet previous = std::move(holder.voters);
     holder.voters = std::move(voters);
+    ++holder.voterChanges;
     addFormer(holder, previous, now);
     // A set that comes back is a current one; what was heard of the others holds for the generation before only.
     auto& sets = holder.formerVoters;
@@ -87,13 +101,13 @@
 }
 
 // Send time of the oldest request that a majority has acknowledged; nothing when no majority has.
-static std::optional<TimePoint> majoritySentAt(const std::map<std::string, TimePoint>& sentAt, const VoterSet& voters)
+static std::optional<TimePoint> majoritySentAt(const std::map<std::string, AcknowledgedGrant>& acknowledged, const VoterSet& voters)
 {
     std::vector<TimePoint> times;
     for (const auto& voter : voters) {
-        auto found = sentAt.find(voter);
-        if (found != sentAt.end())
-            times.push_back(found->second);
+        auto found = acknowledged.find(voter);
+        if (found != acknowledged.end())
+            times.push_back(found->second.sentAt);
     }
     if (voters.empty() || times.size() < majorityOf(voters))
         return std::nullopt;
@@ -103,11 +117,11 @@
 
 static bool isHeldBy(const LeaseHolder& holder, uint32_t slot, const VoterSet& voters, TimePoint now)
 {
-    auto sentAt = majoritySentAt(holder.sentAt[slot], voters);
+    auto sentAt = majoritySentAt(holder.acknowledged[slot], voters);
     return sentAt && now - *sentAt < keyHoldTime;
 }
 
-static bool isHeld(const LeaseHolder& holder, uint32_t slot, TimePoint now)
+bool isHeld(const LeaseHolder& holder, uint32_t slot, TimePoint now)
 {
     if (!isHeldBy(holder, slot, holder.voters, now))
         return false;
@@ -153,11 +167,12 @@
     if (reply.generation >= holder.generation)
         noteSuperseded(holder, voter, now);
     // Step 3. The grants.
-    for (uint32_t slot : reply.granted) {
-        if (sentAt <= holder.droppedAt[slot])
+    for (const auto& grant : reply.granted) {
+        if (sentAt <= holder.droppedAt[grant.slot])
             continue;
-        TimePoint& last = holder.sentAt[slot][voter];
-        last = std::max(last, sentAt);
+        AcknowledgedGrant& last = holder.acknowledged[grant.slot][voter];
+        if (sentAt > last.sentAt)
+            last = { sentAt, { reply.memory, grant.number } };
     }
     forgetFormer(holder, now);
     for (uint32_t slot = 0; slot < keySlotCount; ++slot) {
@@ -169,8 +184,9 @@
 void dropSlot(LeaseHolder& holder, uint32_t slot, TimePoint now)
 {
     holder.droppedAt[slot] = now;
+    ++holder.claims[slot];
     holder.tenures[slot].reset();
-    holder.sentAt[slot].clear();
+    holder.acknowledged[slot].clear();
 }
 
 std::optional<KeyTenure> findTenure(const LeaseHolder& holder, uint32_t slot, TimePoint now)
--- a/src/KeyLease.h
+++ b/src/KeyLease.h
@@ -42,18 +42,42 @@
 /// The addresses of the processes that vote, sorted.
 using VoterSet = std::vector<std::string>;
 
+/// A holder's wish for one slot.
+struct SlotClaim {
+    uint32_t slot = 0;
+    uint64_t claim = 0; ///< Grows each time the holder gives the slot up.
+};
+
 /// Asks for the slots listed and gives back all others of the holder.
 struct LeaseRequest {
     LeaseHolderId holder;
     uint64_t sequence = 0; ///< Grows with each request of this holder; a voter ignores late ones.
     Generation generation = 0; ///< Of the holder's configuration.
     std::string service;
-    std::vector<uint32_t> slots;
+    std::vector<SlotClaim> slots;
+};
+
+/// One memory of a voter; its grants' numbers grow only within it.
+struct VoterMemory {
+    uint64_t incarnation = 0; ///< Of the voter's process.
+    uint64_t voterChanges = 0; ///< Changes of the service's voters that the process has seen.
+};
+
+/// Numbers the grants of a slot at one voter: a grant to another holder, or for another claim, has the next number.
+struct GrantNumber {
+    VoterMemory memory;
+    uint64_t number = 0; ///< Zero when the voter told none.
+};
+
+struct SlotGrant {
+    uint32_t slot = 0;
+    uint64_t number = 0;
 };
 
 struct LeaseReply {
     Generation generation = 0; ///< Of the voter's configuration.
-    std::vector<uint32_t> granted;
+    VoterMemory memory;
+    std::vector<SlotGrant> granted;
     std::vector<VoterSet> formerVoters; ///< Sets that the voter still knows.
 };
 
@@ -61,11 +85,15 @@
 struct LeaseGrant {
     LeaseHolderId holder;
     TimePoint until {};
+    LeaseHolderId lastHolder; ///< Also once the slot was given back.
+    uint64_t lastClaim = 0;
+    uint64_t number = 0; ///< See GrantNumber.
 };
 
 /// What a voter has promised for its service.
 struct LeaseVoter {
     TimePoint startedAt {};
+    VoterMemory memory;
     std::array<LeaseGrant, keySlotCount> grants {};
     std::map<std::string, std::pair<uint64_t, uint64_t>> lastRequest; ///< By VM: incarnation and sequence.
 };
@@ -88,26 +116,49 @@
     WallTime since {};
 };
 
+/// What a voter has acknowledged for a slot.
+struct AcknowledgedGrant {
+    TimePoint sentAt {}; ///< Send time of the last request.
+    GrantNumber number;
+};
+
+/// What the former owner of a slot tells its successor of its tenure (KeyHandOver.h).
+struct TenureRecord {
+    uint32_t slot = 0;
+    WallTime since {};
+    VoterSet voters;
+    std::map<std::string, GrantNumber> grants; ///< By voter: the grants of the tenure.
+};
+
 /// What a holder knows of its slots.
 struct LeaseHolder {
     VoterSet voters;
     Generation generation = 0;
     std::vector<FormerVoters> formerVoters;
-    std::array<std::map<std::string, TimePoint>, keySlotCount> sentAt; ///< By voter: send time of the last acknowledged request.
+    std::array<std::map<std::string, AcknowledgedGrant>, keySlotCount> acknowledged; ///< By voter.
+    std::array<uint64_t, keySlotCount> claims {}; ///< How often each slot was given up.
     std::array<TimePoint, keySlotCount> droppedAt {}; ///< Replies to requests sent until then say nothing.
     std::array<std::optional<KeyTenure>, keySlotCount> tenures;
+    std::array<std::optional<TenureRecord>, keySlotCount> handedOver; ///< Told by former owners, not used yet.
     uint64_t tenureCount = 0;
+    uint64_t voterChanges = 0;
 };
 
 /// Takes over the voters of a configuration; a set that goes is kept as a former one. Not thread safe.
 void setVoters(LeaseHolder&, VoterSet, Generation, TimePoint now);
 
+/// Voters of a set that are needed for a grant. Thread safe.
+size_t majorityOf(const VoterSet&);
+
 /// All processes that are to be asked. Not thread safe.
 VoterSet votersToAsk(const LeaseHolder&);
 
 /// Takes in a voter's reply to a request that was sent at `sentAt`. `wall` is the wall-clock time now. Not thread safe.
 void takeReply(LeaseHolder&, const std::string& voter, const LeaseReply&, TimePoint sentAt, TimePoint now, WallTime wall);
 
+/// Whether a majority of each set of voters that the holder knows has acknowledged the slot lately. Not thread safe.
+bool isHeld(const LeaseHolder&, uint32_t slot, TimePoint now);
+
 /// Gives a slot up; call it before the request that no longer lists it is sent. Not thread safe.
 void dropSlot(LeaseHolder&, uint32_t slot, TimePoint now);
 
--- a/src/KeyLeaseAgent.cpp
+++ b/src/KeyLeaseAgent.cpp
@@ -1,20 +1,20 @@
 #include "KeyLeaseAgent.h"
 
+#include "KeyHandOver.h"
+#include "KeyLeaseMessage.h"
 #include "Node.h"
 #include "PeerCall.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
-using nlohmann::json;
-
 // Longest time of one request to a voter.
 static constexpr Milliseconds leaseCallTimeout { 500 };
 
-KeyLeaseAgent::KeyLeaseAgent(Node& node)
+KeyLeaseAgent::KeyLeaseAgent(Node& node, KeyTable& table)
     : node(node)
+    , table(table)
 {
     this->voter.startedAt = this->startedAt;
 }
@@ -31,6 +31,9 @@
             this->tick();
             std::this_thread::sleep_for(keyLeaseInterval);
         }
+        // What is still held is given back before the process ends.
+        if (this->node.isLeaving && !this->wanted.empty())
+            this->tick();
     });
 }
 
@@ -66,8 +69,7 @@
         this->owners.push_back(rankSlotOwners(configuration, configuration.inventory.vms[own].service, slot));
 }
 
-// Whether another endpoint can hold slots, as far as is known here.
-static bool isAvailable(const Node& node, const std::string& vm, TimePoint now)
+bool isAvailableOwner(const Node& node, const std::string& vm, TimePoint now)
 {
     auto report = node.fleet.find(vm);
     if (!report || now - report->reportedAt > reportLifetime || report->status.isLeaving)
@@ -91,30 +93,26 @@
         for (RowIndex vm : this->owners[slot]) {
             if (vm == own)
                 slots.push_back(slot);
-            if (vm == own || isStarting || isAvailable(this->node, configuration.inventory.vms[vm].name, now))
+            if (vm == own || isStarting || isAvailableOwner(this->node, configuration.inventory.vms[vm].name, now))
                 break;
         }
     }
     return slots;
 }
 
-LeaseRequest KeyLeaseAgent::makeRequest(const Configuration& configuration, RowIndex own)
+LeaseRequest KeyLeaseAgent::makeRequest(const Configuration& configuration, RowIndex own, const std::vector<uint32_t>& slots)
 {
     const Inventory& inventory = configuration.inventory;
-    auto now = Clock::now();
-    auto slots = this->chooseSlots(configuration, own, now);
     VoterSet voters;
     for (RowIndex vm : findKeyVoters(configuration, inventory.vms[own].service))
         voters.push_back(inventory.vms[vm].address);
     std::lock_guard<std::mutex> lock(this->mutex);
-    setVoters(this->holder, std::move(voters), configuration.generation, now);
-    for (uint32_t slot : this->wanted) {
-        if (std::find(slots.begin(), slots.end(), slot) == slots.end())
-            dropSlot(this->holder, slot, now);
-    }
-    this->wanted = slots;
+    setVoters(this->holder, std::move(voters), configuration.generation, Clock::now());
     LeaseHolderId self { this->node.settings.vm, this->node.incarnation };
-    return { self, ++this->sequence, configuration.generation, inventory.services[inventory.vms[own].service].name, std::move(slots) };
+    LeaseRequest request { self, ++this->sequence, configuration.generation, inventory.services[inventory.vms[own].service].name, {} };
+    for (uint32_t slot : slots)
+        request.slots.push_back({ slot, this->holder.claims[slot] });
+    return request;
 }
 
 LeaseReply KeyLeaseAgent::grant(const LeaseRequest& request)
@@ -128,35 +126,13 @@
     if (service == noRow || inventory.services[service].name != request.service)
         return {};
     std::lock_guard<std::mutex> lock(this->mutex);
+    this->voter.memory = { this->node.incarnation, this->holder.voterChanges };
     LeaseReply reply = grantLease(this->voter, request, configuration->generation, Clock::now());
     for (const auto& former : this->holder.formerVoters)
         reply.formerVoters.push_back(former.voters);
     return reply;
 }
 
-static json toJson(const LeaseRequest& request)
-{
-    return { { "vm", request.holder.vm }, { "incarnation", request.holder.incarnation }, { "sequence", request.sequence },
-        { "generation", request.generation }, { "service", request.service }, { "slots", request.slots } };
-}
-
-static std::optional<LeaseRequest> parseLeaseRequest(const std::string& text)
-{
-    LeaseRequest request;
-    try {
-        auto message = json::parse(text);
-        message.at("vm").get_to(request.holder.vm);
-        message.at("incarnation").get_to(request.holder.incarnation);
-        message.at("sequence").get_to(request.sequence);
-        message.at("generation").get_to(request.generation);
-        message.at("service").get_to(request.service);
-        message.at("slots").get_to(request.slots);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-    return request;
-}
-
 std::string KeyLeaseAgent::answer(const std::string& parameters)
 {
     auto request = parseLeaseRequest(parameters);
@@ -165,33 +141,25 @@
         return {};
     }
     auto reply = this->grant(*request);
-    return json { { "generation", reply.generation }, { "granted", reply.granted }, { "former_voters", reply.formerVoters } }.dump();
+    return formatLeaseReply(reply);
 }
 
-static std::optional<LeaseReply> parseLeaseReply(const std::string& text)
+void KeyLeaseAgent::applyReply(const std::string& voter, const LeaseReply& reply, TimePoint sentAt)
 {
-    LeaseReply reply;
-    try {
-        auto message = json::parse(text);
-        message.at("generation").get_to(reply.generation);
-        message.at("granted").get_to(reply.granted);
-        message.at("former_voters").get_to(reply.formerVoters);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-    bool isInRange = std::all_of(reply.granted.begin(), reply.granted.end(), [](uint32_t slot) { return slot < keySlotCount; });
-    return isInRange ? std::optional(std::move(reply)) : std::nullopt;
+    std::lock_guard<std::mutex> lock(this->mutex);
+    takeReply(this->holder, voter, reply, sentAt, Clock::now(), std::chrono::system_clock::now());
+    uint32_t continued = continueTenures(this->holder, Clock::now());
+    if (continued > 0)
+        this->node.metrics.count("bilberry_key_tenures_continued_total", {}, continued);
 }
 
 void KeyLeaseAgent::askVoter(const std::string& address, const LeaseRequest& request)
 {
     auto sentAt = Clock::now();
-    auto reply = parseLeaseReply(callPeer(this->node, address, "key_lease", toJson(request).dump(), leaseCallTimeout));
+    auto reply = parseLeaseReply(callPeer(this->node, address, "key_lease", formatLeaseRequest(request), leaseCallTimeout));
     this->node.metrics.count("bilberry_key_lease_requests_total", { { "result", reply ? "ok" : "failed" } });
-    if (!reply)
-        return;
-    std::lock_guard<std::mutex> lock(this->mutex);
-    takeReply(this->holder, address, *reply, sentAt, Clock::now(), std::chrono::system_clock::now());
+    if (reply)
+        this->applyReply(address, *reply, sentAt);
 }
 
 void KeyLeaseAgent::tick()
@@ -201,7 +169,9 @@
     if (own == noRow || !hasUnrepeatableRequests(*configuration, configuration->inventory.vms[own].service))
         return;
     this->refreshOwners(*configuration, own);
-    auto request = this->makeRequest(*configuration, own);
+    auto slots = this->chooseSlots(*configuration, own, Clock::now());
+    this->handOver(*configuration, own, this->endTenures(slots));
+    auto request = this->makeRequest(*configuration, own, slots);
     const std::string& ownAddress = configuration->inventory.vms[own].address;
     std::vector<std::thread> calls;
     VoterSet voters;
@@ -215,9 +185,7 @@
     }
     if (std::find(voters.begin(), voters.end(), ownAddress) != voters.end()) {
         auto sentAt = Clock::now();
-        auto reply = this->grant(request);
-        std::lock_guard<std::mutex> lock(this->mutex);
-        takeReply(this->holder, ownAddress, reply, sentAt, Clock::now(), std::chrono::system_clock::now());
+        this->applyReply(ownAddress, this->grant(request), sentAt);
     }
     for (auto& call : calls)
         call.join();
--- a/src/KeyTable.cpp
+++ b/src/KeyTable.cpp
@@ -12,18 +12,26 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// Whether this process may act on the key, and speak for it, in the attempt's tenure.
+bool KeyTable::isOpen(const KeyedAttempt& attempt) const
+{
+    return attempt.tenure > this->closedTenures[attempt.slot];
+}
+
 KeyDecision KeyTable::record(Row& row, const KeyedAttempt& attempt, TimePoint now)
 {
     row.state = KeyState::Recorded;
     row.requestHash = attempt.requestHash;
+    row.slot = attempt.slot;
     row.attempt = attempt.attempt;
     row.changedAt = now;
     return KeyDecision::Run;
 }
 
-KeyDecision KeyTable::begin(const KeyedAttempt& attempt, bool isVouched, TimePoint now, KeyedAnswer& answer)
+KeyDecision KeyTable::begin(const KeyedAttempt& attempt, TimePoint now, KeyedAnswer& answer)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
+    bool isVouched = this->isOpen(attempt);
     auto found = this->rows.find(attempt.key);
     if (found == this->rows.end()) {
         if (!isVouched)
@@ -60,48 +68,55 @@
     auto found = this->rows.find(attempt.key);
     if (found == this->rows.end() || found->second.state != KeyState::Recorded || found->second.attempt != attempt.attempt)
         return false;
+    if (!this->isOpen(attempt))
+        return false;
     found->second.state = KeyState::Running;
     found->second.changedAt = now;
     return true;
 }
 
-void KeyTable::withdraw(const KeyedAttempt& attempt, TimePoint now)
+bool KeyTable::withdraw(const KeyedAttempt& attempt, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     auto found = this->rows.find(attempt.key);
     if (found == this->rows.end() || found->second.attempt != attempt.attempt)
-        return;
+        return this->isOpen(attempt);
     Row& row = found->second;
     bool mayTakeBack = row.state == KeyState::Recorded || row.state == KeyState::Running;
     if (!mayTakeBack)
-        return;
+        return this->isOpen(attempt);
     if (row.fencedAttempts.empty()) {
         this->rows.erase(found);
-        return;
+        return this->isOpen(attempt);
     }
     row.state = KeyState::Fenced;
     row.attempt.clear();
     row.changedAt = now;
+    return this->isOpen(attempt);
 }
 
-void KeyTable::finish(const std::string& key, KeyedAnswer answer, TimePoint now)
+void KeyTable::keepAnswer(Row& row, KeyedAnswer answer, TimePoint now)
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    auto found = this->rows.find(key);
-    if (found == this->rows.end())
-        return;
     size_t bytes = answer.body.size() + answer.contentType.size();
     if (bytes > this->limits.oneAnswerBytes || this->keptBytes + bytes > this->limits.answerBytes)
         answer = { 0, {}, {}, false };
     else
         this->keptBytes += bytes;
-    Row& row = found->second;
     row.state = KeyState::Finished;
     row.answer = std::move(answer);
     row.fencedAttempts.clear();
     row.changedAt = now;
 }
 
+void KeyTable::finish(const std::string& key, KeyedAnswer answer, TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    this->keepAnswer(found->second, std::move(answer), now);
+}
+
 void KeyTable::markLost(const std::string& key, TimePoint now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -112,22 +127,8 @@
     found->second.changedAt = now;
 }
 
-KeyState KeyTable::queryAndFence(const KeyedAttempt& attempt, TimePoint now, KeyedAnswer& answer)
+KeyState KeyTable::fence(Row& row, const KeyedAttempt& attempt, TimePoint now)
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    auto found = this->rows.find(attempt.key);
-    if (found == this->rows.end()) {
-        if (this->rows.size() >= this->limits.keys)
-            return KeyState::Unseen;
-        this->rows[attempt.key] = { KeyState::Fenced, 0, {}, { attempt.attempt }, {}, now };
-        return KeyState::Fenced;
-    }
-    Row& row = found->second;
-    if (row.state == KeyState::Finished)
-        answer = row.answer;
-    bool isWaiting = row.state == KeyState::Fenced || row.state == KeyState::Recorded;
-    if (!isWaiting)
-        return row.state;
     // Step 1. The attempt is refused from now on.
     if (!contains(row.fencedAttempts, attempt.attempt)) {
         if (row.fencedAttempts.size() >= maxFencedAttempts)
@@ -143,6 +144,28 @@
     return row.state;
 }
 
+KeyState KeyTable::queryAndFence(const KeyedAttempt& attempt, TimePoint now, KeyedAnswer& answer)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    auto found = this->rows.find(attempt.key);
+    if (found == this->rows.end()) {
+        if (this->rows.size() >= this->limits.keys)
+            return KeyState::Unseen;
+        Row fenced;
+        fenced.state = KeyState::Fenced;
+        fenced.slot = attempt.slot;
+        found = this->rows.emplace(attempt.key, std::move(fenced)).first;
+    }
+    Row& row = found->second;
+    if (row.state == KeyState::Finished)
+        answer = row.answer;
+    bool isWaiting = row.state == KeyState::Fenced || row.state == KeyState::Recorded;
+    if (!isWaiting)
+        return row.state;
+    auto state = this->fence(row, attempt, now);
+    return state == KeyState::Fenced && !this->isOpen(attempt) ? KeyState::Unseen : state;
+}
+
 void KeyTable::expire(TimePoint now, Duration lifetime)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/KeyedRequests.cpp
+++ b/src/KeyedRequests.cpp
@@ -19,7 +19,7 @@
 KeyedRequests::KeyedRequests(Node& node)
     : node(node)
     , table({})
-    , leases(node)
+    , leases(node, this->table)
 {
 }
 
@@ -53,15 +53,17 @@
     attempt.attempt = findHeader(request.headers, wire::attempt);
     uint64_t hash = hashText(request.body, hashText(request.path, hashText(request.method)));
     attempt.requestHash = hash == 0 ? 1 : hash;
+    attempt.slot = findKeySlot(attempt.key);
     return attempt;
 }
 
-bool KeyedRequests::isVouched(const std::string& scopedKey, std::optional<WallTime> minted) const
+// The tenure in which this process vouches for the key; zero when it does not.
+uint64_t KeyedRequests::findVouchedTenure(uint32_t slot, std::optional<WallTime> minted) const
 {
     if (checkMint(minted, std::chrono::system_clock::now()) != MintFault::None)
-        return false;
-    auto tenure = this->leases.tenure(findKeySlot(scopedKey));
-    return tenure && coversMint(tenure->since, *minted);
+        return 0;
+    auto tenure = this->leases.tenure(slot);
+    return tenure && coversMint(tenure->since, *minted) ? tenure->number : 0;
 }
 
 HttpResponse KeyedRequests::handle(const HttpRequest& request, const KeyedRunner& runner)
@@ -78,8 +80,9 @@
         return refuseForwarded(this->node, request, RefusalReason::KeyMintedAhead);
     // Step 2. Known keys are answered by the table, unseen ones only run where they are vouched for.
     auto attempt = readAttempt(request);
+    attempt.tenure = this->findVouchedTenure(attempt.slot, minted);
     KeyedAnswer answer;
-    switch (this->table.begin(attempt, this->isVouched(attempt.key, minted), now, answer)) {
+    switch (this->table.begin(attempt, now, answer)) {
     case KeyDecision::Run:
         return this->run(request, attempt, runner, now);
     case KeyDecision::AnswerAgain:
@@ -97,7 +100,7 @@
     case KeyDecision::NotVouched:
         break;
     }
-    bool isOwner = this->leases.tenure(findKeySlot(attempt.key)).has_value();
+    bool isOwner = this->leases.tenure(attempt.slot).has_value();
     return refuseForwarded(this->node, request, isOwner ? RefusalReason::NotVouched : RefusalReason::KeyNotOwned);
 }
 
@@ -129,19 +132,20 @@
 
 HttpResponse KeyedRequests::run(const HttpRequest& request, const KeyedAttempt& attempt, const KeyedRunner& runner, TimePoint receivedAt)
 {
-    uint32_t slot = findKeySlot(attempt.key);
-    auto before = this->leases.tenure(slot);
     auto deadline = readDeadline(request, receivedAt);
     // The process may have been paused since the key was recorded: all is checked again at the moment of action.
     auto mayDispatch = [&] {
-        auto tenure = this->leases.tenure(slot);
-        bool isSameTenure = before && tenure && tenure->number == before->number;
+        auto tenure = this->leases.tenure(attempt.slot);
+        bool isSameTenure = tenure && tenure->number == attempt.tenure;
         return isSameTenure && Clock::now() < deadline && this->table.markDispatched(attempt, Clock::now());
     };
     HttpResponse response = runner(mayDispatch);
     std::string outcome = findHeader(response.headers, wire::outcome);
     if (outcome == toText(Outcome::NotRun) || outcome == toText(Outcome::Final)) {
-        this->table.withdraw(attempt, Clock::now());
+        bool isStillOpen = this->table.withdraw(attempt, Clock::now());
+        // The slot was handed over meanwhile: the key may run at its new owner.
+        if (!isStillOpen && outcome == toText(Outcome::NotRun))
+            return refuseForwarded(this->node, request, RefusalReason::KeyNotOwned);
         return response;
     }
     // The answer is read whole before it is passed on, so that it can be kept.
@@ -158,15 +162,11 @@
 {
     auto attempt = readAttempt(request);
     attempt.requestHash = 0;
+    attempt.tenure = this->findVouchedTenure(attempt.slot, parseMintTime(findHeader(request.headers, wire::idempotencyMinted)));
     KeyedAnswer answer;
-    auto state = this->table.queryAndFence(attempt, Clock::now(), answer);
-    auto minted = parseMintTime(findHeader(request.headers, wire::idempotencyMinted));
-    switch (state) {
+    switch (this->table.queryAndFence(attempt, Clock::now(), answer)) {
     case KeyState::Fenced:
-        // A process that ran at this address before may have run an older key.
-        if (minted && (this->isVouched(attempt.key, minted) || coversMint(this->startedAt, *minted)))
-            return refuseForwarded(this->node, request, RefusalReason::KeyFenced);
-        return refuseForwarded(this->node, request, RefusalReason::ReplyLost);
+        return refuseForwarded(this->node, request, RefusalReason::KeyFenced);
     case KeyState::Recorded:
     case KeyState::Running:
         return refuseForwarded(this->node, request, RefusalReason::KeyInProgress);
--- a/src/KeyedRequests.h
+++ b/src/KeyedRequests.h
@@ -32,16 +32,17 @@
     HttpResponse answerQuery(const HttpRequest&);
     /// Answers the JSON-RPC method `key_lease`.
     std::string answerLease(const std::string& parameters) { return this->leases.answer(parameters); }
+    /// Answers the JSON-RPC method `key_hand_over`.
+    std::string answerHandOver(const std::string& parameters) { return this->leases.answerHandOver(parameters); }
 
 private:
-    bool isVouched(const std::string& scopedKey, std::optional<WallTime> minted) const;
+    uint64_t findVouchedTenure(uint32_t slot, std::optional<WallTime> minted) const;
     HttpResponse run(const HttpRequest&, const KeyedAttempt&, const KeyedRunner&, TimePoint receivedAt);
     HttpResponse answerAgain(const HttpRequest&, const KeyedAnswer&);
 
     Node& node;
     KeyTable table;
     KeyLeaseAgent leases;
-    const WallTime startedAt = std::chrono::system_clock::now();
     TimePoint expireAt {};
 };
 
