--- a/tests/KeyHistoryTest.cpp
+++ b/tests/KeyHistoryTest.cpp
@@ -233,7 +233,8 @@
     return otherwise;
 }
 
-// A planned change of owner as it mostly goes: all messages arrive.
+// A planned change of owner as it mostly goes: all messages arrive, and callers send again what the former owner still
+// has in hand.
 void changeOwner(World& world, size_t index, size_t successor)
 {
     if (index == successor)
@@ -245,6 +246,8 @@
     deliverAll(world);
     ask(world, successor, true);
     deliverAll(world);
+    for (const auto& work : world.processes[index].works)
+        submit(world, successor, makeAttempt(world, work.attempt.key), false);
 }
 
 // Takes one step of a request in hand; the process may be paused between any two.
@@ -362,7 +365,7 @@
     case 16:
         if (step.b % 8 == 0)
             endOwnTenure(world, findOwner(world, index));
-        else if (step.b % 8 == 1)
+        else if (step.b % 8 < 4)
             changeOwner(world, findOwner(world, index), preferred);
         break;
     case 17:
@@ -415,6 +418,7 @@
 // The histories above would prove nothing if no key ever ran, or none by virtue of a hand-over.
 BOOST_AUTO_TEST_CASE(keysDidRun)
 {
+    BOOST_TEST_MESSAGE("runs " << totalRuns << ", tenures continued " << continuedTenures << ", runs after a hand-over " << runsAfterHandOver);
     BOOST_TEST(totalRuns > 200);
     BOOST_TEST(continuedTenures > 200);
     BOOST_TEST(runsAfterHandOver > 20);
--- a/tests/keys_fleet.py
+++ b/tests/keys_fleet.py
@@ -86,6 +86,16 @@
         raise AssertionError(f"{key} ran nowhere")
 
 
+def count_runs(fleet, prefix):
+    """Runs of each key of a load over all back ends."""
+    runs = {}
+    for name in fleet.endpoints(REGISTER):
+        for key, count in fleet.back_end(name).counts().get("runs_by_key", {}).items():
+            if key.startswith(prefix):
+                runs[key] = runs.get(key, 0) + count
+    return runs
+
+
 def start_fleet(build):
     """The register service only: three endpoints and the entries."""
 
--- a/tests/measure_keys.py
+++ b/tests/measure_keys.py
@@ -1,29 +1,19 @@
 #!/usr/bin/env python3
 """What keys cost and keep: runs doubled and lost and unknown outcomes under failures, keyed against unkeyed latency.
 
-Prints one `name value unit target` a line.
+Prints one `name value unit target` a line; --only=TEXT runs the failures with TEXT in their name.
 """
 
 import signal
 import time
 
 import harness
-from keys_fleet import PATH, REGISTER, Caller, start_fleet
+from keys_fleet import PATH, REGISTER, Caller, count_runs, start_fleet
 
 SECONDS = 6
 RATE = 40
 
 
-def count_runs(fleet, prefix):
-    """Runs of each key of a load over all back ends."""
-    runs = {}
-    for name in fleet.endpoints(REGISTER):
-        for key, count in fleet.back_end(name).counts().get("runs_by_key", {}).items():
-            if key.startswith(prefix):
-                runs[key] = runs.get(key, 0) + count
-    return runs
-
-
 def start_load(fleet, prefix, *flags):
     account = fleet.inventory["callers"][0]["name"]
     key = [f"--key_prefix={prefix}"] if prefix else []
@@ -44,6 +34,12 @@
     fleet.processes[name].signal(signal.SIGCONT)
 
 
+def data_centre_out(fleet):
+    fleet.take_out(fleet.vm(fleet.endpoints(REGISTER)[0])["data_centre"])
+    time.sleep(2)
+    fleet.bring_back()
+
+
 def replies_dropped(fleet):
     for name in fleet.endpoints(REGISTER):
         fleet.back_end(name).fault(drop_reply=5)
@@ -75,13 +71,16 @@
 
 
 def main():
-    arguments = harness.parse_arguments(__doc__)
+    arguments = harness.parse_arguments(__doc__, only="")
     with start_fleet(arguments.build) as fleet:
         caller = Caller(fleet)
         caller.wait_for_owners()
-        measure_cost(fleet)
-        failures = {"without_failure": lambda _: None, "owner_killed": owner_killed, "owner_frozen": owner_frozen, "replies_dropped": replies_dropped}
+        if not arguments.only:
+            measure_cost(fleet)
+        failures = {"without_failure": lambda _: None, "owner_killed": owner_killed, "owner_frozen": owner_frozen, "replies_dropped": replies_dropped, "data_centre_out": data_centre_out}
         for name, fail in failures.items():
+            if arguments.only not in name:
+                continue
             caller.wait_for_owners()
             measure_failure(fleet, name, fail)
 
--- a/tests/process_keys_owner.py
+++ b/tests/process_keys_owner.py
@@ -1,15 +1,17 @@
 #!/usr/bin/env python3
-"""A key runs at most once when the process that owns it is killed and restarted, or frozen and woken."""
+"""A key runs at most once when the process that owns it is killed, frozen, or taken out with its data centre."""
 
 import signal
 import threading
 import time
 
 import harness
-from keys_fleet import run_tests
+from keys_fleet import PATH, count_runs, run_tests
 
 # A silent owner's report expires (10 s), its lease runs out (4 s), and an attempt at it may be under way (2.5 s).
 TAKE_OVER_SECONDS = 20
+# Keys that ran, and twice as many that wait, when a data centre is taken out.
+MINTED_BEFORE = 24
 
 
 def test_owner_restarts(fleet, caller):
@@ -68,5 +70,40 @@
     caller.check(owned[0])
 
 
+def check_minted_before(caller, ran, waiting):
+    """Keys that ran give the same answer again, and those minted and not sent run now: no tenure's start is between."""
+    for number, (key, (minted, body)) in enumerate(ran.items()):
+        harness.wait_until(lambda: caller.submit(key, minted, number % 2)[1:2] == ("ran",), 5, f"{key} is answered: {caller.answers[key]}")
+        assert caller.submit(key, minted, number % 2)[3] == body, key
+    for number, (key, minted) in enumerate(waiting):
+        harness.wait_until(lambda: caller.submit(key, minted, number % 2)[1] == "ran", 5, f"{key} runs: {caller.answers[key]}")
+    for key in [*ran, *(key for key, _ in waiting)]:
+        assert caller.check(key) == 1, (key, caller.answers[key])
+
+
+def test_data_centre_out(fleet, caller):
+    """Planned changes of owners, there and back, under load: old keys stay vouched for."""
+    ran = {}
+    for number in range(MINTED_BEFORE):
+        key, minted = caller.mint()
+        answer = caller.submit(key, minted, number % 2)
+        assert answer[1] == "ran", answer
+        ran[key] = (minted, answer[3])
+    waiting = [caller.mint() for _ in range(2 * MINTED_BEFORE)]
+    load = fleet.load("--rate=20", "--seconds=8", f"--path={PATH}", f"--account={fleet.inventory['callers'][0]['name']}", "--key_prefix=out-", "--resend=3")
+    out = next(row["data_centre"] for row in fleet.inventory["vms"] if row["name"] == caller.owner(next(iter(ran))))
+    fleet.take_out(out)
+    time.sleep(2)
+    check_minted_before(caller, ran, waiting[:MINTED_BEFORE])
+    fleet.bring_back()
+    time.sleep(2)
+    check_minted_before(caller, ran, waiting[MINTED_BEFORE:])
+    report = harness.finish(load)
+    runs = count_runs(fleet, "out-")
+    assert all(count == 1 for count in runs.values()), runs
+    assert report["lost"] == report["wrong"] == 0 and report["ok"] <= len(runs), report
+    print(f"load {report['ok']}/{report['sent']} answered, refused {report['refused']}")
+
+
 if __name__ == "__main__":
-    harness.main(lambda: run_tests(__doc__, (test_owner_restarts, test_owner_frozen)))
+    harness.main(lambda: run_tests(__doc__, (test_owner_restarts, test_owner_frozen, test_data_centre_out)))
