Refuse mint times that the clock can't hold; read key messages within bounds

Cause: a mint time of the year 9999 was read and wrapped around in the clock's nanoseconds, so the check for keys minted ahead compared nonsense. The last time read is now of the year 2200, also for the start of a tenure that is handed over.

Test: ParserFuzzTest/mintTimesBeyondTheClockAreRefused failed on the code before (one failure) and passes now; the fuzz test of the key messages and handOverIsReadAsWritten are new and pass.

--- a/src/KeyHandOverMessage.cpp
+++ b/src/KeyHandOverMessage.cpp
@@ -9,6 +9,8 @@
 
 // Bytes of the numbers and names around a row.
 static constexpr size_t rowFrameBytes = 100;
+// Latest start of a tenure that is read, in Unix microseconds: the year 2200.
+static constexpr int64_t maxSinceMicroseconds = 7'258'118'400'000'000;
 
 // Keys and answers may hold any bytes.
 static std::string toBase64(const std::string& bytes)
@@ -77,8 +79,11 @@
 static bool readSlot(const json& object, SlotHandOver& slot)
 {
     object.at("slot").get_to(slot.tenure.slot);
+    auto since = object.at("since_us").get<int64_t>();
+    if (since < 0 || since > maxSinceMicroseconds)
+        return false;
     // The earliest time that is not before the former owner's: a later start vouches for less.
-    slot.tenure.since = WallTime(std::chrono::microseconds(object.at("since_us").get<int64_t>() + 1));
+    slot.tenure.since = WallTime(std::chrono::microseconds(since + 1));
     object.at("voters").get_to(slot.tenure.voters);
     for (const auto& [voter, numbers] : object.at("grants").items())
         slot.tenure.grants[voter] = { { numbers.at(0).get<uint64_t>(), numbers.at(1).get<uint64_t>() }, numbers.at(2).get<uint64_t>() };
--- a/src/KeyVouch.cpp
+++ b/src/KeyVouch.cpp
@@ -4,8 +4,8 @@
 
 namespace bilberry {
 
-// Latest time that is read, in Unix milliseconds: the year 9999.
-static constexpr int64_t maxUnixMilliseconds = 253'402'300'799'999;
+// Latest time that is read, in Unix milliseconds: the year 2200. The clock's nanoseconds end in 2262.
+static constexpr int64_t maxUnixMilliseconds = 7'258'118'400'000;
 
 std::optional<WallTime> parseMintTime(std::string_view text)
 {
