Prove one run each when an entry is killed with keyed requests in progress

A process-level test: eight keys at an entry that is killed, then sent again through the other: each is answered and ran once.

--- a/src/KeyHandOverAgent.cpp
+++ b/src/KeyHandOverAgent.cpp
@@ -51,6 +51,7 @@
 static std::vector<uint32_t> slotsOf(const std::vector<TenureRecord>& records)
 {
     std::vector<uint32_t> slots;
+    slots.reserve(records.size());
     for (const auto& record : records)
         slots.push_back(record.slot);
     return slots;
@@ -116,6 +117,7 @@
     auto groups = this->groupBySuccessor(configuration, own, std::move(records));
     auto deadline = Clock::now() + handOverTime;
     std::vector<std::thread> calls;
+    calls.reserve(groups.size());
     for (auto& group : groups) {
         calls.emplace_back([this, &configuration, &group, deadline] { this->sendHandOver(configuration, group.first, std::move(group.second), deadline); });
     }
--- a/tests/process_keys_owner.py
+++ b/tests/process_keys_owner.py
@@ -1,17 +1,20 @@
 #!/usr/bin/env python3
-"""A key runs at most once when the process that owns it is killed, frozen, or taken out with its data centre."""
+"""A key runs at most once when the process that owns it is killed, frozen, or taken out with its data centre, and when an entry is killed."""
 
 import signal
 import threading
 import time
 
 import harness
-from keys_fleet import PATH, count_runs, run_tests
+from keys_fleet import PATH, REGISTER, count_runs, run_tests
 
 # A silent owner's report expires (10 s), its lease runs out (4 s), and an attempt at it may be under way (2.5 s).
 TAKE_OVER_SECONDS = 20
 # Keys that ran, and twice as many that wait, when a data centre is taken out.
 MINTED_BEFORE = 24
+# Requests at an entry that is killed, and how long each takes.
+KEYS_IN_PROGRESS = 8
+WORK_MS = 800
 
 
 def test_owner_restarts(fleet, caller):
@@ -113,5 +116,27 @@
     print(f"load {report['ok']}/{report['sent']} answered, refused {report['refused']}")
 
 
+def test_entry_killed(fleet, caller):
+    """Callers of an entry that is killed with their requests in progress send again through another one."""
+    for endpoint in fleet.endpoints(REGISTER):
+        fleet.back_end(endpoint).fault(work_ms=WORK_MS)
+    keys = [caller.mint() for _ in range(KEYS_IN_PROGRESS)]
+    threads = [threading.Thread(target=caller.submit, args=(*key, 1)) for key in keys]
+    for thread in threads:
+        thread.start()
+    time.sleep(WORK_MS / 2000)
+    name = fleet.entries()[1]
+    fleet.processes[name].kill()
+    for thread in threads:
+        thread.join()
+    assert [caller.answers[key] for key, _ in keys].count(["lost"]) >= KEYS_IN_PROGRESS // 2, caller.answers
+    for endpoint in fleet.endpoints(REGISTER):
+        fleet.back_end(endpoint).fault(work_ms=0)
+    for key, minted in keys:
+        submit_until_ran(caller, key, minted, 0)
+        assert caller.check(key) == 1, (key, caller.answers[key])
+    fleet.restart_daemon(name)
+
+
 if __name__ == "__main__":
-    harness.main(lambda: run_tests(__doc__, (test_owner_restarts, test_owner_frozen, test_data_centre_out)))
+    harness.main(lambda: run_tests(__doc__, (test_owner_restarts, test_owner_frozen, test_data_centre_out, test_entry_killed)))
