Check again that an attempt fenced at a former owner never runs

The hand-over had folded an attempt that is fenced by a process that does not vouch for its key into Unseen, so that KeyHistoryTest no longer checked it. It has a state of its own again, and the test checks every such attempt, also of processes that started after the key was made.

--- a/src/KeyTable.cpp
+++ b/src/KeyTable.cpp
@@ -57,6 +57,7 @@
         return KeyDecision::InProgress;
     case KeyState::Lost:
     case KeyState::Unseen:
+    case KeyState::FencedHere:
         break;
     }
     return KeyDecision::OutcomeUnknown;
@@ -163,7 +164,7 @@
     if (!isWaiting)
         return row.state;
     auto state = this->fence(row, attempt, now);
-    return state == KeyState::Fenced && !this->isOpen(attempt) ? KeyState::Unseen : state;
+    return state == KeyState::Fenced && !this->isOpen(attempt) ? KeyState::FencedHere : state;
 }
 
 void KeyTable::expire(TimePoint now, Duration lifetime)
--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -23,11 +23,12 @@
 };
 
 enum class KeyState : uint8_t {
-    Unseen, ///< Nothing is known: it could not be fenced, or may have run elsewhere.
+    Unseen, ///< Never here, and it could not be fenced.
     Recorded, ///< Taken, not yet sent to the back end.
     Running, ///< Sent to the back end.
     Finished,
     Fenced, ///< The attempts that were asked for will not run.
+    FencedHere, ///< The same, but the key may have run elsewhere.
     Lost, ///< It was sent to the back end and its outcome is unknown.
 };
 
@@ -94,8 +95,7 @@
     /// The back end's answer was lost. Precondition: it was dispatched.
     void markLost(const std::string& key, TimePoint now);
     /// What is known of the key. The attempt of a key that was not sent is refused from now on; Fenced then says that
-    /// the key ran nowhere, Unseen that this is known only in a tenure and the attempt has none that is open. On
-    /// Finished, `answer` is filled.
+    /// the key ran nowhere; without an open tenure it is FencedHere. On Finished, `answer` is filled.
     KeyState queryAndFence(const KeyedAttempt&, TimePoint now, KeyedAnswer& answer);
     /// Ends a tenure, and those before it, before its slot is handed over.
     void closeTenure(const ClosedTenure&);
--- a/src/KeyedRequests.cpp
+++ b/src/KeyedRequests.cpp
@@ -170,6 +170,7 @@
     case KeyState::Recorded:
     case KeyState::Running:
         return refuseForwarded(this->node, request, RefusalReason::KeyInProgress);
+    case KeyState::FencedHere:
     case KeyState::Unseen:
     case KeyState::Lost:
         return refuseForwarded(this->node, request, RefusalReason::ReplyLost);
--- a/tests/KeyHistoryTest.cpp
+++ b/tests/KeyHistoryTest.cpp
@@ -293,7 +293,10 @@
     }
     attempt.tenure = findVouchedTenure(world, index, key);
     KeyedAnswer answer;
-    if (process.table->queryAndFence(attempt, monotonic(world, index), answer) == KeyState::Fenced)
+    auto state = process.table->queryAndFence(attempt, monotonic(world, index), answer);
+    if (state == KeyState::FencedHere)
+        world.attemptsNotRun.insert(attempt.attempt);
+    if (state == KeyState::Fenced)
         sayNotRun(world, attempt);
 }
 
