--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -5,7 +5,6 @@
 #include "HttpClient.h"
 #include "Node.h"
 #include "RequestPolicy.h"
-#include "ServiceLevel.h"
 #include "StreamRelay.h"
 #include "WireHeaders.h"
 
@@ -206,80 +205,6 @@
     return true;
 }
 
-/// A stream being passed on, with what is needed to open it again elsewhere.
-struct OpenStream {
-    HttpRequest http;
-    EntryRequest request;
-    std::shared_ptr<const RoutingTable> table; ///< By which the endpoint is counted; null when none is.
-    RowIndex vm = noRow;
-    std::vector<RowIndex> tried;
-};
-
-void Entry::closeStream(OpenStream& stream)
-{
-    if (stream.table)
-        this->router.release(*stream.table, stream.vm);
-    stream.table = nullptr;
-}
-
-std::shared_ptr<HttpExchange> Entry::reopenStream(OpenStream& stream, const std::string& lastId)
-{
-    this->router.noteRefusal(*stream.table, stream.vm, RefusalReason::ReplyLost);
-    this->closeStream(stream);
-    stream.tried.push_back(stream.vm);
-    Refusal last = makeRefusal(RefusalReason::ReplyLost);
-    for (int attempts = 1; this->prepareRetry(stream.request, last, attempts); ++attempts) {
-        auto table = this->router.table();
-        auto choice = this->chooseVm(stream.request, *table, stream.tried);
-        RowIndex vm = choice.vm;
-        if (vm == noRow)
-            break;
-        auto outcome = this->attempt(stream.request, *table, choice, lastId);
-        if (outcome.stream) {
-            stream.table = std::move(table);
-            stream.vm = vm;
-            this->node.metrics.count("bilberry_streams_resumed_total");
-            return outcome.stream;
-        }
-        this->router.release(*table, vm);
-        this->router.noteRefusal(*table, vm, outcome.refusal.reason);
-        stream.tried.push_back(vm);
-        last = outcome.refusal.reason == RefusalReason::None ? makeRefusal(RefusalReason::ReplyLost) : outcome.refusal;
-    }
-    return nullptr;
-}
-
-// The answer as it goes to the caller, with the endpoint counted until its last byte.
-HttpResponse Entry::passOn(const EntryRequest& request, AttemptOutcome outcome, std::shared_ptr<const RoutingTable> table, RowIndex vm)
-{
-    HttpResponse response = std::move(outcome.response);
-    response.headers.emplace_back(wire::outcome, std::string(toText(Outcome::Ran)));
-    const Inventory& inventory = request.configuration->inventory;
-    MetricLabels labels { { "service", inventory.services[request.service].name }, { "caller", inventory.callers[request.caller].name } };
-    this->node.metrics.count("bilberry_requests_answered_total", labels);
-    this->node.metrics.observe("bilberry_first_byte_seconds", Clock::now() - request.receivedAt, labels);
-    auto objective = request.configuration->rules.services[request.service].latencyObjective;
-    auto firstByte = Clock::now() - request.receivedAt;
-    if (!outcome.stream) {
-        this->router.release(*table, vm);
-        watchAnswer(this->node.metrics, response, labels, firstByte, objective);
-        return response;
-    }
-    auto stream = std::make_shared<OpenStream>(OpenStream { *request.http, request, std::move(table), vm, {} });
-    stream->request.http = &stream->http;
-    stream->http.isSenderGone = nullptr;
-    StreamOpener reopen;
-    if (request.model != noRow && !request.isUnrepeatable)
-        reopen = [this, stream](const std::string& lastId) { return this->reopenStream(*stream, lastId); };
-    if (request.model != noRow)
-        attachStream(response, outcome.stream, { std::move(reopen), [this, stream](HttpExchange& exchange) { return this->waitForEndpoint(stream->request, exchange, *stream->table, stream->vm); } });
-    else
-        response.stream = [exchange = outcome.stream](std::string& piece) { return exchange->readPiece(piece); };
-    response.onFinished = [this, stream] { this->closeStream(*stream); };
-    watchAnswer(this->node.metrics, response, labels, firstByte, objective);
-    return response;
-}
-
 HttpResponse Entry::serve(const HttpRequest& http)
 {
     EntryRequest request;
@@ -300,27 +225,22 @@
     for (int attempts = 1;; ++attempts) {
         auto table = this->router.table();
         auto choice = table ? this->chooseVm(request, *table, tried) : RoutingChoice();
-        while (choice.vm == noRow) {
-            if (!this->awaitEndpoint(request, table.get(), last, waited))
+        if (choice.vm != noRow) {
+            auto outcome = this->attempt(request, *table, choice, {});
+            if (outcome.refusal.reason == RefusalReason::None)
+                return this->passOn(request, std::move(outcome), std::move(table), choice.vm);
+            this->router.release(*table, choice.vm);
+            this->router.noteRefusal(*table, choice.vm, outcome.refusal.reason);
+            tried.push_back(choice.vm);
+            last = outcome.refusal;
+            // What a key's owner says is not better known elsewhere.
+            bool isSettled = !request.key.empty() && last.isFromOwner;
+            if (isSettled)
                 return this->refuse(request, last);
-            tried.clear();
-            table = this->router.table();
-            choice = this->chooseVm(request, *table, tried);
+            if (this->prepareRetry(request, last, attempts))
+                continue;
         }
-        RowIndex vm = choice.vm;
-        auto outcome = this->attempt(request, *table, choice, {});
-        if (outcome.refusal.reason == RefusalReason::None)
-            return this->passOn(request, std::move(outcome), std::move(table), vm);
-        this->router.release(*table, vm);
-        this->router.noteRefusal(*table, vm, outcome.refusal.reason);
-        tried.push_back(vm);
-        last = outcome.refusal;
-        // What a key's owner says is not better known elsewhere.
-        bool isSettled = !request.key.empty() && last.isFromOwner;
-        if (isSettled)
-            return this->refuse(request, last);
-        if (this->prepareRetry(request, last, attempts))
-            continue;
+        // Step 3. None is left: all are tried anew after a wait, with one attempt more, or the request is refused.
         if (!this->awaitEndpoint(request, table.get(), last, waited))
             return this->refuse(request, last);
         tried.clear();
