--- a/src/Admission.h
+++ b/src/Admission.h
@@ -5,6 +5,10 @@
 
 namespace bilberry {
 
+/// Wait in an endpoint's queue where nothing else was asked for, and the longest that can be asked for.
+constexpr Milliseconds defaultQueueWait { 500 };
+constexpr Milliseconds longestQueueWait { 5000 };
+
 /// Bounds that the inventory gives for one back end.
 struct AdmissionBounds {
     uint32_t cold = 1; ///< Requests that it bears in cold start.
--- a/src/AdmissionGate.h
+++ b/src/AdmissionGate.h
@@ -16,7 +16,7 @@
     uint32_t share = 1; ///< Of the client account.
     Priority priority = Priority::Normal;
     TimePoint deadline {};
-    Milliseconds maxWait { 500 }; ///< Longest wait in the queue.
+    Milliseconds maxWait = defaultQueueWait; ///< Longest wait in the queue.
 };
 
 /// None: the request is let through and must leave() again.
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -128,9 +128,6 @@
     return forwarded;
 }
 
-// Longest wait that an entry may ask for.
-static constexpr Milliseconds maxQueueWait { 5000 };
-
 static TimePoint readDeadline(const HttpRequest& request)
 {
     int64_t left = 0;
@@ -150,7 +147,7 @@
     asked.deadline = readDeadline(request);
     int64_t maxWait = 0;
     if (absl::SimpleAtoi(findHeader(request.headers, wire::queueWaitMs), &maxWait) && maxWait >= 0)
-        asked.maxWait = Milliseconds(std::min<int64_t>(maxWait, maxQueueWait.count()));
+        asked.maxWait = Milliseconds(std::min<int64_t>(maxWait, longestQueueWait.count()));
     return asked;
 }
 
--- a/src/PeerChoice.cpp
+++ b/src/PeerChoice.cpp
@@ -115,7 +115,7 @@
     const Inventory& inventory;
     RowIndex own;
     uint64_t seed;
-    uint64_t turn; ///< The round, shifted for each process, so that those of a fleet that started at once are spread out.
+    uint64_t shiftedRound; ///< The round, shifted for each process, so that those of a fleet that started at once are spread out.
     IsUsable isAllowed; ///< Suspect peers have their turn, too.
 };
 } // namespace
@@ -126,11 +126,11 @@
 {
     std::vector<RowIndex> chosen;
     auto add = [&](Distance distance) { addSome(chosen, peersAt(turn.inventory, turn.own, distance, turn.isAllowed), turn.seed, 1); };
-    if (isRelay && turn.turn % relayInterval == 1)
+    if (isRelay && turn.shiftedRound % relayInterval == 1)
         add(Distance::OtherRegion);
     if (chosen.empty())
         add(Distance::SameDataCentre);
-    if (chosen.empty() || turn.turn % crossInterval == 1)
+    if (chosen.empty() || turn.shiftedRound % crossInterval == 1)
         add(Distance::SameRegion);
     if (chosen.empty())
         add(Distance::OtherRegion);
@@ -141,9 +141,9 @@
 {
     std::vector<RowIndex> chosen;
     addSome(chosen, peersAt(turn.inventory, turn.own, Distance::SameDataCentre, turn.isAllowed), turn.seed, 1);
-    bool isForeignTurn = turn.turn % foreignInterval == 0 || chosen.empty();
+    bool isForeignTurn = turn.shiftedRound % foreignInterval == 0 || chosen.empty();
     if (isForeignTurn && turn.inventory.dataCentres.size() > 1)
-        addSome(chosen, peersIn(turn.inventory, turn.own, foreignDataCentre(turn.inventory, turn.own, turn.turn), turn.isAllowed), turn.seed, 1);
+        addSome(chosen, peersIn(turn.inventory, turn.own, foreignDataCentre(turn.inventory, turn.own, turn.shiftedRound), turn.isAllowed), turn.seed, 1);
     return chosen;
 }
 
--- a/src/PeerChoice.h
+++ b/src/PeerChoice.h
@@ -26,8 +26,9 @@
 /// Whether an exchange covers only the data centre of the VM that is asked, which knows most of it. Thread safe.
 bool coversOneDataCentre(const Inventory&);
 
-/// The peers of one round: one of the own data centre, now and then one of another, which above `maxWholeExchange` is
-/// each of the others in turn. Suspect ones are left out, except in every eighth round, which finds those that came
+/// The peers of one round: one of the own data centre, in place of which relays take one of another region every second
+/// round, and now and then one of another data centre of the region. Above `maxWholeExchange` VMs there are no relays: one
+/// of the own data centre, and every third round one of each other data centre in turn. Suspect ones are left out, except in every eighth round, which finds those that came
 /// back, and when there are no others. Thread safe.
 std::vector<RowIndex> choosePeers(const Inventory&, RowIndex own, uint64_t round, const IsUsable&);
 
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -1,5 +1,7 @@
 #include "Retry.h"
 
+#include "Admission.h"
+
 #include <algorithm>
 
 namespace bilberry {
@@ -7,8 +9,6 @@
 static constexpr int maxAttempts = 4;
 static constexpr Milliseconds firstBackOff { 10 };
 static constexpr Milliseconds largestBackOff { 500 };
-static constexpr Milliseconds shortQueueWait { 500 };
-static constexpr Milliseconds longQueueWait { 5000 };
 // Longest wait of one request for an endpoint, and the age of a gap from which on none waits.
 static constexpr Milliseconds longestEndpointWait { 3000 };
 static constexpr Milliseconds longestGap { 5000 };
@@ -62,8 +62,8 @@
 Milliseconds queueWait(bool hasRoom, Milliseconds timeLeft)
 {
     if (hasRoom)
-        return shortQueueWait;
-    return std::clamp(timeLeft / 4, shortQueueWait, longQueueWait);
+        return defaultQueueWait;
+    return std::clamp(timeLeft / 4, defaultQueueWait, longestQueueWait);
 }
 
 bool mayAwaitEndpoint(const EndpointGap& gap)
