Count refusals for state apart from attempts

Ruled out: silence judged too early (2 replies of 236 were given up for silence, both of endpoints that had been paused, and both were rightly sent again), and deadlines (over 7 s were left in each case).

--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -182,21 +182,22 @@
     return true;
 }
 
-// Whether another endpoint is tried after a refusal; waits before it where that is called for.
-bool Entry::prepareRetry(const EntryRequest& request, const Refusal& refusal, int attempts)
+// Counts an attempt that was refused, and tells whether another endpoint is tried; waits before it where that is called for.
+bool Entry::prepareRetry(const EntryRequest& request, const Refusal& refusal, AttemptCounts& made)
 {
+    countAttempt(made, refusal);
     if (request.http->isSenderGone && request.http->isSenderGone())
         return false;
-    AttemptReport report { refusal, !request.isUnrepeatable, false, attempts, timeLeft(request) };
+    AttemptReport report { refusal, !request.isUnrepeatable, false, made, timeLeft(request) };
     auto decision = decideRetry(report);
     if (usesSimplePolicy())
-        return decision != RetryDecision::GiveUp && attempts < simplePolicyAttempts;
+        return decision != RetryDecision::GiveUp && made.attempts + made.staleChoices < simplePolicyAttempts;
     if (decision == RetryDecision::GiveUp)
         return false;
     if (decision == RetryDecision::TryAnother) {
         if (!this->spendRetry(request))
             return false;
-        auto wait = backOff(attempts, this->nextRandom());
+        auto wait = backOff(made.attempts, this->nextRandom());
         if (wait >= report.timeLeft)
             return false;
         std::this_thread::sleep_for(wait);
@@ -222,7 +223,8 @@
     std::vector<RowIndex> tried;
     Refusal last = makeRefusal(RefusalReason::NoEndpoint);
     Duration waited { 0 };
-    for (int attempts = 1;; ++attempts) {
+    AttemptCounts made;
+    while (true) {
         auto table = this->router.table();
         auto choice = table ? this->chooseVm(request, *table, tried) : RoutingChoice();
         if (choice.vm != noRow) {
@@ -237,14 +239,13 @@
             bool isSettled = !request.key.empty() && last.isFromOwner;
             if (isSettled)
                 return this->refuse(request, last);
-            if (this->prepareRetry(request, last, attempts))
+            if (this->prepareRetry(request, last, made))
                 continue;
         }
-        // Step 3. None is left: all are tried anew after a wait, with one attempt more, or the request is refused.
+        // Step 3. None is left: all are tried anew after a wait, or the request is refused.
         if (!this->awaitEndpoint(request, table.get(), last, waited))
             return this->refuse(request, last);
         tried.clear();
-        --attempts;
     }
 }
 
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -44,7 +44,7 @@
     void noteLoad(const RoutingTable&, RowIndex vm, const HttpHeaders&);
     void fillBudget(const EntryRequest&);
     bool awaitEndpoint(const EntryRequest&, const RoutingTable*, const Refusal& last, Duration& waited);
-    bool prepareRetry(const EntryRequest&, const Refusal&, int attempts);
+    bool prepareRetry(const EntryRequest&, const Refusal&, AttemptCounts&);
     HttpResponse passOn(const EntryRequest&, AttemptOutcome, std::shared_ptr<const RoutingTable>, RowIndex vm);
     std::shared_ptr<HttpExchange> reopenStream(OpenStream&, const std::string& lastId);
     void closeStream(OpenStream&);
--- a/src/EntryStreams.cpp
+++ b/src/EntryStreams.cpp
@@ -33,7 +33,8 @@
     this->closeStream(stream);
     stream.tried.push_back(stream.vm);
     Refusal last = makeRefusal(RefusalReason::ReplyLost);
-    for (int attempts = 1; this->prepareRetry(stream.request, last, attempts); ++attempts) {
+    AttemptCounts made;
+    while (this->prepareRetry(stream.request, last, made)) {
         auto table = this->router.table();
         auto choice = this->chooseVm(stream.request, *table, stream.tried);
         RowIndex vm = choice.vm;
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -7,6 +7,7 @@
 namespace bilberry {
 
 static constexpr int maxAttempts = 4;
+static constexpr int maxStaleChoices = 4;
 static constexpr Milliseconds firstBackOff { 10 };
 static constexpr Milliseconds largestBackOff { 500 };
 // Longest wait of one request for an endpoint, and the age of a gap from which on none waits.
@@ -42,13 +43,20 @@
     }
 }
 
+void countAttempt(AttemptCounts& counts, const Refusal& refusal)
+{
+    ++(isStaleChoice(refusal.reason) ? counts.staleChoices : counts.attempts);
+}
+
 RetryDecision decideRetry(const AttemptReport& report)
 {
-    bool isPossible = !report.bytesReachedCaller && report.attempts < maxAttempts && report.timeLeft > Milliseconds(0);
+    bool isStale = isStaleChoice(report.refusal.reason);
+    bool isBounded = isStale ? report.made.staleChoices < maxStaleChoices : report.made.attempts < maxAttempts;
+    bool isPossible = isBounded && !report.bytesReachedCaller && report.timeLeft > Milliseconds(0);
     if (!isPossible)
         return RetryDecision::GiveUp;
     if (mayGoElsewhere(report.refusal))
-        return isStaleChoice(report.refusal.reason) ? RetryDecision::TryAtOnce : RetryDecision::TryAnother;
+        return isStale ? RetryDecision::TryAtOnce : RetryDecision::TryAnother;
     bool isUnknown = report.refusal.outcome == Outcome::Unknown;
     return isUnknown && report.mayRepeat ? RetryDecision::TryAnother : RetryDecision::GiveUp;
 }
--- a/src/Retry.h
+++ b/src/Retry.h
@@ -17,12 +17,22 @@
 /// Takes one retry out; false when there is none left.
 bool takeFromBudget(RetryBudget&);
 
+/// What one request has cost so far. Counted apart, so that endpoints that refuse for their state don't use up the
+/// attempts of a request that none of them has looked at.
+struct AttemptCounts {
+    int attempts = 0; ///< That may have run, or were refused for load.
+    int staleChoices = 0; ///< Refused for the endpoint's state.
+};
+
+/// Adds an attempt that ended with that refusal. Thread safe.
+void countAttempt(AttemptCounts&, const Refusal&);
+
 /// What is known after one attempt.
 struct AttemptReport {
     Refusal refusal;
     bool mayRepeat = true; ///< Whether a second run does no harm.
     bool bytesReachedCaller = false;
-    int attempts = 1; ///< Made so far.
+    AttemptCounts made; ///< With this attempt.
     Milliseconds timeLeft { 0 };
 };
 
@@ -32,11 +42,12 @@
     GiveUp,
 };
 
-/// Decides whether another endpoint is tried; the budget is asked separately. Attempts are bounded in either case, and
+/// Decides whether another endpoint is tried; the budget is asked separately. Both counts are bounded, and
 /// the refusing endpoint is avoided from then on, so that stale choices end with the first few requests. Thread safe.
 RetryDecision decideRetry(const AttemptReport&);
 
 /// Wait before the next attempt: full jitter, up to a bound that doubles with each attempt. `random` is uniform.
+/// Precondition: attempts > 0.
 Milliseconds backOff(int attempts, uint64_t random);
 
 /// Longest time that an attempt may wait in an endpoint's queue. Short when that endpoint was thought to have room: others
