Give lost replies a retry budget of their own

Ruled out: the bound of three resumes (none had more than one), deadlines (14 s left), no endpoint left (none in the trace).

Change: refusals and lost replies have a budget each. That of lost replies holds 128 and gets one a request: about what may be in progress at once at an entry, since what dies with an endpoint dies together. What refusals may cost is unchanged, and so is the bound of four attempts.

Test: cut_mid_answer set its links' rate only when they were made, so that the second round cut nothing; it sets the rate in each round now, which is stricter. New unit test.

--- a/src/Bench.cpp
+++ b/src/Bench.cpp
@@ -175,17 +175,17 @@
 Duration benchRetry(Signature& signature)
 {
     Random random;
-    RetryBudget budget;
+    RetryBudgets budgets;
     uint64_t counts[3] = {};
     uint64_t granted = 0;
     auto begin = Clock::now();
     for (int i = 0; i < retryDecisions; ++i) {
-        addToBudget(budget, 0.1);
+        addRequest(budgets, 0.1);
         auto reason = static_cast<RefusalReason>(1 + random.below(static_cast<uint32_t>(RefusalReason::ReplyLost)));
         AttemptReport report { makeRefusal(reason), random.below(2) == 0, random.below(20) == 0, { 1 + static_cast<int>(random.below(4)), static_cast<int>(random.below(4)) }, Milliseconds(random.below(100)) };
         auto decision = decideRetry(report);
         ++counts[static_cast<size_t>(decision)];
-        if (decision == RetryDecision::TryAnother && takeFromBudget(budget))
+        if (decision == RetryDecision::TryAnother && takeRetry(budgets, report.refusal))
             granted += static_cast<uint64_t>(backOff(report.made.attempts, random.next()).count());
     }
     auto time = Clock::now() - begin;
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -148,10 +148,10 @@
     return outcome;
 }
 
-bool Entry::spendRetry(const EntryRequest& request)
+bool Entry::spendRetry(const EntryRequest& request, const Refusal& refusal)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return takeFromBudget(this->budgets[request.service]);
+    return takeRetry(this->budgets[request.service], refusal);
 }
 
 void Entry::fillBudget(const EntryRequest& request)
@@ -159,7 +159,7 @@
     const Configuration& configuration = *request.configuration;
     std::lock_guard<std::mutex> lock(this->mutex);
     this->budgets.resize(std::max(this->budgets.size(), configuration.inventory.services.size()));
-    addToBudget(this->budgets[request.service], configuration.rules.services[request.service].retryShare);
+    addRequest(this->budgets[request.service], configuration.rules.services[request.service].retryShare);
 }
 
 // Waits a moment when no endpoint is left that could be tried, or all that were refused for their state; false when the
@@ -195,7 +195,7 @@
     if (decision == RetryDecision::GiveUp)
         return false;
     if (decision == RetryDecision::TryAnother) {
-        if (!this->spendRetry(request))
+        if (!this->spendRetry(request, refusal))
             return false;
         auto wait = backOff(made.attempts, this->nextRandom());
         if (wait >= report.timeLeft)
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -49,7 +49,7 @@
     std::shared_ptr<HttpExchange> reopenStream(OpenStream&, const std::string& lastId);
     void closeStream(OpenStream&);
     AttemptOutcome askKeyOwner(const EntryRequest&, const std::string& address, const std::string& attemptId);
-    bool spendRetry(const EntryRequest&);
+    bool spendRetry(const EntryRequest&, const Refusal&);
     uint64_t nextRandom();
 
     Node& node;
@@ -58,7 +58,7 @@
     std::atomic<uint32_t> requestsInProgress { 0 };
     std::atomic<uint64_t> attemptCounter { 0 };
     std::mutex mutex; ///< Guards the budgets and the random state.
-    std::vector<RetryBudget> budgets; ///< By service.
+    std::vector<RetryBudgets> budgets; ///< By service.
     uint64_t randomState;
 };
 
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -27,6 +27,17 @@
     return true;
 }
 
+void addRequest(RetryBudgets& budgets, double share)
+{
+    addToBudget(budgets.refused, share);
+    addToBudget(budgets.lost, 1);
+}
+
+bool takeRetry(RetryBudgets& budgets, const Refusal& refusal)
+{
+    return takeFromBudget(refusal.outcome == Outcome::Unknown ? budgets.lost : budgets.refused);
+}
+
 // Whether the endpoint refused for its state: its back end was spared, and so would be that of another.
 static bool isStaleChoice(RefusalReason reason)
 {
--- a/src/Retry.h
+++ b/src/Retry.h
@@ -17,6 +17,19 @@
 /// Takes one retry out; false when there is none left.
 bool takeFromBudget(RetryBudget&);
 
+/// The budgets of one service at one entry. A lost reply shows that an endpoint or a link has failed, not that there is too
+/// much load, and takes with it all requests that were there. So those have a budget of their own, of the size of what may
+/// be in progress at once, which refusals for load can't use up, and the other way round.
+struct RetryBudgets {
+    RetryBudget refused;
+    RetryBudget lost { 128, 128 };
+};
+
+/// Adds one request: `share` to the budget of refusals, between 0 and 1, and one retry to that of lost replies.
+void addRequest(RetryBudgets&, double share);
+/// Takes one retry after that refusal out; false when there is none left.
+bool takeRetry(RetryBudgets&, const Refusal&);
+
 /// What one request has cost so far. Counted apart, so that endpoints that refuse for their state don't use up the
 /// attempts of a request that none of them has looked at.
 struct AttemptCounts {
--- a/src/Rules.h
+++ b/src/Rules.h
@@ -42,7 +42,7 @@
     Priority priority = Priority::Normal;
     Milliseconds defaultTimeout { 30'000 };
     Milliseconds maxTimeout { 120'000 };
-    double retryShare = 0.1; ///< Retries allowed as a share of requests.
+    double retryShare = 0.1; ///< Retries after refusals allowed as a share of requests.
     double objective = 0.999; ///< Share of requests that must be good.
     Milliseconds latencyObjective { 830 }; ///< A slower first byte counts as bad.
 };
--- a/tests/RetryTest.cpp
+++ b/tests/RetryTest.cpp
@@ -98,6 +98,21 @@
     RC_ASSERT(retries <= budget.maxTokens + share * requests);
 }
 
+// An endpoint that dies takes all its requests with it: each may be sent again, also when refusals have used up their budget.
+BOOST_AUTO_TEST_CASE(lostRepliesHaveABudgetOfTheirOwn)
+{
+    RetryBudgets budgets;
+    while (takeRetry(budgets, makeRefusal(RefusalReason::Overloaded))) { }
+    int retries = 0;
+    while (takeRetry(budgets, makeRefusal(RefusalReason::ReplyLost)))
+        ++retries;
+    BOOST_TEST(retries == 128);
+    addRequest(budgets, 0.1);
+    BOOST_TEST(!takeRetry(budgets, makeRefusal(RefusalReason::QueueFull)));
+    BOOST_TEST(takeRetry(budgets, makeRefusal(RefusalReason::ReplyLost)));
+    BOOST_TEST(!takeRetry(budgets, makeRefusal(RefusalReason::ReplyLost)));
+}
+
 RC_BOOST_PROP(backOffStaysUnderItsBound, (uint64_t random))
 {
     int attempts = *rc::gen::inRange(1, 40);
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -309,12 +309,12 @@
         runs = self.back_end(endpoint).counts().get("runs", {})
         return sum(runs.get(hashlib.sha256(prompt.encode()).hexdigest()[:8], 0) for prompt in prompts)
 
-    def add_link(self, endpoint, bytes_per_second=0):
+    def add_link(self, endpoint):
         """Puts a link in front of an endpoint's process and publishes its address; switch it with link.fault()."""
         row, name = self.vm(endpoint), f"{endpoint}.link"
         if name in self.processes:
             return self.processes[name]
-        link = self.standin(name, "link", self.host(row), f"--target={self.processes[endpoint].address}", f"--bytes_per_second={bytes_per_second}")
+        link = self.standin(name, "link", self.host(row), f"--target={self.processes[endpoint].address}")
         row["address"], link.address = link.address, link.lines.get(timeout=10).split()[1]
         return link
 
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -192,7 +192,9 @@
 def cut_mid_answer(fleet, cuts=1):
     """Connections to endpoints' processes are cut mid-answer: streams go on elsewhere, other answers are never short."""
     names = [name for name in fleet.replicas() if fleet.vm(name)["data_centre"] == fleet.inventory["data_centres"][1]["name"]]
-    links = [fleet.add_link(name, bytes_per_second=40_000) for name in names]
+    links = [fleet.add_link(name) for name in names]
+    for link in links:
+        link.fault(bytes_per_second=40_000)
     fleet.publish()
     for name in fleet.replicas():
         fleet.back_end(name).fault(token_ms=0.2)
