Let the stand-ins use the library's digest and pacer

Change: the stand-ins and the load generator call sha256Hex() and TransferPacer. An engine reads its source whole and then hashes it, in place of piece by piece. What is left of StandInPacer, pieces and call limits, is StandInRate. Ruled out: that a fault of the library's digest would hide itself. harness.py works out the prompt's hash with hashlib (runs_of()), and the library's two digests, of a text and of chunks, are two codes. No check was changed.

--- a/tests/LoadAnswer.cpp
+++ b/tests/LoadAnswer.cpp
@@ -1,5 +1,5 @@
 #include "LoadAnswer.h"
-#include "StandInHash.h"
+#include "StandInEngine.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
--- a/tests/StandInConfig.cpp
+++ b/tests/StandInConfig.cpp
@@ -1,5 +1,5 @@
 #include "StandInKinds.h"
-#include "StandInPacer.h"
+#include "StandInRate.h"
 #include "StandInServer.h"
 #include <condition_variable>
 #include <gflags/gflags.h>
--- a/tests/StandInEngine.h
+++ b/tests/StandInEngine.h
@@ -1,6 +1,7 @@
 /// State of the model engine stand-in, shared by its orders and its completions.
 #pragma once
 
+#include "Digest.h"
 #include "StandInGate.h"
 #include "StandInServer.h"
 #include <map>
@@ -26,6 +27,12 @@
     std::map<std::string, EngineModel> models;
 };
 
+/// Prefix of each word that an engine answers to the prompt. Thread safe.
+inline std::string promptHash(std::string_view prompt)
+{
+    return sha256Hex(prompt).substr(0, 8);
+}
+
 /// Adds the routes for model orders and the index. The engine must outlive the server.
 void addOrderRoutes(Engine&, Server&);
 
--- a/tests/StandInEngineCompletions.cpp
+++ b/tests/StandInEngineCompletions.cpp
@@ -1,5 +1,4 @@
 #include "StandInEngine.h"
-#include "StandInHash.h"
 
 namespace bilberry::standin {
 
--- a/tests/StandInEngineOrders.cpp
+++ b/tests/StandInEngineOrders.cpp
@@ -1,5 +1,4 @@
 #include "StandInEngine.h"
-#include "StandInHash.h"
 
 namespace bilberry::standin {
 
@@ -53,12 +52,8 @@
         return {};
     httplib::Client client(source.substr(0, path));
     client.set_read_timeout(sourceTimeout);
-    Sha256 hash;
-    const auto result = client.Get(source.substr(path), [&](const char* data, size_t size) {
-        hash.update({ data, size });
-        return true;
-    });
-    return result && result->status == 200 ? hash.hex() : std::string();
+    const auto result = client.Get(source.substr(path));
+    return result && result->status == 200 ? sha256Hex(result->body) : std::string();
 }
 
 /// Makes the loaded version the serving one, unless a later order overtook it.
--- a/tests/StandInLink.cpp
+++ b/tests/StandInLink.cpp
@@ -1,6 +1,7 @@
 #include "StandInKinds.h"
-#include "StandInPacer.h"
+#include "StandInRate.h"
 #include "StandInServer.h"
+#include "TransferPacer.h"
 #include <arpa/inet.h>
 #include <atomic>
 #include <gflags/gflags.h>
@@ -20,8 +21,8 @@
 struct Link {
     Switches switches;
     Counters counters;
-    Pacer up;
-    Pacer down;
+    TransferPacer up;
+    TransferPacer down;
 };
 
 /// A relayed connection; both directions share it and the last one closes it.
@@ -131,7 +132,7 @@
     if (got <= 0)
         return false;
     const auto size = static_cast<size_t>(got);
-    const TimePoint due = reserveBytes(isUp ? relay.link.up : relay.link.down, size, rate);
+    const TimePoint due = (isUp ? relay.link.up : relay.link.down).reserve(size, rate, Clock::now());
     if (!waitForRate(relay, due) || !sendAll(relay, to, { buffer.data(), size }))
         return false;
     addCount(relay.link.counters, isUp ? "bytes_up" : "bytes_down", got);
--- a/tests/StandInPlain.cpp
+++ b/tests/StandInPlain.cpp
@@ -1,5 +1,5 @@
+#include "Digest.h"
 #include "StandInGate.h"
-#include "StandInHash.h"
 #include "StandInKinds.h"
 #include "StandInServer.h"
 #include <gflags/gflags.h>
--- a/tests/StandInPacer.cpp
+++ b/tests/StandInRate.cpp
@@ -1,11 +1,10 @@
-#include "StandInPacer.h"
+#include "StandInRate.h"
 #include <algorithm>
 
 namespace bilberry::standin {
 
 namespace {
 
-using SecondsFraction = std::chrono::duration<double>;
 constexpr double piecesPerSecond = 20;
 constexpr double minimumPieceBytes = 512;
 
@@ -19,24 +18,13 @@
     return std::min(static_cast<size_t>(piece), maximumPieceBytes);
 }
 
-TimePoint reserveBytes(Pacer& pacer, size_t bytes, double bytesPerSecond)
-{
-    const TimePoint now = Clock::now();
-    if (bytesPerSecond <= 0)
-        return now;
-    const auto cost = std::chrono::duration_cast<Duration>(SecondsFraction(static_cast<double>(bytes) / bytesPerSecond));
-    const std::lock_guard lock(pacer.mutex);
-    pacer.nextFree = std::max(pacer.nextFree, now) + cost;
-    return pacer.nextFree;
-}
-
 bool allowCall(CallLimit& limit, double callsPerSecond)
 {
     if (callsPerSecond <= 0)
         return true;
     const TimePoint now = Clock::now();
     const std::lock_guard lock(limit.mutex);
-    const double gained = SecondsFraction(now - limit.refilled).count() * callsPerSecond;
+    const double gained = std::chrono::duration<double>(now - limit.refilled).count() * callsPerSecond;
     limit.tokens = std::min(limit.tokens + gained, std::max(callsPerSecond, 1.0));
     limit.refilled = now;
     if (limit.tokens < 1)
--- a/tests/StandInPacer.h
+++ b/tests/StandInRate.h
@@ -1,4 +1,4 @@
-/// Rates of a stand-in: bytes that are paced, and calls that are refused over a limit.
+/// Rates of a stand-in: pieces of paced bytes, and calls that are refused over a limit.
 #pragma once
 
 #include "Types.h"
@@ -7,21 +7,12 @@
 
 namespace bilberry::standin {
 
-/// Spaces bytes of all users of one pacer over time.
-struct Pacer {
-    std::mutex mutex;
-    TimePoint nextFree {};
-};
-
 /// Largest piece that a paced sender sends at once.
 constexpr size_t maximumPieceBytes = 65'536;
 
 /// Size of one piece: at most maximumPieceBytes, less when the rate is low.
 size_t pieceBytes(double bytesPerSecond);
 
-/// Books the bytes and gives the moment at which they may be sent; a rate of 0 is unlimited. Thread safe.
-TimePoint reserveBytes(Pacer&, size_t bytes, double bytesPerSecond);
-
 /// Counts calls against a rate per second, with a burst of one second.
 struct CallLimit {
     std::mutex mutex;
--- a/tests/StandInStore.cpp
+++ b/tests/StandInStore.cpp
@@ -1,7 +1,8 @@
-#include "StandInHash.h"
+#include "Digest.h"
 #include "StandInKinds.h"
-#include "StandInPacer.h"
+#include "StandInRate.h"
 #include "StandInServer.h"
+#include "TransferPacer.h"
 #include <atomic>
 #include <gflags/gflags.h>
 #include <map>
@@ -20,7 +21,7 @@
     Switches switches;
     Counters counters;
     CallLimit limit;
-    Pacer pacer;
+    TransferPacer pacer;
     std::atomic<uint64_t> stallEpoch { 0 }; ///< Raised when a patch sets stall_next: stalled answers go on.
     std::mutex mutex;
     std::map<std::string, Bytes> blobs;
@@ -132,7 +133,7 @@
     std::string piece = answer.bytes->substr(offset, std::min(length, pieceBytes(rate)));
     if (answer.corrupt)
         piece[0] = static_cast<char>(~piece[0]);
-    std::this_thread::sleep_until(reserveBytes(store.pacer, piece.size(), rate));
+    std::this_thread::sleep_until(store.pacer.reserve(piece.size(), rate, Clock::now()));
     if (!sink.write(piece.data(), piece.size()))
         return false;
     addCount(store.counters, "bytes_sent", static_cast<int64_t>(piece.size()));
