Keep a stand-in's switches and counters in one struct, and only those that are read

Cause: Switches and Counters went through every stand-in as a pair, with two headers, two sources and two locks; of the counters the scripts read nine (grep of counts() in tests/*.py: running, runs, runs_by_key, bytes_sent, calls, cancelled, finished, over_cold_limit, started), of the engine's switches none sets crash, forget or state. Change: one struct Controls. What nothing reads or sets has gone. A flag of one kind of stand-in is defined beside it, not defined and declared. The link's two directions are told apart by their sockets. Addresses are parsed by the library's parseAddress(). Ruled out: taking out the chat route, /metrics and /v2/health/ready, which no script calls: docs/INTERFACES.md says that the stand-ins speak them. Checked: no check changed.

--- a/tests/StandIn.cpp
+++ b/tests/StandIn.cpp
@@ -8,18 +8,12 @@
 #include <map>
 #include <string>
 
+// What more than one kind reads; the others are beside the kind that reads them.
 DEFINE_string(kind, "", "config, store, engine, plain or link");
 DEFINE_string(listen, "127.0.0.1:0", "address to serve on; port 0 picks a free one");
 DEFINE_double(bytes_per_second, 0, "store: egress of all connections together; link: each direction; 0 = unlimited");
 DEFINE_int32(slots, 0, "engine, plain: requests that run at a time; 0 = unlimited");
 DEFINE_int32(cold_slots, 1, "engine, plain: requests that run at a time while cold");
-DEFINE_double(token_ms, 0, "engine: time of a token");
-DEFINE_double(prefill_ms, 0, "engine: time before the first token");
-DEFINE_double(cold_ms, 0, "engine: cold period after each load");
-DEFINE_bool(checks_fencing, true, "engine: refuse orders with an old fencing number");
-DEFINE_string(name, "plain", "plain: service name in the answers");
-DEFINE_double(work_ms, 0, "plain: time of a run");
-DEFINE_string(target, "", "link: IP:port that connections are relayed to");
 
 int main(int argc, char** argv)
 {
--- a/tests/StandInConfig.cpp
+++ b/tests/StandInConfig.cpp
@@ -23,8 +23,7 @@
 };
 
 struct ConfigService {
-    Switches switches;
-    Counters counters;
+    Controls controls;
     CallLimit limit;
     std::mutex mutex;
     std::condition_variable changed;
@@ -48,11 +47,11 @@
     const auto found = service.keys.find(name);
     StoredValue value;
     if (found != service.keys.end()) {
-        const bool stale = switchValue(service.switches, "stale", false) && found->second.previous.index > 0;
+        const bool stale = switchValue(service.controls, "stale", false) && found->second.previous.index > 0;
         value = stale ? found->second.previous : found->second.current;
     }
-    value.index = switchValue(service.switches, "serve_index", value.index);
-    value.body = switchValue(service.switches, "serve_body", value.body);
+    value.index = switchValue(service.controls, "serve_index", value.index);
+    value.body = switchValue(service.controls, "serve_body", value.body);
     return value;
 }
 
@@ -60,7 +59,7 @@
 {
     std::unique_lock lock(service.mutex);
     const auto isDue = [&] {
-        return switchValue(service.switches, "down", false) || visibleValue(service, name).index > after;
+        return switchValue(service.controls, "down", false) || visibleValue(service, name).index > after;
     };
     service.changed.wait_until(lock, Clock::now() + wait, isDue);
     return visibleValue(service, name);
@@ -68,16 +67,14 @@
 
 void answerRead(ConfigService& service, const httplib::Request& request, httplib::Response& response)
 {
-    addCount(service.counters, "calls");
-    if (!allowCall(service.limit, switchValue(service.switches, "calls_per_second", 0.0))) {
-        addCount(service.counters, "refused");
+    addCount(service.controls, "calls");
+    if (!allowCall(service.limit, switchValue(service.controls, "calls_per_second", 0.0)))
         return answerError(response, 429, "over the call rate");
-    }
     const bool waits = request.has_param("index");
     const uint64_t after = waits ? std::strtoull(request.get_param_value("index").c_str(), nullptr, 10) : 0;
     const Milliseconds wait = waits && after > 0 ? parseWait(request.get_param_value("wait")) : Milliseconds(0);
     const StoredValue value = waitForValue(service, request.matches[1], after, wait);
-    if (switchValue(service.switches, "down", false))
+    if (switchValue(service.controls, "down", false))
         return answerError(response, 503, "down");
     if (value.index == 0)
         return answerError(response, 404, "no such key");
@@ -110,9 +107,9 @@
 void runConfig()
 {
     static ConfigService service;
-    declareCounts(service.counters, { "calls", "refused" });
-    service.switches.changed = [](const nlohmann::json&) { wakeReaders(service); };
-    Server server(service.switches, service.counters);
+    service.controls.counts = { { "calls", 0 } };
+    service.controls.changed = [](const nlohmann::json&) { wakeReaders(service); };
+    Server server(service.controls);
     server.Get("/v1/kv/(.+)", route(service, answerRead));
     server.Put("/v1/kv/(.+)", route(service, storeValue));
     server.serve(FLAGS_listen, "listening");
--- a/tests/StandInEngine.cpp
+++ b/tests/StandInEngine.cpp
@@ -6,10 +6,10 @@
 DECLARE_string(listen);
 DECLARE_int32(slots);
 DECLARE_int32(cold_slots);
-DECLARE_double(token_ms);
-DECLARE_double(prefill_ms);
-DECLARE_double(cold_ms);
-DECLARE_bool(checks_fencing);
+DEFINE_double(token_ms, 0, "engine: time of a token");
+DEFINE_double(prefill_ms, 0, "engine: time before the first token");
+DEFINE_double(cold_ms, 0, "engine: cold period after each load");
+DEFINE_bool(checks_fencing, true, "engine: refuse orders with an old fencing number");
 
 namespace bilberry::standin {
 
@@ -26,7 +26,7 @@
 
 std::string metricsText(Engine& engine)
 {
-    const auto running = countsSnapshot(engine.counters).value("running", 0);
+    const auto running = countsSnapshot(engine.controls).value("running", 0);
     std::ostringstream text;
     text << "engine_requests_running " << running << '\n';
     text << "engine_requests_waiting " << waitingCount(engine.gate) << '\n';
@@ -45,30 +45,14 @@
     response.set_content(snapshot.text, "text/plain");
 }
 
-void handleSwitches(Engine& engine, const nlohmann::json& patch)
-{
-    if (patch.value("crash", false))
-        std::_Exit(1);
-    if (patch.value("forget", false)) {
-        const std::lock_guard lock(engine.mutex);
-        engine.models.clear();
-    }
-}
-
-void setSwitchesFromFlags(Engine& engine)
-{
-    mergeSwitches(engine.switches, { { "slots", FLAGS_slots }, { "cold_slots", FLAGS_cold_slots }, { "token_ms", FLAGS_token_ms }, { "prefill_ms", FLAGS_prefill_ms }, { "cold_ms", FLAGS_cold_ms }, { "checks_fencing", FLAGS_checks_fencing } });
-}
-
 } // namespace
 
 void runEngine()
 {
     static Engine engine;
-    declareCounts(engine.counters, { "started", "finished", "cancelled", "over_cold_limit", "load_orders", "stale_orders_refused", "stale_orders_accepted", "running", "max_running" });
-    setSwitchesFromFlags(engine);
-    engine.switches.changed = [](const nlohmann::json& patch) { handleSwitches(engine, patch); };
-    Server server(engine.switches, engine.counters);
+    engine.controls.counts = { { "started", 0 }, { "finished", 0 }, { "cancelled", 0 }, { "over_cold_limit", 0 }, { "running", 0 } };
+    engine.controls.switches = { { "slots", FLAGS_slots }, { "cold_slots", FLAGS_cold_slots }, { "token_ms", FLAGS_token_ms }, { "prefill_ms", FLAGS_prefill_ms }, { "cold_ms", FLAGS_cold_ms }, { "checks_fencing", FLAGS_checks_fencing } };
+    Server server(engine.controls);
     addOrderRoutes(engine, server);
     addCompletionRoutes(engine, server);
     server.Get("/metrics", route(engine, answerMetrics));
--- a/tests/StandInEngine.h
+++ b/tests/StandInEngine.h
@@ -20,9 +20,8 @@
 };
 
 struct Engine {
-    Switches switches;
-    Counters counters;
-    Gate gate { switches, counters, {}, {}, {}, 0, 0, {} };
+    Controls controls;
+    Gate gate { controls, {}, {}, {}, 0, 0, {} };
     std::mutex mutex;
     std::map<std::string, EngineModel> models;
 };
--- a/tests/StandInEngineCompletions.cpp
+++ b/tests/StandInEngineCompletions.cpp
@@ -54,8 +54,6 @@
 int findVersion(Completion& completion)
 {
     Engine& engine = completion.engine;
-    if (switchValue<std::string>(engine.switches, "state", "READY") != "READY")
-        return 503;
     const std::lock_guard lock(engine.mutex);
     const auto found = engine.models.find(completion.model);
     if (found == engine.models.end())
@@ -88,15 +86,9 @@
     Completion completion;
     bool finished = false;
 
-    explicit RunGuard(Completion completion)
-        : completion(std::move(completion))
-    {
-    }
-    RunGuard(const RunGuard&) = delete;
-    RunGuard& operator=(const RunGuard&) = delete;
     ~RunGuard()
     {
-        addCount(this->completion.engine.counters, this->finished ? "finished" : "cancelled");
+        addCount(this->completion.engine.controls, this->finished ? "finished" : "cancelled");
         leaveGate(this->completion.engine.gate);
     }
 };
@@ -104,14 +96,14 @@
 bool writeStream(RunGuard& run, httplib::DataSink& sink)
 {
     const Completion& completion = run.completion;
-    if (switchValue(completion.engine.switches, "endless_event", false)) {
+    if (switchValue(completion.engine.controls, "endless_event", false)) {
         const std::string piece(endlessPieceBytes, 'x');
         while (sink.write(piece.data(), piece.size())) { }
         return false;
     }
     TimePoint due = Clock::now();
     for (int token = completion.resumeAfter + 1; token <= completion.tokens; ++token) {
-        due += switchDuration(completion.engine.switches, "token_ms");
+        due += switchDuration(completion.engine.controls, "token_ms");
         if (!waitUnlessClosed(completion.connection, due))
             return false;
         const std::string event = "id: " + std::to_string(token) + "\ndata: " + answerObject(completion, word(completion, token), true).dump() + "\n\n";
@@ -132,7 +124,7 @@
     TimePoint due = Clock::now();
     std::string text;
     for (int token = 1; token <= completion.tokens; ++token) {
-        due += switchDuration(completion.engine.switches, "token_ms");
+        due += switchDuration(completion.engine.controls, "token_ms");
         if (!waitUnlessClosed(completion.connection, due))
             return;
         text += word(completion, token);
@@ -144,9 +136,9 @@
 void startRun(const Completion& completion)
 {
     const Engine& engine = completion.engine;
-    addCount(completion.engine.counters, "started");
-    addGroupCount(completion.engine.counters, "runs", completion.hash);
-    const std::string crashOn = switchValue<std::string>(engine.switches, "crash_on", "");
+    addCount(completion.engine.controls, "started");
+    addGroupCount(completion.engine.controls, "runs", completion.hash);
+    const std::string crashOn = switchValue<std::string>(engine.controls, "crash_on", "");
     if (!crashOn.empty() && completion.prompt.find(crashOn) != std::string::npos)
         std::_Exit(1);
 }
@@ -159,10 +151,10 @@
     if (const int status = findVersion(completion); status != 200)
         return answerError(response, status, "the model is not ready");
     const Admission admission = enterGate(engine.gate, completion.connection);
-    if (admission != Admission::Admitted) {
-        addCount(engine.counters, admission == Admission::Closed ? "cancelled" : "refused_cold");
+    if (admission == Admission::Closed)
+        addCount(engine.controls, "cancelled");
+    if (admission != Admission::Admitted)
         return answerError(response, 503, "cold");
-    }
     // The version may have changed while the request waited; the run keeps what serves now.
     const int status = findVersion(completion);
     if (status != 200) {
@@ -170,8 +162,8 @@
         return answerError(response, status, "the model is not ready");
     }
     startRun(completion);
-    const auto run = std::make_shared<RunGuard>(completion);
-    if (!waitUnlessClosed(completion.connection, Clock::now() + switchDuration(engine.switches, "prefill_ms")))
+    const std::shared_ptr<RunGuard> run(new RunGuard { completion });
+    if (!waitUnlessClosed(completion.connection, Clock::now() + switchDuration(engine.controls, "prefill_ms")))
         return;
     if (!completion.isStream)
         return answerWhole(*run, response);
--- a/tests/StandInEngineOrders.cpp
+++ b/tests/StandInEngineOrders.cpp
@@ -32,13 +32,8 @@
 bool acceptFencing(Engine& engine, EngineModel& model, const Order& order)
 {
     const uint64_t fencing = std::strtoull(order.fencing.c_str(), nullptr, 10);
-    const bool isStale = fencing < model.highestFencing;
-    if (isStale && switchValue(engine.switches, "checks_fencing", true)) {
-        addCount(engine.counters, "stale_orders_refused");
+    if (fencing < model.highestFencing && switchValue(engine.controls, "checks_fencing", true))
         return false;
-    }
-    if (isStale)
-        addCount(engine.counters, "stale_orders_accepted");
     model.highestFencing = std::max(model.highestFencing, fencing);
     return true;
 }
@@ -69,14 +64,13 @@
     model.servingDigest = order.digest;
     model.servingFencing = order.fencing;
     model.contentSha256 = content;
-    startColdPeriod(engine.gate, switchDuration(engine.switches, "cold_ms"));
+    startColdPeriod(engine.gate, switchDuration(engine.controls, "cold_ms"));
     return true;
 }
 
 void answerLoad(Engine& engine, const httplib::Request& request, httplib::Response& response)
 {
     const Order order = parseOrder(request);
-    addCount(engine.counters, "load_orders");
     if (order.digest.empty() || order.source.empty())
         return answerError(response, 400, "digest and source are required");
     uint64_t number = 0;
@@ -115,20 +109,15 @@
     answerJson(response, 200, nlohmann::json::object());
 }
 
-std::string shownState(const Engine& engine, const std::string& state)
-{
-    return switchValue(engine.switches, "state", state);
-}
-
 void answerIndex(Engine& engine, const httplib::Request&, httplib::Response& response)
 {
     const std::lock_guard lock(engine.mutex);
     nlohmann::json index = nlohmann::json::array();
     for (const auto& [name, model] : engine.models) {
         if (!model.servingDigest.empty())
-            index.push_back({ { "name", name }, { "digest", model.servingDigest }, { "state", shownState(engine, "READY") }, { "fencing", model.servingFencing }, { "content_sha256", model.contentSha256 } });
+            index.push_back({ { "name", name }, { "digest", model.servingDigest }, { "state", "READY" }, { "fencing", model.servingFencing }, { "content_sha256", model.contentSha256 } });
         if (!model.loadingDigest.empty())
-            index.push_back({ { "name", name }, { "digest", model.loadingDigest }, { "state", shownState(engine, "LOADING") }, { "fencing", model.loadingFencing } });
+            index.push_back({ { "name", name }, { "digest", model.loadingDigest }, { "state", "LOADING" }, { "fencing", model.loadingFencing } });
     }
     answerJson(response, 200, index);
 }
@@ -137,7 +126,7 @@
 {
     const std::lock_guard lock(engine.mutex);
     const bool isServing = std::any_of(engine.models.begin(), engine.models.end(), [](const auto& entry) { return !entry.second.servingDigest.empty(); });
-    response.status = isServing && shownState(engine, "READY") == "READY" ? 200 : 503;
+    response.status = isServing ? 200 : 503;
 }
 
 } // namespace
--- a/tests/StandInGate.cpp
+++ b/tests/StandInGate.cpp
@@ -10,18 +10,18 @@
 
 bool isColdLocked(const Gate& gate)
 {
-    return switchValue(gate.switches, "cold", false) || Clock::now() < gate.coldUntil;
+    return switchValue(gate.controls, "cold", false) || Clock::now() < gate.coldUntil;
 }
 
 bool isOverColdLimit(const Gate& gate)
 {
     const int present = gate.running + static_cast<int>(gate.waiting.size());
-    return isColdLocked(gate) && present >= switchValue(gate.switches, "cold_slots", 1);
+    return isColdLocked(gate) && present >= switchValue(gate.controls, "cold_slots", 1);
 }
 
 bool hasSlot(const Gate& gate)
 {
-    const int slots = switchValue(gate.switches, "slots", 0);
+    const int slots = switchValue(gate.controls, "slots", 0);
     return slots <= 0 || gate.running < slots;
 }
 
@@ -37,7 +37,7 @@
 {
     std::unique_lock lock(gate.mutex);
     if (isOverColdLimit(gate)) {
-        addCount(gate.counters, "over_cold_limit");
+        addCount(gate.controls, "over_cold_limit");
         return Admission::OverColdLimit;
     }
     const uint64_t ticket = gate.nextTicket++;
@@ -50,7 +50,7 @@
         }
     }
     ++gate.running;
-    moveRunning(gate.counters, 1);
+    addCount(gate.controls, "running");
     removeTicket(gate, ticket);
     return Admission::Admitted;
 }
@@ -59,7 +59,7 @@
 {
     const std::lock_guard lock(gate.mutex);
     --gate.running;
-    moveRunning(gate.counters, -1);
+    addCount(gate.controls, "running", -1);
     gate.freed.notify_all();
 }
 
--- a/tests/StandInGate.h
+++ b/tests/StandInGate.h
@@ -1,8 +1,7 @@
 /// Limits how many requests a stand-in runs at a time, warm and cold.
 #pragma once
 
-#include "StandInCounters.h"
-#include "StandInSwitches.h"
+#include "StandInControls.h"
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -15,8 +14,7 @@
 
 /// Uses the switches `slots` (0 is unlimited), `cold` and `cold_slots`.
 struct Gate {
-    Switches& switches;
-    Counters& counters;
+    Controls& controls;
     std::mutex mutex;
     std::condition_variable freed;
     std::deque<uint64_t> waiting; ///< Tickets in order of arrival.
--- a/tests/StandInLink.cpp
+++ b/tests/StandInLink.cpp
@@ -1,3 +1,4 @@
+#include "Address.h"
 #include "StandInKinds.h"
 #include "StandInRate.h"
 #include "StandInServer.h"
@@ -11,16 +12,15 @@
 #include <unistd.h>
 
 DECLARE_string(listen);
-DECLARE_string(target);
 DECLARE_double(bytes_per_second);
+DEFINE_string(target, "", "link: IP:port that connections are relayed to");
 
 namespace bilberry::standin {
 
 namespace {
 
 struct Link {
-    Switches switches;
-    Counters counters;
+    Controls controls;
     TransferPacer up;
     TransferPacer down;
 };
@@ -33,15 +33,6 @@
     std::string source; ///< IP of the client.
     std::atomic<bool> wasCut { false };
 
-    Relay(Link& link, int client, int target, std::string source)
-        : link(link)
-        , client(client)
-        , target(target)
-        , source(std::move(source))
-    {
-    }
-    Relay(const Relay&) = delete;
-    Relay& operator=(const Relay&) = delete;
     ~Relay()
     {
         ::close(this->client);
@@ -49,18 +40,15 @@
     }
 };
 
-enum class Direction { Up,
-    Down };
-
 constexpr Milliseconds checkInterval { 20 };
 constexpr int listenBacklog = 1024;
 constexpr int bufferBytes = 256 * 1024;
 
 bool isCut(const Link& link, const std::string& source)
 {
-    if (switchValue(link.switches, "cut", false))
+    if (switchValue(link.controls, "cut", false))
         return true;
-    const auto prefixes = switchValue(link.switches, "cut_from", std::vector<std::string>());
+    const auto prefixes = switchValue(link.controls, "cut_from", std::vector<std::string>());
     return std::any_of(prefixes.begin(), prefixes.end(), [&](const std::string& prefix) { return source.rfind(prefix, 0) == 0; });
 }
 
@@ -82,12 +70,12 @@
 bool waitFor(const Relay& relay, int socket, short events)
 {
     while (!isCut(relay)) {
-        if (switchValue(relay.link.switches, "stall", false)) {
+        if (switchValue(relay.link.controls, "stall", false)) {
             std::this_thread::sleep_for(checkInterval);
             continue;
         }
         pollfd state { socket, events, 0 };
-        if (::poll(&state, 1, static_cast<int>(checkInterval.count())) > 0 && !switchValue(relay.link.switches, "stall", false))
+        if (::poll(&state, 1, static_cast<int>(checkInterval.count())) > 0 && !switchValue(relay.link.controls, "stall", false))
             return true;
     }
     return false;
@@ -118,40 +106,34 @@
 }
 
 /// Moves one piece. Returns false when the direction has ended.
-bool movePiece(Relay& relay, Direction direction, std::string& buffer)
+bool movePiece(Relay& relay, int from, int to, TransferPacer& pacer, std::string& buffer)
 {
-    const bool isUp = direction == Direction::Up;
-    const int from = isUp ? relay.client : relay.target;
-    const int to = isUp ? relay.target : relay.client;
     if (!waitFor(relay, from, POLLIN))
         return false;
-    const double rate = switchValue(relay.link.switches, "bytes_per_second", 0.0);
+    const double rate = switchValue(relay.link.controls, "bytes_per_second", 0.0);
     const ssize_t got = ::recv(from, buffer.data(), pieceBytes(rate), 0);
     if (got < 0)
         cut(relay);
     if (got <= 0)
         return false;
     const auto size = static_cast<size_t>(got);
-    const TimePoint due = (isUp ? relay.link.up : relay.link.down).reserve(size, rate, Clock::now());
-    if (!waitForRate(relay, due) || !sendAll(relay, to, { buffer.data(), size }))
-        return false;
-    addCount(relay.link.counters, isUp ? "bytes_up" : "bytes_down", got);
-    return true;
+    const TimePoint due = pacer.reserve(size, rate, Clock::now());
+    return waitForRate(relay, due) && sendAll(relay, to, { buffer.data(), size });
 }
 
-void pump(Relay& relay, Direction direction)
+void pump(Relay& relay, int from, int to, TransferPacer& pacer)
 {
     std::string buffer(maximumPieceBytes, '\0');
-    while (movePiece(relay, direction, buffer)) { }
+    while (movePiece(relay, from, to, pacer, buffer)) { }
     if (isCut(relay))
         cut(relay);
     else
-        ::shutdown(direction == Direction::Up ? relay.target : relay.client, SHUT_WR);
+        ::shutdown(to, SHUT_WR);
 }
 
 sockaddr_in socketAddress(const std::string& address)
 {
-    const auto [host, port] = splitAddress(address);
+    const auto [host, port] = parseAddress(address, true).value();
     sockaddr_in result {};
     result.sin_family = AF_INET;
     result.sin_port = htons(static_cast<uint16_t>(port));
@@ -172,12 +154,12 @@
 
 void startRelay(Link& link, int client, const std::string& source)
 {
-    const auto relay = std::make_shared<Relay>(link, client, openSocket(), source);
+    const auto relay = std::shared_ptr<Relay>(new Relay { link, client, openSocket(), source });
     const sockaddr_in target = socketAddress(FLAGS_target);
     if (isCut(link, source) || ::connect(relay->target, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0)
         return cut(*relay);
-    std::thread([relay] { pump(*relay, Direction::Up); }).detach();
-    std::thread([relay] { pump(*relay, Direction::Down); }).detach();
+    std::thread([relay] { pump(*relay, relay->client, relay->target, relay->link.up); }).detach();
+    std::thread([relay] { pump(*relay, relay->target, relay->client, relay->link.down); }).detach();
 }
 
 void acceptForever(Link& link, int listener)
@@ -204,7 +186,7 @@
     if (::bind(listener, reinterpret_cast<sockaddr*>(&local), size) != 0 || ::listen(listener, listenBacklog) != 0)
         std::_Exit(2);
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&local), &size);
-    printLine("listening " + splitAddress(address).first + ":" + std::to_string(ntohs(local.sin_port)));
+    printLine("listening " + parseAddress(address, true)->host + ":" + std::to_string(ntohs(local.sin_port)));
     return listener;
 }
 
@@ -213,11 +195,10 @@
 void runLink()
 {
     static Link link;
-    declareCounts(link.counters, { "bytes_up", "bytes_down" });
-    mergeSwitches(link.switches, { { "bytes_per_second", FLAGS_bytes_per_second } });
+    link.controls.switches = { { "bytes_per_second", FLAGS_bytes_per_second } };
     const int listener = listenOn(FLAGS_listen);
     std::thread([listener] { acceptForever(link, listener); }).detach();
-    Server server(link.switches, link.counters);
+    Server server(link.controls);
     server.serve("127.0.0.1:0", "control");
 }
 
--- a/tests/StandInPlain.cpp
+++ b/tests/StandInPlain.cpp
@@ -6,30 +6,28 @@
 #include <thread>
 
 DECLARE_string(listen);
-DECLARE_string(name);
-DECLARE_double(work_ms);
 DECLARE_int32(slots);
 DECLARE_int32(cold_slots);
+DEFINE_string(name, "plain", "plain: service name in the answers");
+DEFINE_double(work_ms, 0, "plain: time of a run");
 
 namespace bilberry::standin {
 
 namespace {
 
 struct PlainService {
-    Switches switches;
-    Counters counters;
-    Gate gate { switches, counters, {}, {}, {}, 0, 0, {} };
+    Controls controls;
+    Gate gate { controls, {}, {}, {}, 0, 0, {} };
 };
 
 void run(PlainService& service, const std::string& key)
 {
-    addCount(service.counters, "started");
+    addCount(service.controls, "started");
     if (!key.empty()) {
-        addGroupCount(service.counters, "runs_by_key", key);
+        addGroupCount(service.controls, "runs_by_key", key);
         printLine("run " + key);
     }
-    std::this_thread::sleep_for(switchDuration(service.switches, "work_ms"));
-    addCount(service.counters, "completed");
+    std::this_thread::sleep_for(switchDuration(service.controls, "work_ms"));
 }
 
 void answerEcho(const httplib::Request& request, httplib::Response& response, const std::string& key)
@@ -41,16 +39,16 @@
 {
     const int connection = connectionOf(request);
     const std::string key = request.get_header_value("Idempotency-Key");
-    if (takeFault(service.switches, "crash_before_run"))
+    if (takeFault(service.controls, "crash_before_run"))
         std::_Exit(1);
     const Admission admission = enterGate(service.gate, connection);
     if (admission != Admission::Admitted)
         return answerError(response, 503, "cold");
     run(service, key);
     leaveGate(service.gate);
-    if (takeFault(service.switches, "crash_after_run"))
+    if (takeFault(service.controls, "crash_after_run"))
         std::_Exit(1);
-    if (takeFault(service.switches, "drop_reply"))
+    if (takeFault(service.controls, "drop_reply"))
         ::shutdown(connection, SHUT_RDWR);
     answerEcho(request, response, key);
 }
@@ -60,9 +58,9 @@
 void runPlain()
 {
     static PlainService service;
-    declareCounts(service.counters, { "started", "completed", "over_cold_limit", "running", "max_running" });
-    mergeSwitches(service.switches, { { "work_ms", FLAGS_work_ms }, { "slots", FLAGS_slots }, { "cold_slots", FLAGS_cold_slots } });
-    Server server(service.switches, service.counters);
+    service.controls.counts = { { "started", 0 }, { "over_cold_limit", 0 }, { "running", 0 } };
+    service.controls.switches = { { "work_ms", FLAGS_work_ms }, { "slots", FLAGS_slots }, { "cold_slots", FLAGS_cold_slots } };
+    Server server(service.controls);
     const auto handler = route(service, handle);
     server.Get(".*", handler).Post(".*", handler).Put(".*", handler);
     server.Patch(".*", handler).Delete(".*", handler).Options(".*", handler);
--- a/tests/StandInServer.cpp
+++ b/tests/StandInServer.cpp
@@ -1,4 +1,5 @@
 #include "StandInServer.h"
+#include "Address.h"
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <iostream>
@@ -51,22 +52,22 @@
     return -1;
 }
 
-void handleFault(Switches& switches, const httplib::Request& request, httplib::Response& response)
+void handleFault(Controls& controls, const httplib::Request& request, httplib::Response& response)
 {
     const auto patch = nlohmann::json::parse(request.body, nullptr, false);
     if (!patch.is_object())
         return answerError(response, 400, "the body is no JSON object");
-    answerJson(response, 200, mergeSwitches(switches, patch));
+    answerJson(response, 200, mergeSwitches(controls, patch));
 }
 
-void answerCounts(Counters& counters, const httplib::Request&, httplib::Response& response)
+void answerCounts(Controls& controls, const httplib::Request&, httplib::Response& response)
 {
-    answerJson(response, 200, countsSnapshot(counters));
+    answerJson(response, 200, countsSnapshot(controls));
 }
 
 } // namespace
 
-Server::Server(Switches& switches, Counters& counters)
+Server::Server(Controls& controls)
 {
     this->new_task_queue = [] { return new ThreadPerConnection; };
     this->set_tcp_nodelay(true);
@@ -79,13 +80,13 @@
         const int on = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     });
-    this->Post("/fault", route(switches, handleFault));
-    this->Get("/counts", route(counters, answerCounts));
+    this->Post("/fault", route(controls, handleFault));
+    this->Get("/counts", route(controls, answerCounts));
 }
 
 void Server::serve(const std::string& address, const std::string& word)
 {
-    auto [host, port] = splitAddress(address);
+    auto [host, port] = parseAddress(address, true).value();
     if (port == 0)
         port = this->bind_to_any_port(host);
     else if (!this->bind_to_port(host, port))
@@ -100,12 +101,6 @@
     this->listen_after_bind();
 }
 
-std::pair<std::string, int> splitAddress(const std::string& address)
-{
-    const size_t colon = address.rfind(':');
-    return { address.substr(0, colon), std::atoi(address.c_str() + colon + 1) }; // NOLINT(cert-err34-c)
-}
-
 void printLine(const std::string& line)
 {
     static std::mutex mutex;
--- a/tests/StandInServer.h
+++ b/tests/StandInServer.h
@@ -1,8 +1,7 @@
 /// HTTP server that every stand-in kind starts from.
 #pragma once
 
-#include "StandInCounters.h"
-#include "StandInSwitches.h"
+#include "StandInControls.h"
 #include <httplib.h>
 #include <string>
 
@@ -11,8 +10,8 @@
 /// Server with one thread per connection, long keep-alive, and the routes `/fault` and `/counts`.
 class Server : public httplib::Server {
 public:
-    /// Both arguments must outlive the server.
-    Server(Switches&, Counters&);
+    /// The controls must outlive the server.
+    explicit Server(Controls&);
 
     /// Binds `IP:port` (port 0 picks a free one), prints `<word> IP:port` and serves until the process ends.
     void serve(const std::string& address, const std::string& word);
@@ -25,9 +24,6 @@
     return [&state, handle](const httplib::Request& request, httplib::Response& response) { handle(state, request, response); };
 }
 
-/// Splits `IP:port`. Precondition: the text has a colon. Thread safe.
-std::pair<std::string, int> splitAddress(const std::string& address);
-
 /// Prints one whole line on standard output and flushes it. Thread safe.
 void printLine(const std::string& line);
 
--- a/tests/StandInStore.cpp
+++ b/tests/StandInStore.cpp
@@ -18,8 +18,7 @@
 using Bytes = std::shared_ptr<const std::string>;
 
 struct Store {
-    Switches switches;
-    Counters counters;
+    Controls controls;
     CallLimit limit;
     TransferPacer pacer;
     std::atomic<uint64_t> stallEpoch { 0 }; ///< Raised when a patch sets stall_next: stalled answers go on.
@@ -84,13 +83,12 @@
 
 bool isRefused(Store& store, httplib::Response& response)
 {
-    if (switchValue(store.switches, "down", false)) {
+    if (switchValue(store.controls, "down", false)) {
         answerError(response, 503, "down");
         return true;
     }
-    if (allowCall(store.limit, switchValue(store.switches, "calls_per_second", 0.0)))
+    if (allowCall(store.limit, switchValue(store.controls, "calls_per_second", 0.0)))
         return false;
-    addCount(store.counters, "refused");
     response.set_header("Retry-After", "1");
     answerError(response, 429, "over the call rate");
     return true;
@@ -100,7 +98,6 @@
 {
     if (isRefused(store, response))
         return;
-    addCount(store.counters, "manifest_requests");
     const std::lock_guard lock(store.mutex);
     const std::string reference = request.matches[2];
     const auto tag = store.tags.find(request.matches[1].str() + "/" + reference);
@@ -124,7 +121,7 @@
 
 bool sendPiece(Store& store, BlobAnswer& answer, size_t offset, size_t length, const httplib::DataSink& sink)
 {
-    const double rate = switchValue(store.switches, "bytes_per_second", 0.0);
+    const double rate = switchValue(store.controls, "bytes_per_second", 0.0);
     if (answer.stall && offset >= answer.bytes->size() / 2) {
         answer.stall = false;
         if (!waitOutStall(store, answer, sink))
@@ -136,7 +133,7 @@
     std::this_thread::sleep_until(store.pacer.reserve(piece.size(), rate, Clock::now()));
     if (!sink.write(piece.data(), piece.size()))
         return false;
-    addCount(store.counters, "bytes_sent", static_cast<int64_t>(piece.size()));
+    addCount(store.controls, "bytes_sent", static_cast<int64_t>(piece.size()));
     return true;
 }
 
@@ -151,14 +148,11 @@
 {
     if (isRefused(store, response))
         return;
-    const std::string digest = request.matches[2];
-    addCount(store.counters, "blob_requests");
-    const Bytes bytes = findBlob(store, digest);
+    const Bytes bytes = findBlob(store, request.matches[2]);
     if (bytes == nullptr)
         return answerError(response, 404, "no such blob");
-    addGroupCount(store.counters, "blobs", digest);
     const auto answer = std::make_shared<BlobAnswer>();
-    *answer = { bytes, takeFault(store.switches, "corrupt_next"), takeFault(store.switches, "stall_next"), store.stallEpoch };
+    *answer = { bytes, takeFault(store.controls, "corrupt_next"), takeFault(store.controls, "stall_next"), store.stallEpoch };
     response.set_content_provider(bytes->size(), "application/octet-stream",
         [&store, answer](size_t offset, size_t length, httplib::DataSink& sink) {
             return sendPiece(store, *answer, offset, length, sink);
@@ -170,13 +164,13 @@
 void runStore()
 {
     static Store store;
-    declareCounts(store.counters, { "bytes_sent", "blob_requests", "manifest_requests", "refused" });
-    mergeSwitches(store.switches, { { "bytes_per_second", FLAGS_bytes_per_second } });
-    store.switches.changed = [](const nlohmann::json& patch) {
+    store.controls.counts = { { "bytes_sent", 0 } };
+    store.controls.switches = { { "bytes_per_second", FLAGS_bytes_per_second } };
+    store.controls.changed = [](const nlohmann::json& patch) {
         if (patch.contains("stall_next"))
             ++store.stallEpoch;
     };
-    Server server(store.switches, store.counters);
+    Server server(store.controls);
     server.Put("/models/([^/]+)/([^/]+)", route(store, makeModel));
     server.Get("/v2/(.+)/manifests/([^/]+)", route(store, answerManifest));
     server.Get("/v2/(.+)/blobs/([^/]+)", route(store, answerBlob));
