Drop the load generator's times between tokens, which nothing reads

Cause: inter_token_ms of the report is read by no script and no page (grep inter_token in tests and docs); it kept a time of each piece of each answer. Change: an answer keeps when its first piece came, for the time to the first token, and the report ends there.

--- a/tests/LoadAnswer.h
+++ b/tests/LoadAnswer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LoadRequest.h"
+#include <optional>
 #include <set>
 
 namespace bilberry::standin {
@@ -21,7 +22,7 @@
     std::string outcome;
     std::string body;
     std::set<std::string> fingerprints;
-    std::vector<TimePoint> events; ///< When each piece came.
+    std::optional<TimePoint> firstPiece; ///< When the body began to come.
     bool isTransportError = false;
 };
 
--- a/tests/LoadGenerator.cpp
+++ b/tests/LoadGenerator.cpp
@@ -82,9 +82,10 @@
         return true;
     };
     request.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
+        const TimePoint now = Clock::now();
         answer.body.append(data, size);
-        answer.events.push_back(Clock::now());
-        return Clock::now() < deadline;
+        answer.firstPiece = answer.firstPiece.value_or(now);
+        return now < deadline;
     };
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
--- a/tests/LoadTally.cpp
+++ b/tests/LoadTally.cpp
@@ -6,16 +6,6 @@
 
 using nlohmann::json;
 
-static void addTimes(Tally& tally, const Call& call, const Answer& answer)
-{
-    tally.latency.push_back(Clock::now() - call.due);
-    if (answer.events.empty())
-        return;
-    tally.firstToken.push_back(answer.events.front() - call.due);
-    for (size_t i = 1; i < answer.events.size(); ++i)
-        tally.interToken.push_back(answer.events[i] - answer.events[i - 1]);
-}
-
 void addAnswer(Tally& tally, const Call& call, const Answer& answer, uint64_t resent)
 {
     const std::lock_guard lock(tally.mutex);
@@ -31,7 +21,9 @@
     if (answer.verdict != Verdict::Ok)
         return;
     ++account.ok;
-    addTimes(tally, call, answer);
+    tally.latency.push_back(Clock::now() - call.due);
+    if (answer.firstPiece)
+        tally.firstToken.push_back(*answer.firstPiece - call.due);
 }
 
 /// Nearest-rank percentile in milliseconds; null without values. Precondition: sorted.
@@ -58,7 +50,7 @@
     return { { "sent", total.sent }, { "resent", total.resent }, { "ok", total.verdicts[Verdict::Ok] }, { "refused", total.refused },
         { "outcome", total.outcomes }, { "lost", total.verdicts[Verdict::Lost] }, { "cut", total.verdicts[Verdict::Cut] },
         { "wrong", total.verdicts[Verdict::Wrong] }, { "mixed", total.verdicts[Verdict::Mixed] }, { "ttft_ms", percentiles(total.firstToken) },
-        { "latency_ms", percentiles(total.latency) }, { "inter_token_ms", percentiles(total.interToken) }, { "per_account", accounts } };
+        { "latency_ms", percentiles(total.latency) }, { "per_account", accounts } };
 }
 
 } // namespace bilberry::standin
--- a/tests/LoadTally.h
+++ b/tests/LoadTally.h
@@ -24,7 +24,6 @@
     std::map<std::string, AccountTally> accounts;
     std::vector<Duration> latency;
     std::vector<Duration> firstToken;
-    std::vector<Duration> interToken;
 };
 
 /// Counts a call by its last answer. Thread safe.
