Fuzz configurations in one place, with the strictest of the checks

Cause: ConfigurationTest and ParserFuzzTest each changed texts of the same example and checked the references of what was accepted; ParserFuzzTest's check was a part of ConfigurationTest's. Change: ConfigurationTest's two properties and their check are in ParserFuzzTest, and its own texts are given to that check, too. Checked: 100 texts of each of the three kinds as before; the check of ParserFuzzTest's texts is stricter, since each line of a refusal must start with a path. Test cases: 6 and 9 before, 4 and 10 after: the two properties moved, and noConfigurationTextBreaksTheParser is the second text of one of them.

--- a/tests/ConfigurationTest.cpp
+++ b/tests/ConfigurationTest.cpp
@@ -4,10 +4,9 @@
 #include "DocumentFiles.h"
 #include "LiveList.h"
 
+#include <absl/strings/str_split.h>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
-#include <rapidcheck/boost_test.h>
-#include <sstream>
 
 using namespace bilberry;
 using nlohmann::json;
@@ -21,11 +20,9 @@
 static std::vector<std::string> faultsOf(const std::string& text)
 {
     auto parsed = parseConfiguration(text, 1);
-    std::vector<std::string> lines;
-    std::stringstream message { parsed.ok() ? std::string() : std::string(parsed.status().message()) };
-    for (std::string line; std::getline(message, line);)
-        lines.push_back(line);
-    return lines;
+    if (parsed.ok())
+        return {};
+    return absl::StrSplit(std::string(parsed.status().message()), '\n');
 }
 
 struct Change {
@@ -120,46 +117,3 @@
     BOOST_TEST(faultsOf(deep).size() == 1);
     BOOST_TEST(!parseLiveList(deep, 1).ok());
 }
-
-// Checks that a parse gave tables whose references hold, or faults that each start with a path.
-static void checkParse(const std::string& text)
-{
-    auto parsed = parseConfiguration(text, 1);
-    if (!parsed.ok()) {
-        for (const auto& line : faultsOf(text))
-            RC_ASSERT(line.rfind('$', 0) == 0 && line.find(": ") != std::string::npos);
-        return;
-    }
-    for (const auto& vm : parsed->inventory.vms)
-        RC_ASSERT(vm.dataCentre < parsed->inventory.dataCentres.size() && (vm.role == Role::Entry || vm.service < parsed->inventory.services.size()));
-    RC_ASSERT(parsed->rules.services.size() == parsed->inventory.services.size());
-    reviewConfiguration(*parsed, WallTime());
-}
-
-RC_BOOST_PROP(aMutatedDocumentParsesOrGivesCleanErrors, ())
-{
-    static const std::vector<json> values { nullptr, true, -1, 0, 1e300, UINT64_MAX, "", "x", "\xff\xfe", json::array(), json::object(), json::array({ 1, "a", nullptr }) };
-    json document = example();
-    auto changes = *rc::gen::inRange(1, 6);
-    for (int i = 0; i < changes; ++i) {
-        // Walk down to a random place, then change or remove it.
-        json* place = &document;
-        while (!place->empty() && place->is_structured() && (place == &document || *rc::gen::inRange(0, 4) != 0))
-            place = &*std::next(place->begin(), *rc::gen::inRange<int>(0, static_cast<int>(place->size())));
-        if (place->is_object() && !place->empty() && *rc::gen::inRange(0, 3) == 0)
-            place->erase(place->begin());
-        else
-            *place = *rc::gen::elementOf(values);
-    }
-    checkParse(document.dump(-1, ' ', false, json::error_handler_t::replace));
-}
-
-RC_BOOST_PROP(aDocumentWithChangedBytesParsesOrGivesCleanErrors, (uint32_t place, uint8_t byte, uint8_t cut))
-{
-    static const std::string text = example().dump();
-    std::string changed = text;
-    changed[place % changed.size()] = static_cast<char>(byte);
-    if (cut < 32)
-        changed.resize(place % changed.size());
-    checkParse(changed);
-}
--- a/tests/ParserFuzzTest.cpp
+++ b/tests/ParserFuzzTest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE ParserFuzz
+#include "ConfigurationReview.h"
 #include "DocumentFiles.h"
 #include "ExchangeMessage.h"
 #include "Flags.h"
@@ -8,6 +9,7 @@
 #include "Manifest.h"
 #include "Settings.h"
 
+#include <absl/strings/str_split.h>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/boost_test.h>
@@ -50,19 +52,48 @@
     return text;
 }
 
-RC_BOOST_PROP(noConfigurationTextBreaksTheParser, ())
+// Checks that a parse gave tables whose references hold, or faults that each start with a path.
+static void checkParse(const std::string& text)
 {
-    static const std::string example = exampleConfiguration();
-    auto parsed = parseConfiguration(mutate(example), 1);
-    // Whatever is accepted has every reference in bounds.
+    auto parsed = parseConfiguration(text, 1);
     if (!parsed.ok()) {
-        RC_ASSERT(!parsed.status().message().empty());
+        for (const std::string& line : std::vector<std::string>(absl::StrSplit(std::string(parsed.status().message()), '\n')))
+            RC_ASSERT(line.rfind('$', 0) == 0 && line.find(": ") != std::string::npos);
         return;
     }
-    for (const auto& vm : parsed->inventory.vms) {
-        RC_ASSERT(vm.dataCentre < parsed->inventory.dataCentres.size());
-        RC_ASSERT(vm.role == Role::Entry || vm.service < parsed->inventory.services.size());
+    for (const auto& vm : parsed->inventory.vms)
+        RC_ASSERT(vm.dataCentre < parsed->inventory.dataCentres.size() && (vm.role == Role::Entry || vm.service < parsed->inventory.services.size()));
+    RC_ASSERT(parsed->rules.services.size() == parsed->inventory.services.size());
+    reviewConfiguration(*parsed, WallTime());
+}
+
+RC_BOOST_PROP(aConfigurationWithChangedValuesParsesOrGivesCleanErrors, ())
+{
+    static const std::vector<json> values { nullptr, true, -1, 0, 1e300, UINT64_MAX, "", "x", "\xff\xfe", json::array(), json::object(), json::array({ 1, "a", nullptr }) };
+    json document = json::parse(exampleConfiguration());
+    auto changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+        // Walk down to a random place, then change or remove it.
+        json* place = &document;
+        while (!place->empty() && place->is_structured() && (place == &document || *rc::gen::inRange(0, 4) != 0))
+            place = &*std::next(place->begin(), *rc::gen::inRange<int>(0, static_cast<int>(place->size())));
+        if (place->is_object() && !place->empty() && *rc::gen::inRange(0, 3) == 0)
+            place->erase(place->begin());
+        else
+            *place = *rc::gen::elementOf(values);
     }
+    checkParse(document.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+RC_BOOST_PROP(aConfigurationWithChangedBytesParsesOrGivesCleanErrors, (uint32_t place, uint8_t byte, uint8_t cut))
+{
+    static const std::string text = json::parse(exampleConfiguration()).dump();
+    std::string changed = text;
+    changed[place % changed.size()] = static_cast<char>(byte);
+    if (cut < 32)
+        changed.resize(place % changed.size());
+    checkParse(changed);
+    checkParse(mutate(exampleConfiguration()));
 }
 
 RC_BOOST_PROP(noLiveListTextBreaksTheParser, ())
