Start stand-ins, links and daemons in one place for all fleets of the scripts

Cause: harness.Fleet and BareFleet each had their own start of a stand-in, a link and a daemon and their own write to the configuration service, and demo.py and keys_fleet.py each summed the runs of keys. Change: ProcessGroup has add(), standin(), start_link(), daemon() and put(); fault() reaches a link's control address; Fleet.runs_by_key(). process_settings listens on port 0 in place of a port that it looked for: that nothing listens is seen, as before, from the empty output. Ruled out: a list of processes in Fleet, or a map in BareFleet: measure_fleet.py uses the one and weights_fleet.py the other. Checked: no assertion was taken out; those of the two writes to the configuration service are one in put(). put_model() takes the digest from the store's answer, no longer from the manifest's header.

--- a/tests/bare_fleet.py
+++ b/tests/bare_fleet.py
@@ -18,12 +18,11 @@
     have a back end.
     """
 
-    def __init__(self, build, size, data_centres=3, cut_off=lambda index: False, flags=(), publish=True, has_links=False):
+    def __init__(self, build, size, data_centres=3, cut_off=lambda index: False, flags=(), has_links=False):
         super().__init__(build)
         self.flags = list(flags)
         self.cut_off = cut_off
         self.processes = []
-        self.filler = ""
         names = [f"dc-{index}" for index in range(data_centres)]
         self.inventory = {
             "data_centres": [{"name": name, "region": f"region-{index % 2}"} for index, name in enumerate(names)],
@@ -33,7 +32,6 @@
             "vms": [self._row(index, names[index % data_centres]) for index in range(size)],
         }
         self.rules = {"placements": [], "bursts": [], "unrepeatable": [], "services": [], "data_centres_out": [], "vms_leaving": []}
-        self.publish_at_start = publish
         self.has_links = has_links
         self.links = {}
 
@@ -46,23 +44,18 @@
 
     def start(self):
         self.config = self.standin("config", "config", SERVICE_HOST)
-        self.service = self.add_link("config", SERVICE_HOST, self.config) if self.has_links else self.config
+        self.service = self.start_link("config", SERVICE_HOST, self.config) if self.has_links else self.config
         if self.has_links:
             back_end = self.standin("plain", "plain", SERVICE_HOST, "--name=plain")
             for row in self.inventory["vms"]:
                 row.update({"back_end": back_end.address} if "service" in row else {})
         for index in range(len(self.inventory["vms"])):
             self.processes.append(self.launch(index))
-        if self.publish_at_start:
-            self.publish()
-            self.wait_in_force(START_SECONDS)
+        self.publish()
+        self.wait_in_force(START_SECONDS)
 
-    def standin(self, name, kind, host, *flags):
-        return self.run(name, self.build / "standin", f"--kind={kind}", f"--listen={host}:0", *flags)
-
-    def add_link(self, name, host, target):
-        self.links[name] = self.standin(f"{name}.link", "link", host, f"--target={target.address}")
-        self.links[name].control = self.links[name].lines.get(timeout=10).split()[1]
+    def start_link(self, name, host, target):
+        self.links[name] = super().start_link(name, host, target)
         return self.links[name]
 
     def cut(self, data_centres, others, from_service):
@@ -71,8 +64,7 @@
         cut_from = {row["name"]: foes.get(row["data_centre"], []) for row in self.inventory["vms"]}
         cut_from["config"] = from_service
         for name, link in self.links.items():
-            switches = json.dumps({"cut_from": [self.host(foe) for foe in cut_from[name]]})
-            assert harness.call("POST", link.control, "/fault", switches)[0] == 200
+            link.fault(cut_from=[self.host(foe) for foe in cut_from[name]])
 
     @staticmethod
     def host(data_centre):
@@ -84,11 +76,9 @@
         seeds = [other["address"] for other in self.inventory["vms"][:3] if other["address"] and other is not row] if peers is None else peers
         host = self.host(row["data_centre"])
         listen = self.processes[index].address if index < len(self.processes) else f"{host}:0"
-        process = self.run(row["name"], self.build / "bilberryd", f"--role={row.get('role', 'endpoint')}", f"--vm={row['name']}",
-                           f"--data_centre={row['data_centre']}", f"--listen={listen}", f"--configuration_service={service}",
-                           f"--peers={','.join(seeds)}", "--http_threads=16", *(self.flags if flags is None else flags))
+        process = self.daemon(row, listen, service, seeds, "--http_threads=16", *(self.flags if flags is None else flags))
         if not row["address"]:
-            row["address"] = (self.add_link(row["name"], host, process) if self.has_links else process).address
+            row["address"] = (self.start_link(row["name"], host, process) if self.has_links else process).address
         return process
 
     def restart(self, index, **options):
@@ -96,15 +86,11 @@
         self.processes[index] = self.launch(index, **options)
 
     def document(self):
-        return json.dumps({"inventory": self.inventory, "rules": self.rules}) + " " * len(self.filler)
+        return json.dumps({"inventory": self.inventory, "rules": self.rules})
 
     def publish(self):
-        """Publishes; gives the time."""
-        at = time.monotonic()
-        status = harness.call("PUT", self.config.address, harness.CONFIGURATION_KEY, self.document(), {"Content-Type": "application/json"})[0]
-        assert status == 200, status
+        self.put(harness.CONFIGURATION_KEY, self.document())
         self.generation = int(harness.call("GET", self.config.address, harness.CONFIGURATION_KEY)[1].get("X-Consul-Index", 0)) or self.generation + 1
-        return at
 
     def held(self, process):
         """The generation in force at a process, 0 for none."""
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -10,15 +10,6 @@
 ACCOUNTS = 4
 
 
-def sum_runs(fleet, service):
-    """Runs by key at the back ends of a plain service."""
-    runs = {}
-    for name in fleet.endpoints(service):
-        for key, count in fleet.back_end(name).counts().get("runs_by_key", {}).items():
-            runs[key] = runs.get(key, 0) + count
-    return runs
-
-
 def run(build, deployment):
     out = {"registry": "sousse-a", "spendlens": "eu-central-b"}[deployment]
     with harness.Fleet(build, deployment, store_rate=16 << 20, engine_flags=["--slots=8", "--token_ms=4", "--cold_ms=300", "--cold_slots=2"]) as fleet:
@@ -33,7 +24,7 @@
         time.sleep(3)
         fleet.bring_back()
         reports = [harness.finish(models), harness.finish(calls)]
-        runs = sum_runs(fleet, rule["service"])
+        runs = fleet.runs_by_key(rule["service"])
         origin = fleet.store.counts()["bytes_sent"] / fleet.model_bytes
         codes = fleet.stop_daemons()
     return print_report(deployment, out, wanted, spread_seconds, origin, reports, runs, codes)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import collections
 import contextlib
 import hashlib
 import json
@@ -68,7 +69,7 @@
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
         threading.Thread(target=self._read, daemon=True).start()
-        self.address = self._wait_for_address()
+        self.address = self.control = self._wait_for_address()
 
     def _read(self):
         for line in self.process.stdout:
@@ -100,7 +101,8 @@
         return self.process.wait(timeout)
 
     def fault(self, **switches):
-        status, _, body = call("POST", self.address, "/fault", json.dumps(switches))
+        # As JSON: the HTTP library takes no large body of the default type, a form.
+        status, _, body = call("POST", self.control, "/fault", json.dumps(switches), {"Content-Type": "application/json"})
         assert status == 200, (self.name, status, body)
 
     def counts(self):
@@ -141,10 +143,30 @@
             with contextlib.suppress(OSError):
                 process.kill()
 
-    def run(self, name, *command):
+    def add(self, name, *command):
         self.started.append(Process(name, [str(part) for part in command], self.folder))
         return self.started[-1]
 
+    def standin(self, name, kind, host, *flags):
+        return self.add(name, self.build / "standin", f"--kind={kind}", f"--listen={host}:0", *flags)
+
+    def start_link(self, name, host, target):
+        """A link in front of a process, at an address of its own; switch it with link.fault()."""
+        link = self.standin(f"{name}.link", "link", host, f"--target={target.address}")
+        link.control = link.lines.get(timeout=10).split()[1]
+        return link
+
+    def daemon(self, row, listen, service, peers, *flags):
+        """A daemon for a row of the inventory's VMs."""
+        return self.add(row["name"], self.build / "bilberryd", f"--role={row.get('role', 'endpoint')}", f"--vm={row['name']}",
+                        f"--data_centre={row['data_centre']}", f"--listen={listen}", f"--configuration_service={service}",
+                        f"--peers={','.join(peers)}", *flags)
+
+    def put(self, key, document):
+        """Writes a document to the configuration service."""
+        status, _, answer = call("PUT", self.config.address, key, document, {"Content-Type": "application/json"})
+        assert status == 200, (status, answer)
+
 
 class Fleet(ProcessGroup):
     """The whole path of one deployment. Use it as a context manager."""
@@ -158,7 +180,6 @@
         self.engine_flags = list(engine_flags)
         self.daemon_flags = list(daemon_flags)
         self.processes = {}
-        self.live_states = {}
         folder = ROOT / "examples" / deployment
         self.inventory = json.loads((folder / "inventory.json").read_text())
         self.rules = json.loads((folder / "rules.json").read_text())
@@ -189,12 +210,9 @@
         return self.processes[f"{name}.backend"]
 
     def add(self, name, *command):
-        self.processes[name] = self.run(name, *command)
+        self.processes[name] = super().add(name, *command)
         return self.processes[name]
 
-    def standin(self, name, kind, host, *flags):
-        return self.add(name, self.build / "standin", f"--kind={kind}", f"--listen={host}:0", *flags)
-
     def start_back_end(self, name):
         row = self.vm(name)
         kinds = {service["name"]: service["kind"] for service in self.inventory["services"]}
@@ -207,11 +225,8 @@
 
     def start_daemon(self, name, listen_port=0):
         row = self.vm(name)
-        role = row.get("role", "endpoint")
-        peers = [other["address"] for other in self.inventory["vms"] if other["name"] != name and f"{other['name']}" in self.processes]
-        process = self.add(name, self.build / "bilberryd", f"--role={role}", f"--vm={name}", f"--data_centre={row['data_centre']}",
-                           f"--listen={self.host(row)}:{listen_port}", f"--configuration_service={self.config.address}",
-                           f"--peers={','.join(peers[:3])}", *self.daemon_flags)
+        peers = [other["address"] for other in self.inventory["vms"] if other["name"] != name and other["name"] in self.processes]
+        process = self.daemon(row, f"{self.host(row)}:{listen_port}", self.config.address, peers[:3], *self.daemon_flags)
         row["address"] = process.address
         return process
 
@@ -229,25 +244,19 @@
     # The platform.
 
     def publish(self):
-        """Publishes inventory and rules; gives the new generation."""
-        body = json.dumps({"inventory": self.inventory, "rules": self.rules})
-        status, headers, answer = call("PUT", self.config.address, CONFIGURATION_KEY, body, {"Content-Type": "application/json"})
-        assert status == 200, (status, answer)
-        return headers
+        self.put(CONFIGURATION_KEY, json.dumps({"inventory": self.inventory, "rules": self.rules}))
 
     def publish_live(self):
-        states = {row["name"]: "live" for row in self.inventory["vms"]}
-        states.update(self.live_states)
-        vms = [{"vm": name, "state": state} for name, state in states.items() if state != "gone"]
-        assert call("PUT", self.config.address, LIVE_KEY, json.dumps({"vms": vms}), {"Content-Type": "application/json"})[0] == 200
+        vms = [{"vm": row["name"], "state": "live"} for row in self.inventory["vms"]]
+        self.put(LIVE_KEY, json.dumps({"vms": vms}))
 
-    def put_model(self, seed=1, label=None):
+    def put_model(self, seed=1):
+        """Puts a version under the label; gives its digest."""
         model = self.inventory["models"][0]
-        path = f"/models/{model['name']}/{label or model['label']}?size_bytes={self.model_bytes}&chunk_bytes={self.chunk_bytes}&seed={seed}"
+        path = f"/models/{model['name']}/{model['label']}?size_bytes={self.model_bytes}&chunk_bytes={self.chunk_bytes}&seed={seed}"
         status, _, body = call("PUT", self.store.address, path)
-        assert status in (200, 201), (status, body)
-        headers = call("GET", self.store.address, f"/v2/{model['name']}/manifests/{label or model['label']}")[1]
-        return {name.lower(): value for name, value in headers.items()}["docker-content-digest"]
+        assert status == 201, (status, body)
+        return json.loads(body)["digest"]
 
     # The whole.
 
@@ -309,22 +318,29 @@
         runs = self.back_end(endpoint).counts().get("runs", {})
         return sum(runs.get(hashlib.sha256(prompt.encode()).hexdigest()[:8], 0) for prompt in prompts)
 
+    def runs_by_key(self, service):
+        """Runs of each key over the back ends of a plain service."""
+        runs = collections.Counter()
+        for name in self.endpoints(service):
+            runs.update(self.back_end(name).counts().get("runs_by_key", {}))
+        return runs
+
     def add_link(self, endpoint):
         """Puts a link in front of an endpoint's process and publishes its address; switch it with link.fault()."""
         row, name = self.vm(endpoint), f"{endpoint}.link"
         if name in self.processes:
             return self.processes[name]
-        link = self.standin(name, "link", self.host(row), f"--target={self.processes[endpoint].address}")
-        row["address"], link.address = link.address, link.lines.get(timeout=10).split()[1]
+        link = self.start_link(endpoint, self.host(row), self.processes[endpoint])
+        row["address"] = link.address
         return link
 
     def take_out(self, data_centre):
         self.rules["data_centres_out"] = [data_centre]
-        return self.publish()
+        self.publish()
 
     def bring_back(self):
         self.rules["data_centres_out"] = []
-        return self.publish()
+        self.publish()
 
     def load_model(self, seconds, *flags):
         """Starts the load generator with completions of the first model, by all accounts in their shares."""
--- a/tests/process_docs.py
+++ b/tests/process_docs.py
@@ -17,7 +17,7 @@
     docs = harness.ROOT / "docs"
     pages = [docs / "OPERATIONS.md", *sorted((docs / "operations").glob("*.md"))]
     text = "\n".join(page.read_text() for page in pages)
-    wanted = {f"--{name}" for name in names(r"^DEFINE_\w+\((\w+),")} | {f"--{name}" for name in names(r"\nDEFINE_\w+\((\w+),")}
+    wanted = {f"--{name}" for name in names(r"(?m)^DEFINE_\w+\((\w+),")}
     wanted |= names(r'"(bilberry_\w+)"')
     wanted |= {f"`{name}`" for name in names(r'\{ RefusalReason::\w+, "([\w-]+)"')} - {"`none`"}
     assert len(wanted) > 60, wanted
--- a/tests/process_fleet_service.py
+++ b/tests/process_fleet_service.py
@@ -1,7 +1,6 @@
 #!/usr/bin/env python3
 """What the configuration service may answer: nothing, old, other, broken and absurd documents."""
 
-import json
 import time
 
 import harness
@@ -34,9 +33,7 @@
 def serve(fleet, result, **switches):
     """Serves a faulty answer until it was counted; the document in force stays."""
     before = offered(fleet, result)
-    # As JSON: the HTTP library takes no large body of the default type, a form.
-    status = harness.call("POST", fleet.config.address, "/fault", json.dumps(switches), {"Content-Type": "application/json"})[0]
-    assert status == 200, status
+    fleet.config.fault(**switches)
     harness.wait_until(lambda: offered(fleet, result) > before, 8, f"{result} counted for {list(switches)}")
     assert all(fleet.held(process) == fleet.generation for process in fleet.processes), switches
     fleet.config.fault(**SWITCHES_OFF)
--- a/tests/process_settings.py
+++ b/tests/process_settings.py
@@ -8,12 +8,6 @@
 import harness
 
 
-def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def run(build, *flags, **environment):
     """Runs bilberryd to its end; gives (exit code, standard output, standard error)."""
     result = subprocess.run([f"{build}/bilberryd", *flags], env={**os.environ, **environment}, capture_output=True, text=True, timeout=20, check=False)
@@ -21,7 +15,7 @@
 
 
 def check_five_wrong(build):
-    flags = ["--role=both", f"--listen=127.0.0.1:{free_port()}", "--configuration_service=config:8500", "--tick_ms=soon", "--http_threads=2", "--colour=blue", "--authentication_key=short"]
+    flags = ["--role=both", "--listen=127.0.0.1:0", "--configuration_service=config:8500", "--tick_ms=soon", "--http_threads=2", "--colour=blue", "--authentication_key=short"]
     code, output, error = run(build, *flags, FLAGS_gossip_ms="9999")
     assert code == 2 and output == "", (code, output)
     wanted = ['--role: "both"', "--vm: must be set", "--data_centre: must be set", '--configuration_service: "config:8500"',
