Wait for a key's answer and send keys at once in one way in the key tests

Cause: process_keys_owner had three loops that sent a key until an answer came, and three times, with process_keys_once, threads were started and joined by hand. Change: Caller.submit_until(), and a thread pool, which also passes on what a thread raises (before, it was only printed). Checked: the same answers are awaited within the same times (not-vouched TAKE_OVER_SECONDS, ran 10 s and 5 s), and the same counts are compared.

--- a/tests/keys_fleet.py
+++ b/tests/keys_fleet.py
@@ -34,6 +34,16 @@
         self.answers.setdefault(key, []).append(outcome)
         return status, outcome, reason, text
 
+    def submit_until(self, is_awaited, key, minted, entry=0, seconds=5):
+        """Sends the key again until an answer is the awaited one; gives that answer."""
+        end = time.monotonic() + seconds
+        answer = self.submit(key, minted, entry)
+        while not is_awaited(answer):
+            assert time.monotonic() < end, (key, self.answers[key], answer)
+            time.sleep(0.02)
+            answer = self.submit(key, minted, entry)
+        return answer
+
     def run_count(self, key):
         """Runs of the key over all back ends, also those that have gone: each prints a line a run."""
         for name in self.fleet.endpoints(REGISTER):
@@ -98,12 +108,7 @@
 
 def count_runs(fleet, prefix):
     """Runs of each key of a load over all back ends."""
-    runs = {}
-    for name in fleet.endpoints(REGISTER):
-        for key, count in fleet.back_end(name).counts().get("runs_by_key", {}).items():
-            if key.startswith(prefix):
-                runs[key] = runs.get(key, 0) + count
-    return runs
+    return {key: count for key, count in fleet.runs_by_key(REGISTER).items() if key.startswith(prefix)}
 
 
 def start_fleet(build):
--- a/tests/process_keys_once.py
+++ b/tests/process_keys_once.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
 """A key runs at most once whatever fails at its owner, and `not-run` is never said of a key that ran."""
 
-import threading
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 
 import harness
 from keys_fleet import REGISTER, run_tests
@@ -35,11 +35,8 @@
 
 def test_concurrent(_fleet, caller):
     key, minted = caller.mint()
-    threads = [threading.Thread(target=caller.submit, args=(key, minted, n % 2)) for n in range(8)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with ThreadPoolExecutor(8) as pool:
+        list(pool.map(lambda number: caller.submit(key, minted, number % 2), range(8)))
     assert caller.submit(key, minted)[1] == "ran", caller.answers[key]
     assert caller.check(key) == 1
 
--- a/tests/process_keys_owner.py
+++ b/tests/process_keys_owner.py
@@ -2,8 +2,8 @@
 """A key runs at most once when the process that owns it is killed, frozen, or taken out with its data centre, and when an entry is killed."""
 
 import signal
-import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import harness
 from keys_fleet import PATH, REGISTER, count_runs, run_tests
@@ -43,16 +43,8 @@
     caller.run_key()
 
 
-def wait_for_answer(caller, key, reason, seconds):
-    """Sends the key through the second entry until it is refused for the reason; fails with what else was answered."""
-    end = time.monotonic() + seconds
-    seen = []
-    while not seen or seen[-1] != reason:
-        assert time.monotonic() < end, (reason, seen)
-        answer = caller.submit(*key, 1)
-        if not seen or seen[-1] != (answer[2] or answer[1]):
-            seen.append(answer[2] or answer[1])
-        time.sleep(0.02)
+def has_run(answer):
+    return answer[1] == "ran"
 
 
 def runs_at(fleet, name):
@@ -67,15 +59,13 @@
     frozen = fleet.processes[name]
     frozen.signal(signal.SIGSTOP)
     keys = [caller.mint() for _ in range(6)]
-    threads = [threading.Thread(target=caller.submit, args=(*key, n % 2)) for n, key in enumerate(keys)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    wait_for_answer(caller, owned, "not-vouched", TAKE_OVER_SECONDS)
+    with ThreadPoolExecutor(len(keys)) as pool:
+        list(pool.map(lambda number: caller.submit(*keys[number], number % 2), range(len(keys))))
+    caller.submit_until(lambda answer: answer[2] == "not-vouched", *owned, 1, TAKE_OVER_SECONDS)
     ran_there = runs_at(fleet, name)
     frozen.signal(signal.SIGCONT)
-    harness.wait_until(lambda: caller.submit(*owned, 0)[1] == "ran", 10, "the owner is back and answers from its table")
+    # The owner is back and answers from its table.
+    caller.submit_until(has_run, *owned, seconds=10)
     for key, minted in keys:
         for entry in (0, 1):
             caller.submit(key, minted, entry)
@@ -85,23 +75,12 @@
     caller.check(owned[0])
 
 
-def submit_until_ran(caller, key, minted, entry, seconds=5):
-    """Sends the key again until it is answered as run; gives the answer's body."""
-    end = time.monotonic() + seconds
-    answer = caller.submit(key, minted, entry)
-    while answer[1] != "ran":
-        assert time.monotonic() < end, (key, answer)
-        time.sleep(0.05)
-        answer = caller.submit(key, minted, entry)
-    return answer[3]
-
-
 def check_minted_before(caller, ran, waiting):
     """Keys that ran give the same answer again, and those minted and not sent run now: no tenure's start is between."""
     for number, (key, (minted, body)) in enumerate(ran.items()):
-        assert submit_until_ran(caller, key, minted, number % 2) == body, key
+        assert caller.submit_until(has_run, key, minted, number % 2)[3] == body, key
     for number, (key, minted) in enumerate(waiting):
-        submit_until_ran(caller, key, minted, number % 2)
+        caller.submit_until(has_run, key, minted, number % 2)
     for key in [*ran, *(key for key, _ in waiting)]:
         assert caller.check(key) == 1, (key, caller.answers[key])
 
@@ -133,19 +112,16 @@
     for endpoint in fleet.endpoints(REGISTER):
         fleet.back_end(endpoint).fault(work_ms=WORK_MS)
     keys = [caller.mint() for _ in range(KEYS_IN_PROGRESS)]
-    threads = [threading.Thread(target=caller.submit, args=(*key, 1)) for key in keys]
-    for thread in threads:
-        thread.start()
-    time.sleep(WORK_MS / 2000)
     name = fleet.entries()[1]
-    fleet.processes[name].kill()
-    for thread in threads:
-        thread.join()
-    assert [caller.answers[key] for key, _ in keys].count(["lost"]) >= KEYS_IN_PROGRESS // 2, caller.answers
+    with ThreadPoolExecutor(len(keys)) as pool:
+        answers = pool.map(lambda key: caller.submit(*key, 1), keys)
+        time.sleep(WORK_MS / 2000)
+        fleet.processes[name].kill()
+    assert [outcome for _, outcome, *_ in answers].count("lost") >= KEYS_IN_PROGRESS // 2, caller.answers
     for endpoint in fleet.endpoints(REGISTER):
         fleet.back_end(endpoint).fault(work_ms=0)
     for key, minted in keys:
-        submit_until_ran(caller, key, minted, 0)
+        caller.submit_until(has_run, key, minted)
         assert caller.check(key) == 1, (key, caller.answers[key])
     fleet.restart_daemon(name)
 
