Forget former voters for good, and only when their majority knows the new ones

Cause: two faults of leases when the voters of a service change, found by reasoning about voters that change and change back, shown by tests. 1. A process forgets a former set of voters once a majority of it has moved on for one lease. Until its peers have forgotten it, too, their replies name it, and it was taken up again, with all tenures ended and another lease to wait. Processes in step never got rid of it: after three leases all five of five still had it (formerVotersAreForgottenByAll). 2. A former voter counted as moved on when it answered with any later generation. One that skipped the holder's generation knows nothing of its voters and tells nobody of them: with the former voters back in force, the holder and an owner by the former voters had the slot at once.

Ruled out: the history's own steps (processes adopted one generation after the other; they may skip one now, in all histories).

Change: a holder keeps which sets have ended in its generation and does not take them up again; only replies of its own generation count as moved on. A holder whose voters are ahead waits until it has adopted their generation.

Tests: two directed ones and the property of voters that change back, which failed before, as said.

--- a/src/KeyLease.cpp
+++ b/src/KeyLease.cpp
@@ -63,7 +63,9 @@
 static bool addFormer(LeaseHolder& holder, const VoterSet& voters, TimePoint now)
 {
     bool isKnown = std::any_of(holder.formerVoters.begin(), holder.formerVoters.end(), [&](const auto& former) { return former.voters == voters; });
-    if (isKnown || voters.empty() || voters == holder.voters)
+    const auto& ended = holder.endedVoters;
+    bool isEnded = std::find(ended.begin(), ended.end(), voters) != ended.end();
+    if (isKnown || isEnded || voters.empty() || voters == holder.voters)
         return false;
     holder.formerVoters.push_back({ voters, now, {}, std::nullopt });
     return true;
@@ -74,6 +76,7 @@
     if (generation <= holder.generation)
         return;
     holder.generation = generation;
+    holder.endedVoters.clear();
     std::sort(voters.begin(), voters.end());
     if (voters == holder.voters)
         return;
@@ -148,7 +151,10 @@
         return isSuperseded || now - former.addedAt >= formerVotersTime;
     };
     auto& sets = holder.formerVoters;
-    sets.erase(std::remove_if(sets.begin(), sets.end(), isOver), sets.end());
+    auto over = std::stable_partition(sets.begin(), sets.end(), [&](const auto& former) { return !isOver(former); });
+    for (auto former = over; former != sets.end(); ++former)
+        holder.endedVoters.push_back(std::move(former->voters));
+    sets.erase(over, sets.end());
 }
 
 void takeReply(LeaseHolder& holder, const std::string& voter, const LeaseReply& reply, TimePoint sentAt, TimePoint now, WallTime wall)
@@ -164,7 +170,8 @@
         if (addFormer(holder, former, now))
             holder.tenures.fill(std::nullopt);
     }
-    if (reply.generation >= holder.generation)
+    // A voter of a later generation may have skipped this one, and then tells nobody of its voters.
+    if (reply.generation == holder.generation)
         noteSuperseded(holder, voter, now);
     // Step 3. The grants.
     for (const auto& grant : reply.granted) {
--- a/src/KeyLease.h
+++ b/src/KeyLease.h
@@ -106,7 +106,7 @@
 struct FormerVoters {
     VoterSet voters;
     TimePoint addedAt {};
-    std::vector<std::string> superseded; ///< Voters that have adopted a later generation.
+    std::vector<std::string> superseded; ///< Voters that have adopted the holder's generation.
     std::optional<TimePoint> supersededAt; ///< When a majority of them had.
 };
 
@@ -135,6 +135,7 @@
     VoterSet voters;
     Generation generation = 0;
     std::vector<FormerVoters> formerVoters;
+    std::vector<VoterSet> endedVoters; ///< Former sets forgotten in this generation; peers may still tell of them.
     std::array<std::map<std::string, AcknowledgedGrant>, keySlotCount> acknowledged; ///< By voter.
     std::array<uint64_t, keySlotCount> claims {}; ///< How often each slot was given up.
     std::array<TimePoint, keySlotCount> droppedAt {}; ///< Replies to requests sent until then say nothing.
--- a/tests/KeyHistoryTest.cpp
+++ b/tests/KeyHistoryTest.cpp
@@ -377,8 +377,9 @@
             restart(world, index);
         break;
     case 8:
+        // A process may hear of a later generation first, and then skips those between.
         if (world.processes[index].generation < world.configurations.size())
-            adopt(world, index, world.processes[index].generation + 1);
+            adopt(world, index, std::min<Generation>(world.processes[index].generation + 1 + step.b / 4 % 2, world.configurations.size()));
         break;
     case 9:
         for (auto& process : world.processes)
@@ -460,6 +461,54 @@
     runHistory({ { "p0", "p1", "p2" }, { "p0", "p1", "p3" }, { "p0", "p3", "p4" } }, false);
 }
 
+// The voters change and change back; whoever skips the generation between knows nothing of its voters.
+RC_BOOST_PROP(runsOnceWhenVotersChangeBack, ())
+{
+    runHistory({ { "p0", "p1", "p2" }, { "p2", "p3", "p4" }, { "p0", "p1", "p2" } }, false);
+}
+
+// Processes with these generations of two voter sets, the first of which comes back.
+static World changeVoters(const std::vector<Generation>& generations)
+{
+    World world;
+    world.configurations = { { "p0", "p1", "p2" }, { "p2", "p3", "p4" }, { "p0", "p1", "p2" } };
+    for (size_t index = 0; index < processCount; ++index) {
+        restart(world, index);
+        adopt(world, index, generations[index]);
+    }
+    return world;
+}
+
+// All ask the voters for some leases' time, some of them for the slot.
+static void askForLeases(World& world, const std::set<size_t>& wanting)
+{
+    for (auto until = world.time + 3 * keyLeaseTime; world.time < until; world.time += keyLeaseInterval) {
+        for (size_t index = 0; index < processCount; ++index)
+            ask(world, index, wanting.count(index) > 0);
+        deliverAll(world);
+        checkOneOwner(world);
+    }
+}
+
+// What a process has forgotten its peers still tell it of for a while.
+BOOST_AUTO_TEST_CASE(formerVotersAreForgottenByAll)
+{
+    World world = changeVoters({ 2, 2, 2, 2, 2 });
+    askForLeases(world, { 3 });
+    BOOST_TEST(findOwner(world, processCount) == 3);
+    for (const auto& process : world.processes)
+        BOOST_TEST(process.holder.formerVoters.empty());
+}
+
+// The former voters skip a generation, so that none of them tells the owner of the latest one of the voters between.
+BOOST_AUTO_TEST_CASE(votersThatSkippedAGenerationDoNotEndTheirSet)
+{
+    World world = changeVoters({ 3, 3, 1, 2, 2 });
+    askForLeases(world, { 3 });
+    askForLeases(world, { 0, 3 });
+    BOOST_TEST(findOwner(world, processCount) == 0);
+}
+
 // The histories above would prove nothing if no key ever ran, or none by virtue of a hand-over.
 BOOST_AUTO_TEST_CASE(keysDidRun)
 {
