Ask the VMs that are waited for first

Change: sources of the own chunks, then of the next ones, then the others; in the region up to six VMs that this one would replace. As many are asked. Test: the_vms_that_are_waited_for_are_asked_first fails before.

--- a/src/SpreadView.cpp
+++ b/src/SpreadView.cpp
@@ -8,6 +8,8 @@
 
 // Members of the own region that are asked for their holdings.
 static constexpr size_t polledInRegion = 12;
+// Of these, how many may be VMs that this one would replace next.
+static constexpr size_t polledAhead = 6;
 // Members of other regions that are asked for their holdings.
 static constexpr size_t polledElsewhere = 8;
 // VMs that may bring a chunk into the fleet and are asked for it.
@@ -135,6 +137,35 @@
     return view;
 }
 
+// The VMs that this one would replace next: only their progress keeps it from doing so.
+static std::unordered_set<std::string> collectAhead(const SpreadView& view, const std::vector<ChunkState>& chunks)
+{
+    std::unordered_set<std::string> ahead;
+    for (size_t chunk = 0; chunk < chunks.size() && ahead.size() < polledAhead; ++chunk) {
+        if (!chunks[chunk].isHeld && view.routes[chunk].rank == 1)
+            ahead.insert(view.routes[chunk].ahead.begin(), view.routes[chunk].ahead.end());
+    }
+    return ahead;
+}
+
+// Sources of the chunks that this VM is to bring in go first: it goes past a source that it does not see make progress.
+// Then those of the chunks that it is the next for, then any that may have the chunks.
+static std::unordered_set<std::string> collectElsewhere(const SpreadView& view, const std::vector<ChunkState>& chunks)
+{
+    std::unordered_set<std::string> elsewhere;
+    for (uint32_t rank : { 0U, 1U }) {
+        for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
+            if (!chunks[chunk].isHeld && view.routes[chunk].rank == rank)
+                elsewhere.insert(view.routes[chunk].source);
+        }
+    }
+    for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
+        if (!chunks[chunk].isHeld && view.routes[chunk].rank <= 1)
+            elsewhere.insert(view.entryHolders[chunk].begin(), view.entryHolders[chunk].end());
+    }
+    return elsewhere;
+}
+
 std::unordered_set<std::string> choosePolledMembers(const SpreadView& view, const std::vector<ChunkState>& chunks, const std::string& ownVm)
 {
     std::unordered_set<std::string> polled;
@@ -148,16 +179,14 @@
         if (member.isSameRegion)
             inRegion.push_back(member.vm);
     }
-    for (const auto& vm : rankMembers(ownVm, inRegion, polledInRegion))
-        polled.insert(vm);
-    std::unordered_set<std::string> elsewhere;
-    for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
-        if (chunks[chunk].isHeld || view.routes[chunk].rank > 1 || view.isOriginNear)
-            continue;
-        elsewhere.insert(view.routes[chunk].source);
-        elsewhere.insert(view.entryHolders[chunk].begin(), view.entryHolders[chunk].end());
+    auto asked = collectAhead(view, chunks);
+    for (const auto& vm : rankMembers(ownVm, inRegion, inRegion.size())) {
+        if (asked.size() < polledInRegion)
+            asked.insert(vm);
     }
-    polled.insert(elsewhere.begin(), elsewhere.end());
+    if (!view.isOriginNear)
+        asked.merge(collectElsewhere(view, chunks));
+    polled.merge(asked);
     return polled;
 }
 
--- a/src/SpreadView.h
+++ b/src/SpreadView.h
@@ -39,8 +39,8 @@
 /// The view of one model from one VM. Precondition: the placement gives the VM the model. Thread safe.
 SpreadView makeSpreadView(const Configuration&, const Placement&, RowIndex model, RowIndex ownVm, const Manifest&, SpreadStrategy);
 
-/// The members to ask for their holdings while chunks are missing: a few of the region, those that bring the chunks into
-/// the fleet that this VM is to bring into its region, and the first resolvers. Thread safe.
+/// The members to ask for their holdings while chunks are missing: a few of the region, those that this VM would replace
+/// next first; a few elsewhere, the sources of its own chunks first; and the first resolvers. Thread safe.
 std::unordered_set<std::string> choosePolledMembers(const SpreadView&, const std::vector<ChunkState>&, const std::string& ownVm);
 
 } // namespace bilberry
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -1,6 +1,7 @@
 /// The chunk choice, driven as a small fleet in simulated time.
 #define BOOST_TEST_MODULE ChunkPlan
 #include "ChunkPlan.h"
+#include "SpreadView.h"
 #include "TransferPace.h"
 #include "TransferQueue.h"
 
@@ -258,6 +259,26 @@
     BOOST_TEST(planFetches(input, slots, now).empty());
 }
 
+// Twelve chunks from as many sources: eight to bring in, four to bring in next.
+RC_BOOST_PROP(the_vms_that_are_waited_for_are_asked_first, (const std::string& own))
+{
+    SpreadView view;
+    view.isOriginNear = false;
+    for (uint32_t chunk = 0; chunk < 12; ++chunk) {
+        auto name = std::to_string(chunk);
+        view.routes.push_back({ chunk < 4 ? 1U : 0U, {}, "source-" + name });
+        view.entryHolders.push_back({ "entry-" + name });
+        view.members.push_back({ "near-" + name, {}, true });
+        view.members.push_back({ "other-" + name, {}, true });
+        if (chunk < 4)
+            view.routes[chunk].ahead = { "near-" + name };
+    }
+    auto polled = choosePolledMembers(view, std::vector<ChunkState>(12), own);
+    for (int chunk = 0; chunk < 12; ++chunk)
+        RC_ASSERT(polled.count((chunk < 4 ? "near-" : "source-") + std::to_string(chunk)) == 1U);
+    RC_ASSERT(polled.size() == 12U + 8U);
+}
+
 RC_BOOST_PROP(sends_to_other_regions_go_first_then_the_oldest, (const std::vector<bool>& crossing))
 {
     RC_PRE(!crossing.empty());
