Count patience from when a source holds the chunk

VMs far from the origin went there 4.5 s after a chunk was wanted, whatever their source did. Change: patience counts from when another region was seen to hold the chunk; a far VM goes to the origin when nobody on the chunk's way made progress for 4.5 s. Its limit of time went from 60 to 300 s, as the origin is up to 25 times slower.

--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -140,12 +140,12 @@
     });
 }
 
-// Whether this VM may bring the chunk into its region now: the ones ahead have made no progress for long enough. One
-// that is backed off is not waited for.
+// Whether this VM may bring the chunk into its region now: the ones ahead have made no progress for long enough since
+// they could have it. One that is backed off is not waited for.
 static bool isTurn(const PlanWork& work, size_t chunk, uint32_t extraRanks)
 {
     const ChunkRoute& route = work.input.routes[chunk];
-    auto waitFrom = work.input.chunks[chunk].wantedSince;
+    auto waitFrom = std::max(work.input.chunks[chunk].wantedSince, work.input.chunks[chunk].seenElsewhereSince);
     uint32_t rank = route.rank;
     for (const auto& vm : route.ahead) {
         auto position = work.positions.find(vm);
@@ -160,6 +160,27 @@
     return work.now - waitFrom >= routePatience * static_cast<int>(rank + extraRanks);
 }
 
+static bool hasProgressed(const PlanWork& work, const std::string& vm, Duration within)
+{
+    auto position = work.positions.find(vm);
+    if (position == work.positions.end())
+        return false;
+    const ChunkPeer& peer = work.input.peers[position->second];
+    return peer.backedOffUntil <= work.now && work.now - peer.lastProgress < within;
+}
+
+// Whether a VM far from the origin may go to it: also nobody on the way from there has made progress for so long. A
+// source that waits for its own source receives nothing in the meantime.
+static bool isFarTurn(const PlanWork& work, size_t chunk)
+{
+    const ChunkRoute& route = work.input.routes[chunk];
+    auto patience = routePatience * static_cast<int>(farOriginRanks);
+    auto isAlive = [&](const std::string& vm) { return hasProgressed(work, vm, patience); };
+    if (isAlive(route.source) || std::any_of(route.upstream.begin(), route.upstream.end(), isAlive))
+        return false;
+    return isTurn(work, chunk, farOriginRanks);
+}
+
 // Missing chunks, the ones that fewest peers hold first; a hash of chunk and VM breaks ties, so that VMs differ.
 static std::vector<size_t> orderByRarity(const PlanWork& work)
 {
@@ -205,12 +226,26 @@
     bool isElsewhere = remote || isSourceAwaited(work, chunk);
     if (isElsewhere || !work.input.originAllowed || work.originFetches >= work.fromOrigin)
         return;
-    if (work.input.isOriginNear || isTurn(work, chunk, farOriginRanks)) {
+    if (work.input.isOriginNear || isFarTurn(work, chunk)) {
         ++work.originFetches;
         fetches.push_back({ chunk, ChunkSource::Origin, {}, {} });
     }
 }
 
+void noteSeenElsewhere(std::vector<ChunkState>& chunks, const std::vector<ChunkPeer>& peers, TimePoint now)
+{
+    for (size_t chunk = 0; chunk < chunks.size(); ++chunk) {
+        ChunkState& state = chunks[chunk];
+        bool isElsewhere = std::any_of(peers.begin(), peers.end(), [&](const ChunkPeer& peer) {
+            return !peer.isSameRegion && chunk < peer.chunks.size() && peer.chunks[chunk] && peer.backedOffUntil <= now;
+        });
+        if (!isElsewhere)
+            state.seenElsewhereSince = {};
+        else if (state.seenElsewhereSince == TimePoint {})
+            state.seenElsewhereSince = now;
+    }
+}
+
 std::vector<ChunkFetch> planFetches(const ChunkPlanInput& input, size_t slots, TimePoint now)
 {
     std::vector<ChunkFetch> fetches;
--- a/src/ChunkPlan.h
+++ b/src/ChunkPlan.h
@@ -24,6 +24,7 @@
     bool isHeld = false;
     bool isInProgress = false;
     TimePoint wantedSince {};
+    TimePoint seenElsewhereSince {}; ///< When a usable VM of another region was first seen to hold it; unset: none does.
 };
 
 /// Who brings one chunk into this VM's region: the region's VMs in rendezvous order.
@@ -31,6 +32,7 @@
     uint32_t rank = 0; ///< Of this VM; 0 brings the chunk in, the next ones replace it in turn.
     std::vector<std::string> ahead; ///< VMs before this one, best first, at most maxRouteDepth of them.
     std::string source; ///< VM of another region to bring the chunk in from; empty: any that has it.
+    std::vector<std::string> upstream; ///< VMs that bring the chunk into the regions before the source's.
 };
 
 /// VMs of a region that may be waited for before this one brings a chunk in.
@@ -73,10 +75,14 @@
 /// How long a VM waits without progress of the one that is to bring a chunk into the region, before it does so itself.
 constexpr Milliseconds routePatience { 1500 };
 
+/// Brings `seenElsewhereSince` of the missing chunks up to date; call it before planFetches(). Thread safe.
+void noteSeenElsewhere(std::vector<ChunkState>&, const std::vector<ChunkPeer>&, TimePoint now);
+
 /// Chooses at most `slots` fetches: chunks that few peers hold first, each from the least used peer of the region that
 /// has it. A chunk that no usable peer of the region has is brought in by the first VM of its route, from the route's
-/// source while that makes progress, else from any other region or from the origin; the others wait as long as the ones ahead of them make progress, and then replace them
-/// one after the other, without a stampede. Thread safe.
+/// source while that makes progress, else from any other region or from the origin; the others wait as long as the ones
+/// ahead of them make progress or could not have the chunk yet, and then replace them one after the other, without a
+/// stampede. Thread safe.
 std::vector<ChunkFetch> planFetches(const ChunkPlanInput&, size_t slots, TimePoint now);
 
 } // namespace bilberry
--- a/src/SpreadView.cpp
+++ b/src/SpreadView.cpp
@@ -70,7 +70,10 @@
         size_t position = positionOf(order, ownRegion);
         if (position == 0)
             continue;
-        view.routes[chunk].source = first[positionOf(regions, order[position - 1])][chunk];
+        auto firstIn = [&](size_t i) { return first[positionOf(regions, order[i])][chunk]; };
+        view.routes[chunk].source = firstIn(position - 1);
+        for (size_t i = 0; i + 1 < position; ++i)
+            view.routes[chunk].upstream.push_back(firstIn(i));
     }
 }
 
@@ -155,8 +158,10 @@
     std::unordered_set<std::string> elsewhere;
     for (uint32_t rank : { 0U, 1U }) {
         for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
-            if (!chunks[chunk].isHeld && view.routes[chunk].rank == rank)
-                elsewhere.insert(view.routes[chunk].source);
+            if (chunks[chunk].isHeld || view.routes[chunk].rank != rank)
+                continue;
+            elsewhere.insert(view.routes[chunk].source);
+            elsewhere.insert(view.routes[chunk].upstream.begin(), view.routes[chunk].upstream.end());
         }
     }
     for (size_t chunk = 0; chunk < chunks.size() && elsewhere.size() < polledElsewhere; ++chunk) {
--- a/src/WeightSpread.cpp
+++ b/src/WeightSpread.cpp
@@ -120,6 +120,7 @@
     if (isIdle || cached.manifestDigest != row.wanted.manifest.digest)
         return;
     auto peers = collectPeers(state, row);
+    noteSeenElsewhere(row.wanted.chunks, peers, now);
     std::vector<std::string> digests;
     for (const auto& chunk : row.wanted.manifest.chunks)
         digests.push_back(chunk.digest);
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -43,6 +43,7 @@
 struct Faults {
     int lossPercent = 0; ///< Fetches that fail.
     int deadVms = 0; ///< VMs that die once some chunks have spread.
+    int originSteps = 4; ///< Longest time that the origin takes for a chunk.
 };
 
 struct Simulation {
@@ -73,14 +74,18 @@
         this->setSources();
     }
 
-    /// Region 2 gets each chunk from the VM that brings it into region 1.
+    /// Each region gets each chunk from the VM that brings it into the region before.
     void setSources()
     {
         for (auto& vm : this->vms) {
-            for (size_t chunk = 0; vm.region == 2 && chunk < this->digests.size(); ++chunk) {
+            for (size_t chunk = 0; chunk < this->digests.size(); ++chunk) {
                 for (const auto& other : this->vms) {
-                    if (other.region == 1 && other.routes[chunk].rank == 0)
+                    if (other.region >= vm.region || other.routes[chunk].rank > 0)
+                        continue;
+                    if (other.region == vm.region - 1)
                         vm.routes[chunk].source = other.name;
+                    else
+                        vm.routes[chunk].upstream.push_back(other.name);
                 }
             }
         }
@@ -133,6 +138,7 @@
             origin += running.fetch.source == ChunkSource::Origin ? 1 : 0;
             region += running.fetch.source == ChunkSource::Region ? 1 : 0;
         }
+        noteSeenElsewhere(vm.chunks, peers, this->now);
         ChunkPlanInput input { vm.chunks, vm.routes, this->digests, peers, vm.name, vm.region == 0, true, origin, region };
         for (auto& fetch : planFetches(input, slots - vm.fetches.size(), this->now)) {
             BOOST_REQUIRE(!vm.chunks[fetch.chunk].isHeld && !vm.chunks[fetch.chunk].isInProgress);
@@ -140,7 +146,8 @@
             this->originFetches += fetch.source == ChunkSource::Origin ? 1 : 0;
             ++this->started;
             bool succeeds = static_cast<int>(this->random() % 100) >= this->faults.lossPercent;
-            auto time = step * static_cast<int>(1 + this->random() % 4);
+            int longest = fetch.source == ChunkSource::Origin ? this->faults.originSteps : 4;
+            auto time = step * (1 + static_cast<int>(this->random() % static_cast<unsigned>(longest)));
             vm.fetches.push_back({ fetch, this->now + time, succeeds });
         }
         BOOST_REQUIRE_LE(vm.fetches.size(), slots);
@@ -155,6 +162,8 @@
                 continue;
             for (size_t i = 0; i < vm.fetches.size();) {
                 if (vm.fetches[i].endsAt > this->now) {
+                    if (vm.fetches[i].succeeds)
+                        vm.lastProgress = this->now;
                     ++i;
                     continue;
                 }
@@ -192,8 +201,8 @@
 {
     std::vector<int> regions { *rc::gen::inRange(1, 6), *rc::gen::inRange(1, 6), *rc::gen::inRange(1, 6) };
     auto chunks = *rc::gen::inRange<size_t>(1, 40);
-    Simulation simulation(*rc::gen::arbitrary<unsigned>(), chunks, regions, {});
-    RC_ASSERT(simulation.run(Milliseconds(60'000)));
+    Simulation simulation(*rc::gen::arbitrary<unsigned>(), chunks, regions, { 0, 0, *rc::gen::inRange(1, 100) });
+    RC_ASSERT(simulation.run(Milliseconds(300'000)));
     RC_ASSERT(simulation.originFetches == chunks);
     RC_ASSERT(simulation.started == chunks * simulation.vms.size());
     for (const auto& [where, count] : simulation.crossings)
@@ -218,7 +227,7 @@
     TimePoint now { Milliseconds(10'000) };
     std::vector<ChunkState> chunks { { false, false, now } };
     std::vector<std::string> digests { "sha256:a" };
-    std::vector<ChunkRoute> routes { { 1, { "other" }, {} } };
+    std::vector<ChunkRoute> routes { { 1, { "other" }, {}, {} } };
     std::string own = "own";
     std::vector<ChunkPeer> peers { { "other", "o:1", true, { true }, 0, now + backOff, now } };
     ChunkPlanInput input { chunks, routes, digests, peers, own, true, true, 0, 0 };
@@ -234,7 +243,7 @@
     TimePoint now { Milliseconds(100'000) };
     std::vector<ChunkState> chunks { { false, false, now - Milliseconds(60'000) } };
     std::vector<std::string> digests { "sha256:a" };
-    std::vector<ChunkRoute> routes { { 1, { "holder" }, {} } };
+    std::vector<ChunkRoute> routes { { 1, { "holder" }, {}, {} } };
     std::string own = "own";
     std::vector<ChunkPeer> peers { { "holder", "h:1", true, { false }, 0, {}, now - routePatience / 2 } };
     ChunkPlanInput input { chunks, routes, digests, peers, own, true, true, 0, 0 };
@@ -242,6 +251,28 @@
     BOOST_TEST(planFetches(input, slots, now + routePatience).size() == 1U);
 }
 
+// A chunk that is wanted for long, and one that has just been seen at its source.
+BOOST_AUTO_TEST_CASE(patience_counts_from_when_a_source_has_the_chunk_and_the_origin_waits_for_a_source_that_makes_progress)
+{
+    TimePoint now { Milliseconds(100'000) };
+    std::vector<ChunkState> chunks { { false, false, now - Milliseconds(60'000) } };
+    std::vector<std::string> digests { "sha256:a" };
+    std::vector<ChunkRoute> routes { { 1, { "holder" }, "source", {} } };
+    std::string own = "own";
+    std::vector<ChunkPeer> peers { { "holder", "h:1", true, { false }, 0, {}, {} }, { "source", "s:1", false, { true }, 0, {}, {} } };
+    ChunkPlanInput input { chunks, routes, digests, peers, own, false, true, 0, 0 };
+    noteSeenElsewhere(chunks, peers, now);
+    BOOST_TEST(planFetches(input, slots, now).empty());
+    noteSeenElsewhere(chunks, peers, now + routePatience);
+    BOOST_TEST((planFetches(input, slots, now + routePatience).at(0).source == ChunkSource::Region));
+    routes[0] = { 0, {}, "source", { "holder" } };
+    peers[1].chunks[0] = false;
+    peers[1].lastProgress = now - routePatience * 2;
+    noteSeenElsewhere(chunks, peers, now);
+    BOOST_TEST(planFetches(input, slots, now).empty());
+    BOOST_TEST((planFetches(input, slots, now + routePatience).at(0).source == ChunkSource::Origin));
+}
+
 // First of its route for all chunks, which no peer has yet.
 BOOST_AUTO_TEST_CASE(in_a_large_region_a_vm_takes_one_chunk_at_a_time_from_the_origin)
 {
@@ -266,7 +297,7 @@
     view.isOriginNear = false;
     for (uint32_t chunk = 0; chunk < 12; ++chunk) {
         auto name = std::to_string(chunk);
-        view.routes.push_back({ chunk < 4 ? 1U : 0U, {}, "source-" + name });
+        view.routes.push_back({ chunk < 4 ? 1U : 0U, {}, "source-" + name, {} });
         view.entryHolders.push_back({ "entry-" + name });
         view.members.push_back({ "near-" + name, {}, true });
         view.members.push_back({ "other-" + name, {}, true });
