Admit an engine that does not state its bytes only for our own load

Cause: without content_sha256 any load under the right digest was believed, whoever gave it (Activation.cpp). Weighed: never admitting such an engine; the engine's number of the last order. The latter says who loaded last and needs nothing new of engines. Change: the last load that the engine carried out is kept with its number; an engine that states no bytes is admitted for that digest and number only, else loaded again. One that reports no numbers either is believed after our load. Test: an_engine_that_does_not_state_its_bytes_... fails before (7 checks). process_weights_engine, _faults, _partition pass (one run each).

--- a/src/Activation.cpp
+++ b/src/Activation.cpp
@@ -13,13 +13,23 @@
     return nullptr;
 }
 
-// Whether the engine says that it loaded other bytes than those of the version. An engine that does not say is believed.
+// Whether the engine says that it loaded other bytes than those of the version.
 static bool hasOtherContent(const EngineModel& loaded, const WeightVersion& version)
 {
     bool isKnown = loaded.digest == version.manifest.digest && isWhole(version) && !loaded.contentSha256.empty();
     return isKnown && loaded.contentSha256 != version.contentSha256;
 }
 
+// Whether the engine has what it says: it states the digest of its bytes, or what it serves is what this process had it
+// load, and no order with another number came after.
+static bool isVouchedFor(const EngineModel& loaded, const WeightRow* row)
+{
+    if (!loaded.contentSha256.empty())
+        return true;
+    bool isOwnLoad = row && !loaded.digest.empty() && row->lastLoad.digest == loaded.digest;
+    return isOwnLoad && (loaded.fencing == 0 || loaded.fencing == row->lastLoad.fencing);
+}
+
 static const WeightVersion* chooseVersion(const WeightRow& row, bool servesAny)
 {
     if (isWhole(row.wanted))
@@ -38,8 +48,9 @@
         return {};
     if (ready && (hasOtherContent(*ready, row.wanted) || hasOtherContent(*ready, row.previous)))
         return { OrderKind::Unload, ready->digest };
-    const WeightVersion* version = chooseVersion(row, ready != nullptr);
-    if (!version || (ready && ready->digest == version->manifest.digest))
+    bool isServing = ready && isVouchedFor(*ready, &row);
+    const WeightVersion* version = chooseVersion(row, isServing);
+    if (!version || (isServing && ready->digest == version->manifest.digest))
         return {};
     return { OrderKind::Load, version->manifest.digest };
 }
@@ -52,6 +63,8 @@
     if (!ready)
         return std::nullopt;
     const WeightRow* row = findWeightRow(rows, model);
+    if (!isVouchedFor(*ready, row))
+        return std::nullopt;
     if (row && (hasOtherContent(*ready, row->wanted) || hasOtherContent(*ready, row->previous)))
         return std::nullopt;
     return ready->digest;
--- a/src/Activation.h
+++ b/src/Activation.h
@@ -32,12 +32,13 @@
 
 /// Orders a whole version only. The wanted version goes first; the previous one is loaded again when the engine has
 /// lost its model before the wanted one is whole. An engine whose bytes differ from those that were sent is unloaded
-/// first. Nothing is ordered on a read-back that is too old, nor after a pause (`wokenAt`) before the version was
+/// first; one that does not state its bytes and was not loaded by this process is loaded. Nothing is ordered on a read-back that is too old, nor after a pause (`wokenAt`) before the version was
 /// confirmed again, unless the engine serves nothing. Thread safe.
 EngineOrder chooseOrder(const WeightRow&, const EngineReadBack&, TimePoint wokenAt, TimePoint now);
 
 /// The version of the model that requests may be admitted to, or nothing: the engine's own fresh read-back says that
-/// it serves it, and the bytes it loaded are those of that version as far as this process knows them. Thread safe.
+/// it serves it, and the bytes it loaded are those of that version as far as this process knows them. An engine that does
+/// not state its bytes must have loaded the version on this process's last order. Thread safe.
 std::optional<std::string> findServedDigest(const std::vector<WeightRow>&, const EngineReadBack&, const std::string& model, TimePoint now);
 
 /// The number for the next order: above all own ones and all that the engine reports. Thread safe.
--- a/src/WeightOrders.cpp
+++ b/src/WeightOrders.cpp
@@ -102,6 +102,11 @@
     bool isLoad = numbered.order.kind == OrderKind::Load;
     state.node.metrics.count(isLoad ? "bilberry_load_orders_total" : "bilberry_unload_orders_total", { { "result", status.ok() ? "ok" : "failed" } });
     logEvent(status.ok() ? LogLevel::Info : LogLevel::Warning, isLoad ? "load_order" : "unload_order", "model={} digest={} fencing={} result=\"{}\"", numbered.model, numbered.order.digest, numbered.fencing, std::string(status.message()));
+    if (status.ok() && isLoad) {
+        std::lock_guard<std::mutex> lock(state.mutex);
+        if (WeightRow* row = findWeightRow(state.rows, numbered.model))
+            row->lastLoad = { numbered.order.digest, numbered.fencing };
+    }
     if (absl::IsFailedPrecondition(status)) {
         std::lock_guard<std::mutex> lock(state.mutex);
         state.lastFencing = std::max(state.lastFencing, raiseFencing(numbered.fencing));
--- a/src/WeightTable.h
+++ b/src/WeightTable.h
@@ -19,6 +19,12 @@
     std::string contentSha256; ///< Of all chunks in order, hex; set once all are held and verified.
 };
 
+/// A load that the engine said it carried out.
+struct LoadReceipt {
+    std::string digest; ///< Of the version; empty: none.
+    uint64_t fencing = 0; ///< Number of the order.
+};
+
 /// One model wanted on this VM.
 struct WeightRow {
     std::string model;
@@ -29,6 +35,7 @@
     TimePoint knownSince {}; ///< When the model came to this VM.
     TimePoint nextResolve {};
     TimePoint nextOrder {};
+    LoadReceipt lastLoad; ///< Of this process, since it began to carry the model.
     bool isTooLarge = false; ///< The wanted version does not fit into the memory for weights.
 };
 
--- a/tests/ActivationTest.cpp
+++ b/tests/ActivationTest.cpp
@@ -155,6 +155,32 @@
     BOOST_TEST(nextFencing(9, good) == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_does_not_state_its_bytes_must_have_loaded_them_on_the_last_own_order)
+{
+    ChunkStore store(100);
+    auto rows = makeRows();
+    WeightRow& row = rows[0];
+    adoptManifest(row, makeManifest({ 1 }), start, store, start);
+    receive(rows, store, 1);
+    finishDigest(row, store);
+    const std::string& digest = row.wanted.manifest.digest;
+    struct Case {
+        const char* what;
+        LoadReceipt lastLoad;
+        uint64_t reported;
+        bool isAdmitted;
+    };
+    for (const auto& [what, lastLoad, reported, isAdmitted] : std::vector<Case> { { "loaded by another", {}, 7, false }, { "loaded by us", { digest, 7 }, 7, true },
+             { "loaded again by another", { digest, 6 }, 7, false }, { "reports no numbers", { digest, 7 }, 0, true }, { "another version", { "sha256:x", 7 }, 7, false } }) {
+        auto silent = serving(row.wanted, start, "");
+        silent.models[0].fencing = reported;
+        row.lastLoad = lastLoad;
+        BOOST_TEST(findServedDigest(rows, silent, "drafter", start).has_value() == isAdmitted, what);
+        BOOST_TEST((chooseOrder(row, silent, {}, start).kind == (isAdmitted ? OrderKind::None : OrderKind::Load)), what);
+    }
+    BOOST_TEST(!findServedDigest({}, serving(row.wanted, start, ""), "drafter", start), "a model not placed here");
+}
+
 RC_BOOST_PROP(holdings_told_in_any_order_end_at_the_latest, (const std::vector<uint8_t>& growth))
 {
     std::vector<Holdings> told { { "stable", "sha256:x", {}, 0, {} } };
