--- a/src/ChunkPlan.cpp
+++ b/src/ChunkPlan.cpp
@@ -19,7 +19,6 @@
 static constexpr size_t maxOriginFetches = 3;
 static constexpr size_t maxOriginFetchesInLargeRegion = 1;
 static constexpr size_t maxRegionFetches = 3;
-static constexpr size_t maxRegionFetchesInLargeRegion = 1;
 // Ranks by which VMs far from the origin wait longer than those near it.
 static constexpr uint32_t farOriginRanks = 3;
 
@@ -67,7 +66,6 @@
     size_t regionFetches = 0;
     uint32_t perPeer = maxFetchesPerPeer;
     size_t fromOrigin = maxOriginFetches;
-    size_t fromRegions = maxRegionFetches;
 };
 
 } // namespace
@@ -79,7 +77,6 @@
     if (regionPeers >= largeRegionPeers) {
         work.perPeer = maxFetchesPerPeerInLargeRegion;
         work.fromOrigin = maxOriginFetchesInLargeRegion;
-        work.fromRegions = maxRegionFetchesInLargeRegion;
     }
     for (size_t i = 0; i < input.peers.size(); ++i) {
         const ChunkPeer& peer = input.peers[i];
@@ -222,7 +219,7 @@
     if (isInRegion(work, chunk) || !isTurn(work, chunk, 0))
         return;
     const ChunkPeer* remote = chooseRemote(work, chunk);
-    if (remote && work.regionFetches < work.fromRegions) {
+    if (remote && work.regionFetches < maxRegionFetches) {
         fetches.push_back(startFrom(work, chunk, *remote));
         return;
     }
