--- a/tests/measure_requests.py
+++ b/tests/measure_requests.py
@@ -3,6 +3,7 @@
 service before, while and after a data centre is out.
 
 The simple policy (round robin, three attempts, no admission limit) is the daemon's own, set by --simple_request_policy.
+--only=added, --only=change or --only=overload runs one part.
 """
 
 import json
@@ -99,23 +100,25 @@
             print(f"requests_change_first_byte_{share}_{phase}_ratio {first_bytes[phase][share] / first_bytes['before'][share]:.2f} of_before {target}", flush=True)
 
 
-def run(build, policy, daemon_flags):
+def run(build, policy, daemon_flags, only):
     flags = [f"--slots={SLOTS}", f"--token_ms={TOKEN_MS}", "--cold_ms=300", "--cold_slots=2"]
     with harness.Fleet(build, engine_flags=flags, daemon_flags=daemon_flags, edit=edit) as fleet:
         fleet.wait_for_replicas(9)
         fleet.wait_for_entries()
-        if policy == "own":
+        if policy == "own" and only in ("", "added"):
             added_latency(fleet)
+        if policy == "own" and only in ("", "change"):
             data_centre_change(fleet)
-        for factor in (0.5, 1, 2, 3):
+        for factor in (0.5, 1, 2, 3) if only in ("", "overload") else ():
             overload(fleet, factor, policy)
         print(f"requests_over_cold_limit_{policy} {over_cold(fleet)} count {'0' if policy == 'own' else '-'}")
 
 
 def main():
-    arguments = harness.parse_arguments(__doc__)
-    run(arguments.build, "own", [])
-    run(arguments.build, "simple", ["--simple_request_policy=true"])
+    arguments = harness.parse_arguments(__doc__, only="")
+    run(arguments.build, "own", [], arguments.only)
+    if arguments.only in ("", "overload"):
+        run(arguments.build, "simple", ["--simple_request_policy=true"], arguments.only)
 
 
 if __name__ == "__main__":
