--- a/src/Activation.h
+++ b/src/Activation.h
@@ -32,8 +32,9 @@
 
 /// Orders a whole version only. The wanted version goes first; the previous one is loaded again when the engine has
 /// lost its model before the wanted one is whole. An engine whose bytes differ from those that were sent is unloaded
-/// first; one that does not state its bytes and was not loaded by this process is loaded. Nothing is ordered on a read-back that is too old, nor after a pause (`wokenAt`) before the version was
-/// confirmed again, unless the engine serves nothing. Thread safe.
+/// first; one that does not state its bytes and was not loaded by this process is loaded. Nothing is ordered on a
+/// read-back that is too old, nor after a pause (`wokenAt`) before the version was confirmed again, unless the engine
+/// serves nothing. Thread safe.
 EngineOrder chooseOrder(const WeightRow&, const EngineReadBack&, TimePoint wokenAt, TimePoint now);
 
 /// The version of the model that requests may be admitted to, or nothing: the engine's own fresh read-back says that
--- a/src/PeerChoice.h
+++ b/src/PeerChoice.h
@@ -28,8 +28,8 @@
 
 /// The peers of one round: one of the own data centre, in place of which relays take one of another region every second
 /// round, and now and then one of another data centre of the region. Above `maxWholeExchange` VMs there are no relays: one
-/// of the own data centre, and every third round one of each other data centre in turn. Suspect ones are left out, except in every eighth round, which finds those that came
-/// back, and when there are no others. Thread safe.
+/// of the own data centre, and every third round one of each other data centre in turn. Suspect ones are left out, except
+/// in every eighth round, which finds those that came back, and when there are no others. Thread safe.
 std::vector<RowIndex> choosePeers(const Inventory&, RowIndex own, uint64_t round, const IsUsable&);
 
 /// Whom a process tells at once of a document that it has just adopted: the next of its data centre in a ring, so that
--- a/tests/ActivationTest.cpp
+++ b/tests/ActivationTest.cpp
@@ -59,7 +59,7 @@
 } // namespace
 
 // Any order of new versions, arrivals and evictions: an order always names a version that is held whole, byte by byte.
-RC_BOOST_PROP(only_whole_verified_versions_are_loaded, ())
+RC_BOOST_PROP(onlyWholeVerifiedVersionsAreLoaded, ())
 {
     ChunkStore store(8 * chunkBytes);
     auto rows = makeRows();
@@ -84,7 +84,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(a_corrupted_chunk_is_refused_and_recurring_chunks_are_kept)
+BOOST_AUTO_TEST_CASE(aCorruptedChunkIsRefusedAndRecurringChunksAreKept)
 {
     ChunkStore store(100);
     auto rows = makeRows();
@@ -98,7 +98,7 @@
     BOOST_TEST(rows[0].previous.manifest.digest.empty());
 }
 
-BOOST_AUTO_TEST_CASE(an_older_confirmation_never_replaces_a_newer_version)
+BOOST_AUTO_TEST_CASE(anOlderConfirmationNeverReplacesANewerVersion)
 {
     ChunkStore store(100);
     auto rows = makeRows();
@@ -108,7 +108,7 @@
     BOOST_TEST(!supersedes(rows[0], "next", start + Seconds(6)));
 }
 
-BOOST_AUTO_TEST_CASE(a_version_that_does_not_fit_is_marked_and_the_previous_one_stays)
+BOOST_AUTO_TEST_CASE(aVersionThatDoesNotFitIsMarkedAndThePreviousOneStays)
 {
     ChunkStore store(2 * chunkBytes);
     auto rows = makeRows();
@@ -123,7 +123,7 @@
     BOOST_TEST((chooseOrder(rows[0], { {}, start, false }, {}, start).digest == rows[0].previous.manifest.digest));
 }
 
-BOOST_AUTO_TEST_CASE(orders_and_admission)
+BOOST_AUTO_TEST_CASE(ordersAndAdmission)
 {
     ChunkStore store(100);
     auto rows = makeRows();
@@ -155,7 +155,7 @@
     BOOST_TEST(nextFencing(9, good) == 10U);
 }
 
-BOOST_AUTO_TEST_CASE(an_engine_that_does_not_state_its_bytes_must_have_loaded_them_on_the_last_own_order)
+BOOST_AUTO_TEST_CASE(anEngineThatDoesNotStateItsBytesMustHaveLoadedThemOnTheLastOwnOrder)
 {
     ChunkStore store(100);
     auto rows = makeRows();
@@ -181,7 +181,7 @@
     BOOST_TEST(!findServedDigest({}, serving(row.wanted, start, ""), "drafter", start), "a model not placed here");
 }
 
-RC_BOOST_PROP(holdings_told_in_any_order_end_at_the_latest, (const std::vector<uint8_t>& growth))
+RC_BOOST_PROP(holdingsToldInAnyOrderEndAtTheLatest, (const std::vector<uint8_t>& growth))
 {
     std::vector<Holdings> told { { "stable", "sha256:x", {}, 0, {} } };
     for (uint8_t bytes : growth)
@@ -197,7 +197,7 @@
     RC_ASSERT(known.chunks == latest.chunks);
 }
 
-RC_BOOST_PROP(holdings_survive_the_wire, (const std::vector<bool>& chunks, uint64_t received, uint16_t age))
+RC_BOOST_PROP(holdingsSurviveTheWire, (const std::vector<bool>& chunks, uint64_t received, uint16_t age))
 {
     Holdings holdings { "stable", "sha256:x", Milliseconds(age), received, chunks };
     auto parsed = parseHoldings(toText(holdings));
--- a/tests/ChunkPlanTest.cpp
+++ b/tests/ChunkPlanTest.cpp
@@ -197,7 +197,7 @@
 
 } // namespace
 
-RC_BOOST_PROP(without_faults_each_chunk_leaves_the_origin_once_and_crosses_once, ())
+RC_BOOST_PROP(withoutFaultsEachChunkLeavesTheOriginOnceAndCrossesOnce, ())
 {
     std::vector<int> regions { *rc::gen::inRange(1, 6), *rc::gen::inRange(1, 6), *rc::gen::inRange(1, 6) };
     auto chunks = *rc::gen::inRange<size_t>(1, 40);
@@ -209,7 +209,7 @@
         RC_ASSERT(count == 1U);
 }
 
-RC_BOOST_PROP(with_any_loss_all_living_vms_become_whole_with_bounded_work, ())
+RC_BOOST_PROP(withAnyLossAllLivingVmsBecomeWholeWithBoundedWork, ())
 {
     std::vector<int> regions { *rc::gen::inRange(2, 6), *rc::gen::inRange(2, 6), *rc::gen::inRange(2, 6) };
     auto chunks = *rc::gen::inRange<size_t>(4, 40);
@@ -222,7 +222,7 @@
 }
 
 // One VM with a region peer that has the chunk but is backed off, and the route's first VM.
-BOOST_AUTO_TEST_CASE(a_chunk_whose_holders_are_all_backed_off_is_brought_in_again)
+BOOST_AUTO_TEST_CASE(aChunkWhoseHoldersAreAllBackedOffIsBroughtInAgain)
 {
     TimePoint now { Milliseconds(10'000) };
     std::vector<ChunkState> chunks { { false, false, now } };
@@ -238,7 +238,7 @@
     BOOST_TEST((planFetches(input, slots, now).at(0).source == ChunkSource::Peer));
 }
 
-BOOST_AUTO_TEST_CASE(a_holder_that_makes_progress_is_waited_for_and_one_that_does_not_is_replaced)
+BOOST_AUTO_TEST_CASE(aHolderThatMakesProgressIsWaitedForAndOneThatDoesNotIsReplaced)
 {
     TimePoint now { Milliseconds(100'000) };
     std::vector<ChunkState> chunks { { false, false, now - Milliseconds(60'000) } };
@@ -252,7 +252,7 @@
 }
 
 // A chunk that is wanted for long, and one that has just been seen at its source.
-BOOST_AUTO_TEST_CASE(patience_counts_from_when_a_source_has_the_chunk_and_the_origin_waits_for_a_source_that_makes_progress)
+BOOST_AUTO_TEST_CASE(patienceCountsFromWhenASourceHasTheChunkAndTheOriginWaitsForASourceThatMakesProgress)
 {
     TimePoint now { Milliseconds(100'000) };
     std::vector<ChunkState> chunks { { false, false, now - Milliseconds(60'000) } };
@@ -274,7 +274,7 @@
 }
 
 // First of its route for all chunks, which no peer has yet.
-BOOST_AUTO_TEST_CASE(in_a_large_region_a_vm_takes_one_chunk_at_a_time_from_the_origin)
+BOOST_AUTO_TEST_CASE(inALargeRegionAVmTakesOneChunkAtATimeFromTheOrigin)
 {
     TimePoint now { Milliseconds(10'000) };
     std::vector<std::string> digests { "sha256:a", "sha256:b", "sha256:c", "sha256:d" };
@@ -291,7 +291,7 @@
 }
 
 // Twelve chunks from as many sources: eight to bring in, four to bring in next.
-RC_BOOST_PROP(the_vms_that_are_waited_for_are_asked_first, (const std::string& own))
+RC_BOOST_PROP(theVmsThatAreWaitedForAreAskedFirst, (const std::string& own))
 {
     SpreadView view;
     view.isOriginNear = false;
@@ -310,7 +310,7 @@
     RC_ASSERT(polled.size() == 12U + 8U);
 }
 
-RC_BOOST_PROP(sends_to_other_regions_go_first_then_the_oldest, (const std::vector<bool>& crossing))
+RC_BOOST_PROP(sendsToOtherRegionsGoFirstThenTheOldest, (const std::vector<bool>& crossing))
 {
     RC_PRE(!crossing.empty());
     std::vector<WaitingTransfer> waiting;
@@ -324,7 +324,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(receivers_that_stall_hold_up_the_others_for_a_bounded_time)
+BOOST_AUTO_TEST_CASE(receiversThatStallHoldUpTheOthersForABoundedTime)
 {
     TransferQueue queue;
     auto begin = Clock::now();
@@ -340,7 +340,7 @@
     BOOST_TEST((Clock::now() - begin < maxTransferWait));
 }
 
-RC_BOOST_PROP(a_source_that_many_share_is_waited_for_and_one_that_trickles_is_not, (const std::vector<uint16_t>& seen))
+RC_BOOST_PROP(aSourceThatManyShareIsWaitedForAndOneThatTricklesIsNot, (const std::vector<uint16_t>& seen))
 {
     constexpr uint64_t chunkBytes = 65536;
     // What is left to each of 16, 32 and 48 VMs of an origin that sends 4 MiB in 8 s.
@@ -356,7 +356,7 @@
     RC_ASSERT(slowestAccepted(rate) <= slowestAccepted({}));
 }
 
-RC_BOOST_PROP(sends_give_way_only_while_live_requests_are_in_progress, (uint32_t liveRequests, uint32_t bound))
+RC_BOOST_PROP(sendsGiveWayOnlyWhileLiveRequestsAreInProgress, (uint32_t liveRequests, uint32_t bound))
 {
     double share = *rc::gen::inRange(-10, 20) / 10.0;
     auto idle = choosePace({ 0, static_cast<double>(bound), share });
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -67,7 +67,7 @@
 
 } // namespace
 
-RC_BOOST_PROP(memory_is_respected_and_any_data_centre_may_be_lost_or_the_shortfall_is_said, ())
+RC_BOOST_PROP(memoryIsRespectedAndAnyDataCentreMayBeLostOrTheShortfallIsSaid, ())
 {
     auto configuration = *genConfiguration();
     auto placement = placeModels(configuration, nullptr, WallTime {});
@@ -86,7 +86,7 @@
     }
 }
 
-RC_BOOST_PROP(a_vm_that_goes_moves_few_replicas, ())
+RC_BOOST_PROP(aVmThatGoesMovesFewReplicas, ())
 {
     // One model, so that the bound is not blurred by memory that another one frees.
     auto configuration = makeConfiguration(*rc::gen::container<std::vector<int>>(3, rc::gen::inRange(2, 8)), { *rc::gen::inRange<uint32_t>(1, 5) });
@@ -107,7 +107,7 @@
     RC_ASSERT(added <= (rowsBefore.count({ 0, gone }) ? 2U : 0U));
 }
 
-BOOST_AUTO_TEST_CASE(calendar_days)
+BOOST_AUTO_TEST_CASE(calendarDays)
 {
     struct Case {
         const char* calendar;
@@ -132,7 +132,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(a_burst_is_in_place_its_lead_before_and_no_longer_after)
+BOOST_AUTO_TEST_CASE(aBurstIsInPlaceItsLeadBeforeAndNoLongerAfter)
 {
     auto configuration = makeConfiguration({ 5, 5, 5 }, { 2 });
     configuration.rules.bursts.push_back({ "ramadan", 0, "islamic-umalqura", 9, 1, std::nullopt, 30, 2, 6 });
@@ -147,7 +147,7 @@
 }
 
 // In 2027 and 2030 a new moon minutes from midnight puts the library's day one off the published one.
-BOOST_AUTO_TEST_CASE(a_burst_covers_the_published_day_and_its_lead_where_the_library_is_a_day_off)
+BOOST_AUTO_TEST_CASE(aBurstCoversThePublishedDayAndItsLeadWhereTheLibraryIsADayOff)
 {
     auto configuration = makeConfiguration({ 5, 5, 5 }, { 2 });
     configuration.rules.bursts.push_back({ "new-year", 0, "chinese", 1, 1, std::nullopt, 1, 1, 6 });
@@ -159,7 +159,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(the_placement_is_kept_until_configuration_live_list_or_day_change)
+BOOST_AUTO_TEST_CASE(thePlacementIsKeptUntilConfigurationLiveListOrDayChange)
 {
     auto configuration = std::make_shared<const Configuration>(makeConfiguration({ 2, 2, 2 }, { 2 }));
     auto live = std::make_shared<const LiveList>();
