--- a/src/Retry.h
+++ b/src/Retry.h
@@ -17,12 +17,15 @@
 /// Takes one retry out; false when there is none left.
 bool takeFromBudget(RetryBudget&);
 
+/// Retries after lost replies that may come at once: for half of the connections that an entry takes by default.
+constexpr double lostReplyRetries = 128;
+
 /// The budgets of one service at one entry. A lost reply shows that an endpoint or a link has failed, not that there is too
-/// much load, and takes with it all requests that were there. So those have a budget of their own, of the size of what may
-/// be in progress at once, which refusals for load can't use up, and the other way round.
+/// much load, and takes with it all requests that were there. So those have a budget of their own, which refusals for load
+/// can't use up, and the other way round.
 struct RetryBudgets {
     RetryBudget refused;
-    RetryBudget lost { 128, 128 };
+    RetryBudget lost { lostReplyRetries, lostReplyRetries };
 };
 
 /// Adds one request: `share` to the budget of refusals, between 0 and 1, and one retry to that of lost replies.
