--- /dev/null
+++ b/src/AgentNode.cpp
@@ -0,0 +1,556 @@
+#include "AgentNode.h"
+
+#include "Digest.h"
+#include "ServerExchange.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+// Time between two runs of the systems.
+static constexpr Milliseconds tickTime { 50 };
+// How often the engine is asked for its state.
+static constexpr Milliseconds reportInterval { 300 };
+// How often list and configuration are read while pieces are missing.
+static constexpr Milliseconds listInterval { 1000 };
+static constexpr Milliseconds configurationInterval { 1000 };
+// Longest wait of one call to the store for a newly named version.
+static constexpr Milliseconds storeWait { 2000 };
+// Times for answers.
+static constexpr Milliseconds storeTimeout { 1500 };
+static constexpr Milliseconds engineTimeout { 2000 };
+static constexpr Milliseconds manifestTimeout { 1500 };
+static constexpr Milliseconds pieceTimeout { 2500 };
+// Pieces that are fetched at a time.
+static constexpr size_t parallelFetches = 6;
+// How long a peer's request waits for a piece that is on its way here.
+static constexpr Milliseconds holdTime { 1000 };
+// Pause before a piece is asked for again after all its sources failed.
+static constexpr Milliseconds roundPause { 200 };
+// Pause before an order is given again.
+static constexpr Milliseconds orderPause { 1500 };
+// Part of the bound on version switches after which the second wave doesn't wait for the first one any more.
+static constexpr double secondWaveShare = 0.5;
+// The version that engines have from the start.
+static constexpr uint32_t firstVersion = 1;
+static constexpr std::string_view piecePrefix = "/pieces/";
+static constexpr std::string_view manifestPrefix = "/manifests/";
+
+/// One piece on its way.
+struct AgentNode::Fetch {
+    std::unique_ptr<HttpCaller> caller; ///< Kept for the next piece from the same place.
+    bool isRunning = false;
+    uint32_t piece = 0;
+    uint32_t version = 0;
+    bool isFromOrigin = false;
+    TimePoint startedAt {};
+};
+
+/// A peer that waits.
+struct AgentNode::HeldRequest {
+    std::shared_ptr<ServerExchange> exchange;
+    uint32_t piece = 0;
+    TimePoint until {};
+};
+
+AgentNode::AgentNode(EventLoop& loop, const NodeSettings& settings, const Dialect& dialect, EventLog& log)
+    : loop(loop)
+    , settings(settings)
+    , dialect(dialect)
+    , log(log)
+    , timer(loop)
+    , peers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
+    , watch(loop, dialect.store, { settings.store, std::string(dialect.store.versionPrefix), storeWait, Milliseconds(700), Milliseconds(40) },
+          { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items); },
+              [this](const std::vector<StoreChange>& changes, BootTimePoint) { this->takeNamed(changes); },
+              [this](const std::string& reason, int failures) {
+                  if (failures == 1)
+                      this->log.write(LogLevel::Warning, "store_call_failed", { { "reason", reason } });
+              } })
+    , storeCaller(loop, settings.store)
+    , reportCaller(loop, *settings.engine)
+    , manifestCaller(loop, *settings.engine)
+{
+    for (size_t i = 0; i < parallelFetches; ++i)
+        this->fetches.push_back(std::make_unique<Fetch>());
+}
+
+AgentNode::~AgentNode() = default;
+
+absl::Status AgentNode::start()
+{
+    auto status = this->peers.listen({ this->settings.ip, this->settings.peerPort });
+    if (!status.ok())
+        return status;
+    this->watch.start();
+    this->tick();
+    return absl::OkStatus();
+}
+
+void AgentNode::reload(const NodeBounds& bounds)
+{
+    this->settings.bounds = bounds;
+}
+
+void AgentNode::beginStop()
+{
+    this->log.write(LogLevel::Info, "stopping", {});
+    this->loop.stop();
+}
+
+void AgentNode::armTick()
+{
+    this->timer.expires_after(tickTime);
+    this->timer.async_wait([this](const boost::system::error_code& error) {
+        if (hasFired(this->timer, error))
+            this->tick();
+    });
+}
+
+void AgentNode::tick()
+{
+    auto now = Clock::now();
+    if (!this->configuration && now - this->configurationAskedAt >= configurationInterval)
+        this->readConfiguration();
+    if (now - this->reportAskedAt >= reportInterval)
+        this->readReport();
+    if (this->configuration && this->report) {
+        this->choosePiecesFor(this->wantedVersion(), now);
+        this->startFetches(now);
+        this->orderWhenReady(now);
+    }
+    this->dropOldHeld(now);
+    this->armTick();
+}
+
+void AgentNode::readConfiguration()
+{
+    if (this->storeCaller.isBusy())
+        return;
+    this->configurationAskedAt = Clock::now();
+    this->storeCaller.get(this->dialect.store.itemPath(this->dialect.store.configurationKey, true), storeTimeout, [this](const CallResult& result) {
+        if (result.status != 200)
+            return;
+        auto item = this->dialect.store.readItem(result.body);
+        auto table = item.ok() ? this->dialect.store.readRouteTable(item->value) : absl::StatusOr<RouteTable>(item.status());
+        if (!table.ok()) {
+            this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", std::string(this->dialect.store.configurationKey) }, { "fault", std::string(table.status().message()) } });
+            return;
+        }
+        const auto* service = findService(*table, this->settings.service);
+        if (!service || service->models.empty())
+            return;
+        this->model = service->models.front();
+        this->configuration = std::make_shared<const RouteTable>(*std::move(table));
+    });
+}
+
+// Reads the list of endpoints of all pages; a list that is seconds old will do.
+void AgentNode::readEndpoints()
+{
+    if (this->storeCaller.isBusy())
+        return;
+    this->endpointsAt = Clock::now();
+    auto gathered = std::make_shared<std::vector<EndpointRecord>>();
+    auto next = std::make_shared<std::function<void(const std::string&)>>();
+    std::weak_ptr<std::function<void(const std::string&)>> weakNext = next;
+    *next = [this, gathered, weakNext](const std::string& after) {
+        auto self = weakNext.lock();
+        this->storeCaller.get(this->dialect.store.listPath(this->dialect.store.endpointPrefix, after, true), storeTimeout, [this, gathered, self](const CallResult& result) {
+            auto page = result.status == 200 ? this->dialect.store.readPage(result.body) : absl::StatusOr<StorePage>(absl::UnavailableError(result.describe()));
+            if (!page.ok())
+                return;
+            for (const auto& item : page->items) {
+                auto record = this->dialect.store.readEndpoint(this->dialect.store.readKey(item.key).name, item.value);
+                if (record.ok())
+                    gathered->push_back(*std::move(record));
+            }
+            if (page->hasMore && !page->items.empty())
+                (*self)(page->items.back().key);
+            else
+                this->endpoints = std::move(*gathered);
+        });
+    };
+    (*next)({});
+}
+
+void AgentNode::readReport()
+{
+    if (this->reportCaller.isBusy())
+        return;
+    this->reportAskedAt = Clock::now();
+    this->reportCaller.get(std::string(this->dialect.engine.reportPath), engineTimeout, [this](const CallResult& result) {
+        auto read = result.status == 200 ? this->dialect.engine.readReport(result.body) : absl::StatusOr<EngineReport>(absl::UnavailableError(result.describe()));
+        if (read.ok()) {
+            this->takeReport(*read, Clock::now());
+            return;
+        }
+        if (this->report)
+            this->log.write(LogLevel::Warning, "engine_lost", { { "reason", std::string(read.status().message()) } });
+        this->report.reset();
+    });
+}
+
+void AgentNode::takeReport(const EngineReport& read, TimePoint)
+{
+    bool isOther = this->report && (this->report->startedAt != read.startedAt || read.orders < this->report->orders);
+    bool isNew = !this->report || isOther;
+    if (isNew) {
+        // What is staged may be from before the engine's start; it is checked before it is used.
+        this->log.write(LogLevel::Info, "engine_found", { { "layers", read.layers }, { "version", read.layersVersion }, { "orders", read.orders } });
+        this->orderedVersion = 0;
+        this->manifest = PieceDigests();
+    }
+    bool hasSwitched = this->report && this->report->layersVersion != read.layersVersion;
+    if (hasSwitched)
+        this->log.write(LogLevel::Info, "engine_switched", { { "version", read.layersVersion }, { "layers", read.layers } });
+    this->report = read;
+}
+
+void AgentNode::takeNamed(const std::vector<StoreChange>& changes)
+{
+    for (const auto& change : changes) {
+        auto key = this->dialect.store.readKey(change.key);
+        if (change.isRemoved || key.topic != StoreTopic::WeightVersion || (!this->model.name.empty() && key.name != this->model.name))
+            continue;
+        auto version = this->dialect.store.readWeightVersion(change.value);
+        if (!version.ok()) {
+            this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", change.key }, { "fault", std::string(version.status().message()) } });
+            continue;
+        }
+        if (*version <= this->namedVersion)
+            continue;
+        this->namedVersion = *version;
+        this->namedAt = Clock::now();
+        this->log.write(LogLevel::Info, "weights_named", { { "version", *version }, { "revision", change.revision } });
+    }
+}
+
+// The named version, or the one that the engine or its neighbours have when none was named.
+uint32_t AgentNode::wantedVersion() const
+{
+    uint32_t wanted = std::max(this->namedVersion, firstVersion);
+    for (const auto& record : this->endpoints) {
+        if (record.service == this->settings.service)
+            wanted = std::max(wanted, servedVersion(record, this->model.name, this->model.layers));
+    }
+    return std::max(wanted, this->report->layersVersion);
+}
+
+static bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
+{
+    return report.layers >= model.layers && report.layersVersion == version && version != 0;
+}
+
+// Begins to bring a version, unless the engine has it or it is being brought.
+void AgentNode::choosePiecesFor(uint32_t version, TimePoint now)
+{
+    if (serves(*this->report, this->model, version) || this->manifest.version == version)
+        return;
+    if (now - this->endpointsAt >= listInterval)
+        this->readEndpoints();
+    this->fetchManifest();
+}
+
+void AgentNode::fetchManifest()
+{
+    if (this->manifestCaller.isBusy())
+        return;
+    // 1. The origin and one peer in turn: either may be away.
+    Address address;
+    std::string path;
+    uint32_t version = this->wantedVersion();
+    for (const auto& service : this->configuration->services) {
+        if (service.origin)
+            address = *service.origin;
+    }
+    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, version, this->settings.place);
+    bool asksPeer = this->manifestRound % 2 == 1 && !agents.empty();
+    path = this->dialect.engine.manifestPath(this->model.name, version);
+    if (asksPeer) {
+        const auto& peer = agents[(this->manifestRound / 2) % agents.size()];
+        address = { peer.host, this->settings.peerPort };
+        path = fmt::format("{}{}", manifestPrefix, version);
+    }
+    ++this->manifestRound;
+    if (address.port == 0)
+        return;
+    this->manifestCaller.setAddress(address);
+    this->manifestCaller.get(path, manifestTimeout, [this](const CallResult& result) { this->takeManifest(result); });
+}
+
+void AgentNode::takeManifest(const CallResult& result)
+{
+    auto read = result.status == 200 ? this->dialect.engine.readManifest(result.body) : absl::StatusOr<PieceDigests>(absl::UnavailableError(result.describe()));
+    if (!read.ok() || read->version != this->wantedVersion() || read->model != this->model.name) {
+        this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", read.ok() ? std::string("another version") : std::string(read.status().message()) } });
+        return;
+    }
+    this->manifest = *std::move(read);
+    size_t count = this->manifest.digests.size();
+    this->isStaged.assign(count, false);
+    this->isInHand.assign(count, false);
+    this->rounds.assign(count, 0);
+    this->notBefore.assign(count, TimePoint());
+    this->log.write(LogLevel::Info, "weights_begun", { { "version", this->manifest.version }, { "pieces", static_cast<uint64_t>(count) } });
+    // What an earlier process or version staged may serve.
+    for (uint32_t piece = 0; piece < count; ++piece)
+        this->checkStaged(piece);
+}
+
+HttpCaller& AgentNode::localCaller()
+{
+    for (auto& caller : this->localCallers) {
+        if (!caller->isBusy())
+            return *caller;
+    }
+    this->localCallers.push_back(std::make_unique<HttpCaller>(this->loop, *this->settings.engine));
+    return *this->localCallers.back();
+}
+
+// Finds out whether a piece lies on the engine's stage already.
+void AgentNode::checkStaged(uint32_t piece)
+{
+    uint32_t version = this->manifest.version;
+    this->isInHand[piece] = true;
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, version, piece](const CallResult& result) {
+        if (this->manifest.version != version)
+            return;
+        this->isInHand[piece] = false;
+        this->isStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
+        if (this->isStaged[piece])
+            this->answerHeld(piece);
+    });
+}
+
+void AgentNode::startFetches(TimePoint now)
+{
+    if (this->manifest.version == 0 || this->manifest.version != this->wantedVersion())
+        return;
+    bool isMissing = std::find(this->isStaged.begin(), this->isStaged.end(), false) != this->isStaged.end();
+    if (isMissing && now - this->endpointsAt >= listInterval)
+        this->readEndpoints();
+    auto count = static_cast<uint32_t>(this->manifest.digests.size());
+    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
+    // Pieces that this agent brings into its region come first: the others wait for them.
+    auto isOwn = [&](uint32_t piece) { return importerOf(piece, this->settings.place.regionOf[this->settings.place.dataCentre], agents) == this->settings.ip; };
+    auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ip) % count);
+    for (bool wantsOwn : { true, false }) {
+        for (uint32_t i = 0; i < count; ++i) {
+            uint32_t piece = (i + offset) % count;
+            bool isWanted = !this->isStaged[piece] && !this->isInHand[piece] && now >= this->notBefore[piece] && isOwn(piece) == wantsOwn;
+            if (!isWanted)
+                continue;
+            auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
+            if (free == this->fetches.end())
+                return;
+            this->startFetch(**free, piece, now);
+        }
+    }
+}
+
+void AgentNode::startFetch(Fetch& fetch, uint32_t piece, TimePoint now)
+{
+    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
+    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
+    std::optional<Address> origin;
+    for (const auto& service : this->configuration->services) {
+        if (!service.origin)
+            continue;
+        origin = service.origin;
+        question.originRegion = this->settings.place.regionOf[service.originDataCentre];
+    }
+    auto sources = pieceSources(question, agents);
+    const auto& source = sources[this->rounds[piece] % sources.size()];
+    if (source.isOrigin && !origin)
+        return;
+    Address address = source.isOrigin ? *origin : Address { source.host, this->settings.peerPort };
+    auto path = source.isOrigin ? this->dialect.engine.piecePath(this->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", piecePrefix, this->manifest.version, piece);
+    if (!fetch.caller)
+        fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
+    fetch.caller->setAddress(address);
+    fetch.isRunning = true;
+    fetch.piece = piece;
+    fetch.version = this->manifest.version;
+    fetch.isFromOrigin = source.isOrigin;
+    fetch.startedAt = now;
+    this->isInHand[piece] = true;
+    fetch.caller->get(path, pieceTimeout, [this, &fetch](const CallResult& result) { this->endFetch(fetch, result); });
+}
+
+void AgentNode::endFetch(Fetch& fetch, const CallResult& result)
+{
+    fetch.isRunning = false;
+    this->metrics.count("bilberry_piece_bytes_total", { { "source", fetch.isFromOrigin ? "origin" : "peer" } }, static_cast<double>(result.body.size()));
+    if (fetch.version != this->manifest.version)
+        return;
+    bool isGood = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[fetch.piece];
+    if (isGood) {
+        this->stage(fetch.piece, result.body);
+    } else {
+        this->isInHand[fetch.piece] = false;
+        ++this->rounds[fetch.piece];
+        this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin ? roundPause : Milliseconds(0));
+        this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("wrong digest") : result.describe() } });
+    }
+    this->startFetches(Clock::now());
+}
+
+// Writes a verified piece to the engine's stage.
+void AgentNode::stage(uint32_t piece, std::string bytes)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = this->dialect.engine.stageWritePath(this->model.name, piece);
+    request.headers.emplace_back("Content-Type", "application/octet-stream");
+    request.body = std::move(bytes);
+    uint32_t version = this->manifest.version;
+    this->localCaller().call(request, engineTimeout, [this, version, piece](const CallResult& result) {
+        if (this->manifest.version != version)
+            return;
+        this->isInHand[piece] = false;
+        this->isStaged[piece] = result.status >= 200 && result.status < 300;
+        if (!this->isStaged[piece]) {
+            this->log.write(LogLevel::Warning, "stage_failed", { { "piece", piece }, { "reason", result.describe() } });
+            return;
+        }
+        this->answerHeld(piece);
+        this->orderWhenReady(Clock::now());
+    });
+}
+
+// Whether this engine may turn to new weights now. The first wave of a data centre leaves the others serving; one that serves
+// nothing doesn't wait.
+bool AgentNode::isMyTurn(TimePoint now) const
+{
+    bool servesNothing = this->report->layers < this->model.layers;
+    std::vector<std::string> hosts;
+    bool isFirstWaveDone = true;
+    for (const auto& record : this->endpoints) {
+        if (record.service == this->settings.service && record.dataCentre == this->settings.place.dataCentre)
+            hosts.push_back(record.address.host);
+    }
+    if (servesNothing || isInFirstWave(this->settings.ip, hosts))
+        return true;
+    for (const auto& record : this->endpoints) {
+        bool isNeighbour = record.service == this->settings.service && record.dataCentre == this->settings.place.dataCentre;
+        if (isNeighbour && isInFirstWave(record.address.host, hosts) && servedVersion(record, this->model.name, this->model.layers) != this->manifest.version)
+            isFirstWaveDone = false;
+    }
+    auto bound = this->settings.bounds.versionSwitch;
+    auto latest = Milliseconds(static_cast<int64_t>(secondWaveShare * static_cast<double>(bound.count())));
+    return isFirstWaveDone || (bound > Milliseconds(0) && now - this->namedAt >= latest);
+}
+
+void AgentNode::orderWhenReady(TimePoint now)
+{
+    bool isComplete = this->manifest.version != 0 && std::find(this->isStaged.begin(), this->isStaged.end(), false) == this->isStaged.end();
+    if (!isComplete || this->isVerifying || this->report->isBusy || serves(*this->report, this->model, this->manifest.version))
+        return;
+    bool isOrdered = this->orderedVersion == this->manifest.version && now - this->orderedAt < orderPause;
+    if (isOrdered)
+        return;
+    if (!this->isMyTurn(now)) {
+        if (now - this->endpointsAt >= listInterval)
+            this->readEndpoints();
+        return;
+    }
+    // Reads all pieces back right before the order: what is staged may have turned bad.
+    this->isVerifying = true;
+    auto left = std::make_shared<size_t>(this->manifest.digests.size());
+    uint32_t version = this->manifest.version;
+    for (uint32_t piece = 0; piece < this->manifest.digests.size(); ++piece) {
+        this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, left, version, piece](const CallResult& result) {
+            bool isCurrent = this->manifest.version == version;
+            if (isCurrent)
+                this->isStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
+            if (--*left > 0)
+                return;
+            this->isVerifying = false;
+            bool isGood = isCurrent && std::find(this->isStaged.begin(), this->isStaged.end(), false) == this->isStaged.end();
+            if (isGood)
+                this->order();
+        });
+    }
+}
+
+void AgentNode::order()
+{
+    this->orderedAt = Clock::now();
+    this->orderedVersion = this->manifest.version;
+    uint32_t version = this->manifest.version;
+    this->localCaller().call(this->dialect.engine.loadOrder(this->model.name, version), engineTimeout, [this, version](const CallResult& result) {
+        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - this->namedAt) } });
+    });
+}
+
+// Peers ask for /pieces/VERSION/PIECE and /manifests/VERSION.
+void AgentNode::answerPeer(const std::shared_ptr<ServerExchange>& exchange)
+{
+    const auto& path = exchange->request().path;
+    std::vector<std::string> words = absl::StrSplit(path, '/', absl::SkipEmpty());
+    uint32_t version = 0;
+    uint32_t piece = 0;
+    bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
+    bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
+    bool isHere = this->manifest.version == version && version != 0;
+    if (asksPiece && isHere && piece < this->manifest.digests.size()) {
+        this->answerPiece(exchange, version, piece);
+    } else if (asksManifest && isHere) {
+        nlohmann::json body { { "model", this->manifest.model }, { "version", version }, { "chunk-bytes", this->manifest.pieceBytes }, { "digests", this->manifest.digests } };
+        exchange->answer(200, { { "Content-Type", "application/json" } }, body.dump());
+    } else {
+        exchange->answer(404, {}, {});
+    }
+}
+
+void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t, uint32_t piece)
+{
+    if (this->isStaged[piece])
+        this->sendStaged(exchange, piece);
+    else
+        this->held.push_back({ exchange, piece, Clock::now() + holdTime });
+}
+
+// Sends a piece as it lies on the stage, unless it has turned bad there.
+void AgentNode::sendStaged(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+{
+    uint32_t version = this->manifest.version;
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, exchange, version, piece](const CallResult& result) {
+        bool isCurrent = this->manifest.version == version;
+        bool isGood = isCurrent && result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
+        if (isCurrent && !isGood)
+            this->isStaged[piece] = false;
+        exchange->answer(isGood ? 200 : 404, {}, isGood ? result.body : std::string());
+    });
+}
+
+void AgentNode::answerHeld(uint32_t piece)
+{
+    std::vector<HeldRequest> kept;
+    auto waiting = std::move(this->held);
+    this->held.clear();
+    for (auto& request : waiting) {
+        if (request.piece == piece)
+            this->sendStaged(request.exchange, piece);
+        else
+            kept.push_back(std::move(request));
+    }
+    this->held.insert(this->held.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
+}
+
+void AgentNode::dropOldHeld(TimePoint now)
+{
+    for (auto& request : this->held) {
+        if (now >= request.until)
+            request.exchange->answer(404, {}, {});
+    }
+    auto isOld = [&](const HeldRequest& request) { return now >= request.until; };
+    this->held.erase(std::remove_if(this->held.begin(), this->held.end(), isOld), this->held.end());
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/AgentNode.h
@@ -0,0 +1,103 @@
+/// A weights agent on the event loop: keeps the engine on its VM on the weights that operators have named.
+#pragma once
+
+#include "BootClock.h"
+#include "Dialect.h"
+#include "EventLog.h"
+#include "HttpCall.h"
+#include "LoopServer.h"
+#include "Metrics.h"
+#include "NodeSettings.h"
+#include "PieceSources.h"
+#include "StoreWatch.h"
+
+#include <memory>
+#include <vector>
+
+namespace bilberry {
+
+/// Used by the loop's thread only.
+class AgentNode {
+public:
+    /// Preconditions: loop and log outlive the node; the settings are those of an agent.
+    AgentNode(EventLoop&, const NodeSettings&, const Dialect&, EventLog&);
+    ~AgentNode();
+    AgentNode(const AgentNode&) = delete;
+    AgentNode& operator=(const AgentNode&) = delete;
+
+    /// Opens the port for peers and starts to follow store and engine. Fails when the port can't be opened.
+    absl::Status start();
+    void reload(const NodeBounds&);
+    /// Stops the loop: an agent has nothing to finish.
+    void beginStop();
+
+private:
+    struct Fetch;
+    struct HeldRequest;
+
+    void armTick();
+    void tick();
+    void readConfiguration();
+    void readEndpoints();
+    void readReport();
+    void takeReport(const EngineReport&, TimePoint now);
+    void takeNamed(const std::vector<StoreChange>&);
+    void choosePiecesFor(uint32_t version, TimePoint now);
+    uint32_t wantedVersion() const;
+    void fetchManifest();
+    void takeManifest(const CallResult&);
+    void startFetches(TimePoint now);
+    void startFetch(Fetch&, uint32_t piece, TimePoint now);
+    void endFetch(Fetch&, const CallResult&);
+    void stage(uint32_t piece, std::string bytes);
+    void checkStaged(uint32_t piece);
+    void orderWhenReady(TimePoint now);
+    bool isMyTurn(TimePoint now) const;
+    void order();
+    void answerPeer(const std::shared_ptr<ServerExchange>&);
+    void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t version, uint32_t piece);
+    void sendStaged(const std::shared_ptr<ServerExchange>&, uint32_t piece);
+    void answerHeld(uint32_t piece);
+    void dropOldHeld(TimePoint now);
+    HttpCaller& localCaller();
+
+    EventLoop& loop;
+    NodeSettings settings;
+    const Dialect& dialect;
+    EventLog& log;
+    Metrics metrics;
+    LoopTimer timer;
+    LoopServer peers;
+    StoreWatch watch;
+    HttpCaller storeCaller;
+    HttpCaller reportCaller;
+    HttpCaller manifestCaller;
+    std::vector<std::unique_ptr<HttpCaller>> localCallers; ///< To the engine, as many as are used at a time.
+    std::vector<std::unique_ptr<Fetch>> fetches;
+    std::vector<HeldRequest> held; ///< Peers that wait for a piece which is on its way.
+
+    // What is believed.
+    std::shared_ptr<const RouteTable> configuration;
+    ServedModel model;
+    std::vector<EndpointRecord> endpoints;
+    TimePoint endpointsAt {};
+    TimePoint configurationAskedAt {};
+    uint32_t namedVersion = 0;
+    TimePoint namedAt {};
+    std::optional<EngineReport> report;
+    TimePoint reportAskedAt {};
+
+    // The weights that are being brought.
+    PieceDigests manifest;
+    uint32_t manifestRound = 0;
+    std::vector<bool> isStaged; ///< By piece: written to the engine's stage, or found there, with the right digest.
+    std::vector<bool> isInHand; ///< By piece: being fetched or written.
+    std::vector<uint32_t> rounds; ///< By piece: sources that failed.
+    std::vector<TimePoint> notBefore; ///< By piece: not asked for again before.
+    uint32_t piecesToCheck = 0; ///< Of those that were staged by an earlier process.
+    TimePoint orderedAt {};
+    uint32_t orderedVersion = 0;
+    bool isVerifying = false;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/src/Belief.h
@@ -0,0 +1,60 @@
+/// What an entry believes about the outside, from the platform's store, and how old that is. The age counts from the sending
+/// of the last call that confirmed it, as a holder of a lease counts from the sending of its renewal (PacificA, section 2.3
+/// on failure detection).
+#pragma once
+
+#include "BootClock.h"
+#include "Dialect.h"
+#include "EndpointTable.h"
+#include "RouteTable.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace bilberry {
+
+/// Newest version of a model's weights that operators have named.
+struct NamedVersion {
+    uint32_t version = 0;
+    TimePoint learnedAt {};
+};
+
+struct Belief {
+    RouteTablePointer routes; ///< Null until a configuration was read.
+    EndpointTable endpoints;
+    std::set<std::string> dataCentresOut;
+    std::map<std::string, NamedVersion> versions; ///< By model.
+    BootTimePoint confirmedAt {}; ///< When the last call that confirmed all this was sent.
+    bool isConfirmed = false; ///< Whether there was such a call.
+    TimePoint outageEndedAt {}; ///< When the store answered again after it had not.
+    uint64_t unreadableItems = 0;
+};
+
+/// What a change did, for logs.
+enum class BeliefStep : uint8_t {
+    None,
+    Configuration,
+    EndpointListed,
+    EndpointDraining,
+    EndpointRemoved,
+    DataCentreOut,
+    DataCentreBack,
+    WeightVersion,
+    Unreadable,
+};
+
+/// Name for logs. Thread safe.
+std::string_view toText(BeliefStep);
+
+/// Takes in one change of the store. A configuration older than the one in force, and anything that can't be read, change
+/// nothing; what can't be read is described in `fault`.
+BeliefStep applyChange(Belief&, const StoreDialect&, const StoreChange&, TimePoint now, std::string& fault);
+
+/// Takes in a whole listing: what it doesn't hold is gone, but for the configuration.
+void applyAbsences(Belief&, const StoreDialect&, const std::vector<StoreChange>& listing, TimePoint now);
+
+/// Age of what is believed; the longest time when nothing was confirmed. Thread safe.
+Milliseconds ageOf(const Belief&, BootTimePoint now);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EndpointChoice.h
@@ -0,0 +1,51 @@
+/// Which endpoint gets a request. Answers loads at which most endpoints are full: requests go where a place is free, the own
+/// data centre first, and wait at the entry when there is none. Pure decisions.
+#pragma once
+
+#include "EndpointTable.h"
+#include "Types.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+/// Where an entry stands.
+struct Place {
+    std::string dataCentre;
+    std::map<std::string, std::string> regionOf; ///< By data centre.
+};
+
+/// What a request needs of an endpoint.
+struct EndpointNeed {
+    std::string service;
+    std::string model; ///< Empty for plain services.
+    uint32_t modelLayers = 0;
+    uint32_t weightsVersion = 0; ///< The only one that will do; zero: any.
+    const std::vector<std::string>* routeRegions = nullptr; ///< Null or empty: anywhere.
+    const std::vector<std::string>* accountRegions = nullptr;
+    std::vector<std::string> tried; ///< Ids of endpoints that had the request before.
+    double coldRate = 0; ///< Requests per second that a cold endpoint may get from this entry.
+};
+
+constexpr uint32_t noEndpoint = UINT32_MAX;
+
+struct EndpointChoice {
+    uint32_t row = noEndpoint; ///< One with a free place.
+    bool existsAny = false; ///< Whether any endpoint could run the request, with or without a free place.
+    uint32_t free = 0; ///< Endpoints with a free place.
+};
+
+/// Requests that an endpoint is given at a time. Thread safe.
+double placesOf(const EndpointRecord&);
+
+/// Whether the endpoint could run the request if it had a free place. Thread safe.
+bool isEligible(const EndpointRow&, const EndpointNeed&, const Place&, const std::set<std::string>& dataCentresOut, TimePoint now);
+
+/// Chooses the least loaded endpoint with a free place; nearer ones are preferred while their load isn't much higher. Thread
+/// safe.
+EndpointChoice chooseEndpoint(const EndpointTable&, const EndpointNeed&, const Place&, const std::set<std::string>& dataCentresOut, TimePoint now);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EndpointRecord.cpp
@@ -0,0 +1,34 @@
+#include "EndpointRecord.h"
+
+#include <tuple>
+
+namespace bilberry {
+
+static auto fieldsOf(const EndpointRecord& record)
+{
+    return std::tie(record.id, record.address.host, record.address.port, record.service, record.dataCentre, record.slots, record.isDraining, record.layers, record.layersVersion);
+}
+
+bool differs(const EndpointRecord& first, const EndpointRecord& second)
+{
+    if (fieldsOf(first) != fieldsOf(second) || first.models.size() != second.models.size())
+        return true;
+    for (size_t i = 0; i < first.models.size(); ++i) {
+        if (first.models[i].name != second.models[i].name || first.models[i].version != second.models[i].version)
+            return true;
+    }
+    return false;
+}
+
+uint32_t servedVersion(const EndpointRecord& record, const std::string& model, uint32_t layers)
+{
+    for (const auto& held : record.models) {
+        if (held.name != model)
+            continue;
+        bool isWhole = layers == 0 || (record.layers >= layers && record.layersVersion == held.version);
+        return isWhole ? held.version : 0;
+    }
+    return 0;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EndpointTable.cpp
@@ -0,0 +1,91 @@
+#include "EndpointTable.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// Ages at which a statement of load begins to fade, and at which it says nothing any more.
+static constexpr Milliseconds freshStatementAge { 300 };
+static constexpr Milliseconds oldStatementAge { 1500 };
+// Failures in a row from which on an endpoint is avoided, and the bounds of that time.
+static constexpr int tolerableFailures = 2;
+static constexpr Milliseconds shortestAvoidTime { 250 };
+static constexpr Milliseconds longestAvoidTime { 4000 };
+
+uint32_t EndpointTable::put(const EndpointRecord& record, TimePoint now)
+{
+    auto found = this->rowById.find(record.id);
+    if (found == this->rowById.end()) {
+        auto isFree = [](const EndpointRow& row) { return row.record.id.empty(); };
+        auto free = std::find_if(this->rows.begin(), this->rows.end(), isFree);
+        auto row = static_cast<uint32_t>(free - this->rows.begin());
+        if (free == this->rows.end())
+            this->rows.emplace_back();
+        found = this->rowById.emplace(record.id, row).first;
+    }
+    auto& row = this->rows[found->second];
+    row.record = record;
+    row.isListed = true;
+    row.listedUntil = TimePoint::max();
+    row.coldUntil = now + record.coldFor;
+    return found->second;
+}
+
+void EndpointTable::remove(const std::string& id, TimePoint until)
+{
+    auto found = this->rowById.find(id);
+    if (found != this->rowById.end())
+        this->rows[found->second].listedUntil = until;
+}
+
+void EndpointTable::sweep(TimePoint now)
+{
+    for (auto& row : this->rows) {
+        if (row.isListed && now >= row.listedUntil)
+            row.isListed = false;
+        bool isUnused = !row.isListed && row.inFlight == 0 && !row.record.id.empty();
+        if (!isUnused)
+            continue;
+        this->rowById.erase(row.record.id);
+        row = EndpointRow();
+    }
+}
+
+Milliseconds avoidTimeAfter(int failuresInRow)
+{
+    if (failuresInRow < tolerableFailures)
+        return Milliseconds(0);
+    int doublings = std::min(failuresInRow - tolerableFailures, 4);
+    return std::min(longestAvoidTime, shortestAvoidTime * (1 << doublings));
+}
+
+void noteOutcome(EndpointRow& row, bool isGood, TimePoint now)
+{
+    if (isGood) {
+        row.failuresInRow = 0;
+        row.avoidUntil = TimePoint();
+        return;
+    }
+    ++row.failuresInRow;
+    row.avoidUntil = now + avoidTimeAfter(row.failuresInRow);
+}
+
+void noteLoad(EndpointRow& row, const LoadStatement& load, TimePoint now)
+{
+    uint32_t total = load.running + load.waiting;
+    row.othersInFlight = total > row.inFlight ? total - row.inFlight : 0;
+    row.statedAt = now;
+}
+
+double loadOf(const EndpointRow& row, TimePoint now)
+{
+    auto age = now - row.statedAt;
+    if (age >= oldStatementAge)
+        return row.inFlight;
+    double share = 1;
+    if (age > freshStatementAge)
+        share = std::chrono::duration<double>(oldStatementAge - age) / (oldStatementAge - freshStatementAge);
+    return row.inFlight + share * row.othersInFlight;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EndpointTable.h
@@ -0,0 +1,51 @@
+/// The endpoints that an entry knows, with its own evidence of each.
+#pragma once
+
+#include "Dialect.h"
+#include "EndpointRecord.h"
+#include "Types.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberry {
+
+/// One endpoint. A row stays in place as long as requests are at the endpoint, also when it is no longer listed.
+struct EndpointRow {
+    EndpointRecord record;
+    bool isListed = false;
+    TimePoint listedUntil = TimePoint::max(); ///< For one whose entry has lapsed, perhaps only for a while.
+    TimePoint coldUntil {};
+    uint32_t inFlight = 0; ///< Own requests that it has.
+    uint32_t othersInFlight = 0; ///< Those of other entries, by its newest statement.
+    TimePoint statedAt {}; ///< When that statement came.
+    int failuresInRow = 0; ///< Attempts that it failed since the last good answer.
+    TimePoint avoidUntil {};
+    std::deque<TimePoint> coldSends; ///< Requests of the last second while it is cold, oldest first.
+};
+
+/// Used by the loop's thread only.
+struct EndpointTable {
+    std::vector<EndpointRow> rows;
+    std::unordered_map<std::string, uint32_t> rowById;
+
+    /// Takes in a record; returns its row.
+    uint32_t put(const EndpointRecord&, TimePoint now);
+    /// The endpoint is not listed any more from `until` on. Does nothing for an unknown one.
+    void remove(const std::string& id, TimePoint until);
+    /// Frees rows of endpoints that are gone and have no request. To be called each tick.
+    void sweep(TimePoint now);
+};
+
+/// How long an endpoint that failed several times in a row is avoided, by the number of failures. Thread safe.
+Milliseconds avoidTimeAfter(int failuresInRow);
+/// Takes in the outcome of an attempt as evidence. `isGood`: it answered as it should.
+void noteOutcome(EndpointRow&, bool isGood, TimePoint now);
+/// Takes in a statement of load.
+void noteLoad(EndpointRow&, const LoadStatement&, TimePoint now);
+/// Requests that the endpoint is thought to have, from all entries. Statements of others fade with their age. Thread safe.
+double loadOf(const EndpointRow&, TimePoint now);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/EntryNode.h
@@ -0,0 +1,82 @@
+/// An entry on the event loop: what its requests share, and the systems that run over it each tick.
+#pragma once
+
+#include "Belief.h"
+#include "ChannelPool.h"
+#include "Dialect.h"
+#include "DispatchQueue.h"
+#include "EventLog.h"
+#include "LoopServer.h"
+#include "Metrics.h"
+#include "NodeSettings.h"
+#include "RepeatBudget.h"
+#include "StoreWatch.h"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace bilberry {
+
+class RequestRun;
+
+/// Used by the loop's thread only.
+struct EntryNode {
+    /// Preconditions: loop and log outlive the node.
+    EntryNode(EventLoop&, const NodeSettings&, const Dialect&, EventLog&);
+    ~EntryNode();
+    EntryNode(const EntryNode&) = delete;
+    EntryNode& operator=(const EntryNode&) = delete;
+
+    /// Opens the ports and starts to follow the store. Fails when a port can't be opened.
+    absl::Status start();
+    /// Takes in bounds that were reloaded.
+    void reload(const NodeBounds&);
+    /// Stops taking requests from new callers, finishes what runs, and then stops the loop.
+    void beginStop();
+
+    EventLoop& loop;
+    NodeSettings settings;
+    const Dialect& dialect;
+    EventLog& log;
+    Metrics metrics;
+    Belief belief;
+    ChannelPool channels;
+    DispatchQueues queues; ///< By service.
+    std::unordered_map<std::string, RepeatCounts> repeats; ///< By service.
+    std::unordered_map<uint64_t, std::shared_ptr<RequestRun>> runs; ///< Requests that aren't answered yet, by number.
+    uint64_t nextRun = 1;
+    std::mt19937_64 random;
+    TimePoint stopRequestedAt = TimePoint::max();
+
+private:
+    void takeListing(const std::vector<StoreChange>&, BootTimePoint sentAt);
+    void takeChanges(const std::vector<StoreChange>&, BootTimePoint sentAt);
+    void takeFailure(const std::string& reason, int failures);
+    void confirm(BootTimePoint sentAt);
+    void apply(const StoreChange&, TimePoint now);
+    void answerReady(const std::shared_ptr<ServerExchange>&);
+    void answerMetrics(const std::shared_ptr<ServerExchange>&);
+    void armTick();
+    void tick();
+    void stopWhenDone(TimePoint now);
+
+    LoopServer callers;
+    LoopServer balancer;
+    LoopServer scrapers;
+    StoreWatch watch;
+    LoopTimer timer;
+    bool isStoreLost = false;
+};
+
+/// Whether the entry should get new callers: it knows a configuration and endpoints, believes nothing too old, and isn't
+/// stopping.
+bool isReady(const EntryNode&, BootTimePoint now);
+/// Whether revocations of keys are known up to now, so that keyed requests can be let in.
+bool knowsRevocations(const EntryNode&, BootTimePoint now);
+/// Starts waiting requests of a service for which there is a free place now.
+void startWaiting(EntryNode&, const std::string& service);
+/// Entries that may share the fleet's budgets, this one included.
+uint32_t entryCount(const EntryNode&);
+
+} // namespace bilberry
--- a/src/Flags.cpp
+++ b/src/Flags.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <gflags/gflags.h>
 
 namespace bilberry {
@@ -40,6 +41,27 @@
     return gflags::GetCommandLineFlagInfo(name.c_str(), &flag) && flag.type == "bool";
 }
 
+void readFlagFile(const std::string& path, CommandLine& line)
+{
+    std::ifstream file(path);
+    if (!file) {
+        line.faults.push_back(fmt::format("--flagfile: can't read \"{}\"", path));
+        return;
+    }
+    line.flagFile = path;
+    std::string text;
+    for (int number = 1; std::getline(file, text); ++number) {
+        if (text.empty() || text.front() == '#')
+            continue;
+        auto equals = text.find('=');
+        if (text.rfind("--", 0) != 0 || equals == std::string::npos) {
+            line.faults.push_back(fmt::format("{} line {}: not --name=value", path, number));
+            continue;
+        }
+        setFlag(text.substr(2, equals - 2), text.substr(equals + 1), "--", line);
+    }
+}
+
 CommandLine readCommandLine(int argc, char** argv)
 {
     CommandLine line;
@@ -56,6 +78,8 @@
             line.wantsHelp = true;
         else if (name == "version")
             line.wantsVersion = true;
+        else if (name.rfind("flagfile=", 0) == 0)
+            readFlagFile(name.substr(equals + 1), line);
         else if (equals != std::string::npos)
             setFlag(name.substr(0, equals), name.substr(equals + 1), "--", line);
         else if (isBoolFlag(name))
--- a/src/Flags.h
+++ b/src/Flags.h
@@ -10,6 +10,7 @@
 struct CommandLine {
     std::vector<std::string> positional;
     std::vector<std::string> faults; ///< One line a wrong setting: its name, its value and the reason.
+    std::string flagFile; ///< Path of the flag file that was read; empty: none.
     bool wantsHelp = false;
     bool wantsVersion = false;
 };
@@ -19,6 +20,10 @@
 /// Not thread safe: call once at start.
 CommandLine readCommandLine(int argc, char** argv);
 
+/// Sets the flags that a file lists, one `--name=value` a line; lines that are empty or begin with `#` are passed over.
+/// `--flagfile=PATH` on the command line does the same. Not thread safe.
+void readFlagFile(const std::string& path, CommandLine&);
+
 /// The settings that one source file defines, with defaults and descriptions, for --help.
 std::string describeFlags(const std::string& sourceFileSuffix);
 
--- /dev/null
+++ b/src/HttpCall.cpp
@@ -0,0 +1,150 @@
+#include "HttpCall.h"
+
+#include <cassert>
+#include <fmt/format.h>
+
+namespace bilberry {
+
+// Largest answer that is taken.
+static constexpr size_t maxAnswerBytes = 32 << 20;
+// Unacknowledged bytes for that long end the connection.
+static constexpr Milliseconds silentTimeout { 2000 };
+
+std::string CallResult::describe() const
+{
+    if (this->hasTimedOut)
+        return "no answer in time";
+    if (this->status == 0)
+        return std::string("connection ") + std::string(toText(this->end));
+    return fmt::format("status {}", this->status);
+}
+
+struct HttpCaller::State : std::enable_shared_from_this<HttpCaller::State> {
+    State(EventLoop& loop, const Address& address)
+        : loop(loop)
+        , address(address)
+        , timer(loop)
+    {
+    }
+
+    void finish(ChannelEnd, bool hasTimedOut);
+
+    EventLoop& loop;
+    Address address;
+    LoopTimer timer;
+    std::shared_ptr<HttpChannel> channel;
+    CallHandler handler;
+    CallResult result;
+};
+
+HttpCaller::HttpCaller(EventLoop& loop, const Address& address)
+    : state(std::make_shared<State>(loop, address))
+{
+}
+
+HttpCaller::~HttpCaller()
+{
+    this->close();
+}
+
+void HttpCaller::State::finish(ChannelEnd end, bool hasTimedOut)
+{
+    if (!this->handler)
+        return;
+    stopTimer(this->timer);
+    this->result.end = end;
+    this->result.hasTimedOut = hasTimedOut;
+    if (end != ChannelEnd::Whole)
+        this->result.status = 0;
+    if (end != ChannelEnd::Whole && this->channel)
+        this->channel->close();
+    auto handler = std::move(this->handler);
+    this->handler = nullptr;
+    auto result = std::move(this->result);
+    handler(result);
+}
+
+static ResponseHandlers makeHandlers(const std::weak_ptr<HttpCaller::State>& weak);
+
+void HttpCaller::call(const HttpRequest& request, Milliseconds timeout, CallHandler handler)
+{
+    assert(!this->isBusy());
+    auto& state = *this->state;
+    state.handler = std::move(handler);
+    state.result = CallResult();
+    if (!state.channel || !state.channel->canReuse())
+        state.channel = std::make_shared<HttpChannel>(state.loop, state.address, ChannelTimes { timeout, silentTimeout });
+    HttpRequest sent = request;
+    setHeader(sent.headers, "Host", toText(state.address));
+    state.timer.expires_after(timeout);
+    state.timer.async_wait([weak = state.weak_from_this()](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (self && hasFired(self->timer, error))
+            self->finish(ChannelEnd::Lost, true);
+    });
+    state.channel->send(sent, makeHandlers(state.weak_from_this()));
+}
+
+static ResponseHandlers makeHandlers(const std::weak_ptr<HttpCaller::State>& weak)
+{
+    ResponseHandlers handlers;
+    handlers.onHead = [weak](const ResponseHead& head) {
+        if (auto self = weak.lock())
+            self->result.status = head.status;
+        return HeadVerdict::Take;
+    };
+    handlers.onPiece = [weak](std::string piece) {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        self->result.body += piece;
+        if (self->result.body.size() > maxAnswerBytes)
+            self->finish(ChannelEnd::Malformed, false);
+        else
+            self->channel->readOn();
+    };
+    handlers.onEnd = [weak](ChannelEnd end) {
+        if (auto self = weak.lock())
+            self->finish(end, false);
+    };
+    return handlers;
+}
+
+void HttpCaller::get(const std::string& path, Milliseconds timeout, CallHandler handler)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    this->call(request, timeout, std::move(handler));
+}
+
+void HttpCaller::close()
+{
+    stopTimer(this->state->timer);
+    this->state->handler = nullptr;
+    if (this->state->channel)
+        this->state->channel->close();
+}
+
+void HttpCaller::setAddress(const Address& address)
+{
+    assert(!this->isBusy());
+    bool isSame = address.host == this->state->address.host && address.port == this->state->address.port;
+    if (isSame)
+        return;
+    this->close();
+    this->state->channel.reset();
+    this->state->address = address;
+}
+
+bool HttpCaller::isBusy() const
+{
+    return static_cast<bool>(this->state->handler);
+}
+
+const Address& HttpCaller::address() const
+{
+    return this->state->address;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/HttpChannel.cpp
@@ -0,0 +1,349 @@
+#include "HttpChannel.h"
+
+#include "HttpWire.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cassert>
+#include <netinet/tcp.h>
+#include <optional>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace bilberry {
+
+// Bytes asked for by one read.
+static constexpr size_t readBytes = 16 << 10;
+// Largest header of a response.
+static constexpr uint32_t responseHeaderBytes = 32 << 10;
+
+std::string_view toText(ChannelEnd end)
+{
+    switch (end) {
+    case ChannelEnd::Whole:
+        return "whole";
+    case ChannelEnd::NotSent:
+        return "not-sent";
+    case ChannelEnd::Lost:
+        return "lost";
+    case ChannelEnd::Malformed:
+        return "malformed";
+    }
+    return "lost";
+}
+
+struct HttpChannel::State {
+    State(EventLoop& loop, const Address& address, const ChannelTimes& times)
+        : address(address)
+        , times(times)
+        , socket(loop)
+        , timer(loop)
+    {
+    }
+
+    Address address;
+    ChannelTimes times;
+    asio::ip::tcp::socket socket;
+    LoopTimer timer;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+    ResponseHandlers handlers;
+    std::string outgoing;
+    bool isRunning = false;
+    bool isReading = false;
+    bool isWriting = false;
+    bool isPaused = false;
+    bool hasHead = false;
+    bool isSkipping = false;
+    bool isReusable = true;
+    bool isHeadRequest = false;
+    int exchanges = 0;
+    TimePoint idleSince {};
+    Seconds keepAlive { 0 };
+};
+
+HttpChannel::HttpChannel(EventLoop& loop, const Address& address, const ChannelTimes& times)
+    : state(std::make_unique<State>(loop, address, times))
+{
+}
+
+HttpChannel::~HttpChannel() = default;
+
+void HttpChannel::send(const HttpRequest& request, ResponseHandlers responseHandlers)
+{
+    assert(!this->state->isRunning);
+    this->state->handlers = std::move(responseHandlers);
+    this->state->isRunning = true;
+    this->state->isPaused = false;
+    this->state->hasHead = false;
+    this->state->isSkipping = false;
+    ++this->state->exchanges;
+    http::request<http::empty_body> head;
+    head.version(11);
+    head.method_string(request.method);
+    head.target(request.path);
+    writeFields(request.headers, head);
+    bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    if (hasBody)
+        head.set(http::field::content_length, std::to_string(request.body.size()));
+    this->state->outgoing = requestHeadText(head) + request.body;
+    this->state->isHeadRequest = request.method == "HEAD";
+    this->prepareParser();
+    if (this->state->socket.is_open())
+        this->writeRequest();
+    else
+        this->connect();
+}
+
+void HttpChannel::setOptions()
+{
+    boost::system::error_code ignored;
+    this->state->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->state->socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    int fd = this->state->socket.native_handle();
+    auto userTimeout = static_cast<unsigned>(this->state->times.silentTimeout.count());
+    int probeInterval = 1; // Seconds, the least that the system takes.
+    int probeCount = std::max<int>(1, static_cast<int>(this->state->times.silentTimeout.count() / 1000));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeInterval, sizeof probeInterval);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeInterval, sizeof probeInterval);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof probeCount);
+}
+
+void HttpChannel::prepareParser()
+{
+    this->state->parser.emplace();
+    this->state->parser->eager(true);
+    this->state->parser->header_limit(responseHeaderBytes);
+    this->state->parser->body_limit(boost::none);
+    this->state->parser->skip(this->state->isHeadRequest);
+}
+
+void HttpChannel::connect()
+{
+    boost::system::error_code error;
+    asio::ip::tcp::endpoint remote(asio::ip::make_address(this->state->address.host, error), static_cast<uint16_t>(this->state->address.port));
+    if (!error)
+        this->state->socket.open(remote.protocol(), error);
+    if (error) {
+        // Not from within send(): its caller isn't ready for the end yet.
+        asio::post(this->state->socket.get_executor(), [self = this->shared_from_this()] { self->end(ChannelEnd::NotSent); });
+        return;
+    }
+    this->setOptions();
+    this->state->timer.expires_after(this->state->times.connectTimeout);
+    this->state->timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& cancelled) {
+        if (hasFired(self->state->timer, cancelled) && self->state->isRunning)
+            self->end(ChannelEnd::NotSent);
+    });
+    this->state->socket.async_connect(remote, [self = this->shared_from_this()](const boost::system::error_code& failure) {
+        if (!self->state->isRunning)
+            return;
+        stopTimer(self->state->timer);
+        if (failure)
+            self->end(ChannelEnd::NotSent);
+        else
+            self->writeRequest();
+    });
+}
+
+void HttpChannel::writeRequest()
+{
+    this->state->isWriting = true;
+    asio::async_write(this->state->socket, asio::buffer(this->state->outgoing), [self = this->shared_from_this()](const boost::system::error_code& error, size_t) {
+        self->state->isWriting = false;
+        // A response may have come before; without one the pending read tells how the connection ended.
+        if (error)
+            self->state->isReusable = false;
+    });
+    this->read();
+}
+
+void HttpChannel::read()
+{
+    if (this->state->isReading || !this->state->socket.is_open())
+        return;
+    this->state->isReading = true;
+    this->state->socket.async_read_some(this->state->buffer.prepare(readBytes), [self = this->shared_from_this()](const boost::system::error_code& error, size_t count) {
+        self->state->isReading = false;
+        self->onRead(error, count);
+    });
+}
+
+void HttpChannel::onRead(const boost::system::error_code& error, size_t count)
+{
+    if (!this->state->socket.is_open())
+        return;
+    if (!this->state->isRunning) {
+        // Closed by the other side, or bytes that belong to no request.
+        this->close();
+        return;
+    }
+    if (error == asio::error::eof && this->state->hasHead && this->state->parser->need_eof()) {
+        boost::system::error_code failure;
+        this->state->parser->put_eof(failure);
+        this->state->isReusable = false;
+        this->deliver();
+        return;
+    }
+    if (error) {
+        this->end(ChannelEnd::Lost);
+        return;
+    }
+    this->state->buffer.commit(count);
+    this->parse();
+}
+
+void HttpChannel::parse()
+{
+    boost::system::error_code error;
+    while (this->state->buffer.size() > 0 && !this->state->parser->is_done()) {
+        size_t used = this->state->parser->put(this->state->buffer.data(), error);
+        this->state->buffer.consume(used);
+        if (error == http::error::need_more)
+            break;
+        if (error) {
+            this->end(ChannelEnd::Malformed);
+            return;
+        }
+    }
+    if (!this->state->hasHead && this->state->parser->is_header_done()) {
+        int status = this->state->parser->get().result_int();
+        if (status >= 100 && status < 200) {
+            this->prepareParser();
+            this->parse();
+            return;
+        }
+        this->noteHead();
+        if (!this->state->isRunning)
+            return;
+    }
+    this->deliver();
+}
+
+void HttpChannel::noteHead()
+{
+    this->state->hasHead = true;
+    const auto& message = this->state->parser->get();
+    this->state->isReusable = this->state->isReusable && message.keep_alive() && !this->state->parser->need_eof();
+    auto stated = message[http::field::keep_alive];
+    auto position = stated.find("timeout=");
+    int seconds = 0;
+    if (position != boost::beast::string_view::npos) {
+        auto digits = stated.substr(position + 8);
+        digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+        if (absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()), &seconds))
+            this->state->keepAlive = Seconds(seconds);
+    }
+    ResponseHead head { static_cast<int>(message.result_int()), readFields(message) };
+    auto handler = this->state->handlers.onHead;
+    this->state->isSkipping = handler(head) == HeadVerdict::Skip;
+}
+
+// Drops what was read of a response that is not wanted; at its end the next one is awaited.
+void HttpChannel::skip()
+{
+    this->state->isReusable = false;
+    this->state->parser->get().body().clear();
+    if (!this->state->parser->is_done()) {
+        this->read();
+        return;
+    }
+    this->state->isSkipping = false;
+    this->state->hasHead = false;
+    this->prepareParser();
+    this->parse();
+}
+
+// Hands over what has been read of the body, then the end.
+void HttpChannel::deliver()
+{
+    if (!this->state->isRunning || this->state->isPaused)
+        return;
+    if (this->state->isSkipping) {
+        this->skip();
+        return;
+    }
+    if (this->state->hasHead && !this->state->parser->get().body().empty()) {
+        std::string piece;
+        piece.swap(this->state->parser->get().body());
+        this->state->isPaused = true;
+        auto handler = this->state->handlers.onPiece;
+        handler(std::move(piece));
+        return;
+    }
+    if (this->state->hasHead && this->state->parser->is_done()) {
+        this->end(ChannelEnd::Whole);
+        return;
+    }
+    this->read();
+}
+
+void HttpChannel::readOn()
+{
+    if (!this->state->isRunning)
+        return;
+    this->state->isPaused = false;
+    this->deliver();
+}
+
+void HttpChannel::end(ChannelEnd how)
+{
+    if (!this->state->isRunning)
+        return;
+    this->state->isRunning = false;
+    this->state->idleSince = Clock::now();
+    auto onEnd = std::move(this->state->handlers.onEnd);
+    this->state->handlers = {};
+    // A request that is still being written, or bytes beyond the response, leave the connection in an unknown state.
+    bool isClean = how == ChannelEnd::Whole && !this->state->isWriting && this->state->buffer.size() == 0 && this->state->isReusable;
+    if (!isClean)
+        this->close();
+    else
+        this->read();
+    onEnd(how);
+}
+
+void HttpChannel::close()
+{
+    this->state->isRunning = false;
+    this->state->isReusable = false;
+    this->state->handlers = {};
+    stopTimer(this->state->timer);
+    boost::system::error_code ignored;
+    this->state->socket.close(ignored);
+}
+
+bool HttpChannel::canReuse() const
+{
+    return this->isOpen() && !this->state->isRunning && this->state->isReusable;
+}
+
+bool HttpChannel::isOpen() const
+{
+    return this->state->socket.is_open();
+}
+
+TimePoint HttpChannel::idleSince() const
+{
+    return this->state->idleSince;
+}
+
+Seconds HttpChannel::keepAliveTime() const
+{
+    return this->state->keepAlive;
+}
+
+bool HttpChannel::isFirstExchange() const
+{
+    return this->state->exchanges <= 1;
+}
+
+} // namespace bilberry
--- a/src/HttpMessage.cpp
+++ b/src/HttpMessage.cpp
@@ -1,6 +1,9 @@
 #include "HttpMessage.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <algorithm>
 #include <array>
 
@@ -48,6 +51,25 @@
     return kept;
 }
 
+static constexpr std::array<std::string_view, 9> connectionHeaders { "connection", "keep-alive", "proxy-connection", "transfer-encoding",
+    "content-length", "te", "trailer", "upgrade", "expect" };
+
+HttpHeaders forwardableHeaders(const HttpHeaders& headers)
+{
+    std::string named = absl::StrCat(",", absl::StrReplaceAll(absl::AsciiStrToLower(findHeader(headers, "Connection")), { { " ", "" }, { "\t", "" } }), ",");
+    auto isOfConnection = [&](const std::string& name) {
+        if (std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [&](std::string_view other) { return sameName(name, other); }))
+            return true;
+        return named.size() > 2 && absl::StrContains(named, absl::StrCat(",", absl::AsciiStrToLower(name), ","));
+    };
+    HttpHeaders kept;
+    for (const auto& header : headers) {
+        if (!isOfConnection(header.first))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
 HttpResponse jsonResponse(int status, std::string body)
 {
     HttpResponse response;
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -51,6 +51,10 @@
 /// project's own `X-Bilberry-` ones. Thread safe.
 HttpHeaders withoutHopHeaders(const HttpHeaders&);
 
+/// Headers that a forwarding process passes on: without those that concern one connection only, those that `Connection`
+/// names, and the length, which the connection states itself. Thread safe.
+HttpHeaders forwardableHeaders(const HttpHeaders&);
+
 /// A JSON response.
 HttpResponse jsonResponse(int status, std::string body);
 
--- /dev/null
+++ b/src/NodeMain.cpp
@@ -0,0 +1,92 @@
+/// bilberrynode: one process on the event loop, in one of its roles.
+
+#include "AgentNode.h"
+#include "EntryNode.h"
+#include "NodeSettings.h"
+#include "PlatformDialect.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitWrongSettings = 2;
+constexpr int exitCannotListen = 3;
+
+/// The two roles, as the process drives them.
+struct RoleCalls {
+    std::function<absl::Status()> start;
+    std::function<void(const NodeBounds&)> reload;
+    std::function<void()> beginStop;
+};
+
+void reload(const RoleCalls& role, EventLog& log)
+{
+    auto bounds = reloadBounds(flagFilePath());
+    if (!bounds.ok()) {
+        log.write(LogLevel::Error, "reload_refused", { { "fault", std::string(bounds.status().message()) } });
+        return;
+    }
+    role.reload(*bounds);
+    log.write(LogLevel::Info, "reloaded", {});
+}
+
+void awaitSignal(boost::asio::signal_set& signals, const RoleCalls& role, EventLog& log)
+{
+    signals.async_wait([&](const boost::system::error_code& error, int number) {
+        if (error)
+            return;
+        if (number == SIGHUP)
+            reload(role, log);
+        else
+            role.beginStop();
+        awaitSignal(signals, role, log);
+    });
+}
+
+int run(EventLoop& loop, const NodeSettings& settings, const RoleCalls& role, EventLog& log)
+{
+    auto status = role.start();
+    if (!status.ok()) {
+        log.write(LogLevel::Error, "cannot_listen", { { "fault", std::string(status.message()) } });
+        std::fprintf(stderr, "bilberrynode: can't listen: %s\n", std::string(status.message()).c_str());
+        return exitCannotListen;
+    }
+    boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    awaitSignal(signals, role, log);
+    log.write(LogLevel::Info, "started", { { "role", settings.role == NodeRole::Entry ? "entry" : "agent" }, { "version", BILBERRY_VERSION } });
+    loop.run();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        if (std::strcmp(argv[i], "--help") != 0)
+            continue;
+        std::printf("bilberrynode: one process of bilberrybarrow on the event loop\n\n--flagfile=PATH reads flags from a file; each is also read from the environment variable FLAGS_<name>.\n\n%s\nexit codes: 0 stopped, 2 wrong settings, 3 can't listen\n", describeNodeSettings().c_str());
+        return exitOk;
+    }
+    auto settings = readNodeSettings(argc, argv);
+    if (!settings.ok()) {
+        std::fprintf(stderr, "bilberrynode: wrong settings:\n%s\n", std::string(settings.status().message()).c_str());
+        return exitWrongSettings;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLoop loop(1);
+    EventLog log(settings->vm, settings->logLinesPerSecond);
+    if (settings->role == NodeRole::Entry) {
+        EntryNode node(loop, *settings, platformDialect(), log);
+        return run(loop, *settings, { [&] { return node.start(); }, [&](const NodeBounds& bounds) { node.reload(bounds); }, [&] { node.beginStop(); } }, log);
+    }
+    AgentNode node(loop, *settings, platformDialect(), log);
+    return run(loop, *settings, { [&] { return node.start(); }, [&](const NodeBounds& bounds) { node.reload(bounds); }, [&] { node.beginStop(); } }, log);
+}
--- /dev/null
+++ b/src/PieceSources.h
@@ -0,0 +1,48 @@
+/// From where a weights agent takes each piece. Answers a fleet that turns to new weights at once: each piece leaves the
+/// origin once, enters each other region once, and is passed on between neighbours. Pure decisions.
+#pragma once
+
+#include "Address.h"
+#include "EndpointChoice.h"
+#include "EndpointRecord.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+/// An agent beside an engine of the same service.
+struct AgentPeer {
+    std::string host; ///< IP number of its VM.
+    std::string region;
+    bool isHolder = false; ///< Whether its engine serves the wanted version, so that all pieces are there.
+};
+
+/// One place to ask.
+struct PieceSource {
+    bool isOrigin = false;
+    std::string host; ///< Of a peer.
+};
+
+struct PieceQuestion {
+    uint32_t piece = 0;
+    std::string ownHost;
+    std::string ownRegion;
+    std::string originRegion;
+};
+
+/// Agents of a service, from its list of endpoints, in the order of their hosts; all agents with the same list get the same.
+/// Thread safe.
+std::vector<AgentPeer> listAgents(const std::vector<EndpointRecord>&, const std::string& service, const std::string& model, uint32_t modelLayers, uint32_t version, const Place&);
+
+/// The agent that brings a piece into a region; empty when the region has none. Thread safe.
+std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>&);
+
+/// Places to ask for a piece, the best first; the origin is always the last. Thread safe.
+std::vector<PieceSource> pieceSources(const PieceQuestion&, const std::vector<AgentPeer>&);
+
+/// Whether the agent turns its engine to new weights in the first of the two waves of its data centre. Thread safe.
+bool isInFirstWave(const std::string& ownHost, const std::vector<std::string>& hostsOfDataCentre);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/RequestRun.cpp
@@ -0,0 +1,494 @@
+#include "RequestRun.h"
+
+#include "EntryNode.h"
+#include "ServerExchange.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bilberry {
+
+// Largest answer that is taken whole before it is passed on.
+static constexpr size_t maxWholeAnswerBytes = 16 << 20;
+// Answers to earlier requests that are passed over on one connection.
+static constexpr int maxSkippedAnswers = 2;
+// Times without any byte after which an attempt that may be repeated is given up, and the part of the target latency that
+// bounds them.
+static constexpr Milliseconds shortestSilence { 300 };
+static constexpr Milliseconds longestSilence { 1500 };
+static constexpr int silenceTargets = 4;
+// Longest idle time of a connection that a request which may not be repeated is sent on.
+static constexpr Milliseconds longestIdleForOnce { 1000 };
+static constexpr Milliseconds anyIdle { 3'600'000 };
+// Longest wait of a request for a second endpoint.
+static constexpr Milliseconds retryWait { 300 };
+// Priority of a request that an endpoint has begun to answer already.
+static constexpr int startedPriority = -1;
+// Time in which an endpoint that refused for its load or state gets nothing more.
+static constexpr Milliseconds refusalPause { 60 };
+// Part of the bound on version switches after which only engines with the new weights are used.
+static constexpr double versionSwitchShare = 0.8;
+
+RequestRun::RequestRun(EntryNode& node, uint64_t number, std::shared_ptr<ServerExchange> exchange)
+    : node(node)
+    , number(number)
+    , exchange(std::move(exchange))
+    , arrivedAt(this->exchange->receivedAt())
+{
+}
+
+RequestRun::~RequestRun() = default;
+
+Milliseconds RequestRun::timeLeft(TimePoint now) const
+{
+    return std::chrono::duration_cast<Milliseconds>(this->deadline - now);
+}
+
+void RequestRun::begin()
+{
+    auto now = Clock::now();
+    this->exchange->onCallerLeft([weak = this->weak_from_this()] {
+        if (auto self = weak.lock())
+            self->cancel();
+    });
+    if (!this->admit(now))
+        return;
+    countRequest(this->node.repeats[this->need.service], this->node.settings.bounds.repeats, now);
+    this->place(now);
+}
+
+// Chooses one of the route's services by weight, among those that have endpoints if any has.
+static std::string chooseService(const RouteRule& route, const EndpointTable& endpoints, double random)
+{
+    auto hasEndpoints = [&](const ServiceShare& share) {
+        return std::any_of(endpoints.rows.begin(), endpoints.rows.end(), [&](const EndpointRow& row) { return row.isListed && row.record.service == share.service; });
+    };
+    std::vector<const ServiceShare*> usable;
+    double total = 0;
+    for (const auto& share : route.services) {
+        if (share.weight <= 0 || (route.services.size() > 1 && !hasEndpoints(share)))
+            continue;
+        usable.push_back(&share);
+        total += share.weight;
+    }
+    if (usable.empty())
+        return route.services.front().service;
+    double point = random * total;
+    for (const auto* share : usable) {
+        point -= share->weight;
+        if (point < 0)
+            return share->service;
+    }
+    return usable.back()->service;
+}
+
+// Checks the request against the configuration. False when it was answered.
+bool RequestRun::admit(TimePoint now)
+{
+    const auto& request = this->exchange->request();
+    this->caller = this->node.dialect.requests.readCaller(request);
+    this->routes = this->node.belief.routes;
+    // 1. Without a configuration nothing is known of routes and keys.
+    if (!this->routes) {
+        this->refuse(503, "no_configuration", Milliseconds(1000));
+        return false;
+    }
+    if (this->caller.id.empty()) {
+        this->refuse(400, "no_request_id", Milliseconds(0));
+        return false;
+    }
+    // 2. Route and account.
+    this->route = findRoute(*this->routes, findHeader(request.headers, "Host"), request.path);
+    if (!this->route) {
+        this->refuse(404, "no_route", Milliseconds(0));
+        return false;
+    }
+    this->account = findAccount(*this->routes, this->caller.key);
+    bool needsAccount = !this->routes->accounts.empty() && !this->route->allowsAnonymous;
+    if (needsAccount && !this->account) {
+        this->refuse(401, "unknown_key", Milliseconds(0));
+        return false;
+    }
+    if (this->account && !knowsRevocations(this->node, BootClock::now())) {
+        this->refuse(503, "revocations_unknown", Milliseconds(1000));
+        return false;
+    }
+    // 3. Time.
+    auto budget = std::min(this->caller.timeBudget.value_or(this->route->timeout), this->route->timeout);
+    this->deadline = this->arrivedAt + budget;
+    // 4. What an endpoint must be.
+    this->priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    double random = std::uniform_real_distribution<double>(0, 1)(this->node.random);
+    this->need.service = chooseService(*this->route, this->node.belief.endpoints, random);
+    this->service = findService(*this->routes, this->need.service);
+    this->need.model = this->caller.model;
+    if (this->service) {
+        for (const auto& model : this->service->models)
+            this->need.modelLayers = model.name == this->need.model ? model.layers : this->need.modelLayers;
+        const auto& bounds = this->node.settings.bounds;
+        if (this->service->coldRate > 0)
+            this->need.coldRate = (this->service->coldRate * bounds.coldFactor + bounds.coldSlack) / entryCount(this->node);
+    }
+    this->need.routeRegions = &this->route->regions;
+    this->need.accountRegions = this->account ? &this->account->regions : nullptr;
+    this->stream.lastId = this->caller.lastEventId;
+    return true;
+}
+
+// From some time after newer weights were named on, only engines that have them may begin a request.
+static uint32_t requiredVersion(const EntryNode& node, const std::string& model, TimePoint now)
+{
+    auto bound = node.settings.bounds.versionSwitch;
+    auto found = node.belief.versions.find(model);
+    if (bound == Milliseconds(0) || found == node.belief.versions.end())
+        return 0;
+    auto allowed = Milliseconds(static_cast<int64_t>(versionSwitchShare * static_cast<double>(bound.count())));
+    return now - found->second.learnedAt >= allowed ? found->second.version : 0;
+}
+
+bool RequestRun::tryStart(TimePoint now)
+{
+    this->need.weightsVersion = requiredVersion(this->node, this->need.model, now);
+    auto choice = chooseEndpoint(this->node.belief.endpoints, this->need, this->node.settings.place, this->node.belief.dataCentresOut, now);
+    if (choice.row == noEndpoint)
+        return false;
+    this->isWaiting = false;
+    this->startAttempt(choice.row, now);
+    return true;
+}
+
+// Sends the request to a free endpoint, or lets it wait as long as it can still be on time, or refuses it.
+void RequestRun::place(TimePoint now)
+{
+    auto& queue = this->node.queues[this->need.service];
+    bool isFirst = this->tally.runs + this->tally.refusals == 0;
+    int rank = this->hasStarted ? startedPriority : this->priority;
+    // 1. Those that wait already go first.
+    if (countAhead(queue, rank) == 0 && this->tryStart(now))
+        return;
+    // 2. No longer than it can still be on time.
+    const EngineTimes* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
+    auto allowance = isFirst ? waitAllowance(*this->route, engine, this->caller.promptTokens, this->timeLeft(now)) : std::min(retryWait, this->timeLeft(now));
+    auto wait = expectedWait(queue, rank, now);
+    bool isHopeless = countAhead(queue, rank) > 0 && wait != Milliseconds::max() && wait > allowance;
+    if (allowance <= Milliseconds(0) || (isFirst && isHopeless)) {
+        this->refuse(503, "overloaded", retryAfter(wait, this->node.random()));
+        return;
+    }
+    enqueue(queue, { this->number, rank, this->arrivedAt, now + allowance });
+    this->isWaiting = true;
+}
+
+void RequestRun::endWait()
+{
+    this->isWaiting = false;
+    auto now = Clock::now();
+    bool isFirst = this->tally.runs + this->tally.refusals == 0;
+    if (isFirst) {
+        auto wait = expectedWait(this->node.queues[this->need.service], this->priority, now);
+        this->refuse(503, "no_free_place", retryAfter(wait, this->node.random()));
+        return;
+    }
+    this->conclude(giveUp({ this->lastResult, mayRepeat(*this->route), this->hasStarted, this->tally, this->route->maxAttempts, this->timeLeft(now) }));
+}
+
+HttpRequest RequestRun::endpointRequest(const EndpointRow& endpoint, TimePoint now)
+{
+    const auto& received = this->exchange->request();
+    AttemptFields fields;
+    fields.timeLeft = std::max(Milliseconds(1), this->timeLeft(now));
+    fields.endpointId = endpoint.record.id;
+    fields.account = this->account ? this->account->name : std::string();
+    fields.lastEventId = this->stream.lastId;
+    if (this->need.weightsVersion != 0)
+        fields.weightsVersion = this->need.weightsVersion;
+    HttpRequest request;
+    request.method = received.method;
+    request.path = received.path;
+    request.headers = this->node.dialect.requests.endpointHeaders(received.headers, fields);
+    request.body = received.body;
+    return request;
+}
+
+void RequestRun::startAttempt(uint32_t chosen, TimePoint now)
+{
+    auto& endpoint = this->node.belief.endpoints.rows[chosen];
+    ++endpoint.inFlight;
+    if (now < endpoint.coldUntil)
+        endpoint.coldSends.push_back(now);
+    while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
+        endpoint.coldSends.pop_front();
+    noteStart(this->node.queues[this->need.service], now);
+    this->row = chosen;
+    this->endpointId = endpoint.record.id;
+    this->attemptAt = now;
+    this->progressAt = now;
+    this->head = ResponseHead();
+    this->reply = EndpointReply();
+    this->body.clear();
+    this->skipped = 0;
+    this->channel = this->node.channels.take(endpoint.record.id, endpoint.record.address, mayRepeat(*this->route) ? anyIdle : longestIdleForOnce);
+    ResponseHandlers handlers;
+    auto weak = this->weak_from_this();
+    handlers.onHead = [weak](const ResponseHead& received) {
+        auto self = weak.lock();
+        return self ? self->onHead(received) : HeadVerdict::Take;
+    };
+    handlers.onPiece = [weak](const std::string& piece) {
+        if (auto self = weak.lock())
+            self->onPiece(piece);
+    };
+    handlers.onEnd = [weak](ChannelEnd end) {
+        if (auto self = weak.lock())
+            self->onEnd(end);
+    };
+    this->channel->send(this->endpointRequest(endpoint, now), std::move(handlers));
+}
+
+HeadVerdict RequestRun::onHead(const ResponseHead& received)
+{
+    auto now = Clock::now();
+    this->progressAt = now;
+    auto read = this->node.dialect.requests.readReply(received);
+    bool isForeign = !read.requestId.empty() && read.requestId != this->caller.id;
+    if (isForeign && ++this->skipped <= maxSkippedAnswers)
+        return HeadVerdict::Skip;
+    this->head = received;
+    this->reply = std::move(read);
+    if (this->reply.load)
+        noteLoad(this->node.belief.endpoints.rows[this->row], *this->reply.load, now);
+    return HeadVerdict::Take;
+}
+
+// Whether the head is that of a success for this request, by its endpoint.
+static bool isOwnSuccess(const ResponseHead& head, const EndpointReply& reply, const CallerRequest& caller)
+{
+    return head.status >= 200 && head.status < 300 && reply.isSealed && reply.requestId == caller.id;
+}
+
+void RequestRun::onPiece(const std::string& piece)
+{
+    this->progressAt = Clock::now();
+    bool isStream = this->route->kind == RequestKind::Stream && isOwnSuccess(this->head, this->reply, this->caller);
+    if (isStream) {
+        this->onStreamPiece(piece);
+        return;
+    }
+    this->body += piece;
+    if (this->body.size() > maxWholeAnswerBytes)
+        this->abandonAttempt(AttemptResult::Malformed);
+    else
+        this->channel->readOn();
+}
+
+void RequestRun::onStreamPiece(const std::string& piece)
+{
+    auto events = takeWholeEvents(this->stream, piece);
+    if (!events.empty())
+        this->passOn(events);
+    else if (this->stream.fault == StreamFault::None)
+        this->channel->readOn();
+    if (this->stream.fault != StreamFault::None && this->isInAttempt())
+        this->abandonAttempt(AttemptResult::Malformed);
+}
+
+// Passes events on; the next ones are read when the caller's connection has taken them.
+void RequestRun::passOn(const std::string& events)
+{
+    auto onSent = [weak = this->weak_from_this(), sender = std::weak_ptr<HttpChannel>(this->channel)] {
+        auto self = weak.lock();
+        auto from = sender.lock();
+        if (self && from && self->channel == from)
+            from->readOn();
+    };
+    if (this->hasStarted) {
+        this->exchange->send(events, onSent);
+        return;
+    }
+    this->hasStarted = true;
+    this->firstPartAfter = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
+    this->exchange->start(this->head.status, forwardableHeaders(this->head.headers), events, onSent);
+}
+
+AttemptResult RequestRun::resultOfAnswer() const
+{
+    if (this->reply.isNotExecuted)
+        return AttemptResult::NotExecuted;
+    if (this->head.status < 300)
+        return isOwnSuccess(this->head, this->reply, this->caller) ? AttemptResult::Answered : AttemptResult::Malformed;
+    bool hasFailed = this->head.status >= 500 || isPromise(this->head.status);
+    return hasFailed ? AttemptResult::ServerError : AttemptResult::Answered;
+}
+
+AttemptResult RequestRun::resultOf(ChannelEnd end) const
+{
+    switch (end) {
+    case ChannelEnd::NotSent:
+        return AttemptResult::NotSent;
+    case ChannelEnd::Malformed:
+        return AttemptResult::Malformed;
+    case ChannelEnd::Lost:
+        return AttemptResult::Lost;
+    case ChannelEnd::Whole:
+        break;
+    }
+    bool isCutEvent = !this->stream.pending.empty();
+    return isCutEvent ? AttemptResult::Lost : this->resultOfAnswer();
+}
+
+void RequestRun::onEnd(ChannelEnd end)
+{
+    auto result = this->resultOf(end);
+    this->releaseEndpoint(result, Clock::now());
+    this->afterAttempt(result);
+}
+
+// Gives the place and the connection back, and keeps what the attempt showed of the endpoint.
+void RequestRun::releaseEndpoint(AttemptResult result, TimePoint now)
+{
+    auto& endpoint = this->node.belief.endpoints.rows[this->row];
+    --endpoint.inFlight;
+    if (result == AttemptResult::Answered)
+        noteOutcome(endpoint, true, now);
+    else if (result == AttemptResult::NotExecuted)
+        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + refusalPause);
+    else if (result != AttemptResult::TimedOut)
+        noteOutcome(endpoint, false, now);
+    this->node.channels.give(this->endpointId, std::move(this->channel));
+    this->channel = nullptr;
+    this->row = noEndpoint;
+}
+
+void RequestRun::abandonAttempt(AttemptResult result)
+{
+    this->channel->close();
+    this->releaseEndpoint(result, Clock::now());
+    this->afterAttempt(result);
+}
+
+void RequestRun::afterAttempt(AttemptResult result)
+{
+    auto keepAlive = this->shared_from_this();
+    auto now = Clock::now();
+    this->lastResult = result;
+    countAttempt(this->tally, result);
+    this->need.tried.push_back(this->endpointId);
+    if (result != AttemptResult::Answered) {
+        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->caller.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->head.status }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptAt) } });
+    }
+    AttemptFacts facts { result, mayRepeat(*this->route), this->hasStarted, this->tally, this->route->maxAttempts, this->timeLeft(now) };
+    auto step = decideNext(facts);
+    if (step == NextStep::Deliver)
+        this->deliver();
+    else if (step == NextStep::TryAnother)
+        this->retry(now);
+    else
+        this->conclude(giveUp(facts));
+    startWaiting(this->node, this->need.service);
+}
+
+void RequestRun::retry(TimePoint now)
+{
+    bool mayGo = takeRepeat(this->node.repeats[this->need.service], this->node.settings.bounds.repeats, entryCount(this->node), now);
+    if (!mayGo) {
+        this->conclude(giveUp({ this->lastResult, mayRepeat(*this->route), this->hasStarted, this->tally, this->route->maxAttempts, this->timeLeft(now) }));
+        return;
+    }
+    dropBegunEvent(this->stream);
+    this->place(now);
+}
+
+void RequestRun::deliver()
+{
+    auto headers = forwardableHeaders(this->head.headers);
+    if (this->hasStarted) {
+        this->exchange->finish();
+    } else if (this->route->kind == RequestKind::Stream && isOwnSuccess(this->head, this->reply, this->caller)) {
+        this->exchange->start(this->head.status, headers, {}, nullptr);
+        this->exchange->finish();
+    } else {
+        this->firstPartAfter = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
+        this->exchange->answer(this->head.status, headers, std::move(this->body));
+    }
+    this->finish("answered", this->head.status, "");
+}
+
+void RequestRun::conclude(FinalAnswer answer)
+{
+    bool wouldPromise = answer == FinalAnswer::Deliver && isPromise(this->head.status);
+    if (answer == FinalAnswer::CutOff) {
+        this->exchange->abort();
+        this->finish("cut_off", 0, toText(this->lastResult).data());
+    } else if (answer == FinalAnswer::NotRun) {
+        auto wait = expectedWait(this->node.queues[this->need.service], this->priority, Clock::now());
+        this->refuse(503, "not_run", retryAfter(wait, this->node.random()));
+    } else if (answer == FinalAnswer::Deliver && !wouldPromise) {
+        this->deliver();
+    } else {
+        this->refuse(answer == FinalAnswer::TimedOut ? 504 : 502, toText(this->lastResult).data(), Milliseconds(0));
+    }
+}
+
+void RequestRun::refuse(int status, const char* reason, Milliseconds comeBackAfter)
+{
+    HttpHeaders headers;
+    if (!this->caller.id.empty())
+        headers.emplace_back("Content-Type", "text/plain");
+    if (comeBackAfter > Milliseconds(0))
+        headers.emplace_back("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(comeBackAfter).count()));
+    this->exchange->answer(status, headers, std::string(reason) + "\n");
+    this->finish("refused", status, reason);
+}
+
+// The caller has left: its place goes to others, and the endpoint need not go on.
+void RequestRun::cancel()
+{
+    if (this->isEnded)
+        return;
+    auto keepAlive = this->shared_from_this();
+    if (this->isInAttempt()) {
+        this->channel->close();
+        this->releaseEndpoint(AttemptResult::TimedOut, Clock::now());
+    }
+    if (this->isWaiting)
+        dequeue(this->node.queues[this->need.service], this->number);
+    this->finish("caller_left", 0, "");
+    startWaiting(this->node, this->need.service);
+}
+
+void RequestRun::tick(TimePoint now)
+{
+    if (this->isEnded || !this->route)
+        return;
+    if (now >= this->deadline) {
+        auto keepAlive = this->shared_from_this();
+        if (this->isInAttempt()) {
+            this->abandonAttempt(AttemptResult::TimedOut);
+            return;
+        }
+        if (this->isWaiting && dequeue(this->node.queues[this->need.service], this->number))
+            this->endWait();
+        return;
+    }
+    if (!this->isInAttempt() || !mayRepeat(*this->route))
+        return;
+    auto silence = std::clamp(this->route->targetLatency * silenceTargets, shortestSilence, longestSilence);
+    if (now - this->progressAt >= silence)
+        this->abandonAttempt(AttemptResult::Lost);
+}
+
+void RequestRun::finish(const char* outcome, int status, const char* reason)
+{
+    if (this->isEnded)
+        return;
+    this->isEnded = true;
+    auto total = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
+    this->node.log.write(LogLevel::Info, "request",
+        { { "request", this->caller.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
+            { "endpoint", this->endpointId }, { "runs", this->tally.runs }, { "refusals", this->tally.refusals }, { "first_ms", this->firstPartAfter }, { "total_ms", total },
+            { "generation", this->routes ? this->routes->generation : 0 } });
+    this->node.metrics.count("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
+    this->node.runs.erase(this->number);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/ServerConnection.cpp
@@ -0,0 +1,320 @@
+#include "ServerConnection.h"
+
+#include "HttpWire.h"
+#include "ServerExchange.h"
+
+#include <absl/strings/match.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <cassert>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace bilberry {
+
+// Bytes asked for by one read, and bytes of further requests that are read ahead while one is answered.
+static constexpr size_t readBytes = 8 << 10;
+static constexpr size_t readAheadBytes = 16 << 10;
+// Time that a caller has to take in a refusal of a request that was not read to its end.
+static constexpr Milliseconds lingerTime { 500 };
+
+ServerConnection::ServerConnection(std::shared_ptr<LoopServer::State> server, asio::ip::tcp::socket socket)
+    : server(std::move(server))
+    , socket(std::move(socket))
+    , timer(this->server->loop)
+{
+    this->server->connections.insert(this);
+}
+
+ServerConnection::~ServerConnection()
+{
+    this->server->connections.erase(this);
+}
+
+void ServerConnection::start()
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->startRequest();
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (this->phase == Phase::Idle)
+        this->close(false);
+}
+
+void ServerConnection::close(bool isReset)
+{
+    if (!this->socket.is_open())
+        return;
+    boost::system::error_code ignored;
+    if (isReset)
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    stopTimer(this->timer);
+    this->socket.close(ignored);
+    this->onLeft = nullptr;
+    this->outgoing.clear();
+}
+
+// The caller has closed the connection, or it broke.
+void ServerConnection::onBroken()
+{
+    bool isRunning = this->phase == Phase::Answering;
+    auto handler = std::move(this->onLeft);
+    this->close(isRunning);
+    if (isRunning && handler)
+        handler();
+}
+
+void ServerConnection::armTimer(Milliseconds time)
+{
+    this->timer.expires_after(time);
+    this->timer.async_wait([self = this->shared_from_this()](const boost::system::error_code& error) {
+        if (!hasFired(self->timer, error))
+            return;
+        bool isUnread = self->phase == Phase::Header || self->phase == Phase::Body;
+        if (isUnread)
+            self->refuse(408);
+        else
+            self->close(self->phase == Phase::Answering);
+    });
+}
+
+// Makes ready for the next request, whose first bytes may have been read already.
+void ServerConnection::startRequest()
+{
+    this->phase = Phase::Idle;
+    this->onLeft = nullptr;
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->header_limit(static_cast<uint32_t>(this->server->limits.headerBytes));
+    this->parser->body_limit(this->server->limits.bodyBytes);
+    if (this->buffer.size() > 0) {
+        this->parse();
+        return;
+    }
+    this->armTimer(this->server->limits.idleTimeout);
+    this->read();
+}
+
+void ServerConnection::read()
+{
+    if (this->isReading || !this->socket.is_open())
+        return;
+    this->isReading = true;
+    this->socket.async_read_some(this->buffer.prepare(readBytes), [self = this->shared_from_this()](const boost::system::error_code& error, size_t count) {
+        self->isReading = false;
+        self->onRead(error, count);
+    });
+}
+
+void ServerConnection::onRead(const boost::system::error_code& error, size_t count)
+{
+    if (error) {
+        if (this->socket.is_open())
+            this->onBroken();
+        return;
+    }
+    this->buffer.commit(count);
+    if (this->phase == Phase::Refused) {
+        this->buffer.consume(this->buffer.size());
+        this->read();
+    } else if (this->phase != Phase::Answering) {
+        this->parse();
+    } else if (this->buffer.size() < readAheadBytes) {
+        this->read();
+    }
+}
+
+void ServerConnection::parse()
+{
+    if (this->phase == Phase::Idle) {
+        this->phase = Phase::Header;
+        this->armTimer(this->server->limits.headerTimeout);
+    }
+    boost::system::error_code error;
+    while (this->buffer.size() > 0 && !this->parser->is_done()) {
+        size_t used = this->parser->put(this->buffer.data(), error);
+        this->buffer.consume(used);
+        if (error == http::error::need_more)
+            break;
+        if (error) {
+            this->refuse(isHeaderTooLarge(error) ? 431 : isBodyTooLarge(error) ? 413
+                                                                               : 400);
+            return;
+        }
+    }
+    if (this->phase == Phase::Header && this->parser->is_header_done()) {
+        this->onHeader();
+        if (this->phase == Phase::Refused)
+            return;
+    }
+    if (this->parser->is_done())
+        this->dispatch();
+    else
+        this->read();
+}
+
+// The only transfer coding understood is chunked; any other would leave the end of the body open to interpretation.
+static bool hasUnknownCoding(const http::request<http::string_body>& request)
+{
+    auto range = request.equal_range(http::field::transfer_encoding);
+    for (auto position = range.first; position != range.second; ++position) {
+        auto value = position->value();
+        if (!absl::EqualsIgnoreCase(absl::string_view(value.data(), value.size()), "chunked"))
+            return true;
+    }
+    return std::distance(range.first, range.second) > 1;
+}
+
+void ServerConnection::onHeader()
+{
+    this->phase = Phase::Body;
+    const auto& request = this->parser->get();
+    bool isAmbiguous = hasUnknownCoding(request) || request.count(http::field::host) != 1;
+    if (isAmbiguous) {
+        this->refuse(400);
+        return;
+    }
+    this->keepsAlive = request.keep_alive();
+    this->version = request.version();
+    this->isHeadRequest = request.method() == http::verb::head;
+    if (this->parser->is_done())
+        return;
+    this->armTimer(this->server->limits.bodyTimeout);
+    auto expected = request[http::field::expect];
+    if (absl::EqualsIgnoreCase(absl::string_view(expected.data(), expected.size()), "100-continue")) {
+        http::response<http::empty_body> goOn(http::status::continue_, 11);
+        this->write(responseHeadText(goOn), nullptr);
+    }
+}
+
+void ServerConnection::dispatch()
+{
+    stopTimer(this->timer);
+    this->phase = Phase::Answering;
+    auto message = this->parser->release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.path = std::string(message.target());
+    request.headers = readFields(message);
+    request.body = std::move(message.body());
+    // Goes on reading, so that a caller who leaves is noticed.
+    this->read();
+    auto exchange = std::make_shared<ServerExchange>(this->shared_from_this(), std::move(request), Clock::now());
+    this->server->handler(exchange);
+}
+
+// Answers a request that was not read to its end. What still comes is read and dropped for a while: closing with unread
+// bytes would reset the connection before the caller has seen the answer.
+void ServerConnection::refuse(int status)
+{
+    this->keepsAlive = false;
+    this->isHeadRequest = false;
+    this->phase = Phase::Refused;
+    this->armTimer(lingerTime);
+    this->write(this->headText(status, {}, 0), [self = this->shared_from_this()] {
+        boost::system::error_code ignored;
+        self->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        self->read();
+    });
+}
+
+std::string ServerConnection::headText(int status, const HttpHeaders& headers, std::optional<size_t> bodySize)
+{
+    http::response<http::empty_body> head;
+    head.version(11);
+    head.result(static_cast<unsigned>(status));
+    writeFields(headers, head);
+    if (this->server->isClosing)
+        this->keepsAlive = false;
+    this->isChunked = !bodySize && this->version >= 11;
+    if (bodySize)
+        head.set(http::field::content_length, std::to_string(*bodySize));
+    else if (this->isChunked)
+        head.set(http::field::transfer_encoding, "chunked");
+    else
+        this->keepsAlive = false;
+    if (!this->keepsAlive)
+        head.set(http::field::connection, "close");
+    return responseHeadText(head);
+}
+
+void ServerConnection::writeWhole(int status, const HttpHeaders& headers, std::string body)
+{
+    auto bytes = this->headText(status, headers, body.size());
+    if (!this->isHeadRequest)
+        bytes += body;
+    // A caller who takes nothing in must not keep the connection for ever.
+    this->armTimer(this->server->limits.idleTimeout);
+    this->write(std::move(bytes), [self = this->shared_from_this()] { self->finishRequest(); });
+}
+
+void ServerConnection::writeHead(int status, const HttpHeaders& headers, std::string firstPart, std::function<void()> onSent)
+{
+    auto bytes = this->headText(status, headers, std::nullopt);
+    if (!firstPart.empty())
+        bytes += this->isChunked ? chunkText(firstPart) : firstPart;
+    this->write(std::move(bytes), std::move(onSent));
+}
+
+void ServerConnection::writePart(std::string part, std::function<void()> onSent)
+{
+    assert(!part.empty());
+    this->write(this->isChunked ? chunkText(part) : std::move(part), std::move(onSent));
+}
+
+void ServerConnection::writeLast()
+{
+    if (!this->isChunked) {
+        this->finishRequest();
+        return;
+    }
+    this->write(lastChunkText(), [self = this->shared_from_this()] { self->finishRequest(); });
+}
+
+void ServerConnection::finishRequest()
+{
+    this->onLeft = nullptr;
+    if (!this->keepsAlive) {
+        this->phase = Phase::Refused;
+        this->armTimer(lingerTime);
+        boost::system::error_code ignored;
+        this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        this->read();
+        return;
+    }
+    this->startRequest();
+}
+
+void ServerConnection::write(std::string bytes, std::function<void()> onSent)
+{
+    if (!this->socket.is_open())
+        return;
+    this->outgoing.push_back({ std::move(bytes), std::move(onSent) });
+    if (this->outgoing.size() == 1)
+        this->writeNext();
+}
+
+void ServerConnection::writeNext()
+{
+    auto self = this->shared_from_this();
+    asio::async_write(this->socket, asio::buffer(this->outgoing.front().bytes), [self](const boost::system::error_code& error, size_t) {
+        if (!self->socket.is_open())
+            return;
+        if (error) {
+            self->onBroken();
+            return;
+        }
+        auto onSent = std::move(self->outgoing.front().onSent);
+        self->outgoing.pop_front();
+        if (!self->outgoing.empty())
+            self->writeNext();
+        if (onSent)
+            onSent();
+    });
+}
+
+} // namespace bilberry
