Pace uploads, turn engines in waves, and tell peers of requests in flight

Cause: entries saw each other's load only by late statements of endpoints, so queues grew at the engines; agents without a list of endpoints all went to the origin; unpaced uploads filled the links that carry the streams. Ruled out: too small an allowance at the entry (no request was refused).

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Digest.h"
 #include "ServerExchange.h"
+#include "VersionSwitch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -24,19 +25,21 @@
 static constexpr Milliseconds storeTimeout { 1500 };
 static constexpr Milliseconds engineTimeout { 2000 };
 static constexpr Milliseconds manifestTimeout { 1500 };
-static constexpr Milliseconds pieceTimeout { 2500 };
+static constexpr Milliseconds pieceTimeout { 3000 };
 // Pieces that are fetched at a time.
-static constexpr size_t parallelFetches = 6;
+static constexpr size_t parallelFetches = 16;
+// Of those, at the origin, whose connections all agents share.
+static constexpr size_t parallelOriginFetches = 2;
 // How long a peer's request waits for a piece that is on its way here.
-static constexpr Milliseconds holdTime { 1000 };
+static constexpr Milliseconds holdTime { 2200 };
 // Pause before a piece is asked for again after all its sources failed.
 static constexpr Milliseconds roundPause { 200 };
 // Pause before an order is given again.
 static constexpr Milliseconds orderPause { 1500 };
-// Part of the bound on version switches after which the second wave doesn't wait for the first one any more.
-static constexpr double secondWaveShare = 0.5;
 // The version that engines have from the start.
 static constexpr uint32_t firstVersion = 1;
+// Share of the VM's link that uploads may take.
+static constexpr double uploadShare = 0.8;
 static constexpr std::string_view piecePrefix = "/pieces/";
 static constexpr std::string_view manifestPrefix = "/manifests/";
 
@@ -50,6 +53,13 @@
     TimePoint startedAt {};
 };
 
+/// A piece that is to be sent to a peer.
+struct AgentNode::Upload {
+    std::shared_ptr<ServerExchange> exchange;
+    uint32_t piece = 0;
+    bool isVerified = true; ///< Whether it is checked before it is sent.
+};
+
 /// A peer that waits.
 struct AgentNode::HeldRequest {
     std::shared_ptr<ServerExchange> exchange;
@@ -63,6 +73,7 @@
     , dialect(dialect)
     , log(log)
     , timer(loop)
+    , uploadTimer(loop)
     , peers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
     , watch(loop, dialect.store, { settings.store, std::string(dialect.store.versionPrefix), storeWait, Milliseconds(700), Milliseconds(40) },
           { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items); },
@@ -149,7 +160,7 @@
     });
 }
 
-// Reads the list of endpoints of all pages; a list that is seconds old will do.
+// Reads all pages of the list of endpoints.
 void AgentNode::readEndpoints()
 {
     if (this->storeCaller.isBusy())
@@ -160,7 +171,7 @@
     std::weak_ptr<std::function<void(const std::string&)>> weakNext = next;
     *next = [this, gathered, weakNext](const std::string& after) {
         auto self = weakNext.lock();
-        this->storeCaller.get(this->dialect.store.listPath(this->dialect.store.endpointPrefix, after, true), storeTimeout, [this, gathered, self](const CallResult& result) {
+        this->storeCaller.get(this->dialect.store.listPath(this->dialect.store.endpointPrefix, after, false), storeTimeout, [this, gathered, self](const CallResult& result) {
             auto page = result.status == 200 ? this->dialect.store.readPage(result.body) : absl::StatusOr<StorePage>(absl::UnavailableError(result.describe()));
             if (!page.ok())
                 return;
@@ -169,10 +180,12 @@
                 if (record.ok())
                     gathered->push_back(*std::move(record));
             }
-            if (page->hasMore && !page->items.empty())
+            if (page->hasMore && !page->items.empty()) {
                 (*self)(page->items.back().key);
-            else
-                this->endpoints = std::move(*gathered);
+                return;
+            }
+            this->endpoints = std::move(*gathered);
+            this->hasEndpoints = true;
         });
     };
     (*next)({});
@@ -241,6 +254,15 @@
     return std::max(wanted, this->report->layersVersion);
 }
 
+// Time that a piece takes on the link at the pace of uploads.
+static Duration uploadTime(size_t bytes, double linkMegabits)
+{
+    if (linkMegabits <= 0)
+        return Duration(0);
+    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabits * uploadShare);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 static bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
 {
     return report.layers >= model.layers && report.layersVersion == version && version != 0;
@@ -251,9 +273,12 @@
 {
     if (serves(*this->report, this->model, version) || this->manifest.version == version)
         return;
-    if (now - this->endpointsAt >= listInterval)
+    // The list must be of after the naming, so that all agents divide the pieces in the same way.
+    bool isListOld = !this->hasEndpoints || this->endpointsAt <= this->namedAt;
+    if (isListOld || now - this->endpointsAt >= listInterval)
         this->readEndpoints();
-    this->fetchManifest();
+    if (!isListOld)
+        this->fetchManifest();
 }
 
 void AgentNode::fetchManifest()
@@ -262,12 +287,10 @@
         return;
     // 1. The origin and one peer in turn: either may be away.
     Address address;
+    if (const auto* origin = this->originService())
+        address = *origin->origin;
     std::string path;
     uint32_t version = this->wantedVersion();
-    for (const auto& service : this->configuration->services) {
-        if (service.origin)
-            address = *service.origin;
-    }
     auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, version, this->settings.place);
     bool asksPeer = this->manifestRound % 2 == 1 && !agents.empty();
     path = this->dialect.engine.manifestPath(this->model.name, version);
@@ -338,6 +361,11 @@
     auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
     // Pieces that this agent brings into its region come first: the others wait for them.
     auto isOwn = [&](uint32_t piece) { return importerOf(piece, this->settings.place.regionOf[this->settings.place.dataCentre], agents) == this->settings.ip; };
+    auto isOriginBusy = [&] {
+        auto isAtOrigin = [](const auto& fetch) { return fetch->isRunning && fetch->isFromOrigin; };
+        return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), isAtOrigin)) >= parallelOriginFetches;
+    };
+    auto asksOrigin = [&](uint32_t piece) { return this->sourceOf(piece, agents).isOrigin; };
     auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ip) % count);
     for (bool wantsOwn : { true, false }) {
         for (uint32_t i = 0; i < count; ++i) {
@@ -345,30 +373,41 @@
             bool isWanted = !this->isStaged[piece] && !this->isInHand[piece] && now >= this->notBefore[piece] && isOwn(piece) == wantsOwn;
             if (!isWanted)
                 continue;
+            if (isOriginBusy() && asksOrigin(piece))
+                continue;
             auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
             if (free == this->fetches.end())
                 return;
-            this->startFetch(**free, piece, now);
+            this->startFetch(**free, piece, this->sourceOf(piece, agents), now);
         }
     }
 }
 
-void AgentNode::startFetch(Fetch& fetch, uint32_t piece, TimePoint now)
+const ServiceRule* AgentNode::originService() const
 {
-    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
-    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
-    std::optional<Address> origin;
     for (const auto& service : this->configuration->services) {
-        if (!service.origin)
-            continue;
-        origin = service.origin;
-        question.originRegion = this->settings.place.regionOf[service.originDataCentre];
+        if (service.origin)
+            return &service;
     }
+    return nullptr;
+}
+
+// The place to ask for a piece now; each failure goes on to the next one.
+PieceSource AgentNode::sourceOf(uint32_t piece, const std::vector<AgentPeer>& agents)
+{
+    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
+    if (const auto* origin = this->originService())
+        question.originRegion = this->settings.place.regionOf[origin->originDataCentre];
     auto sources = pieceSources(question, agents);
-    const auto& source = sources[this->rounds[piece] % sources.size()];
+    return sources[this->rounds[piece] % sources.size()];
+}
+
+void AgentNode::startFetch(Fetch& fetch, uint32_t piece, const PieceSource& source, TimePoint now)
+{
+    const auto* origin = this->originService();
     if (source.isOrigin && !origin)
         return;
-    Address address = source.isOrigin ? *origin : Address { source.host, this->settings.peerPort };
+    Address address = source.isOrigin ? *origin->origin : Address { source.host, this->settings.peerPort };
     auto path = source.isOrigin ? this->dialect.engine.piecePath(this->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", piecePrefix, this->manifest.version, piece);
     if (!fetch.caller)
         fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
@@ -423,27 +462,14 @@
     });
 }
 
-// Whether this engine may turn to new weights now. The first wave of a data centre leaves the others serving; one that serves
-// nothing doesn't wait.
+// Whether this engine may turn to new weights now. One that serves nothing doesn't wait.
 bool AgentNode::isMyTurn(TimePoint now) const
 {
     bool servesNothing = this->report->layers < this->model.layers;
-    std::vector<std::string> hosts;
-    bool isFirstWaveDone = true;
-    for (const auto& record : this->endpoints) {
-        if (record.service == this->settings.service && record.dataCentre == this->settings.place.dataCentre)
-            hosts.push_back(record.address.host);
-    }
-    if (servesNothing || isInFirstWave(this->settings.ip, hosts))
+    if (servesNothing)
         return true;
-    for (const auto& record : this->endpoints) {
-        bool isNeighbour = record.service == this->settings.service && record.dataCentre == this->settings.place.dataCentre;
-        if (isNeighbour && isInFirstWave(record.address.host, hosts) && servedVersion(record, this->model.name, this->model.layers) != this->manifest.version)
-            isFirstWaveDone = false;
-    }
-    auto bound = this->settings.bounds.versionSwitch;
-    auto latest = Milliseconds(static_cast<int64_t>(secondWaveShare * static_cast<double>(bound.count())));
-    return isFirstWaveDone || (bound > Milliseconds(0) && now - this->namedAt >= latest);
+    auto hosts = hostsOf(this->endpoints, this->settings.service, this->settings.place.dataCentre);
+    return now - this->namedAt >= switchTime(this->settings.ip, hosts, this->settings.bounds.versionSwitch);
 }
 
 void AgentNode::orderWhenReady(TimePoint now)
@@ -454,11 +480,8 @@
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->orderedAt < orderPause;
     if (isOrdered)
         return;
-    if (!this->isMyTurn(now)) {
-        if (now - this->endpointsAt >= listInterval)
-            this->readEndpoints();
+    if (!this->isMyTurn(now))
         return;
-    }
     // Reads all pieces back right before the order: what is staged may have turned bad.
     this->isVerifying = true;
     auto left = std::make_shared<size_t>(this->manifest.digests.size());
@@ -498,8 +521,11 @@
     bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
     bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
     bool isHere = this->manifest.version == version && version != 0;
+    bool isServed = this->report && serves(*this->report, this->model, version);
     if (asksPiece && isHere && piece < this->manifest.digests.size()) {
-        this->answerPiece(exchange, version, piece);
+        this->answerPiece(exchange, piece);
+    } else if (asksPiece && isServed) {
+        this->upload({ exchange, piece, false });
     } else if (asksManifest && isHere) {
         nlohmann::json body { { "model", this->manifest.model }, { "version", version }, { "chunk-bytes", this->manifest.pieceBytes }, { "digests", this->manifest.digests } };
         exchange->answer(200, { { "Content-Type", "application/json" } }, body.dump());
@@ -508,14 +534,52 @@
     }
 }
 
-void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t, uint32_t piece)
+void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
 {
     if (this->isStaged[piece])
-        this->sendStaged(exchange, piece);
+        this->upload({ exchange, piece, true });
     else
         this->held.push_back({ exchange, piece, Clock::now() + holdTime });
 }
 
+// Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine.
+void AgentNode::upload(Upload request)
+{
+    this->uploads.push_back(std::move(request));
+    if (this->uploads.size() == 1)
+        this->sendNextUpload();
+}
+
+void AgentNode::sendNextUpload()
+{
+    auto now = Clock::now();
+    if (now < this->nextUploadAt) {
+        this->uploadTimer.expires_at(this->nextUploadAt);
+        this->uploadTimer.async_wait([this](const boost::system::error_code& error) {
+            if (hasFired(this->uploadTimer, error))
+                this->sendNextUpload();
+        });
+        return;
+    }
+    auto next = std::move(this->uploads.front());
+    this->uploads.pop_front();
+    this->nextUploadAt = now + uploadTime(this->model.chunkBytes, this->settings.linkMegabits);
+    if (next.isVerified)
+        this->sendStaged(next.exchange, next.piece);
+    else
+        this->sendUnverified(next.exchange, next.piece);
+    if (!this->uploads.empty())
+        this->sendNextUpload();
+}
+
+// Sends a piece of the version that the engine serves, whose digests aren't known here; the peer checks it.
+void AgentNode::sendUnverified(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+{
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [exchange](const CallResult& result) {
+        exchange->answer(result.status == 200 ? 200 : 404, {}, result.status == 200 ? result.body : std::string());
+    });
+}
+
 // Sends a piece as it lies on the stage, unless it has turned bad there.
 void AgentNode::sendStaged(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
 {
@@ -536,7 +600,7 @@
     this->held.clear();
     for (auto& request : waiting) {
         if (request.piece == piece)
-            this->sendStaged(request.exchange, piece);
+            this->upload({ request.exchange, piece, true });
         else
             kept.push_back(std::move(request));
     }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -11,6 +11,7 @@
 #include "PieceSources.h"
 #include "StoreWatch.h"
 
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -34,6 +35,7 @@
 private:
     struct Fetch;
     struct HeldRequest;
+    struct Upload;
 
     void armTick();
     void tick();
@@ -47,7 +49,9 @@
     void fetchManifest();
     void takeManifest(const CallResult&);
     void startFetches(TimePoint now);
-    void startFetch(Fetch&, uint32_t piece, TimePoint now);
+    const ServiceRule* originService() const;
+    PieceSource sourceOf(uint32_t piece, const std::vector<AgentPeer>&);
+    void startFetch(Fetch&, uint32_t piece, const PieceSource&, TimePoint now);
     void endFetch(Fetch&, const CallResult&);
     void stage(uint32_t piece, std::string bytes);
     void checkStaged(uint32_t piece);
@@ -55,8 +59,11 @@
     bool isMyTurn(TimePoint now) const;
     void order();
     void answerPeer(const std::shared_ptr<ServerExchange>&);
-    void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t version, uint32_t piece);
+    void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t piece);
+    void sendUnverified(const std::shared_ptr<ServerExchange>&, uint32_t piece);
     void sendStaged(const std::shared_ptr<ServerExchange>&, uint32_t piece);
+    void upload(Upload);
+    void sendNextUpload();
     void answerHeld(uint32_t piece);
     void dropOldHeld(TimePoint now);
     HttpCaller& localCaller();
@@ -67,6 +74,7 @@
     EventLog& log;
     Metrics metrics;
     LoopTimer timer;
+    LoopTimer uploadTimer;
     LoopServer peers;
     StoreWatch watch;
     HttpCaller storeCaller;
@@ -74,13 +82,16 @@
     HttpCaller manifestCaller;
     std::vector<std::unique_ptr<HttpCaller>> localCallers; ///< To the engine, as many as are used at a time.
     std::vector<std::unique_ptr<Fetch>> fetches;
+    std::deque<Upload> uploads; ///< To peers, in the order in which they leave.
+    TimePoint nextUploadAt {};
     std::vector<HeldRequest> held; ///< Peers that wait for a piece which is on its way.
 
     // What is believed.
     std::shared_ptr<const RouteTable> configuration;
     ServedModel model;
     std::vector<EndpointRecord> endpoints;
-    TimePoint endpointsAt {};
+    bool hasEndpoints = false; ///< Whether a whole list was read.
+    TimePoint endpointsAt {}; ///< When that was asked for last.
     TimePoint configurationAskedAt {};
     uint32_t namedVersion = 0;
     TimePoint namedAt {};
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -55,6 +55,8 @@
         return false;
     if (!record.reportsModels)
         return true;
+    if (now >= row.switchesAt)
+        return false;
     uint32_t version = servedVersion(record, need.model, need.modelLayers);
     return version != 0 && (need.weightsVersion == 0 || version == need.weightsVersion);
 }
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -79,13 +79,14 @@
 
 double loadOf(const EndpointRow& row, TimePoint now)
 {
+    double known = row.inFlight + row.peersInFlight;
     auto age = now - row.statedAt;
-    if (age >= oldStatementAge)
-        return row.inFlight;
+    if (row.arePeersHeard || age >= oldStatementAge)
+        return known;
     double share = 1;
     if (age > freshStatementAge)
         share = std::chrono::duration<double>(oldStatementAge - age) / (oldStatementAge - freshStatementAge);
-    return row.inFlight + share * row.othersInFlight;
+    return std::max(known, row.inFlight + share * row.othersInFlight);
 }
 
 } // namespace bilberry
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -19,10 +19,13 @@
     TimePoint listedUntil = TimePoint::max(); ///< For one whose entry has lapsed, perhaps only for a while.
     TimePoint coldUntil {};
     uint32_t inFlight = 0; ///< Own requests that it has.
-    uint32_t othersInFlight = 0; ///< Those of other entries, by its newest statement.
+    uint32_t peersInFlight = 0; ///< Those of the other entries, by what they say.
+    bool arePeersHeard = false; ///< Whether all of them have said so lately.
+    uint32_t othersInFlight = 0; ///< Those of other entries, by the endpoint's newest statement.
     TimePoint statedAt {}; ///< When that statement came.
     int failuresInRow = 0; ///< Attempts that it failed since the last good answer.
     TimePoint avoidUntil {};
+    TimePoint switchesAt = TimePoint::max(); ///< When its engine leaves for newer weights.
     std::deque<TimePoint> coldSends; ///< Requests of the last second while it is cold, oldest first.
 };
 
@@ -45,7 +48,8 @@
 void noteOutcome(EndpointRow&, bool isGood, TimePoint now);
 /// Takes in a statement of load.
 void noteLoad(EndpointRow&, const LoadStatement&, TimePoint now);
-/// Requests that the endpoint is thought to have, from all entries. Statements of others fade with their age. Thread safe.
+/// Requests that the endpoint is thought to have, from all entries: by what these say, and by the endpoint's own statements
+/// where some of them are not heard. Statements fade with their age. Thread safe.
 double loadOf(const EndpointRow&, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "RequestRun.h"
 #include "ServerExchange.h"
+#include "VersionSwitch.h"
 
 #include <algorithm>
 
@@ -23,6 +24,16 @@
 static constexpr Milliseconds balancerLag { 4000 };
 static constexpr double graceShare = 0.93;
 
+static PeerExchangeSettings peerSettings(const NodeSettings& settings)
+{
+    PeerExchangeSettings peers;
+    peers.ip = settings.ip;
+    peers.port = settings.peerPort;
+    for (const auto& seed : settings.seeds)
+        peers.seeds.push_back(seed.host);
+    return peers;
+}
+
 EntryNode::EntryNode(EventLoop& loop, const NodeSettings& settings, const Dialect& dialect, EventLog& log)
     : loop(loop)
     , settings(settings)
@@ -30,6 +41,8 @@
     , log(log)
     , channels(loop, endpointTimes)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
+    , peers(
+          loop, peerSettings(settings), [this](PeerMessage& message) { this->describeTo(message); }, [](uint64_t) {})
     , callers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRun++;
         auto run = std::make_shared<RequestRun>(*this, number, exchange);
@@ -58,6 +71,10 @@
         status = this->scrapers.listen(*this->settings.metricsListen);
     if (!status.ok())
         return status;
+    if (this->settings.peerPort != 0)
+        status = this->peers.start();
+    if (!status.ok())
+        return status;
     this->watch.start();
     this->armTick();
     return absl::OkStatus();
@@ -105,6 +122,7 @@
     for (const auto& item : items)
         this->apply(item, now);
     applyAbsences(this->belief, this->dialect.store, items, now);
+    this->planSwitches();
     this->log.write(LogLevel::Info, "store_listed", { { "items", static_cast<uint64_t>(items.size()) } });
 }
 
@@ -114,6 +132,8 @@
     this->confirm(sentAt);
     for (const auto& change : changes)
         this->apply(change, now);
+    if (!changes.empty())
+        this->planSwitches();
 }
 
 void EntryNode::takeFailure(const std::string& reason, int failures)
@@ -147,9 +167,53 @@
     return !node.settings.bounds.failsClosed || ageOf(node.belief, now) < Milliseconds(bound);
 }
 
-uint32_t entryCount(const EntryNode&)
+uint32_t entryCount(const EntryNode& node)
 {
-    return assumedEntries;
+    return std::max(assumedEntries, countEntries(node.peers.table(), Clock::now()));
+}
+
+void EntryNode::describeTo(PeerMessage& message)
+{
+    message.isStopping = this->stopRequestedAt != TimePoint::max();
+    message.beliefAge = ageOf(this->belief, BootClock::now());
+    for (const auto& row : this->belief.endpoints.rows) {
+        if (row.inFlight > 0)
+            message.loads.push_back({ endpointHash(row.record.id), row.inFlight });
+    }
+    this->hasLoadChanged = false;
+}
+
+// Notes for each engine with older weights when it leaves for the named ones.
+void EntryNode::planSwitches()
+{
+    std::vector<EndpointRecord> records;
+    for (const auto& row : this->belief.endpoints.rows) {
+        if (row.isListed)
+            records.push_back(row.record);
+    }
+    for (auto& row : this->belief.endpoints.rows) {
+        row.switchesAt = TimePoint::max();
+        for (const auto& held : row.record.models) {
+            auto named = this->belief.versions.find(held.name);
+            if (named == this->belief.versions.end() || held.version >= named->second.version)
+                continue;
+            auto hosts = hostsOf(records, row.record.service, row.record.dataCentre);
+            row.switchesAt = named->second.learnedAt + switchTime(row.record.address.host, hosts, this->settings.bounds.versionSwitch);
+        }
+    }
+}
+
+// Puts what the peers say into the table of endpoints.
+void EntryNode::takePeerLoads(TimePoint now)
+{
+    const auto& table = this->peers.table();
+    bool areHeard = areAllHeard(table, now);
+    for (auto& row : this->belief.endpoints.rows) {
+        if (row.record.id.empty())
+            continue;
+        row.peersInFlight = peersInFlight(table, endpointHash(row.record.id), now);
+        row.arePeersHeard = areHeard;
+    }
 }
 
 void EntryNode::answerReady(const std::shared_ptr<ServerExchange>& exchange)
@@ -167,6 +231,7 @@
     this->metrics.set("bilberry_store_calls", static_cast<double>(this->watch.callCount()));
     this->metrics.set("bilberry_log_lines_dropped", static_cast<double>(this->log.dropped()));
     this->metrics.set("bilberry_endpoint_connections_made", static_cast<double>(this->channels.madeCount()));
+    this->metrics.set("bilberry_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
     exchange->answer(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
 }
 
@@ -226,10 +291,13 @@
 {
     auto now = Clock::now();
     this->belief.endpoints.sweep(now);
+    this->takePeerLoads(now);
     tickRuns(*this, now);
     for (const auto& [service, queue] : this->queues)
         startWaiting(*this, service);
     endExpiredWaits(*this, now);
+    if (this->settings.peerPort != 0)
+        this->peers.tick(this->hasLoadChanged, now);
     this->stopWhenDone(now);
     this->armTick();
 }
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -9,6 +9,7 @@
 #include "LoopServer.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
+#include "PeerExchange.h"
 #include "RepeatBudget.h"
 #include "StoreWatch.h"
 
@@ -47,8 +48,11 @@
     std::unordered_map<uint64_t, std::shared_ptr<RequestRun>> runs; ///< Requests that aren't answered yet, by number.
     uint64_t nextRun = 1;
     std::mt19937_64 random;
+    bool hasLoadChanged = false; ///< Since the peers were told.
     TimePoint stopRequestedAt = TimePoint::max();
 
+    PeerExchange peers;
+
 private:
     void takeListing(const std::vector<StoreChange>&, BootTimePoint sentAt);
     void takeChanges(const std::vector<StoreChange>&, BootTimePoint sentAt);
@@ -59,6 +63,9 @@
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
     void armTick();
     void tick();
+    void describeTo(PeerMessage&);
+    void takePeerLoads(TimePoint now);
+    void planSwitches();
     void stopWhenDone(TimePoint now);
 
     LoopServer callers;
--- /dev/null
+++ b/src/PeerExchange.cpp
@@ -0,0 +1,141 @@
+#include "PeerExchange.h"
+
+#include "BootClock.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+
+namespace asio = boost::asio;
+
+namespace bilberry {
+
+// Least and longest time between two messages.
+static constexpr Milliseconds shortestInterval { 40 };
+static constexpr Milliseconds longestInterval { 400 };
+// Bytes that one entry sends to all others in a second; with many entries messages become rarer.
+static constexpr double bytesPerSecond = 20'000;
+// Peers that one message names.
+static constexpr size_t namedPeers = 8;
+
+struct PeerExchange::State {
+    State(EventLoop& loop, const PeerExchangeSettings& settings)
+        : settings(settings)
+        , socket(loop)
+    {
+        this->table.ownIp = settings.ip;
+    }
+
+    PeerExchangeSettings settings;
+    asio::ip::udp::socket socket;
+    std::function<void(PeerMessage&)> describe;
+    std::function<void(uint64_t)> onCrash;
+    PeerTable table;
+    std::array<char, maxPeerMessageBytes> buffer {};
+    asio::ip::udp::endpoint sender;
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    uint64_t sentBytes = 0;
+    TimePoint sentAt {};
+    TimePoint notBefore {};
+};
+
+PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&)> describe, std::function<void(uint64_t)> onCrash)
+    : state(std::make_shared<State>(loop, settings))
+{
+    this->state->describe = std::move(describe);
+    this->state->onCrash = std::move(onCrash);
+    this->state->incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch()).count());
+    for (const auto& seed : settings.seeds)
+        this->state->table.add(seed);
+}
+
+PeerExchange::~PeerExchange()
+{
+    boost::system::error_code ignored;
+    this->state->socket.close(ignored);
+}
+
+absl::Status PeerExchange::start()
+{
+    boost::system::error_code error;
+    asio::ip::udp::endpoint local(asio::ip::make_address(this->state->settings.ip, error), static_cast<uint16_t>(this->state->settings.port));
+    if (!error)
+        this->state->socket.open(local.protocol(), error);
+    if (!error)
+        this->state->socket.bind(local, error);
+    if (!error)
+        this->state->socket.non_blocking(true, error);
+    if (error)
+        return absl::UnavailableError("peer port: " + error.message());
+    this->receive();
+    return absl::OkStatus();
+}
+
+void PeerExchange::receive()
+{
+    auto& state = *this->state;
+    state.socket.async_receive_from(asio::buffer(state.buffer), state.sender, [this, shared = this->state](const boost::system::error_code& error, size_t count) {
+        if (error == asio::error::operation_aborted || !shared->socket.is_open())
+            return;
+        if (!error) {
+            auto message = decodePeerMessage(std::string(shared->buffer.data(), count));
+            bool isNews = message.ok() && shared->table.take(shared->sender.address().to_string(), *message, Clock::now());
+            if (isNews) {
+                for (uint64_t fingerprint : message->crashes)
+                    shared->onCrash(fingerprint);
+            }
+        }
+        this->receive();
+    });
+}
+
+void PeerExchange::send(const std::string& bytes, const std::string& ip)
+{
+    boost::system::error_code error;
+    asio::ip::udp::endpoint remote(asio::ip::make_address(ip, error), static_cast<uint16_t>(this->state->settings.port));
+    // A datagram that can't be sent now is as good as lost.
+    if (!error)
+        this->state->socket.send_to(asio::buffer(bytes), remote, 0, error);
+    if (!error)
+        this->state->sentBytes += bytes.size();
+}
+
+void PeerExchange::sendNow(TimePoint now)
+{
+    auto& state = *this->state;
+    PeerMessage message;
+    message.incarnation = state.incarnation;
+    message.sequence = ++state.sequence;
+    state.describe(message);
+    message.peers = livePeers(state.table, namedPeers, now);
+    auto bytes = encodePeerMessage(message);
+    if (bytes.size() > maxPeerMessageBytes) {
+        message.loads.clear();
+        bytes = encodePeerMessage(message);
+    }
+    for (const auto& [ip, row] : state.table.rows)
+        this->send(bytes, ip);
+    state.sentAt = now;
+    double seconds = static_cast<double>(bytes.size() * state.table.rows.size()) / bytesPerSecond;
+    state.notBefore = now + std::max(shortestInterval, std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds)));
+}
+
+void PeerExchange::tick(bool hasChanged, TimePoint now)
+{
+    this->state->table.sweep(this->state->settings.seeds, now);
+    bool isDue = (hasChanged && now >= this->state->notBefore) || now - this->state->sentAt >= longestInterval;
+    if (isDue)
+        this->sendNow(now);
+}
+
+const PeerTable& PeerExchange::table() const
+{
+    return this->state->table;
+}
+
+uint64_t PeerExchange::sentBytes() const
+{
+    return this->state->sentBytes;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/PeerExchange.h
@@ -0,0 +1,50 @@
+/// Sends the own state to the other entries by datagrams, and takes in theirs.
+#pragma once
+
+#include "EventLoop.h"
+#include "PeerMessage.h"
+#include "PeerTable.h"
+
+#include <absl/status/status.h>
+#include <functional>
+#include <memory>
+
+namespace bilberry {
+
+struct PeerExchangeSettings {
+    std::string ip; ///< Own IP number.
+    int port = 0; ///< Of all entries.
+    std::vector<std::string> seeds; ///< IP numbers of some entries, perhaps gone.
+};
+
+/// Used by the loop's thread only.
+class PeerExchange {
+public:
+    /// `describe` fills in what the entry tells, but for sender and peers; `onCrash` is told of crashes that a peer names.
+    /// Precondition: the loop outlives it.
+    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&)> describe, std::function<void(uint64_t fingerprint)> onCrash);
+    ~PeerExchange();
+    PeerExchange(const PeerExchange&) = delete;
+    PeerExchange& operator=(const PeerExchange&) = delete;
+
+    /// Opens the port. Fails when it can't be opened.
+    absl::Status start();
+    /// Sends the state when it is due. `hasChanged`: since the last time. To be called each tick.
+    void tick(bool hasChanged, TimePoint now);
+    /// Sends the state at once.
+    void sendNow(TimePoint now);
+
+    const PeerTable& table() const;
+    /// Bytes sent so far.
+    uint64_t sentBytes() const;
+
+private:
+    struct State;
+
+    void receive();
+    void send(const std::string& bytes, const std::string& ip);
+
+    std::shared_ptr<State> state;
+};
+
+} // namespace bilberry
--- /dev/null
+++ b/src/PeerMessage.h
@@ -0,0 +1,38 @@
+/// What entries tell each other, as bytes of a datagram (MessagePack).
+#pragma once
+
+#include "Types.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+/// Requests that the sender has at an endpoint.
+struct PeerLoad {
+    uint32_t endpoint = 0; ///< Hash of its id.
+    uint32_t inFlight = 0;
+};
+
+struct PeerMessage {
+    uint64_t incarnation = 0; ///< Of the sending process; higher after a restart.
+    uint64_t sequence = 0; ///< Grows with each message of an incarnation.
+    bool isStopping = false;
+    Milliseconds beliefAge { 0 }; ///< Of what it knows from the store.
+    std::vector<PeerLoad> loads; ///< All that aren't zero.
+    std::vector<std::string> peers; ///< IP numbers of entries that it has heard of lately.
+    std::vector<uint64_t> crashes; ///< Fingerprints of requests after which endpoints went down lately, one entry a crash.
+};
+
+/// Largest datagram that is sent or taken, in bytes.
+constexpr size_t maxPeerMessageBytes = 8 << 10;
+
+/// Hash of an endpoint's id, the same in all processes. Thread safe.
+uint32_t endpointHash(const std::string& id);
+std::string encodePeerMessage(const PeerMessage&);
+/// Fails for bytes that are no such message. Thread safe.
+absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes);
+
+} // namespace bilberry
--- /dev/null
+++ b/src/PeerTable.cpp
@@ -0,0 +1,109 @@
+#include "PeerTable.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// An entry counts as heard of for that long, and as perhaps alive for that long.
+static constexpr Milliseconds heardTime { 1200 };
+static constexpr Seconds perhapsAliveTime { 20 };
+// A silent entry is forgotten after that.
+static constexpr Seconds forgetTime { 60 };
+
+static bool isHeard(const PeerRow& row, TimePoint now)
+{
+    return row.heardAt != TimePoint() && now - row.heardAt < heardTime && !row.isStopping;
+}
+
+void PeerTable::add(const std::string& ip)
+{
+    if (ip != this->ownIp && !ip.empty())
+        this->rows.try_emplace(ip);
+}
+
+bool PeerTable::take(const std::string& ip, const PeerMessage& message, TimePoint now)
+{
+    if (ip == this->ownIp)
+        return false;
+    auto& row = this->rows[ip];
+    bool isOlder = message.incarnation < row.incarnation || (message.incarnation == row.incarnation && message.sequence <= row.sequence);
+    if (isOlder)
+        return false;
+    row.incarnation = message.incarnation;
+    row.sequence = message.sequence;
+    row.heardAt = now;
+    row.isStopping = message.isStopping;
+    row.beliefAge = message.beliefAge;
+    row.loads.clear();
+    for (const auto& load : message.loads)
+        row.loads[load.endpoint] = load.inFlight;
+    for (const auto& peer : message.peers)
+        this->add(peer);
+    return true;
+}
+
+void PeerTable::sweep(const std::vector<std::string>& kept, TimePoint now)
+{
+    for (auto row = this->rows.begin(); row != this->rows.end();) {
+        bool isKept = std::find(kept.begin(), kept.end(), row->first) != kept.end();
+        // One that was only named counts from now on.
+        if (row->second.heardAt == TimePoint() && !isKept)
+            row->second.heardAt = now - perhapsAliveTime;
+        bool isForgotten = !isKept && now - row->second.heardAt > forgetTime;
+        row = isForgotten ? this->rows.erase(row) : std::next(row);
+    }
+}
+
+uint32_t peersInFlight(const PeerTable& table, uint32_t endpoint, TimePoint now)
+{
+    uint32_t total = 0;
+    for (const auto& [ip, row] : table.rows) {
+        auto found = row.loads.find(endpoint);
+        if (isHeard(row, now) && found != row.loads.end())
+            total += found->second;
+    }
+    return total;
+}
+
+bool areAllHeard(const PeerTable& table, TimePoint now)
+{
+    return std::all_of(table.rows.begin(), table.rows.end(), [&](const auto& entry) {
+        const auto& row = entry.second;
+        bool isPerhapsAlive = row.heardAt != TimePoint() && now - row.heardAt < perhapsAliveTime;
+        return isHeard(row, now) || !isPerhapsAlive;
+    });
+}
+
+uint32_t countEntries(const PeerTable& table, TimePoint now)
+{
+    auto isPerhapsAlive = [&](const auto& entry) { return entry.second.heardAt != TimePoint() && now - entry.second.heardAt < perhapsAliveTime; };
+    return 1 + static_cast<uint32_t>(std::count_if(table.rows.begin(), table.rows.end(), isPerhapsAlive));
+}
+
+std::string freshestPeer(const PeerTable& table, Milliseconds ownAge, TimePoint now)
+{
+    std::string best;
+    auto bestAge = ownAge;
+    for (const auto& [ip, row] : table.rows) {
+        if (!isHeard(row, now) || row.beliefAge == Milliseconds::max())
+            continue;
+        auto age = row.beliefAge + std::chrono::duration_cast<Milliseconds>(now - row.heardAt);
+        if (age < bestAge) {
+            best = ip;
+            bestAge = age;
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> livePeers(const PeerTable& table, size_t most, TimePoint now)
+{
+    std::vector<std::string> live;
+    for (const auto& [ip, row] : table.rows) {
+        if (isHeard(row, now) && live.size() < most)
+            live.push_back(ip);
+    }
+    return live;
+}
+
+} // namespace bilberry
--- a/src/PieceSources.cpp
+++ b/src/PieceSources.cpp
@@ -74,12 +74,4 @@
     return sources;
 }
 
-bool isInFirstWave(const std::string& ownHost, const std::vector<std::string>& hostsOfDataCentre)
-{
-    auto sorted = hostsOfDataCentre;
-    std::sort(sorted.begin(), sorted.end());
-    auto position = std::find(sorted.begin(), sorted.end(), ownHost) - sorted.begin();
-    return position % 2 == 0;
-}
-
 } // namespace bilberry
--- a/src/PieceSources.h
+++ b/src/PieceSources.h
@@ -42,7 +42,4 @@
 /// Places to ask for a piece, the best first; the origin is always the last. Thread safe.
 std::vector<PieceSource> pieceSources(const PieceQuestion&, const std::vector<AgentPeer>&);
 
-/// Whether the agent turns its engine to new weights in the first of the two waves of its data centre. Thread safe.
-bool isInFirstWave(const std::string& ownHost, const std::vector<std::string>& hostsOfDataCentre);
-
 } // namespace bilberry
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "EntryNode.h"
 #include "ServerExchange.h"
+#include "VersionSwitch.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -26,8 +27,6 @@
 static constexpr int startedPriority = -1;
 // Time in which an endpoint that refused for its load or state gets nothing more.
 static constexpr Milliseconds refusalPause { 60 };
-// Part of the bound on version switches after which only engines with the new weights are used.
-static constexpr double versionSwitchShare = 0.8;
 
 RequestRun::RequestRun(EntryNode& node, uint64_t number, std::shared_ptr<ServerExchange> exchange)
     : node(node)
@@ -142,8 +141,7 @@
     auto found = node.belief.versions.find(model);
     if (bound == Milliseconds(0) || found == node.belief.versions.end())
         return 0;
-    auto allowed = Milliseconds(static_cast<int64_t>(versionSwitchShare * static_cast<double>(bound.count())));
-    return now - found->second.learnedAt >= allowed ? found->second.version : 0;
+    return now - found->second.learnedAt >= lastOldStart(bound) ? found->second.version : 0;
 }
 
 bool RequestRun::tryStart(TimePoint now)
@@ -214,6 +212,7 @@
 {
     auto& endpoint = this->node.belief.endpoints.rows[chosen];
     ++endpoint.inFlight;
+    this->node.hasLoadChanged = true;
     if (now < endpoint.coldUntil)
         endpoint.coldSends.push_back(now);
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
@@ -348,6 +347,7 @@
 {
     auto& endpoint = this->node.belief.endpoints.rows[this->row];
     --endpoint.inFlight;
+    this->node.hasLoadChanged = true;
     if (result == AttemptResult::Answered)
         noteOutcome(endpoint, true, now);
     else if (result == AttemptResult::NotExecuted)
