Keep to each named version's own bound; let importers stand in for each other

Cause: with a second version named 3 s after the first, entries and agents counted from the newest naming, so requests began on the oldest version after its bound; agents that got 'not yet' from a peer went to the origin. Change: all namings are kept; an engine leaves by the first one after what it holds; a request needs the newest version whose bound is near; an importer that can't be reached is followed by the next in its region.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -2,7 +2,6 @@
 
 #include "Digest.h"
 #include "ServerExchange.h"
-#include "VersionSwitch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -25,13 +24,16 @@
 static constexpr Milliseconds storeTimeout { 1500 };
 static constexpr Milliseconds engineTimeout { 2000 };
 static constexpr Milliseconds manifestTimeout { 1500 };
+static constexpr Milliseconds manifestPause { 250 };
 static constexpr Milliseconds pieceTimeout { 3000 };
 // Pieces that are fetched at a time.
 static constexpr size_t parallelFetches = 16;
 // Of those, at the origin, whose connections all agents share.
 static constexpr size_t parallelOriginFetches = 2;
 // How long a peer's request waits for a piece that is on its way here.
-static constexpr Milliseconds holdTime { 2200 };
+static constexpr Milliseconds holdTime { 1000 };
+// How often a peer that doesn't have a piece yet is asked before another one is.
+static constexpr uint32_t maxDenials = 4;
 // Pause before a piece is asked for again after all its sources failed.
 static constexpr Milliseconds roundPause { 200 };
 // Pause before an order is given again.
@@ -76,8 +78,8 @@
     , uploadTimer(loop)
     , peers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
     , watch(loop, dialect.store, { settings.store, std::string(dialect.store.versionPrefix), storeWait, Milliseconds(700), Milliseconds(40) },
-          { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items); },
-              [this](const std::vector<StoreChange>& changes, BootTimePoint) { this->takeNamed(changes); },
+          { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items, true); },
+              [this](const std::vector<StoreChange>& changes, BootTimePoint) { this->takeNamed(changes, false); },
               [this](const std::string& reason, int failures) {
                   if (failures == 1)
                       this->log.write(LogLevel::Warning, "store_call_failed", { { "reason", reason } });
@@ -224,8 +226,11 @@
     this->report = read;
 }
 
-void AgentNode::takeNamed(const std::vector<StoreChange>& changes)
+void AgentNode::takeNamed(const std::vector<StoreChange>& changes, bool isListing)
 {
+    // What the first listing holds was named some time before: its engine turns without a wait.
+    auto before = isListing && !this->hasNamed ? this->settings.bounds.versionSwitch : Milliseconds(0);
+    this->hasNamed = true;
     for (const auto& change : changes) {
         auto key = this->dialect.store.readKey(change.key);
         if (change.isRemoved || key.topic != StoreTopic::WeightVersion || (!this->model.name.empty() && key.name != this->model.name))
@@ -235,18 +240,22 @@
             this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", change.key }, { "fault", std::string(version.status().message()) } });
             continue;
         }
-        if (*version <= this->namedVersion)
+        if (!this->named.empty() && *version <= this->named.rbegin()->first)
             continue;
-        this->namedVersion = *version;
-        this->namedAt = Clock::now();
+        this->named[*version] = Clock::now() - before;
         this->log.write(LogLevel::Info, "weights_named", { { "version", *version }, { "revision", change.revision } });
     }
 }
 
+TimePoint AgentNode::newestNamedAt() const
+{
+    return this->named.empty() ? TimePoint() : this->named.rbegin()->second;
+}
+
 // The named version, or the one that the engine or its neighbours have when none was named.
 uint32_t AgentNode::wantedVersion() const
 {
-    uint32_t wanted = std::max(this->namedVersion, firstVersion);
+    uint32_t wanted = this->named.empty() ? firstVersion : this->named.rbegin()->first;
     for (const auto& record : this->endpoints) {
         if (record.service == this->settings.service)
             wanted = std::max(wanted, servedVersion(record, this->model.name, this->model.layers));
@@ -274,7 +283,7 @@
     if (serves(*this->report, this->model, version) || this->manifest.version == version)
         return;
     // The list must be of after the naming, so that all agents divide the pieces in the same way.
-    bool isListOld = !this->hasEndpoints || this->endpointsAt <= this->namedAt;
+    bool isListOld = !this->hasEndpoints || this->endpointsAt <= this->newestNamedAt();
     if (isListOld || now - this->endpointsAt >= listInterval)
         this->readEndpoints();
     if (!isListOld)
@@ -283,8 +292,10 @@
 
 void AgentNode::fetchManifest()
 {
-    if (this->manifestCaller.isBusy())
+    auto now = Clock::now();
+    if (this->manifestCaller.isBusy() || now - this->manifestAskedAt < manifestPause)
         return;
+    this->manifestAskedAt = now;
     // 1. The origin and one peer in turn: either may be away.
     Address address;
     if (const auto* origin = this->originService())
@@ -318,6 +329,7 @@
     this->isStaged.assign(count, false);
     this->isInHand.assign(count, false);
     this->rounds.assign(count, 0);
+    this->denials.assign(count, 0);
     this->notBefore.assign(count, TimePoint());
     this->log.write(LogLevel::Info, "weights_begun", { { "version", this->manifest.version }, { "pieces", static_cast<uint64_t>(count) } });
     // What an earlier process or version staged may serve.
@@ -432,7 +444,11 @@
         this->stage(fetch.piece, result.body);
     } else {
         this->isInHand[fetch.piece] = false;
-        ++this->rounds[fetch.piece];
+        bool isNotYet = result.status == 404 && !fetch.isFromOrigin && ++this->denials[fetch.piece] < maxDenials;
+        if (!isNotYet) {
+            ++this->rounds[fetch.piece];
+            this->denials[fetch.piece] = 0;
+        }
         this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin ? roundPause : Milliseconds(0));
         this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("wrong digest") : result.describe() } });
     }
@@ -469,7 +485,8 @@
     if (servesNothing)
         return true;
     auto hosts = hostsOf(this->endpoints, this->settings.service, this->settings.place.dataCentre);
-    return now - this->namedAt >= switchTime(this->settings.ip, hosts, this->settings.bounds.versionSwitch);
+    auto base = switchBase(this->named, this->report->layersVersion);
+    return base == TimePoint::max() || now - base >= switchTime(this->settings.ip, hosts, this->settings.bounds.versionSwitch);
 }
 
 void AgentNode::orderWhenReady(TimePoint now)
@@ -507,7 +524,7 @@
     this->orderedVersion = this->manifest.version;
     uint32_t version = this->manifest.version;
     this->localCaller().call(this->dialect.engine.loadOrder(this->model.name, version), engineTimeout, [this, version](const CallResult& result) {
-        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - this->namedAt) } });
+        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - this->newestNamedAt()) } });
     });
 }
 
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -10,6 +10,7 @@
 #include "NodeSettings.h"
 #include "PieceSources.h"
 #include "StoreWatch.h"
+#include "VersionSwitch.h"
 
 #include <deque>
 #include <memory>
@@ -43,7 +44,8 @@
     void readEndpoints();
     void readReport();
     void takeReport(const EngineReport&, TimePoint now);
-    void takeNamed(const std::vector<StoreChange>&);
+    void takeNamed(const std::vector<StoreChange>&, bool isListing);
+    TimePoint newestNamedAt() const;
     void choosePiecesFor(uint32_t version, TimePoint now);
     uint32_t wantedVersion() const;
     void fetchManifest();
@@ -93,19 +95,20 @@
     bool hasEndpoints = false; ///< Whether a whole list was read.
     TimePoint endpointsAt {}; ///< When that was asked for last.
     TimePoint configurationAskedAt {};
-    uint32_t namedVersion = 0;
-    TimePoint namedAt {};
+    NamedVersions named;
+    bool hasNamed = false; ///< Whether the store was read for named versions.
     std::optional<EngineReport> report;
     TimePoint reportAskedAt {};
 
     // The weights that are being brought.
     PieceDigests manifest;
     uint32_t manifestRound = 0;
+    TimePoint manifestAskedAt {};
     std::vector<bool> isStaged; ///< By piece: written to the engine's stage, or found there, with the right digest.
     std::vector<bool> isInHand; ///< By piece: being fetched or written.
     std::vector<uint32_t> rounds; ///< By piece: sources that failed.
+    std::vector<uint32_t> denials; ///< By piece: answers of the present source that it doesn't have it yet.
     std::vector<TimePoint> notBefore; ///< By piece: not asked for again before.
-    uint32_t piecesToCheck = 0; ///< Of those that were staged by an earlier process.
     TimePoint orderedAt {};
     uint32_t orderedVersion = 0;
     bool isVerifying = false;
--- a/src/Belief.cpp
+++ b/src/Belief.cpp
@@ -94,9 +94,10 @@
     if (!version.ok())
         return noteUnreadable(belief, version.status(), fault);
     auto& named = belief.versions[key.name];
-    if (*version <= named.version)
+    bool isNewer = named.empty() || *version > named.rbegin()->first;
+    if (!isNewer)
         return BeliefStep::None;
-    named = { *version, now };
+    named[*version] = now - belief.namedBefore;
     return BeliefStep::WeightVersion;
 }
 
--- a/src/Belief.h
+++ b/src/Belief.h
@@ -7,6 +7,7 @@
 #include "Dialect.h"
 #include "EndpointTable.h"
 #include "RouteTable.h"
+#include "VersionSwitch.h"
 
 #include <map>
 #include <set>
@@ -14,19 +15,14 @@
 
 namespace bilberry {
 
-/// Newest version of a model's weights that operators have named.
-struct NamedVersion {
-    uint32_t version = 0;
-    TimePoint learnedAt {};
-};
-
 struct Belief {
     RouteTablePointer routes; ///< Null until a configuration was read.
     EndpointTable endpoints;
     std::set<std::string> dataCentresOut;
-    std::map<std::string, NamedVersion> versions; ///< By model.
+    std::map<std::string, NamedVersions> versions; ///< By model.
     BootTimePoint confirmedAt {}; ///< When the last call that confirmed all this was sent.
     bool isConfirmed = false; ///< Whether there was such a call.
+    Milliseconds namedBefore { 0 }; ///< Time by which a version may have been named before it is read now.
     TimePoint outageEndedAt {}; ///< When the store answered again after it had not.
     uint64_t unreadableItems = 0;
 };
--- a/src/Dialect.h
+++ b/src/Dialect.h
@@ -33,7 +33,6 @@
     std::string endpointId; ///< Any other endpoint at that address refuses the request.
     std::string account; ///< Name of the client account; empty for anonymous requests.
     std::optional<uint64_t> lastEventId;
-    std::optional<uint32_t> weightsVersion; ///< An engine with other weights refuses the request.
     std::optional<int> priority; ///< 0, the most urgent, to 9.
 };
 
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -58,7 +58,7 @@
     if (now >= row.switchesAt)
         return false;
     uint32_t version = servedVersion(record, need.model, need.modelLayers);
-    return version != 0 && (need.weightsVersion == 0 || version == need.weightsVersion);
+    return version != 0 && version >= need.oldestVersion;
 }
 
 static double distancePenalty(const EndpointRecord& record, const Place& place)
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -23,7 +23,7 @@
     std::string service;
     std::string model; ///< Empty for plain services.
     uint32_t modelLayers = 0;
-    uint32_t weightsVersion = 0; ///< The only one that will do; zero: any.
+    uint32_t oldestVersion = 0; ///< Of the weights on which it may begin; zero: any.
     const std::vector<std::string>* routeRegions = nullptr; ///< Null or empty: anywhere.
     const std::vector<std::string>* accountRegions = nullptr;
     std::vector<std::string> tried; ///< Ids of endpoints that had the request before.
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -118,9 +118,13 @@
 void EntryNode::takeListing(const std::vector<StoreChange>& items, BootTimePoint sentAt)
 {
     auto now = Clock::now();
+    // What the first listing holds may have been named long before.
+    const auto& bounds = this->settings.bounds;
+    this->belief.namedBefore = this->belief.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.versionSwitch - bounds.contact);
     this->confirm(sentAt);
     for (const auto& item : items)
         this->apply(item, now);
+    this->belief.namedBefore = Milliseconds(0);
     applyAbsences(this->belief, this->dialect.store, items, now);
     this->planSwitches();
     this->log.write(LogLevel::Info, "store_listed", { { "items", static_cast<uint64_t>(items.size()) } });
@@ -195,10 +199,11 @@
         row.switchesAt = TimePoint::max();
         for (const auto& held : row.record.models) {
             auto named = this->belief.versions.find(held.name);
-            if (named == this->belief.versions.end() || held.version >= named->second.version)
+            auto base = named == this->belief.versions.end() ? TimePoint::max() : switchBase(named->second, held.version);
+            if (base == TimePoint::max())
                 continue;
             auto hosts = hostsOf(records, row.record.service, row.record.dataCentre);
-            row.switchesAt = named->second.learnedAt + switchTime(row.record.address.host, hosts, this->settings.bounds.versionSwitch);
+            row.switchesAt = base + switchTime(row.record.address.host, hosts, this->settings.bounds.versionSwitch);
         }
     }
 }
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -1,5 +1,6 @@
 #include "HttpCall.h"
 
+#include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
 
@@ -8,7 +9,8 @@
 // Largest answer that is taken.
 static constexpr size_t maxAnswerBytes = 32 << 20;
 // Unacknowledged bytes for that long end the connection.
-static constexpr Milliseconds silentTimeout { 2000 };
+static constexpr Milliseconds silentTimeout { 1500 };
+static constexpr Milliseconds connectTimeout { 600 };
 
 std::string CallResult::describe() const
 {
@@ -73,7 +75,7 @@
     state.handler = std::move(handler);
     state.result = CallResult();
     if (!state.channel || !state.channel->canReuse())
-        state.channel = std::make_shared<HttpChannel>(state.loop, state.address, ChannelTimes { timeout, silentTimeout });
+        state.channel = std::make_shared<HttpChannel>(state.loop, state.address, ChannelTimes { std::min(timeout, connectTimeout), silentTimeout });
     HttpRequest sent = request;
     setHeader(sent.headers, "Host", toText(state.address));
     state.timer.expires_after(timeout);
--- a/src/PieceSources.cpp
+++ b/src/PieceSources.cpp
@@ -33,6 +33,14 @@
     return candidates.empty() ? std::string() : candidates[piece % candidates.size()].host;
 }
 
+// A holder among the agents, another one for each piece; empty when there is none.
+static std::string holderFor(const PieceQuestion& question, const std::vector<AgentPeer>& agents)
+{
+    std::vector<AgentPeer> holders;
+    std::copy_if(agents.begin(), agents.end(), std::back_inserter(holders), [&](const AgentPeer& agent) { return agent.isHolder && agent.host != question.ownHost; });
+    return holders.empty() ? std::string() : holders[question.piece % holders.size()].host;
+}
+
 std::vector<PieceSource> pieceSources(const PieceQuestion& question, const std::vector<AgentPeer>& agents)
 {
     std::vector<PieceSource> sources;
@@ -41,35 +49,20 @@
         if (!host.empty() && host != question.ownHost && !isKnown)
             sources.push_back({ false, host });
     };
-    auto addOneHolder = [&](const std::vector<AgentPeer>& candidates, uint32_t offset) {
-        std::vector<AgentPeer> holders;
-        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(holders), [&](const AgentPeer& agent) { return agent.isHolder && agent.host != question.ownHost; });
-        if (!holders.empty())
-            add(holders[(question.piece + offset) % holders.size()].host);
-    };
     // 1. A neighbour that has all pieces.
     auto neighbours = agentsOf(question.ownRegion, agents);
-    addOneHolder(neighbours, 0);
-    // 2. The one that brings the piece into the region; that one itself asks outside.
-    auto importer = importerOf(question.piece, question.ownRegion, agents);
-    bool isImporter = importer == question.ownHost;
-    if (!isImporter)
-        add(importer);
-    bool isOriginNear = question.originRegion == question.ownRegion;
-    if (isImporter && !isOriginNear) {
-        addOneHolder(agents, 0);
-        add(importerOf(question.piece, question.originRegion, agents));
-    }
-    if (isImporter && isOriginNear) {
-        // Held anywhere: a region's link costs less than the origin's.
-        addOneHolder(agents, 0);
-        sources.push_back({ true, {} });
-        return sources;
+    add(holderFor(question, neighbours));
+    // 2. Those who bring the piece into the region, in turn, up to the agent itself: it takes over when all before it fail.
+    for (size_t i = 0; i < neighbours.size(); ++i) {
+        const auto& next = neighbours[(question.piece + i) % neighbours.size()].host;
+        if (next == question.ownHost)
+            break;
+        add(next);
     }
-    // 3. Any other neighbour, then the origin.
-    addOneHolder(neighbours, 1);
-    if (neighbours.size() > 1)
-        add(neighbours[(question.piece + 1) % neighbours.size()].host);
+    // 3. Outside: a holder, the region of the origin, the origin.
+    add(holderFor(question, agents));
+    if (question.originRegion != question.ownRegion)
+        add(importerOf(question.piece, question.originRegion, agents));
     sources.push_back({ true, {} });
     return sources;
 }
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -134,19 +134,15 @@
     return true;
 }
 
-// From some time after newer weights were named on, only engines that have them may begin a request.
 static uint32_t requiredVersion(const EntryNode& node, const std::string& model, TimePoint now)
 {
-    auto bound = node.settings.bounds.versionSwitch;
     auto found = node.belief.versions.find(model);
-    if (bound == Milliseconds(0) || found == node.belief.versions.end())
-        return 0;
-    return now - found->second.learnedAt >= lastOldStart(bound) ? found->second.version : 0;
+    return found == node.belief.versions.end() ? 0 : oldestAllowed(found->second, node.settings.bounds.versionSwitch, now);
 }
 
 bool RequestRun::tryStart(TimePoint now)
 {
-    this->need.weightsVersion = requiredVersion(this->node, this->need.model, now);
+    this->need.oldestVersion = requiredVersion(this->node, this->need.model, now);
     auto choice = chooseEndpoint(this->node.belief.endpoints, this->need, this->node.settings.place, this->node.belief.dataCentresOut, now);
     if (choice.row == noEndpoint)
         return false;
@@ -198,8 +194,6 @@
     fields.endpointId = endpoint.record.id;
     fields.account = this->account ? this->account->name : std::string();
     fields.lastEventId = this->stream.lastId;
-    if (this->need.weightsVersion != 0)
-        fields.weightsVersion = this->need.weightsVersion;
     HttpRequest request;
     request.method = received.method;
     request.path = received.path;
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -9,7 +9,8 @@
 // at an engine needs some after the last one.
 static constexpr double firstWave = 0.38;
 static constexpr double lastWave = 0.76;
-static constexpr double lastOldStartShare = 0.84;
+// Time that a request may have waited at its engine when it begins.
+static constexpr Milliseconds longestEngineWait { 800 };
 
 static Milliseconds partOf(Milliseconds bound, double share)
 {
@@ -24,9 +25,22 @@
     return partOf(bound, firstWave + wave * (lastWave - firstWave) / (waveCount - 1));
 }
 
-Milliseconds lastOldStart(Milliseconds bound)
+TimePoint switchBase(const NamedVersions& named, uint32_t held)
 {
-    return partOf(bound, lastOldStartShare);
+    auto next = named.upper_bound(held);
+    return next == named.end() ? TimePoint::max() : next->second;
+}
+
+uint32_t oldestAllowed(const NamedVersions& named, Milliseconds bound, TimePoint now)
+{
+    uint32_t oldest = 0;
+    if (bound == Milliseconds(0))
+        return oldest;
+    for (const auto& [version, learnedAt] : named) {
+        if (now - learnedAt >= bound - longestEngineWait)
+            oldest = version;
+    }
+    return oldest;
 }
 
 std::vector<std::string> hostsOf(const std::vector<EndpointRecord>& records, const std::string& service, const std::string& dataCentre)
