--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -34,7 +34,7 @@
 static constexpr Milliseconds holdTime { 1000 };
 // How often a peer that doesn't have a piece yet is asked before another one is.
 static constexpr uint32_t maxDenials = 4;
-// Pause before a piece is asked for again after all its sources failed.
+// Pause before a piece is asked for again at the same place.
 static constexpr Milliseconds roundPause { 200 };
 // Pause before an order is given again.
 static constexpr Milliseconds orderPause { 1500 };
@@ -66,6 +66,7 @@
 struct AgentNode::HeldRequest {
     std::shared_ptr<ServerExchange> exchange;
     uint32_t piece = 0;
+    uint32_t version = 0;
     TimePoint until {};
 };
 
@@ -260,7 +261,7 @@
         if (record.service == this->settings.service)
             wanted = std::max(wanted, servedVersion(record, this->model.name, this->model.layers));
     }
-    return std::max(wanted, this->report->layersVersion);
+    return std::max(wanted, this->report ? this->report->layersVersion : 0);
 }
 
 // Time that a piece takes on the link at the pace of uploads.
@@ -449,7 +450,7 @@
             ++this->rounds[fetch.piece];
             this->denials[fetch.piece] = 0;
         }
-        this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin ? roundPause : Milliseconds(0));
+        this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin || isNotYet ? roundPause : Milliseconds(0));
         this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("wrong digest") : result.describe() } });
     }
     this->startFetches(Clock::now());
@@ -538,9 +539,12 @@
     bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
     bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
     bool isHere = this->manifest.version == version && version != 0;
+    bool isComing = version > this->manifest.version && version <= this->wantedVersion();
     bool isServed = this->report && serves(*this->report, this->model, version);
     if (asksPiece && isHere && piece < this->manifest.digests.size()) {
         this->answerPiece(exchange, piece);
+    } else if (asksPiece && isComing && !isServed) {
+        this->held.push_back({ exchange, piece, version, Clock::now() + holdTime });
     } else if (asksPiece && isServed) {
         this->upload({ exchange, piece, false });
     } else if (asksManifest && isHere) {
@@ -556,7 +560,7 @@
     if (this->isStaged[piece])
         this->upload({ exchange, piece, true });
     else
-        this->held.push_back({ exchange, piece, Clock::now() + holdTime });
+        this->held.push_back({ exchange, piece, this->manifest.version, Clock::now() + holdTime });
 }
 
 // Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine.
@@ -616,7 +620,7 @@
     auto waiting = std::move(this->held);
     this->held.clear();
     for (auto& request : waiting) {
-        if (request.piece == piece)
+        if (request.piece == piece && request.version == this->manifest.version)
             this->upload({ request.exchange, piece, true });
         else
             kept.push_back(std::move(request));
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -21,7 +21,7 @@
 static constexpr uint32_t assumedEntries = 6;
 // Time after the request to stop for which the balancer may still send new callers; and the part of the grace time after
 // which what still runs is cut off.
-static constexpr Milliseconds balancerLag { 4000 };
+static constexpr Milliseconds balancerLag { 2600 };
 static constexpr double graceShare = 0.93;
 
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
@@ -171,6 +171,11 @@
     return !node.settings.bounds.failsClosed || ageOf(node.belief, now) < Milliseconds(bound);
 }
 
+bool takesRequests(const EntryNode& node, TimePoint now)
+{
+    return node.stopRequestedAt == TimePoint::max() || now - node.stopRequestedAt < balancerLag;
+}
+
 uint32_t entryCount(const EntryNode& node)
 {
     return std::max(assumedEntries, countEntries(node.peers.table(), Clock::now()));
@@ -320,6 +325,7 @@
 {
     if (this->stopRequestedAt == TimePoint::max() || now - this->stopRequestedAt < balancerLag)
         return;
+    this->callers.stopAccepting();
     this->callers.closeIdle();
     auto grace = Milliseconds(static_cast<int64_t>(graceShare * static_cast<double>(this->settings.bounds.stopGrace.count())));
     bool isDone = this->runs.empty() && this->callers.connectionCount() == 0;
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -79,6 +79,8 @@
 /// Whether the entry should get new callers: it knows a configuration and endpoints, believes nothing too old, and isn't
 /// stopping.
 bool isReady(const EntryNode&, BootTimePoint now);
+/// Whether a request that comes now can still be answered before the process ends. Thread safe.
+bool takesRequests(const EntryNode&, TimePoint now);
 /// Whether revocations of keys are known up to now, so that keyed requests can be let in.
 bool knowsRevocations(const EntryNode&, BootTimePoint now);
 /// Starts waiting requests of a service for which there is a free place now.
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -140,6 +140,11 @@
 }
 
 EventLog::~EventLog()
+{
+    this->close();
+}
+
+void EventLog::close()
 {
     std::unique_lock<std::mutex> lock(this->state->mutex);
     this->state->isStopping = true;
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -36,12 +36,13 @@
 public:
     /// Lines beyond `linesPerSecond` are dropped and counted, warnings and errors last.
     EventLog(std::string_view process, int linesPerSecond);
-    /// Writes what is queued, as long as the reader takes it.
     ~EventLog();
     EventLog(const EventLog&) = delete;
     EventLog& operator=(const EventLog&) = delete;
 
     void write(LogLevel, std::string_view event, std::initializer_list<LogField>);
+    /// Writes what is queued, as long as the reader takes it; nothing can be written after it.
+    void close();
     /// Lines that were dropped so far.
     uint64_t dropped() const;
 
--- a/src/LoopServer.cpp
+++ b/src/LoopServer.cpp
@@ -81,6 +81,12 @@
     this->state->isClosing = true;
 }
 
+void LoopServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
 void LoopServer::closeIdle()
 {
     std::vector<ServerConnection*> connections(this->state->connections.begin(), this->state->connections.end());
--- a/src/LoopServer.h
+++ b/src/LoopServer.h
@@ -44,6 +44,8 @@
     void setLimits(const ServerLimits&);
     /// From now on each answer ends its connection.
     void beginClosing();
+    /// Takes no further connections.
+    void stopAccepting();
     /// Closes the connections that no request is running on.
     void closeIdle();
     /// Connections that are open.
--- a/src/NodeMain.cpp
+++ b/src/NodeMain.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <functional>
 
@@ -62,7 +63,10 @@
     awaitSignal(signals, role, log);
     log.write(LogLevel::Info, "started", { { "role", settings.role == NodeRole::Entry ? "entry" : "agent" }, { "version", BILBERRY_VERSION } });
     loop.run();
-    return exitOk;
+    log.write(LogLevel::Info, "ended", {});
+    log.close();
+    // Operations that are pending on the loop are dropped with the process.
+    std::quick_exit(exitOk);
 }
 
 } // namespace
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -25,6 +25,8 @@
 static constexpr Milliseconds retryWait { 300 };
 // Priority of a request that an endpoint has begun to answer already.
 static constexpr int startedPriority = -1;
+// When a caller of an entry that stops should come back; it reaches another entry.
+static constexpr Milliseconds stoppingRetryAfter { 50 };
 // Time in which an endpoint that refused for its load or state gets nothing more.
 static constexpr Milliseconds refusalPause { 60 };
 
@@ -92,6 +94,10 @@
         this->refuse(503, "no_configuration", Milliseconds(1000));
         return false;
     }
+    if (!takesRequests(this->node, now)) {
+        this->refuse(503, "stopping", stoppingRetryAfter);
+        return false;
+    }
     if (this->caller.id.empty()) {
         this->refuse(400, "no_request_id", Milliseconds(0));
         return false;
