Live from peers' belief, hear of engines from their agents, refuse what crashes endpoints

Change: entries hand each other the store's items with their age, counted from the sending of the last call that confirmed them (PacificA's rule for leases); agents tell entries by datagram; a request present at three crashes is refused.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -1,6 +1,7 @@
 #include "AgentNode.h"
 
 #include "Digest.h"
+#include "PeerMessage.h"
 #include "ServerExchange.h"
 
 #include <absl/strings/numbers.h>
@@ -19,7 +20,11 @@
 static constexpr Milliseconds listInterval { 1000 };
 static constexpr Milliseconds configurationInterval { 1000 };
 // Longest wait of one call to the store for a newly named version.
-static constexpr Milliseconds storeWait { 2000 };
+static constexpr Milliseconds storeWait { 2500 };
+// How long entries are told of an engine that has turned to other weights.
+static constexpr Milliseconds noticeTime { 700 };
+// How often the engine is asked for its state while an order is carried out.
+static constexpr Milliseconds busyReportInterval { 100 };
 // Times for answers.
 static constexpr Milliseconds storeTimeout { 1500 };
 static constexpr Milliseconds engineTimeout { 2000 };
@@ -70,6 +75,20 @@
     TimePoint until {};
 };
 
+// Time that a piece takes on the link at the pace of uploads.
+static Duration uploadTime(size_t bytes, double linkMegabits)
+{
+    if (linkMegabits <= 0)
+        return Duration(0);
+    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabits * uploadShare);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+static bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
+{
+    return report.layers >= model.layers && report.layersVersion == version && version != 0;
+}
+
 AgentNode::AgentNode(EventLoop& loop, const NodeSettings& settings, const Dialect& dialect, EventLog& log)
     : loop(loop)
     , settings(settings)
@@ -88,6 +107,7 @@
     , storeCaller(loop, settings.store)
     , reportCaller(loop, *settings.engine)
     , manifestCaller(loop, *settings.engine)
+    , noticeSender(loop, settings.ip, settings.peerPort)
 {
     for (size_t i = 0; i < parallelFetches; ++i)
         this->fetches.push_back(std::make_unique<Fetch>());
@@ -130,7 +150,8 @@
     auto now = Clock::now();
     if (!this->configuration && now - this->configurationAskedAt >= configurationInterval)
         this->readConfiguration();
-    if (now - this->reportAskedAt >= reportInterval)
+    bool isTurning = this->orderedVersion != 0 && this->report && !serves(*this->report, this->model, this->orderedVersion);
+    if (now - this->reportAskedAt >= (isTurning || now < this->noticeUntil ? busyReportInterval : reportInterval))
         this->readReport();
     if (this->configuration && this->report) {
         this->choosePiecesFor(this->wantedVersion(), now);
@@ -211,7 +232,7 @@
     });
 }
 
-void AgentNode::takeReport(const EngineReport& read, TimePoint)
+void AgentNode::takeReport(const EngineReport& read, TimePoint now)
 {
     bool isOther = this->report && (this->report->startedAt != read.startedAt || read.orders < this->report->orders);
     bool isNew = !this->report || isOther;
@@ -225,6 +246,21 @@
     if (hasSwitched)
         this->log.write(LogLevel::Info, "engine_switched", { { "version", read.layersVersion }, { "layers", read.layers } });
     this->report = read;
+    if (hasSwitched && read.layersVersion != 0)
+        this->noticeUntil = now + noticeTime;
+    if (now < this->noticeUntil)
+        this->tellEntries();
+}
+
+// The list of endpoints shows what an engine holds only some time later.
+void AgentNode::tellEntries()
+{
+    if (!serves(*this->report, this->model, this->report->layersVersion))
+        return;
+    auto startedAt = static_cast<uint64_t>(this->report->startedAt.value_or(0));
+    auto bytes = encodeNotice({ toText(*this->settings.engine), this->report->layersVersion, startedAt + ++this->notices });
+    for (const auto& seed : this->settings.seeds)
+        this->noticeSender.send(bytes, seed.host);
 }
 
 void AgentNode::takeNamed(const std::vector<StoreChange>& changes, bool isListing)
@@ -256,7 +292,7 @@
 // The named version, or the one that the engine or its neighbours have when none was named.
 uint32_t AgentNode::wantedVersion() const
 {
-    uint32_t wanted = this->named.empty() ? firstVersion : this->named.rbegin()->first;
+    uint32_t wanted = std::max(this->named.empty() ? firstVersion : this->named.rbegin()->first, this->hintedVersion);
     for (const auto& record : this->endpoints) {
         if (record.service == this->settings.service)
             wanted = std::max(wanted, servedVersion(record, this->model.name, this->model.layers));
@@ -264,20 +300,6 @@
     return std::max(wanted, this->report ? this->report->layersVersion : 0);
 }
 
-// Time that a piece takes on the link at the pace of uploads.
-static Duration uploadTime(size_t bytes, double linkMegabits)
-{
-    if (linkMegabits <= 0)
-        return Duration(0);
-    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabits * uploadShare);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
-static bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
-{
-    return report.layers >= model.layers && report.layersVersion == version && version != 0;
-}
-
 // Begins to bring a version, unless the engine has it or it is being brought.
 void AgentNode::choosePiecesFor(uint32_t version, TimePoint now)
 {
@@ -539,6 +561,7 @@
     bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
     bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
     bool isHere = this->manifest.version == version && version != 0;
+    this->hintedVersion = std::max(this->hintedVersion, asksPiece ? version : 0);
     bool isComing = version > this->manifest.version && version <= this->wantedVersion();
     bool isServed = this->report && serves(*this->report, this->model, version);
     if (asksPiece && isHere && piece < this->manifest.digests.size()) {
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -8,6 +8,7 @@
 #include "LoopServer.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
+#include "NoticeSender.h"
 #include "PieceSources.h"
 #include "StoreWatch.h"
 #include "VersionSwitch.h"
@@ -60,6 +61,7 @@
     void orderWhenReady(TimePoint now);
     bool isMyTurn(TimePoint now) const;
     void order();
+    void tellEntries();
     void answerPeer(const std::shared_ptr<ServerExchange>&);
     void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t piece);
     void sendUnverified(const std::shared_ptr<ServerExchange>&, uint32_t piece);
@@ -83,6 +85,7 @@
     HttpCaller reportCaller;
     HttpCaller manifestCaller;
     std::vector<std::unique_ptr<HttpCaller>> localCallers; ///< To the engine, as many as are used at a time.
+    NoticeSender noticeSender;
     std::vector<std::unique_ptr<Fetch>> fetches;
     std::deque<Upload> uploads; ///< To peers, in the order in which they leave.
     TimePoint nextUploadAt {};
@@ -98,6 +101,9 @@
     NamedVersions named;
     bool hasNamed = false; ///< Whether the store was read for named versions.
     std::optional<EngineReport> report;
+    uint32_t hintedVersion = 0; ///< That a peer has asked for.
+    uint64_t notices = 0;
+    TimePoint noticeUntil {}; ///< Entries are told of the engine's version up to then.
     TimePoint reportAskedAt {};
 
     // The weights that are being brought.
--- a/src/EndpointRecord.cpp
+++ b/src/EndpointRecord.cpp
@@ -22,6 +22,8 @@
 
 uint32_t servedVersion(const EndpointRecord& record, const std::string& model, uint32_t layers)
 {
+    if (record.noticedVersion != 0)
+        return record.noticedVersion;
     for (const auto& held : record.models) {
         if (held.name != model)
             continue;
--- a/src/EndpointRecord.h
+++ b/src/EndpointRecord.h
@@ -27,6 +27,7 @@
     std::vector<HeldModel> models;
     uint32_t layers = 0; ///< Held of the model, from the first one on without a gap.
     uint32_t layersVersion = 0; ///< Of these layers; zero: none.
+    uint32_t noticedVersion = 0; ///< That the agent beside the engine has told of; zero: none.
 };
 
 /// Whether two records of one endpoint differ in more than how long it stays cold. Thread safe.
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -24,7 +24,10 @@
         found = this->rowById.emplace(record.id, row).first;
     }
     auto& row = this->rows[found->second];
+    // A notice holds until the list has caught up with it.
+    uint32_t noticed = row.record.layersVersion < row.record.noticedVersion && record.layersVersion < row.record.noticedVersion ? row.record.noticedVersion : 0;
     row.record = record;
+    row.record.noticedVersion = noticed;
     row.isListed = true;
     row.listedUntil = TimePoint::max();
     row.coldUntil = now + record.coldFor;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -1,6 +1,7 @@
 /// The endpoints that an entry knows, with its own evidence of each.
 #pragma once
 
+#include "CrashLedger.h"
 #include "Dialect.h"
 #include "EndpointRecord.h"
 #include "Types.h"
@@ -26,6 +27,7 @@
     int failuresInRow = 0; ///< Attempts that it failed since the last good answer.
     TimePoint avoidUntil {};
     TimePoint switchesAt = TimePoint::max(); ///< When its engine leaves for newer weights.
+    LossRecord losses;
     std::deque<TimePoint> coldSends; ///< Requests of the last second while it is cold, oldest first.
 };
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -4,7 +4,9 @@
 #include "ServerExchange.h"
 #include "VersionSwitch.h"
 
+#include <absl/strings/numbers.h>
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace bilberry {
 
@@ -24,6 +26,15 @@
 static constexpr Milliseconds balancerLag { 2600 };
 static constexpr double graceShare = 0.93;
 
+// Age of belief from which on a peer is asked, how much newer its knowledge must be, and how often.
+static constexpr Milliseconds tolerableAge { 2400 };
+static constexpr Milliseconds peerGain { 300 };
+static constexpr Milliseconds peerInterval { 400 };
+static constexpr Milliseconds peerTimeout { 1000 };
+// How long news are told to the peers again and again.
+static constexpr Milliseconds newsTime { 600 };
+static constexpr std::string_view excerptPrefix = "/store/";
+
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
 {
     PeerExchangeSettings peers;
@@ -42,7 +53,8 @@
     , channels(loop, endpointTimes)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
     , peers(
-          loop, peerSettings(settings), [this](PeerMessage& message) { this->describeTo(message); }, [](uint64_t) {})
+          loop, peerSettings(settings), [this](PeerMessage& message) { this->describeTo(message); }, [this](const PeerMessage& message) { this->takePeerMessage(message); },
+          [this](const EngineNotice& notice) { this->takeNotice(notice); })
     , callers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRun++;
         auto run = std::make_shared<RequestRun>(*this, number, exchange);
@@ -51,6 +63,8 @@
     })
     , balancer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerReady(exchange); })
     , scrapers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
+    , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
+    , peerCaller(loop, Address())
     , watch(loop, dialect.store, { settings.store, {}, storeWait, Milliseconds(700), Milliseconds(40) }, { [this](const std::vector<StoreChange>& items, BootTimePoint sentAt) { this->takeListing(items, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->takeChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->takeFailure(reason, failures); } })
     , timer(loop)
 {
@@ -73,6 +87,8 @@
         return status;
     if (this->settings.peerPort != 0)
         status = this->peers.start();
+    if (status.ok() && this->settings.peerPort != 0)
+        status = this->peerServer.listen({ this->settings.ip, this->settings.peerPort });
     if (!status.ok())
         return status;
     this->watch.start();
@@ -87,17 +103,28 @@
 
 void EntryNode::confirm(BootTimePoint sentAt)
 {
+    this->belief.isConfirmed = true;
+    this->belief.confirmedAt = std::max(this->belief.confirmedAt, sentAt);
+}
+
+void EntryNode::confirmByStore(BootTimePoint sentAt)
+{
+    if (this->livesFromPeers) {
+        this->livesFromPeers = false;
+        this->log.write(LogLevel::Info, "left_peers_belief", {});
+    }
     if (this->isStoreLost) {
         this->isStoreLost = false;
         this->belief.outageEndedAt = Clock::now();
         this->log.write(LogLevel::Info, "store_regained", { { "age_ms", ageOf(this->belief, BootClock::now()) } });
     }
-    this->belief.isConfirmed = true;
-    this->belief.confirmedAt = std::max(this->belief.confirmedAt, sentAt);
+    this->confirm(sentAt);
 }
 
 void EntryNode::apply(const StoreChange& change, TimePoint now)
 {
+    if (!this->copy.take(change, now))
+        return;
     std::string fault;
     auto step = applyChange(this->belief, this->dialect.store, change, now, fault);
     if (step == BeliefStep::None)
@@ -121,7 +148,7 @@
     // What the first listing holds may have been named long before.
     const auto& bounds = this->settings.bounds;
     this->belief.namedBefore = this->belief.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.versionSwitch - bounds.contact);
-    this->confirm(sentAt);
+    this->confirmByStore(sentAt);
     for (const auto& item : items)
         this->apply(item, now);
     this->belief.namedBefore = Milliseconds(0);
@@ -133,7 +160,7 @@
 void EntryNode::takeChanges(const std::vector<StoreChange>& changes, BootTimePoint sentAt)
 {
     auto now = Clock::now();
-    this->confirm(sentAt);
+    this->confirmByStore(sentAt);
     for (const auto& change : changes)
         this->apply(change, now);
     if (!changes.empty())
@@ -189,9 +216,126 @@
         if (row.inFlight > 0)
             message.loads.push_back({ endpointHash(row.record.id), row.inFlight });
     }
+    auto now = Clock::now();
+    for (const auto& recent : this->recentCrashes) {
+        if (now < recent.until)
+            message.crashes.push_back(recent.report);
+    }
+    for (const auto& recent : this->recentNotices) {
+        if (now < recent.until)
+            message.notices.push_back(recent.notice);
+    }
     this->hasLoadChanged = false;
 }
 
+void EntryNode::takePeerMessage(const PeerMessage& message)
+{
+    auto now = Clock::now();
+    for (const auto& crash : message.crashes)
+        this->crashes.add(crash, now);
+    for (const auto& notice : message.notices)
+        this->applyNotice(notice);
+}
+
+// From the agent itself: the peers are told, since an agent knows only some entries.
+void EntryNode::takeNotice(const EngineNotice& notice)
+{
+    this->recentNotices.push_back({ notice, Clock::now() + newsTime });
+    this->hasLoadChanged = true;
+    this->applyNotice(notice);
+}
+
+void EntryNode::applyNotice(const EngineNotice& notice)
+{
+    for (auto& row : this->belief.endpoints.rows) {
+        bool isIt = row.isListed && row.record.reportsModels && toText(row.record.address) == notice.address;
+        if (!isIt || notice.version <= std::max(row.record.layersVersion, row.record.noticedVersion))
+            continue;
+        row.record.noticedVersion = notice.version;
+        row.switchesAt = TimePoint::max();
+        this->log.write(LogLevel::Info, "engine_noticed", { { "endpoint", row.record.id }, { "version", notice.version } });
+        startWaiting(*this, row.record.service);
+    }
+}
+
+void reportCrash(EntryNode& node, const std::vector<uint64_t>& fingerprints, const std::string& endpointId, TimePoint now)
+{
+    uint32_t endpoint = endpointHash(endpointId);
+    for (uint64_t fingerprint : fingerprints) {
+        CrashReport report { fingerprint, endpoint };
+        if (node.crashes.add(report, now))
+            node.recentCrashes.push_back({ report, now + newsTime });
+    }
+    node.hasLoadChanged = true;
+    node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", endpointId }, { "requests", static_cast<uint64_t>(fingerprints.size()) } });
+}
+
+// Drops news that the peers have been told often enough.
+static void dropOldNews(EntryNode& node, TimePoint now)
+{
+    auto isOldCrash = [&](const EntryNode::RecentCrash& recent) { return now >= recent.until; };
+    auto isOldNotice = [&](const EntryNode::RecentNotice& recent) { return now >= recent.until; };
+    node.recentCrashes.erase(std::remove_if(node.recentCrashes.begin(), node.recentCrashes.end(), isOldCrash), node.recentCrashes.end());
+    node.recentNotices.erase(std::remove_if(node.recentNotices.begin(), node.recentNotices.end(), isOldNotice), node.recentNotices.end());
+    node.crashes.sweep(now);
+}
+
+// Peers ask for /store/REVISION: what has changed since.
+void EntryNode::answerPeer(const std::shared_ptr<ServerExchange>& exchange)
+{
+    uint64_t revision = 0;
+    std::string_view path = exchange->request().path;
+    bool isKnown = path.substr(0, excerptPrefix.size()) == excerptPrefix && absl::SimpleAtoi(absl::string_view(path.data() + excerptPrefix.size(), path.size() - excerptPrefix.size()), &revision);
+    if (!isKnown || !this->belief.isConfirmed) {
+        exchange->answer(isKnown ? 503 : 404, {}, {});
+        return;
+    }
+    StoreExcerpt excerpt { ageOf(this->belief, BootClock::now()), this->copy.revision, changesAfter(this->copy, revision) };
+    exchange->answer(200, { { "Content-Type", "application/msgpack" } }, encodeExcerpt(excerpt));
+}
+
+// While the store doesn't answer, lives from the peer that knows it best.
+void EntryNode::askPeer(TimePoint now)
+{
+    auto age = ageOf(this->belief, BootClock::now());
+    bool isDue = (age > tolerableAge || (this->isStoreLost && age > peerGain)) && now - this->peerAskedAt >= peerInterval && !this->peerCaller.isBusy();
+    if (!isDue)
+        return;
+    auto peer = freshestPeer(this->peers.table(), age == Milliseconds::max() ? age : age - peerGain, now);
+    if (peer.empty())
+        return;
+    this->peerAskedAt = now;
+    this->peerCaller.setAddress({ peer, this->settings.peerPort });
+    auto sentAt = BootClock::now();
+    this->peerCaller.get(fmt::format("{}{}", excerptPrefix, this->copy.revision), peerTimeout, [this, peer, sentAt](const CallResult& result) { this->takeExcerpt(result, peer, sentAt); });
+}
+
+void EntryNode::takeExcerpt(const CallResult& result, const std::string& peer, BootTimePoint sentAt)
+{
+    auto excerpt = result.status == 200 ? decodeExcerpt(result.body) : absl::StatusOr<StoreExcerpt>(absl::UnavailableError(result.describe()));
+    if (!excerpt.ok()) {
+        this->log.write(LogLevel::Info, "peer_call_failed", { { "peer", peer }, { "reason", std::string(excerpt.status().message()) } });
+        return;
+    }
+    // What the peer knew when it answered is at least as new as what it knew when it was asked.
+    auto knownAt = sentAt - excerpt->age;
+    if (this->belief.isConfirmed && knownAt <= this->belief.confirmedAt)
+        return;
+    if (!this->livesFromPeers) {
+        this->livesFromPeers = true;
+        this->log.write(LogLevel::Info, "took_peers_belief", { { "peer", peer }, { "age_ms", excerpt->age }, { "changes", static_cast<uint64_t>(excerpt->changes.size()) } });
+    }
+    auto now = Clock::now();
+    const auto& bounds = this->settings.bounds;
+    this->belief.namedBefore = this->belief.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.versionSwitch - bounds.contact);
+    this->confirm(knownAt);
+    for (const auto& change : excerpt->changes)
+        this->apply(change, now);
+    this->belief.namedBefore = Milliseconds(0);
+    if (!excerpt->changes.empty())
+        this->planSwitches();
+}
+
 // Notes for each engine with older weights when it leaves for the named ones.
 void EntryNode::planSwitches()
 {
@@ -203,6 +347,8 @@
     for (auto& row : this->belief.endpoints.rows) {
         row.switchesAt = TimePoint::max();
         for (const auto& held : row.record.models) {
+            if (held.version < row.record.noticedVersion)
+                continue;
             auto named = this->belief.versions.find(held.name);
             auto base = named == this->belief.versions.end() ? TimePoint::max() : switchBase(named->second, held.version);
             if (base == TimePoint::max())
@@ -302,6 +448,9 @@
     auto now = Clock::now();
     this->belief.endpoints.sweep(now);
     this->takePeerLoads(now);
+    this->askPeer(now);
+    this->copy.sweep(now);
+    dropOldNews(*this, now);
     tickRuns(*this, now);
     for (const auto& [service, queue] : this->queues)
         startWaiting(*this, service);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -6,11 +6,13 @@
 #include "Dialect.h"
 #include "DispatchQueue.h"
 #include "EventLog.h"
+#include "HttpCall.h"
 #include "LoopServer.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
 #include "PeerExchange.h"
 #include "RepeatBudget.h"
+#include "StoreCopy.h"
 #include "StoreWatch.h"
 
 #include <memory>
@@ -47,7 +49,19 @@
     std::unordered_map<std::string, RepeatCounts> repeats; ///< By service.
     std::unordered_map<uint64_t, std::shared_ptr<RequestRun>> runs; ///< Requests that aren't answered yet, by number.
     uint64_t nextRun = 1;
+    CrashLedger crashes;
     std::mt19937_64 random;
+    /// News that the peers are told for a while.
+    struct RecentCrash {
+        CrashReport report;
+        TimePoint until {};
+    };
+    struct RecentNotice {
+        EngineNotice notice;
+        TimePoint until {};
+    };
+    std::vector<RecentCrash> recentCrashes;
+    std::vector<RecentNotice> recentNotices;
     bool hasLoadChanged = false; ///< Since the peers were told.
     TimePoint stopRequestedAt = TimePoint::max();
 
@@ -64,6 +78,13 @@
     void armTick();
     void tick();
     void describeTo(PeerMessage&);
+    void takePeerMessage(const PeerMessage&);
+    void takeNotice(const EngineNotice&);
+    void applyNotice(const EngineNotice&);
+    void answerPeer(const std::shared_ptr<ServerExchange>&);
+    void askPeer(TimePoint now);
+    void takeExcerpt(const CallResult&, const std::string& peer, BootTimePoint sentAt);
+    void confirmByStore(BootTimePoint sentAt);
     void takePeerLoads(TimePoint now);
     void planSwitches();
     void stopWhenDone(TimePoint now);
@@ -71,6 +92,11 @@
     LoopServer callers;
     LoopServer balancer;
     LoopServer scrapers;
+    LoopServer peerServer;
+    HttpCaller peerCaller;
+    StoreCopy copy;
+    TimePoint peerAskedAt {};
+    bool livesFromPeers = false;
     StoreWatch watch;
     LoopTimer timer;
     bool isStoreLost = false;
@@ -85,6 +111,8 @@
 bool knowsRevocations(const EntryNode&, BootTimePoint now);
 /// Starts waiting requests of a service for which there is a free place now.
 void startWaiting(EntryNode&, const std::string& service);
+/// Notes requests that went down with an endpoint, and tells the peers.
+void reportCrash(EntryNode&, const std::vector<uint64_t>& fingerprints, const std::string& endpointId, TimePoint now);
 /// Entries that may share the fleet's budgets, this one included.
 uint32_t entryCount(const EntryNode&);
 
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -28,7 +28,8 @@
     PeerExchangeSettings settings;
     asio::ip::udp::socket socket;
     std::function<void(PeerMessage&)> describe;
-    std::function<void(uint64_t)> onCrash;
+    std::function<void(const PeerMessage&)> onMessage;
+    std::function<void(const EngineNotice&)> onNotice;
     PeerTable table;
     std::array<char, maxPeerMessageBytes> buffer {};
     asio::ip::udp::endpoint sender;
@@ -39,11 +40,12 @@
     TimePoint notBefore {};
 };
 
-PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&)> describe, std::function<void(uint64_t)> onCrash)
+PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&)> describe, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice)
     : state(std::make_shared<State>(loop, settings))
 {
     this->state->describe = std::move(describe);
-    this->state->onCrash = std::move(onCrash);
+    this->state->onMessage = std::move(onMessage);
+    this->state->onNotice = std::move(onNotice);
     this->state->incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch()).count());
     for (const auto& seed : settings.seeds)
         this->state->table.add(seed);
@@ -71,20 +73,26 @@
     return absl::OkStatus();
 }
 
+// Bytes that are neither a message of a peer nor a notice of an agent are dropped.
+void PeerExchange::takeDatagram(State& state, const std::string& bytes)
+{
+    if (auto notice = decodeNotice(bytes); notice.ok()) {
+        state.onNotice(*notice);
+        return;
+    }
+    auto message = decodePeerMessage(bytes);
+    if (message.ok() && state.table.take(state.sender.address().to_string(), *message, Clock::now()))
+        state.onMessage(*message);
+}
+
 void PeerExchange::receive()
 {
     auto& state = *this->state;
     state.socket.async_receive_from(asio::buffer(state.buffer), state.sender, [this, shared = this->state](const boost::system::error_code& error, size_t count) {
         if (error == asio::error::operation_aborted || !shared->socket.is_open())
             return;
-        if (!error) {
-            auto message = decodePeerMessage(std::string(shared->buffer.data(), count));
-            bool isNews = message.ok() && shared->table.take(shared->sender.address().to_string(), *message, Clock::now());
-            if (isNews) {
-                for (uint64_t fingerprint : message->crashes)
-                    shared->onCrash(fingerprint);
-            }
-        }
+        if (!error)
+            takeDatagram(*shared, std::string(shared->buffer.data(), count));
         this->receive();
     });
 }
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -20,9 +20,9 @@
 /// Used by the loop's thread only.
 class PeerExchange {
 public:
-    /// `describe` fills in what the entry tells, but for sender and peers; `onCrash` is told of crashes that a peer names.
-    /// Precondition: the loop outlives it.
-    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&)> describe, std::function<void(uint64_t fingerprint)> onCrash);
+    /// `describe` fills in what the entry tells, but for sender and peers; `onMessage` is told of each new message, `onNotice`
+    /// of notices that come from agents themselves. Precondition: the loop outlives it.
+    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&)> describe, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice);
     ~PeerExchange();
     PeerExchange(const PeerExchange&) = delete;
     PeerExchange& operator=(const PeerExchange&) = delete;
@@ -42,6 +42,7 @@
     struct State;
 
     void receive();
+    static void takeDatagram(State&, const std::string& bytes);
     void send(const std::string& bytes, const std::string& ip);
 
     std::shared_ptr<State> state;
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -1,5 +1,6 @@
 #include "PeerMessage.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -9,6 +10,7 @@
 
 // First element of each message; changes with its layout.
 static constexpr uint32_t layoutVersion = 1;
+static constexpr uint32_t noticeLayoutVersion = 101;
 
 uint32_t endpointHash(const std::string& id)
 {
@@ -22,7 +24,15 @@
         loads.push_back(load.endpoint);
         loads.push_back(load.inFlight);
     }
-    json whole = json::array({ layoutVersion, message.incarnation, message.sequence, message.isStopping, message.beliefAge.count(), loads, message.peers, message.crashes });
+    json crashes = json::array();
+    for (const auto& crash : message.crashes) {
+        crashes.push_back(crash.fingerprint);
+        crashes.push_back(crash.endpoint);
+    }
+    json notices = json::array();
+    for (const auto& notice : message.notices)
+        notices.push_back(json::array({ notice.address, notice.version, notice.sequence }));
+    json whole = json::array({ layoutVersion, message.incarnation, message.sequence, message.isStopping, message.beliefAge.count(), loads, message.peers, crashes, notices });
     auto bytes = json::to_msgpack(whole);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -49,14 +59,44 @@
     return true;
 }
 
+static bool isNotice(const json& row)
+{
+    return row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_number_unsigned() && row[2].is_number_unsigned();
+}
+
+static bool areNotices(const json& list)
+{
+    return list.is_array() && std::all_of(list.begin(), list.end(), isNotice);
+}
+
+static EngineNotice readNotice(const json& row)
+{
+    return { row[0].get<std::string>(), row[1].get<uint32_t>(), row[2].get<uint64_t>() };
+}
+
+std::string encodeNotice(const EngineNotice& notice)
+{
+    auto bytes = json::to_msgpack(json::array({ noticeLayoutVersion, json::array({ notice.address, notice.version, notice.sequence }) }));
+    return std::string(bytes.begin(), bytes.end());
+}
+
+absl::StatusOr<EngineNotice> decodeNotice(const std::string& bytes)
+{
+    auto whole = json::from_msgpack(bytes, true, false);
+    bool isTyped = whole.is_array() && whole.size() == 2 && whole[0].is_number_unsigned() && whole[0].get<uint32_t>() == noticeLayoutVersion && isNotice(whole[1]);
+    if (!isTyped)
+        return absl::InvalidArgumentError("not a notice");
+    return readNotice(whole[1]);
+}
+
 absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
     auto whole = json::from_msgpack(bytes, true, false);
-    bool hasLayout = whole.is_array() && whole.size() == 8 && whole[0].is_number_unsigned() && whole[0].get<uint32_t>() == layoutVersion;
+    bool hasLayout = whole.is_array() && whole.size() == 9 && whole[0].is_number_unsigned() && whole[0].get<uint32_t>() == layoutVersion;
     if (!hasLayout)
         return absl::InvalidArgumentError("not a message of this layout");
     bool isTyped = whole[1].is_number_unsigned() && whole[2].is_number_unsigned() && whole[3].is_boolean() && whole[4].is_number_integer()
-        && areNumbers(whole[5]) && whole[5].size() % 2 == 0 && areTexts(whole[6]) && areNumbers(whole[7]);
+        && areNumbers(whole[5]) && whole[5].size() % 2 == 0 && areTexts(whole[6]) && areNumbers(whole[7]) && whole[7].size() % 2 == 0 && areNotices(whole[8]);
     if (!isTyped)
         return absl::InvalidArgumentError("a field is of another type");
     PeerMessage message;
@@ -67,7 +107,10 @@
     for (size_t i = 0; i + 1 < whole[5].size(); i += 2)
         message.loads.push_back({ whole[5][i].get<uint32_t>(), whole[5][i + 1].get<uint32_t>() });
     message.peers = whole[6].get<std::vector<std::string>>();
-    message.crashes = whole[7].get<std::vector<uint64_t>>();
+    for (size_t i = 0; i + 1 < whole[7].size(); i += 2)
+        message.crashes.push_back({ whole[7][i].get<uint64_t>(), whole[7][i + 1].get<uint32_t>() });
+    for (const auto& row : whole[8])
+        message.notices.push_back(readNotice(row));
     return message;
 }
 
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -1,6 +1,7 @@
 /// What entries tell each other, as bytes of a datagram (MessagePack).
 #pragma once
 
+#include "CrashLedger.h"
 #include "Types.h"
 
 #include <absl/status/statusor.h>
@@ -16,6 +17,13 @@
     uint32_t inFlight = 0;
 };
 
+/// An engine that has turned to other weights, as the agent beside it says.
+struct EngineNotice {
+    std::string address; ///< IP:port of the engine.
+    uint32_t version = 0; ///< That it serves now; zero: none.
+    uint64_t sequence = 0; ///< Grows with each notice of one engine.
+};
+
 struct PeerMessage {
     uint64_t incarnation = 0; ///< Of the sending process; higher after a restart.
     uint64_t sequence = 0; ///< Grows with each message of an incarnation.
@@ -23,7 +31,8 @@
     Milliseconds beliefAge { 0 }; ///< Of what it knows from the store.
     std::vector<PeerLoad> loads; ///< All that aren't zero.
     std::vector<std::string> peers; ///< IP numbers of entries that it has heard of lately.
-    std::vector<uint64_t> crashes; ///< Fingerprints of requests after which endpoints went down lately, one entry a crash.
+    std::vector<CrashReport> crashes; ///< Of the last moments.
+    std::vector<EngineNotice> notices; ///< Of the last moments, from agents.
 };
 
 /// Largest datagram that is sent or taken, in bytes.
@@ -35,4 +44,8 @@
 /// Fails for bytes that are no such message. Thread safe.
 absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes);
 
+/// A notice as an agent sends it, and as it is read. Thread safe.
+std::string encodeNotice(const EngineNotice&);
+absl::StatusOr<EngineNotice> decodeNotice(const std::string& bytes);
+
 } // namespace bilberry
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -27,6 +27,8 @@
 static constexpr int startedPriority = -1;
 // When a caller of an entry that stops should come back; it reaches another entry.
 static constexpr Milliseconds stoppingRetryAfter { 50 };
+// When a caller whose request takes endpoints down may try again.
+static constexpr Milliseconds condemnedRetryAfter { 60'000 };
 // Time in which an endpoint that refused for its load or state gets nothing more.
 static constexpr Milliseconds refusalPause { 60 };
 
@@ -118,6 +120,11 @@
         this->refuse(503, "revocations_unknown", Milliseconds(1000));
         return false;
     }
+    this->fingerprint = requestFingerprint(request.method, request.path, this->account ? this->account->name : std::string(), request.body);
+    if (isCondemned(this->node.crashes, this->fingerprint)) {
+        this->refuse(503, "crashes_endpoints", condemnedRetryAfter);
+        return false;
+    }
     // 3. Time.
     auto budget = std::min(this->caller.timeBudget.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + budget;
@@ -348,6 +355,13 @@
     auto& endpoint = this->node.belief.endpoints.rows[this->row];
     --endpoint.inFlight;
     this->node.hasLoadChanged = true;
+    if (result == AttemptResult::Answered)
+        this->node.crashes.clear(this->fingerprint);
+    if (result == AttemptResult::Lost || result == AttemptResult::NotSent) {
+        auto crashed = noteLoss(endpoint.losses, this->fingerprint, endpoint.inFlight, result == AttemptResult::NotSent, now);
+        if (!crashed.empty())
+            reportCrash(this->node, crashed, this->endpointId, now);
+    }
     if (result == AttemptResult::Answered)
         noteOutcome(endpoint, true, now);
     else if (result == AttemptResult::NotExecuted)
--- a/src/RequestRun.h
+++ b/src/RequestRun.h
@@ -68,6 +68,7 @@
     const ClientAccount* account = nullptr;
     const ServiceRule* service = nullptr;
     EndpointNeed need;
+    uint64_t fingerprint = 0;
     int priority = 0;
     TimePoint deadline {};
     TimePoint arrivedAt {};
--- /dev/null
+++ b/src/StoreCopy.cpp
@@ -0,0 +1,76 @@
+#include "StoreCopy.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+// Removals are kept for that long; an entry that was away for longer asks for everything.
+static constexpr std::chrono::minutes removalTime { 2 };
+
+bool StoreCopy::take(const StoreChange& change, TimePoint now)
+{
+    auto found = this->rows.find(change.key);
+    if (found != this->rows.end() && found->second.change.revision >= change.revision)
+        return false;
+    this->rows[change.key] = { change, now };
+    this->revision = std::max(this->revision, change.revision);
+    return true;
+}
+
+void StoreCopy::sweep(TimePoint now)
+{
+    for (auto row = this->rows.begin(); row != this->rows.end();) {
+        bool isOld = row->second.change.isRemoved && now - row->second.takenAt > removalTime;
+        row = isOld ? this->rows.erase(row) : std::next(row);
+    }
+}
+
+std::vector<StoreChange> changesAfter(const StoreCopy& copy, uint64_t revision)
+{
+    std::vector<StoreChange> changes;
+    for (const auto& [key, row] : copy.rows) {
+        if (row.change.revision > revision)
+            changes.push_back(row.change);
+    }
+    std::sort(changes.begin(), changes.end(), [](const StoreChange& first, const StoreChange& second) { return first.revision < second.revision; });
+    return changes;
+}
+
+std::string encodeExcerpt(const StoreExcerpt& excerpt)
+{
+    json changes = json::array();
+    for (const auto& change : excerpt.changes) {
+        std::vector<uint8_t> value(change.value.begin(), change.value.end());
+        changes.push_back(json::array({ change.key, change.revision, change.isRemoved, json::binary(std::move(value)) }));
+    }
+    auto bytes = json::to_msgpack(json::array({ excerpt.age.count(), excerpt.revision, changes }));
+    return std::string(bytes.begin(), bytes.end());
+}
+
+static bool isChange(const json& row)
+{
+    return row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_unsigned() && row[2].is_boolean() && row[3].is_binary();
+}
+
+absl::StatusOr<StoreExcerpt> decodeExcerpt(const std::string& bytes)
+{
+    auto whole = json::from_msgpack(bytes, true, false);
+    bool isTyped = whole.is_array() && whole.size() == 3 && whole[0].is_number_integer() && whole[1].is_number_unsigned() && whole[2].is_array();
+    if (!isTyped)
+        return absl::InvalidArgumentError("not an excerpt of the store");
+    StoreExcerpt excerpt;
+    excerpt.age = Milliseconds(whole[0].get<int64_t>());
+    excerpt.revision = whole[1].get<uint64_t>();
+    for (const auto& row : whole[2]) {
+        if (!isChange(row))
+            return absl::InvalidArgumentError("a change of another form");
+        const auto& value = row[3].get_binary();
+        excerpt.changes.push_back({ row[0].get<std::string>(), row[2].get<bool>(), std::string(value.begin(), value.end()), row[1].get<uint64_t>() });
+    }
+    return excerpt;
+}
+
+} // namespace bilberry
