--- /dev/null
+++ b/tests/EngineModel.cpp
@@ -0,0 +1,48 @@
+#include "EngineModel.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+void EngineModel::add(ModelledRequest& request)
+{
+    this->waiting.push_back(&request);
+}
+
+// One pass: newcomers' prompts are read, then each writer writes one event.
+static double runPass(EngineModel& engine, double begin, std::vector<ModelledRequest*>& ended)
+{
+    double time = begin;
+    while (engine.running.size() < engine.times.slots && !engine.waiting.empty()) {
+        auto* request = engine.waiting.front();
+        engine.waiting.pop_front();
+        time += 1000 * request->promptTokens / engine.times.prefillTokensPerSecond;
+        engine.running.push_back(request);
+    }
+    double step = engine.times.step.count() + engine.times.stepPerRequest.count() * static_cast<double>(engine.running.size());
+    time += step * engine.times.tokensPerEvent;
+    for (auto* request : engine.running) {
+        request->written += engine.times.tokensPerEvent;
+        if (request->firstEventAt < 0)
+            request->firstEventAt = time;
+        if (request->written >= request->answerTokens) {
+            request->endedAt = time;
+            ended.push_back(request);
+        }
+    }
+    auto isOver = [](const ModelledRequest* request) { return request->endedAt >= 0; };
+    engine.running.erase(std::remove_if(engine.running.begin(), engine.running.end(), isOver), engine.running.end());
+    return time;
+}
+
+std::vector<ModelledRequest*> EngineModel::advance(double now)
+{
+    std::vector<ModelledRequest*> ended;
+    while (this->busyUntil <= now && !(this->running.empty() && this->waiting.empty()))
+        this->busyUntil = runPass(*this, this->busyUntil, ended);
+    if (this->running.empty() && this->waiting.empty())
+        this->busyUntil = std::max(this->busyUntil, now);
+    return ended;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/tests/LoopHttpTest.cpp
@@ -0,0 +1,358 @@
+#define BOOST_TEST_MODULE LoopHttp
+#include <boost/test/unit_test.hpp>
+
+#include "ChannelPool.h"
+#include "HttpCall.h"
+#include "LoopServer.h"
+#include "ServerExchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+
+namespace asio = boost::asio;
+using namespace bilberry;
+
+namespace {
+
+// Longest time that a test waits for anything.
+constexpr Milliseconds patience { 8000 };
+
+/// Runs the loop until the condition holds; fails the test when it doesn't in time.
+void runUntil(EventLoop& loop, const std::function<bool()>& condition)
+{
+    auto end = Clock::now() + patience;
+    while (!condition() && Clock::now() < end) {
+        loop.restart();
+        loop.run_one_for(Milliseconds(20));
+    }
+    BOOST_REQUIRE(condition());
+}
+
+/// A caller that writes bytes as they are and gathers what comes back.
+struct RawCaller {
+    RawCaller(EventLoop& loop, int port)
+        : loop(loop)
+        , socket(loop)
+    {
+        this->socket.connect({ asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(port) });
+        this->read();
+    }
+
+    void write(const std::string& bytes) { asio::write(this->socket, asio::buffer(bytes)); }
+
+    void read()
+    {
+        this->socket.async_read_some(asio::buffer(this->buffer), [this](const boost::system::error_code& error, size_t count) {
+            this->received.append(this->buffer.data(), count);
+            this->isClosed = static_cast<bool>(error);
+            if (!error)
+                this->read();
+        });
+    }
+
+    bool has(const std::string& text) const { return this->received.find(text) != std::string::npos; }
+
+    EventLoop& loop;
+    asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer {};
+    std::string received;
+    bool isClosed = false;
+};
+
+struct ServerFixture {
+    ServerFixture()
+        : server(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->handler(exchange); })
+    {
+        BOOST_REQUIRE(this->server.listen({ "127.0.0.1", 0 }).ok());
+    }
+
+    EventLoop loop { 1 };
+    std::function<void(const std::shared_ptr<ServerExchange>&)> handler = [](const std::shared_ptr<ServerExchange>& exchange) {
+        exchange->answer(200, { { "X-Path", exchange->request().path } }, exchange->request().body);
+    };
+    LoopServer server;
+};
+
+/// A server that writes fixed bytes for each request that it reads, and then perhaps closes.
+struct ScriptedServer {
+    ScriptedServer(EventLoop& loop, std::vector<std::string> answers, bool closes)
+        : acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(loop)
+        , answers(std::move(answers))
+        , closes(closes)
+    {
+        this->acceptor.async_accept(this->socket, [this](const boost::system::error_code& error) {
+            ++this->accepted;
+            if (!error)
+                this->serve();
+        });
+    }
+
+    int port() const { return this->acceptor.local_endpoint().port(); }
+
+    void serve()
+    {
+        this->socket.async_read_some(asio::buffer(this->buffer), [this](const boost::system::error_code& error, size_t) {
+            if (error || this->next >= this->answers.size())
+                return;
+            asio::write(this->socket, asio::buffer(this->answers[this->next++]));
+            if (this->closes && this->next == this->answers.size())
+                this->socket.close();
+            else
+                this->serve();
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::vector<std::string> answers;
+    bool closes;
+    size_t next = 0;
+    int accepted = 0;
+    std::array<char, 4096> buffer {};
+};
+
+/// One exchange on a channel.
+struct Exchange {
+    std::optional<ChannelEnd> end;
+    int status = 0;
+    std::string body;
+    int skipsLeft = 0;
+
+    void run(const std::shared_ptr<HttpChannel>& channel, const HttpRequest& request)
+    {
+        ResponseHandlers handlers;
+        handlers.onHead = [this](const ResponseHead& head) {
+            if (this->skipsLeft-- > 0)
+                return HeadVerdict::Skip;
+            this->status = head.status;
+            return HeadVerdict::Take;
+        };
+        handlers.onPiece = [this, channel](const std::string& piece) {
+            this->body += piece;
+            channel->readOn();
+        };
+        handlers.onEnd = [this](ChannelEnd how) { this->end = how; };
+        channel->send(request, std::move(handlers));
+    }
+};
+
+HttpRequest getRequest()
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    request.headers = { { "Host", "h" } };
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestsThatAreRefusedByTheirForm)
+{
+    struct Row {
+        const char* name;
+        std::string bytes;
+        int status;
+    };
+    const std::vector<Row> rows {
+        { "header too large", "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n", 431 },
+        { "body too large by length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", 413 },
+        { "body too large in chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n", 413 },
+        { "slow header", "GET / HTTP/1.1\r\nHos", 408 },
+        { "slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", 408 },
+        { "two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400 },
+        { "length and chunks", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "other coding", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "two codings", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "no host", "GET / HTTP/1.1\r\n\r\n", 400 },
+        { "two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400 },
+        { "bad chunk size", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400 },
+        { "no HTTP", "hello\r\n\r\n", 400 },
+    };
+    for (const auto& row : rows) {
+        ServerFixture fixture;
+        bool isHandled = false;
+        fixture.handler = [&](const std::shared_ptr<ServerExchange>& exchange) {
+            isHandled = true;
+            exchange->answer(200, {}, {});
+        };
+        fixture.server.setLimits({ 2000, 1000, Milliseconds(80), Milliseconds(80), Milliseconds(5000), 10 });
+        RawCaller caller(fixture.loop, fixture.server.port());
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            caller.write(row.bytes);
+            runUntil(fixture.loop, [&] { return caller.isClosed; });
+            BOOST_TEST(caller.received.substr(0, 12) == "HTTP/1.1 " + std::to_string(row.status));
+            BOOST_TEST(!isHandled);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(severalRequestsOnOneConnection)
+{
+    ServerFixture fixture;
+    RawCaller caller(fixture.loop, fixture.server.port());
+    caller.write("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcPOST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\nHEAD /3 HTTP/1.1\r\nHost: h\r\n\r\nGET /4 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    runUntil(fixture.loop, [&] { return caller.isClosed; });
+    BOOST_TEST(caller.has("X-Path: /1\r\n"));
+    BOOST_TEST(caller.has("\r\n\r\nabcHTTP"));
+    BOOST_TEST(caller.has("\r\n\r\ndeHTTP"));
+    BOOST_TEST(caller.has("X-Path: /3\r\n"));
+    BOOST_TEST(caller.has("X-Path: /4\r\n"));
+    BOOST_TEST(fixture.server.connectionCount() <= 1u);
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterTheirTime)
+{
+    ServerFixture fixture;
+    fixture.server.setLimits({ 2000, 1000, Milliseconds(1000), Milliseconds(1000), Milliseconds(60), 10 });
+    RawCaller caller(fixture.loop, fixture.server.port());
+    runUntil(fixture.loop, [&] { return caller.isClosed; });
+    BOOST_TEST(caller.received.empty());
+}
+
+BOOST_AUTO_TEST_CASE(callersWhoLeaveAreNoticed)
+{
+    ServerFixture fixture;
+    bool hasLeft = false;
+    std::shared_ptr<ServerExchange> held;
+    fixture.handler = [&](const std::shared_ptr<ServerExchange>& exchange) {
+        held = exchange;
+        exchange->onCallerLeft([&] { hasLeft = true; });
+    };
+    RawCaller caller(fixture.loop, fixture.server.port());
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(fixture.loop, [&] { return held != nullptr; });
+    caller.socket.close();
+    runUntil(fixture.loop, [&] { return hasLeft; });
+    held->answer(200, {}, "late");
+}
+
+// An answer in parts that is cut has no last chunk; one that is finished has.
+BOOST_AUTO_TEST_CASE(cutAnswersDontLookComplete)
+{
+    for (bool isCut : { true, false }) {
+        ServerFixture fixture;
+        fixture.handler = [&](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->start(200, {}, "first", [exchange, isCut] {
+                if (isCut)
+                    exchange->abort();
+                else
+                    exchange->finish();
+            });
+        };
+        RawCaller caller(fixture.loop, fixture.server.port());
+        caller.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        runUntil(fixture.loop, [&] { return caller.isClosed; });
+        BOOST_TEST(caller.has("0\r\n\r\n") == !isCut);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endsOfResponsesByTheirFraming)
+{
+    struct Row {
+        const char* name;
+        std::string bytes;
+        bool closes;
+        ChannelEnd end;
+        bool isReusable;
+    };
+    const std::vector<Row> rows {
+        { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, ChannelEnd::Whole, true },
+        { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false, ChannelEnd::Whole, true },
+        { "until close", "HTTP/1.1 200 OK\r\n\r\nabc", true, ChannelEnd::Whole, false },
+        { "close asked for", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", false, ChannelEnd::Whole, false },
+        { "bytes beyond", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef", false, ChannelEnd::Whole, false },
+        { "cut length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true, ChannelEnd::Lost, false },
+        { "cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true, ChannelEnd::Lost, false },
+        { "no answer", "", true, ChannelEnd::Lost, false },
+        { "no HTTP", "what\r\n\r\n", false, ChannelEnd::Malformed, false },
+    };
+    for (const auto& row : rows) {
+        EventLoop loop { 1 };
+        ScriptedServer server(loop, { row.bytes }, row.closes);
+        auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimes {});
+        Exchange exchange;
+        exchange.run(channel, getRequest());
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            runUntil(loop, [&] { return exchange.end.has_value(); });
+            BOOST_TEST((*exchange.end == row.end));
+            BOOST_TEST(channel->canReuse() == row.isReusable);
+            if (row.end == ChannelEnd::Whole)
+                BOOST_TEST(exchange.body == "abc");
+        }
+    }
+}
+
+// An answer to an earlier request that arrives late is passed over; the right one follows on the same connection.
+BOOST_AUTO_TEST_CASE(answersToEarlierRequestsArePassedOver)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nright" }, false);
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimes {});
+    Exchange exchange;
+    exchange.skipsLeft = 1;
+    exchange.run(channel, getRequest());
+    runUntil(loop, [&] { return exchange.end.has_value(); });
+    BOOST_TEST((*exchange.end == ChannelEnd::Whole));
+    BOOST_TEST(exchange.status == 201);
+    BOOST_TEST(exchange.body == "right");
+    BOOST_TEST(!channel->canReuse());
+}
+
+BOOST_AUTO_TEST_CASE(addressesWithoutListenerAreNotSentTo)
+{
+    EventLoop loop { 1 };
+    int port = 0;
+    {
+        ScriptedServer server(loop, {}, false);
+        port = server.port();
+    }
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", port }, ChannelTimes {});
+    Exchange exchange;
+    exchange.run(channel, getRequest());
+    runUntil(loop, [&] { return exchange.end.has_value(); });
+    BOOST_TEST((*exchange.end == ChannelEnd::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(keptConnectionsAreUsedAgainAndDroppedWhenTheyEnd)
+{
+    EventLoop loop { 1 };
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n";
+    ScriptedServer server(loop, { answer, answer, "unasked" }, true);
+    ChannelPool pool(loop, ChannelTimes {});
+    Address address { "127.0.0.1", server.port() };
+    for (int i = 0; i < 2; ++i) {
+        auto channel = pool.take("e", address, Milliseconds(5000));
+        Exchange exchange;
+        exchange.run(channel, getRequest());
+        runUntil(loop, [&] { return exchange.end.has_value(); });
+        BOOST_TEST((channel->keepAliveTime() == Seconds(5)));
+        pool.give("e", channel);
+    }
+    BOOST_TEST(pool.madeCount() == 1u);
+    BOOST_TEST(pool.idleCount() == 1u);
+    // One that was idle for longer than the request allows isn't taken.
+    auto fresh = pool.take("e", address, Milliseconds(0));
+    BOOST_TEST(pool.madeCount() == 2u);
+    pool.drop("e");
+    BOOST_TEST(pool.idleCount() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(callsEndInTime)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, {}, false);
+    HttpCaller caller(loop, { "127.0.0.1", server.port() });
+    std::optional<CallResult> result;
+    caller.get("/", Milliseconds(60), [&](const CallResult& received) { result = received; });
+    BOOST_TEST(caller.isBusy());
+    runUntil(loop, [&] { return result.has_value(); });
+    BOOST_TEST(result->hasTimedOut);
+    BOOST_TEST(result->status == 0);
+    BOOST_TEST(!caller.isBusy());
+}
--- /dev/null
+++ b/tests/PeerMessageTest.cpp
@@ -0,0 +1,150 @@
+#define BOOST_TEST_MODULE PeerMessage
+#include <boost/test/unit_test.hpp>
+
+#include "PeerMessage.h"
+#include "PeerTable.h"
+#include "StoreCopy.h"
+
+#include <rapidcheck.h>
+
+using namespace bilberry;
+
+static const TimePoint start { std::chrono::hours(1) };
+
+BOOST_AUTO_TEST_CASE(messagesComeBackAsTheyWere)
+{
+    BOOST_TEST(rc::check([] {
+        PeerMessage sent;
+        sent.incarnation = *rc::gen::arbitrary<uint64_t>();
+        sent.sequence = *rc::gen::arbitrary<uint64_t>();
+        sent.isStopping = *rc::gen::arbitrary<bool>();
+        sent.beliefAge = Milliseconds(*rc::gen::arbitrary<int64_t>());
+        for (uint32_t endpoint : *rc::gen::arbitrary<std::vector<uint32_t>>())
+            sent.loads.push_back({ endpoint, endpoint / 2 });
+        sent.peers = { "10.0.0.1", "10.0.0.2" };
+        sent.crashes = { { *rc::gen::arbitrary<uint64_t>(), 5 } };
+        sent.notices = { { "10.0.0.9:80", 3, 17 } };
+        auto read = decodePeerMessage(encodePeerMessage(sent));
+        RC_ASSERT(read.ok());
+        RC_ASSERT(read->incarnation == sent.incarnation && read->sequence == sent.sequence);
+        RC_ASSERT(read->isStopping == sent.isStopping && read->beliefAge == sent.beliefAge);
+        RC_ASSERT(read->loads.size() == sent.loads.size() && read->peers == sent.peers);
+        RC_ASSERT(read->crashes[0].fingerprint == sent.crashes[0].fingerprint && read->notices[0].version == 3u);
+    }));
+}
+
+// Cut, changed or foreign bytes are refused, never half read.
+BOOST_AUTO_TEST_CASE(otherBytesAreRefused)
+{
+    PeerMessage message;
+    message.loads = { { 1, 2 } };
+    auto bytes = encodePeerMessage(message);
+    for (size_t size = 0; size < bytes.size(); ++size)
+        BOOST_TEST(!decodePeerMessage(bytes.substr(0, size)).ok());
+    BOOST_TEST(!decodePeerMessage("GET / HTTP/1.1\r\n\r\n").ok());
+    BOOST_TEST(!decodePeerMessage(encodeNotice({ "10.0.0.1:80", 2, 1 })).ok());
+    BOOST_TEST(!decodeNotice(bytes).ok());
+    BOOST_TEST(rc::check([&] {
+        auto changed = *rc::gen::arbitrary<std::string>();
+        decodePeerMessage(changed).ok();
+        decodeNotice(changed).ok();
+        decodeExcerpt(changed).ok();
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(olderMessagesChangeNothing)
+{
+    PeerTable table;
+    table.ownIp = "10.0.0.1";
+    PeerMessage message;
+    message.incarnation = 5;
+    message.sequence = 7;
+    message.loads = { { 3, 4 } };
+    BOOST_TEST(table.take("10.0.0.2", message, start));
+    BOOST_TEST(peersInFlight(table, 3, start) == 4u);
+    message.sequence = 6;
+    message.loads.clear();
+    BOOST_TEST(!table.take("10.0.0.2", message, start));
+    BOOST_TEST(peersInFlight(table, 3, start) == 4u);
+    message.incarnation = 6;
+    message.sequence = 1;
+    BOOST_TEST(table.take("10.0.0.2", message, start));
+    BOOST_TEST(peersInFlight(table, 3, start) == 0u);
+    BOOST_TEST(!table.take("10.0.0.1", message, start));
+}
+
+// A silent peer's requests don't count for ever, but it counts among those that share budgets for longer.
+BOOST_AUTO_TEST_CASE(silentPeersFadeByStages)
+{
+    PeerTable table;
+    table.ownIp = "10.0.0.1";
+    PeerMessage message;
+    message.incarnation = 1;
+    message.sequence = 1;
+    message.loads = { { 3, 4 } };
+    table.take("10.0.0.2", message, start);
+    BOOST_TEST(areAllHeard(table, start));
+    auto later = start + Seconds(5);
+    BOOST_TEST(peersInFlight(table, 3, later) == 0u);
+    BOOST_TEST(!areAllHeard(table, later));
+    BOOST_TEST(countEntries(table, later) == 2u);
+    auto muchLater = start + Seconds(90);
+    BOOST_TEST(countEntries(table, muchLater) == 1u);
+    table.sweep({}, muchLater);
+    BOOST_TEST(table.rows.empty());
+    table.add("10.0.0.3");
+    table.sweep({ "10.0.0.3" }, muchLater);
+    BOOST_TEST(table.rows.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(theFreshestPeerIsAsked)
+{
+    PeerTable table;
+    table.ownIp = "10.0.0.1";
+    PeerMessage message;
+    message.incarnation = 1;
+    message.sequence = 1;
+    message.beliefAge = Milliseconds(900);
+    table.take("10.0.0.2", message, start);
+    message.beliefAge = Milliseconds(200);
+    table.take("10.0.0.3", message, start);
+    BOOST_TEST(freshestPeer(table, Milliseconds(2000), start) == "10.0.0.3");
+    BOOST_TEST(freshestPeer(table, Milliseconds(100), start).empty());
+    BOOST_TEST(freshestPeer(table, Milliseconds::max(), start) == "10.0.0.3");
+}
+
+BOOST_AUTO_TEST_CASE(excerptsComeBackAsTheyWere)
+{
+    StoreExcerpt sent { Milliseconds(350), 90, { { "a", false, std::string("\x00\xff{}", 4), 88 }, { "b", true, {}, 90 } } };
+    auto read = decodeExcerpt(encodeExcerpt(sent));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((read->age == sent.age));
+    BOOST_TEST(read->revision == 90u);
+    BOOST_TEST(read->changes.size() == 2u);
+    BOOST_TEST(read->changes[0].value == sent.changes[0].value);
+    BOOST_TEST(read->changes[1].isRemoved);
+}
+
+// However changes arrive, and however often, the copy ends with the newest of each key.
+BOOST_AUTO_TEST_CASE(theNewestOfEachKeyStays)
+{
+    BOOST_TEST(rc::check([] {
+        auto order = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 40));
+        StoreCopy copy;
+        std::map<std::string, uint64_t> newest;
+        for (int revision : order) {
+            std::string key = "k" + std::to_string(revision % 4);
+            StoreChange change { key, revision % 3 == 0, "v", static_cast<uint64_t>(revision) };
+            bool isNewer = newest[key] < change.revision;
+            RC_ASSERT(copy.take(change, start) == isNewer);
+            newest[key] = std::max(newest[key], change.revision);
+        }
+        uint64_t last = 0;
+        for (const auto& change : changesAfter(copy, 10)) {
+            RC_ASSERT(change.revision > 10u);
+            RC_ASSERT(change.revision > last);
+            RC_ASSERT(newest[change.key] == change.revision);
+            last = change.revision;
+        }
+    }));
+}
--- /dev/null
+++ b/tests/PieceSourcesTest.cpp
@@ -0,0 +1,150 @@
+#define BOOST_TEST_MODULE PieceSources
+#include <boost/test/unit_test.hpp>
+
+#include "PieceSources.h"
+
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace bilberry;
+
+namespace {
+
+const Place place { "dc-0", { { "dc-0", "r0" }, { "dc-1", "r1" }, { "dc-2", "r2" } } };
+
+/// Copies that moved when a version is spread, by kind of way.
+struct Moved {
+    int fromOrigin = 0;
+    std::map<std::string, int> intoRegion; ///< From outside, by region.
+    int missing = 0;
+};
+
+/// Spreads pieces in rounds: each agent asks its present source, and goes on to the next one when that is down. `down` agents
+/// don't answer, as long as the rounds last.
+Moved spread(const std::vector<AgentPeer>& agents, uint32_t pieces, const std::string& originRegion, const std::set<std::string>& down)
+{
+    Moved moved;
+    std::map<std::string, std::set<uint32_t>> held;
+    std::map<std::string, std::string> regionOf;
+    std::map<std::pair<std::string, uint32_t>, size_t> round;
+    for (const auto& agent : agents) {
+        regionOf[agent.host] = agent.region;
+        for (uint32_t piece = 0; piece < pieces && agent.isHolder; ++piece)
+            held[agent.host].insert(piece);
+    }
+    for (int time = 0; time < 60; ++time) {
+        auto before = held;
+        for (const auto& agent : agents) {
+            if (down.count(agent.host) != 0)
+                continue;
+            for (uint32_t piece = 0; piece < pieces; ++piece) {
+                if (held[agent.host].count(piece) != 0)
+                    continue;
+                auto sources = pieceSources({ piece, agent.host, agent.region, originRegion }, agents);
+                auto& tried = round[{ agent.host, piece }];
+                const auto& source = sources[tried % sources.size()];
+                if (source.isOrigin) {
+                    ++moved.fromOrigin;
+                    held[agent.host].insert(piece);
+                    if (agent.region != originRegion)
+                        ++moved.intoRegion[agent.region];
+                } else if (down.count(source.host) != 0) {
+                    ++tried;
+                } else if (before[source.host].count(piece) != 0) {
+                    held[agent.host].insert(piece);
+                    if (regionOf[source.host] != agent.region)
+                        ++moved.intoRegion[agent.region];
+                }
+            }
+        }
+    }
+    for (const auto& agent : agents) {
+        if (down.count(agent.host) == 0)
+            moved.missing += static_cast<int>(pieces - held[agent.host].size());
+    }
+    return moved;
+}
+
+std::vector<AgentPeer> makeAgents(int inEach, int holders)
+{
+    std::vector<AgentPeer> agents;
+    for (int region = 0; region < 3; ++region) {
+        for (int i = 0; i < inEach; ++i)
+            agents.push_back({ "10." + std::to_string(region) + ".0." + std::to_string(10 + i), "r" + std::to_string(region), i < holders });
+    }
+    return agents;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(eachPieceLeavesTheOriginOnceAndEntersEachRegionOnce)
+{
+    for (int inEach : { 1, 2, 5, 9 }) {
+        auto moved = spread(makeAgents(inEach, 0), 64, "r0", {});
+        BOOST_TEST(moved.missing == 0);
+        BOOST_TEST(moved.fromOrigin == 64);
+        BOOST_TEST(moved.intoRegion["r1"] == 64);
+        BOOST_TEST(moved.intoRegion["r2"] == 64);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(newAgentsTakeFromNeighboursThatHaveAll)
+{
+    auto moved = spread(makeAgents(6, 3), 64, "r0", {});
+    BOOST_TEST(moved.missing == 0);
+    BOOST_TEST(moved.fromOrigin == 0);
+    BOOST_TEST(moved.intoRegion.empty());
+}
+
+// Agents that are down are replaced by the next in turn; only what they would have brought in is affected.
+BOOST_AUTO_TEST_CASE(othersStandInForAgentsThatAreDown)
+{
+    BOOST_TEST(rc::check([] {
+        auto agents = makeAgents(5, 0);
+        std::set<std::string> down;
+        int count = *rc::gen::inRange(0, 5);
+        for (int i = 0; i < count; ++i)
+            down.insert(agents[static_cast<size_t>(*rc::gen::inRange(0, 15))].host);
+        auto moved = spread(agents, 32, "r0", down);
+        RC_ASSERT(moved.missing == 0);
+        RC_ASSERT(moved.fromOrigin <= 3 * 32);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(theOriginIsAlwaysTheLastResort)
+{
+    auto agents = makeAgents(4, 2);
+    for (const auto& agent : agents) {
+        for (uint32_t piece = 0; piece < 8; ++piece) {
+            auto sources = pieceSources({ piece, agent.host, agent.region, "r0" }, agents);
+            BOOST_TEST(sources.back().isOrigin);
+            for (const auto& source : sources)
+                BOOST_TEST(source.host != agent.host);
+        }
+    }
+    BOOST_TEST(pieceSources({ 0, "10.9.9.9", "r9", "r0" }, {}).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(agentsAreListedOnceInTheOrderOfTheirHosts)
+{
+    EndpointRecord record;
+    record.service = "writer";
+    record.dataCentre = "dc-1";
+    record.models = { { "m", 2 } };
+    record.layers = 16;
+    record.layersVersion = 2;
+    std::vector<EndpointRecord> records;
+    for (const char* host : { "10.0.0.3", "10.0.0.1", "10.0.0.3" }) {
+        record.address.host = host;
+        records.push_back(record);
+    }
+    record.service = "other";
+    records.push_back(record);
+    auto agents = listAgents(records, "writer", "m", 16, 2, place);
+    BOOST_TEST(agents.size() == 2u);
+    BOOST_TEST(agents[0].host == "10.0.0.1");
+    BOOST_TEST(agents[0].region == "r1");
+    BOOST_TEST(agents[0].isHolder);
+    BOOST_TEST(!listAgents(records, "writer", "m", 16, 3, place)[0].isHolder);
+}
--- /dev/null
+++ b/tests/PlatformDialectTest.cpp
@@ -0,0 +1,198 @@
+#define BOOST_TEST_MODULE PlatformDialect
+#include <boost/test/unit_test.hpp>
+
+#include "PlatformDialect.h"
+
+#include <rapidcheck.h>
+
+using namespace bilberry;
+
+namespace {
+
+const RequestDialect& requests()
+{
+    return platformDialect().requests;
+}
+
+HttpRequest callerRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/a/b?x=1";
+    request.headers = { { "Host", "h.example" }, { "Bilberrybarrow-Request-Id", "abc" }, { "Bilberrybarrow-Deadline-Ms", "6000" },
+        { "Authorization", "Token secret" }, { "Last-Event-Id", "12" }, { "Bilberrybarrow-Model", "m" }, { "Bilberrybarrow-Token-Usage", "1460,80" },
+        { "Bilberrybarrow-Prompt-Prefix", "5c1e07a2:800" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" },
+        { "Bilberrybarrow-Tenant", "forged" }, { "Bilberrybarrow-Expect-Instance", "forged" }, { "Bilberrybarrow-Request-Priority", "0" }, { "Transfer-Encoding", "chunked" } };
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(whatACallerSays)
+{
+    auto caller = requests().readCaller(callerRequest());
+    BOOST_TEST(caller.id == "abc");
+    BOOST_TEST((caller.timeBudget == Milliseconds(6000)));
+    BOOST_TEST(caller.key == "secret");
+    BOOST_TEST((caller.lastEventId == std::optional<uint64_t>(12)));
+    BOOST_TEST(caller.model == "m");
+    BOOST_TEST(caller.promptTokens == 1460u);
+    BOOST_TEST(caller.maxAnswerTokens == 80u);
+}
+
+BOOST_AUTO_TEST_CASE(headersThatAreMissingOrWrong)
+{
+    auto caller = requests().readCaller({});
+    BOOST_TEST(caller.id.empty());
+    BOOST_TEST(!caller.timeBudget.has_value());
+    BOOST_TEST(caller.key.empty());
+    for (const char* budget : { "", "x", "-5", "1e3", "99999999999999999999" }) {
+        HttpRequest request;
+        request.headers = { { "Bilberrybarrow-Deadline-Ms", budget } };
+        BOOST_TEST(!requests().readCaller(request).timeBudget.has_value());
+    }
+    for (const char* authorization : { "", "Token", "Basic secret", "secret" }) {
+        HttpRequest request;
+        request.headers = { { "Authorization", authorization } };
+        BOOST_TEST(requests().readCaller(request).key.empty());
+    }
+}
+
+// The key never reaches an endpoint, nor does what only the system may say; all else does, unchanged.
+BOOST_AUTO_TEST_CASE(whatAnEndpointIsTold)
+{
+    AttemptFields fields;
+    fields.timeLeft = Milliseconds(5400);
+    fields.endpointId = "i-1";
+    fields.account = "acme";
+    fields.lastEventId = 13;
+    auto headers = requests().endpointHeaders(callerRequest().headers, fields);
+    const std::vector<std::pair<const char*, const char*>> expected { { "Host", "h.example" }, { "Bilberrybarrow-Request-Id", "abc" }, { "Bilberrybarrow-Deadline-Ms", "5400" },
+        { "Authorization", "" }, { "Last-Event-Id", "13" }, { "Bilberrybarrow-Model", "m" }, { "Bilberrybarrow-Token-Usage", "1460,80" }, { "Bilberrybarrow-Prompt-Prefix", "5c1e07a2:800" },
+        { "Connection", "" }, { "X-Hop", "" }, { "X-Kept", "2" }, { "Bilberrybarrow-Tenant", "acme" }, { "Bilberrybarrow-Expect-Instance", "i-1" },
+        { "Bilberrybarrow-Request-Priority", "" }, { "Transfer-Encoding", "" } };
+    for (const auto& [name, value] : expected)
+        BOOST_TEST_CONTEXT(name) { BOOST_TEST(findHeader(headers, name) == value); }
+    fields.account.clear();
+    fields.lastEventId.reset();
+    headers = requests().endpointHeaders(callerRequest().headers, fields);
+    BOOST_TEST(findHeader(headers, "Bilberrybarrow-Tenant").empty());
+    BOOST_TEST(findHeader(headers, "Last-Event-Id").empty());
+}
+
+BOOST_AUTO_TEST_CASE(whatAnEndpointSays)
+{
+    struct Row {
+        int status;
+        HttpHeaders headers;
+        bool isSealed;
+        bool isNotExecuted;
+        bool hasLoad;
+    };
+    const std::vector<Row> rows {
+        { 200, { { "Bilberrybarrow-Response-Seal", "x" }, { "Bilberrybarrow-Server-Load", "3,0,8" } }, true, false, true },
+        { 503, { { "Bilberrybarrow-Not-Executed", "1" } }, false, true, false },
+        { 421, {}, false, true, false },
+        { 503, {}, false, false, false },
+        { 429, {}, false, false, false },
+        { 200, { { "Bilberrybarrow-Server-Load", "3,0" } }, false, false, false },
+        { 200, { { "Bilberrybarrow-Server-Load", "a,b,c" } }, false, false, false },
+    };
+    for (const auto& row : rows) {
+        auto reply = requests().readReply({ row.status, row.headers });
+        BOOST_TEST(reply.isSealed == row.isSealed);
+        BOOST_TEST(reply.isNotExecuted == row.isNotExecuted);
+        BOOST_TEST(reply.load.has_value() == row.hasLoad);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aConfiguration)
+{
+    auto table = platformDialect().store.readRouteTable(R"({"version":7,"routes":[
+        {"name":"r1","hostname":"H.example","prefix":"/a/","kind":"streaming","timeout-ms":6000,"target-latency-ms":400,"priority":1,"service":"s","max-attempts":2,"allow-anonymous":false,"can-resume":true,"target-gap-ms":400,"allowed-regions":["north"]},
+        {"name":"r2","hostname":"h.example","prefix":"/a/b/","kind":"idempotent","timeout-ms":600,"target-latency-ms":100,"traffic-split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max-attempts":3,"allow-anonymous":true},
+        {"name":"r3","hostname":"h.example","prefix":"/c/","kind":"something-new","service":"s"}],
+        "services":[{"name":"s","max-connections":424,"cold-per-s":36.0,"engine":{"slots":16,"stride":5,"step_ms":9.27,"read_per_s":20700.0,"usual":{"prompt":979,"answer":92},"layers":16,"chunks":64,"chunk-bytes":32768,"models":[{"name":"m","warmup-s":0.3}]}},
+        {"name":"o","origin":"172.20.0.3:8006","zone":"z"}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+        "tenants":[{"name":"acme","api-keys":["k1","k2"],"priority":0,"allowed-regions":[]}]})");
+    BOOST_REQUIRE(table.ok());
+    BOOST_TEST(table->generation == 7u);
+    BOOST_TEST(findRoute(*table, "h.EXAMPLE:80", "/a/x?y=/a/b/")->name == "r1");
+    BOOST_TEST(findRoute(*table, "h.example", "/a/b/c")->name == "r2");
+    BOOST_TEST((findRoute(*table, "h.example", "/a") == nullptr));
+    BOOST_TEST((findRoute(*table, "other.example", "/a/x") == nullptr));
+    // A kind that isn't known must not be repeated.
+    BOOST_TEST(!mayRepeat(*findRoute(*table, "h.example", "/c/")));
+    BOOST_TEST(mayRepeat(*findRoute(*table, "h.example", "/a/")));
+    BOOST_TEST(table->routes[1].services.size() == 2u);
+    BOOST_TEST(findAccount(*table, "k2")->name == "acme");
+    BOOST_TEST((findAccount(*table, "k3") == nullptr));
+    BOOST_TEST((findAccount(*table, "") == nullptr));
+    const auto* service = findService(*table, "s");
+    BOOST_TEST(service->engine->slots == 16u);
+    BOOST_TEST(service->models[0].layers == 16u);
+    BOOST_TEST((service->models[0].warmUp == Milliseconds(300)));
+    BOOST_TEST(findService(*table, "o")->origin->port == 8006);
+    BOOST_TEST((table->limits.idleTimeout == Milliseconds(15'000)));
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointsEntry)
+{
+    auto record = platformDialect().store.readEndpoint("i-1", R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","cold-remaining-ms":1500,"models":[{"name":"m","version":2,"adapters":[]}],"layers":[{"from":0,"target":9,"version":2},{"from":9,"target":16,"version":2}],"seq-no":4})");
+    BOOST_REQUIRE(record.ok());
+    BOOST_TEST(record->address.port == 8080);
+    BOOST_TEST((record->coldFor == Milliseconds(1500)));
+    BOOST_TEST(servedVersion(*record, "m", 16) == 2u);
+    BOOST_TEST(servedVersion(*record, "m", 17) == 0u);
+    BOOST_TEST(servedVersion(*record, "other", 16) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(answersOfTheStore)
+{
+    const auto& store = platformDialect().store;
+    auto changes = store.readChanges(R"({"events":[{"key":"servers/a","value":"e30=","revision":412},{"key":"servers/b","revision":413,"removed":true}],"as-of":413})");
+    BOOST_REQUIRE(changes.ok());
+    BOOST_TEST(changes->revision == 413u);
+    BOOST_TEST(changes->changes[0].value == "{}");
+    BOOST_TEST(changes->changes[1].isRemoved);
+    auto page = store.readPage(R"({"items":[{"key":"op/config","value":"e30=","revision":1}],"more-pages":true,"as-of":5})");
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page->hasMore);
+    for (const char* body : { "", "{}", "[]", R"({"as-of":"5"})", R"({"items":[{"value":"e30="}],"as-of":5})", R"({"items":[{"key":"k","value":"***"}],"as-of":5})" })
+        BOOST_TEST(!store.readPage(body).ok());
+    BOOST_TEST(store.listPath("servers/", "a b&c", true) == "/bilberrybarrow/kv-range?prefix=servers/&start-after=a%20b%26c&allow-stale=1");
+}
+
+// No text makes a parser fail in another way than by a status.
+BOOST_AUTO_TEST_CASE(anyTextIsReadOrRefused)
+{
+    const auto& store = platformDialect().store;
+    const auto& engine = platformDialect().engine;
+    BOOST_TEST(rc::check([&] {
+        auto word = rc::gen::element<std::string>("{", "}", "[", "]", "\"", ":", ",", "version", "routes", "prefix", "/", "1", "-1", "null", "true", "models", "layers", "\\u0000");
+        std::string text;
+        for (const auto& part : *rc::gen::container<std::vector<std::string>>(word))
+            text += part;
+        store.readPage(text).ok();
+        store.readChanges(text).ok();
+        store.readItem(text).ok();
+        store.readRouteTable(text).ok();
+        store.readEndpoint("e", text).ok();
+        store.readWeightVersion(text).ok();
+        engine.readReport(text).ok();
+        engine.readManifest(text).ok();
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(manifestsWithWrongDigestsAreRefused)
+{
+    const auto& engine = platformDialect().engine;
+    std::string digest(64, 'A');
+    auto good = engine.readManifest(R"({"model":"m","version":2,"chunk-bytes":32768,"layers":16,"digests":[")" + digest + R"("]})");
+    BOOST_REQUIRE(good.ok());
+    BOOST_TEST(good->digests[0] == std::string(64, 'a'));
+    BOOST_TEST(!engine.readManifest(R"({"model":"m","version":2,"digests":["abc"]})").ok());
+    BOOST_TEST(!engine.readManifest(R"({"model":"m","version":0,"digests":[")" + digest + R"("]})").ok());
+    BOOST_TEST(!engine.readManifest(R"({"model":"m","version":2,"digests":[]})").ok());
+}
--- /dev/null
+++ b/tests/RepeatBudgetTest.cpp
@@ -0,0 +1,62 @@
+#define BOOST_TEST_MODULE RepeatBudget
+#include <boost/test/unit_test.hpp>
+
+#include "RepeatBudget.h"
+
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace bilberry;
+
+// Several entries with traffic of their own: in any span of the window's length their repeats stay within the bound for all of
+// them together, counted as the bound says: requests of that span, of the one before, or of the one half a window before.
+BOOST_AUTO_TEST_CASE(allEntriesTogetherStayWithinTheBound)
+{
+    BOOST_TEST(rc::check([] {
+        RepeatBounds bounds { 0.2, static_cast<double>(*rc::gen::inRange(0, 120)), Milliseconds(10'000) };
+        auto entries = static_cast<uint32_t>(*rc::gen::inRange(1, 6));
+        std::vector<RepeatCounts> counts(entries);
+        std::vector<int> requests;
+        std::vector<int> repeats;
+        constexpr int stepMs = 250;
+        constexpr int windowSteps = 40;
+        TimePoint start { std::chrono::hours(5) };
+        for (int step = 0; step < 160; ++step) {
+            auto now = start + Milliseconds(stepMs * step);
+            requests.push_back(0);
+            repeats.push_back(0);
+            for (auto& entry : counts) {
+                int arriving = *rc::gen::inRange(0, 12);
+                for (int i = 0; i < arriving; ++i) {
+                    countRequest(entry, bounds, now);
+                    ++requests.back();
+                    if (*rc::gen::inRange(0, 2) == 0 && takeRepeat(entry, bounds, entries, now))
+                        ++repeats.back();
+                }
+            }
+        }
+        auto sum = [](const std::vector<int>& values, int from, int to) {
+            int total = 0;
+            for (int i = std::max(0, from); i < to; ++i)
+                total += values[static_cast<size_t>(i)];
+            return total;
+        };
+        for (int end = 1; end <= 160; ++end) {
+            int counted = std::max({ sum(requests, end - windowSteps, end), sum(requests, end - 2 * windowSteps, end - windowSteps), sum(requests, end - windowSteps - windowSteps / 2, end - windowSteps / 2) });
+            RC_ASSERT(sum(repeats, end - windowSteps, end) <= bounds.ratio * counted + bounds.extra);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(budgetComesBackWithTime)
+{
+    RepeatBounds bounds { 0.2, 10, Milliseconds(10'000) };
+    RepeatCounts counts;
+    TimePoint now { std::chrono::hours(1) };
+    int taken = 0;
+    while (takeRepeat(counts, bounds, 1, now))
+        ++taken;
+    BOOST_TEST(taken == 8);
+    BOOST_TEST(!takeRepeat(counts, bounds, 1, now + Milliseconds(9000)));
+    BOOST_TEST(takeRepeat(counts, bounds, 1, now + Milliseconds(10'600)));
+}
