Serve requests that can still be on time before those that come back late

Cause: in a lasting overload (demand 1.35 x capacity) those who were refused come back late and take places from newcomers, so half of the newcomers are refused. Change: entries remember refused requests by fingerprint and tell their peers; a late one waits behind those of its priority that can still be on time.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -32,7 +32,9 @@
 static constexpr Milliseconds peerInterval { 400 };
 static constexpr Milliseconds peerTimeout { 1000 };
 // How long news are told to the peers again and again.
-static constexpr Milliseconds newsTime { 600 };
+static constexpr Milliseconds newsTime { 300 };
+// Refused requests that one message names.
+static constexpr size_t maxToldRefusals = 40;
 static constexpr std::string_view excerptPrefix = "/store/";
 
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
@@ -225,6 +227,7 @@
         if (now < recent.until)
             message.notices.push_back(recent.notice);
     }
+    message.refusals = refusalsSince(this->ownRefusals, now - newsTime, maxToldRefusals, now);
     this->hasLoadChanged = false;
 }
 
@@ -235,6 +238,8 @@
         this->crashes.add(crash, now);
     for (const auto& notice : message.notices)
         this->applyNotice(notice);
+    for (const auto& refusal : message.refusals)
+        this->refusals.add(refusal.fingerprint, now - refusal.sinceFirst, now);
 }
 
 // From the agent itself: the peers are told, since an agent knows only some entries.
@@ -278,6 +283,8 @@
     node.recentCrashes.erase(std::remove_if(node.recentCrashes.begin(), node.recentCrashes.end(), isOldCrash), node.recentCrashes.end());
     node.recentNotices.erase(std::remove_if(node.recentNotices.begin(), node.recentNotices.end(), isOldNotice), node.recentNotices.end());
     node.crashes.sweep(now);
+    node.refusals.sweep(now);
+    node.ownRefusals.sweep(now);
 }
 
 // Peers ask for /store/REVISION: what has changed since.
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -50,6 +50,8 @@
     std::unordered_map<uint64_t, std::shared_ptr<RequestRun>> runs; ///< Requests that aren't answered yet, by number.
     uint64_t nextRun = 1;
     CrashLedger crashes;
+    RefusalLedger refusals; ///< Of all entries.
+    RefusalLedger ownRefusals; ///< That the peers are told of.
     std::mt19937_64 random;
     /// News that the peers are told for a while.
     struct RecentCrash {
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "CrashLedger.h"
+#include "RefusalLedger.h"
 #include "Types.h"
 
 #include <absl/status/statusor.h>
@@ -33,6 +34,7 @@
     std::vector<std::string> peers; ///< IP numbers of entries that it has heard of lately.
     std::vector<CrashReport> crashes; ///< Of the last moments.
     std::vector<EngineNotice> notices; ///< Of the last moments, from agents.
+    std::vector<RefusedRequest> refusals; ///< Of the last moments.
 };
 
 /// Largest datagram that is sent or taken, in bytes.
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -23,8 +23,10 @@
 static constexpr Milliseconds anyIdle { 3'600'000 };
 // Longest wait of a request for a second endpoint.
 static constexpr Milliseconds retryWait { 300 };
-// Priority of a request that an endpoint has begun to answer already.
-static constexpr int startedPriority = -1;
+// Longest wait of a request that is late already.
+static constexpr Milliseconds lateWait { 400 };
+// Rank of a request that an endpoint has begun to answer already.
+static constexpr int startedRank = -1;
 // When a caller of an entry that stops should come back; it reaches another entry.
 static constexpr Milliseconds stoppingRetryAfter { 50 };
 // When a caller whose request takes endpoints down may try again.
@@ -125,6 +127,7 @@
         this->refuse(503, "crashes_endpoints", condemnedRetryAfter);
         return false;
     }
+    this->firstArrivedAt = this->node.refusals.firstArrival(this->fingerprint, this->arrivedAt);
     // 3. Time.
     auto budget = std::min(this->caller.timeBudget.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + budget;
@@ -164,18 +167,33 @@
     return true;
 }
 
+// Whether the request can't be answered within its target any more.
+bool RequestRun::isLate(TimePoint now) const
+{
+    return now - this->firstArrivedAt >= this->route->targetLatency;
+}
+
+// One that can still be on time waits no longer than that; one that can't may as well wait a little.
+Milliseconds RequestRun::allowedWait(TimePoint now) const
+{
+    if (this->isLate(now))
+        return std::min(lateWait, this->timeLeft(now));
+    const EngineTimes* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
+    auto spent = std::chrono::duration_cast<Milliseconds>(now - this->firstArrivedAt);
+    return waitAllowance(*this->route, engine, this->caller.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - spent));
+}
+
 // Sends the request to a free endpoint, or lets it wait as long as it can still be on time, or refuses it.
 void RequestRun::place(TimePoint now)
 {
     auto& queue = this->node.queues[this->need.service];
     bool isFirst = this->tally.runs + this->tally.refusals == 0;
-    int rank = this->hasStarted ? startedPriority : this->priority;
+    int rank = this->hasStarted ? startedRank : 2 * this->priority + (this->isLate(now) ? 1 : 0);
     // 1. Those that wait already go first.
     if (countAhead(queue, rank) == 0 && this->tryStart(now))
         return;
     // 2. No longer than it can still be on time.
-    const EngineTimes* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
-    auto allowance = isFirst ? waitAllowance(*this->route, engine, this->caller.promptTokens, this->timeLeft(now)) : std::min(retryWait, this->timeLeft(now));
+    auto allowance = isFirst ? this->allowedWait(now) : std::min(retryWait, this->timeLeft(now));
     auto wait = expectedWait(queue, rank, now);
     bool isHopeless = countAhead(queue, rank) > 0 && wait != Milliseconds::max() && wait > allowance;
     if (allowance <= Milliseconds(0) || (isFirst && isHopeless)) {
@@ -192,7 +210,7 @@
     auto now = Clock::now();
     bool isFirst = this->tally.runs + this->tally.refusals == 0;
     if (isFirst) {
-        auto wait = expectedWait(this->node.queues[this->need.service], this->priority, now);
+        auto wait = expectedWait(this->node.queues[this->need.service], 2 * this->priority, now);
         this->refuse(503, "no_free_place", retryAfter(wait, this->node.random()));
         return;
     }
@@ -434,7 +452,7 @@
         this->exchange->abort();
         this->finish("cut_off", 0, toText(this->lastResult).data());
     } else if (answer == FinalAnswer::NotRun) {
-        auto wait = expectedWait(this->node.queues[this->need.service], this->priority, Clock::now());
+        auto wait = expectedWait(this->node.queues[this->need.service], 2 * this->priority, Clock::now());
         this->refuse(503, "not_run", retryAfter(wait, this->node.random()));
     } else if (answer == FinalAnswer::Deliver && !wouldPromise) {
         this->deliver();
@@ -450,6 +468,12 @@
         headers.emplace_back("Content-Type", "text/plain");
     if (comeBackAfter > Milliseconds(0))
         headers.emplace_back("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(comeBackAfter).count()));
+    if (status >= 500 && this->route) {
+        auto now = Clock::now();
+        this->node.ownRefusals.add(this->fingerprint, this->firstArrivedAt, now);
+        this->node.refusals.add(this->fingerprint, this->firstArrivedAt, now);
+        this->node.hasLoadChanged = true;
+    }
     this->exchange->answer(status, headers, std::string(reason) + "\n");
     this->finish("refused", status, reason);
 }
@@ -499,7 +523,7 @@
     auto total = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
     this->node.log.write(LogLevel::Info, "request",
         { { "request", this->caller.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
-            { "endpoint", this->endpointId }, { "runs", this->tally.runs }, { "refusals", this->tally.refusals }, { "first_ms", this->firstPartAfter }, { "total_ms", total },
+            { "endpoint", this->endpointId }, { "runs", this->tally.runs }, { "refusals", this->tally.refusals }, { "budget_ms", this->caller.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "first_ms", this->firstPartAfter }, { "total_ms", total },
             { "generation", this->routes ? this->routes->generation : 0 } });
     this->node.metrics.count("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
     this->node.runs.erase(this->number);
--- a/src/RequestRun.h
+++ b/src/RequestRun.h
@@ -38,6 +38,8 @@
 private:
     bool admit(TimePoint now);
     void place(TimePoint now);
+    Milliseconds allowedWait(TimePoint now) const;
+    bool isLate(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
     HttpRequest endpointRequest(const EndpointRow&, TimePoint now);
     HeadVerdict onHead(const ResponseHead&);
@@ -72,6 +74,7 @@
     int priority = 0;
     TimePoint deadline {};
     TimePoint arrivedAt {};
+    TimePoint firstArrivedAt {}; ///< Of the request that was refused before and has come back; else the same.
 
     // The attempt that runs.
     std::shared_ptr<HttpChannel> channel;
