Let agents say when their engine turns; find out soon that the store is back

Cause: entries left engines by a schedule that late agents did not keep, and a watch that hung in an outage of the store was given up only seconds after its end; waves overlapped, since pieces arrived after the first one's time; requests that reached an entry before its first configuration were refused at once.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -46,7 +46,7 @@
 // The version that engines have from the start.
 static constexpr uint32_t firstVersion = 1;
 // Share of the VM's link that uploads may take.
-static constexpr double uploadShare = 0.8;
+static constexpr double uploadShare = 0.9;
 static constexpr std::string_view piecePrefix = "/pieces/";
 static constexpr std::string_view manifestPrefix = "/manifests/";
 
@@ -248,17 +248,15 @@
     this->report = read;
     if (hasSwitched && read.layersVersion != 0)
         this->noticeUntil = now + noticeTime;
-    if (now < this->noticeUntil)
-        this->tellEntries();
+    if (now < this->noticeUntil && serves(read, this->model, read.layersVersion))
+        this->tellEntries(read.layersVersion);
 }
 
 // The list of endpoints shows what an engine holds only some time later.
-void AgentNode::tellEntries()
+void AgentNode::tellEntries(uint32_t version)
 {
-    if (!serves(*this->report, this->model, this->report->layersVersion))
-        return;
     auto startedAt = static_cast<uint64_t>(this->report->startedAt.value_or(0));
-    auto bytes = encodeNotice({ toText(*this->settings.engine), this->report->layersVersion, startedAt + ++this->notices });
+    auto bytes = encodeNotice({ toText(*this->settings.engine), version, startedAt + ++this->notices });
     for (const auto& seed : this->settings.seeds)
         this->noticeSender.send(bytes, seed.host);
 }
@@ -501,12 +499,9 @@
     });
 }
 
-// Whether this engine may turn to new weights now. One that serves nothing doesn't wait.
+// Whether this engine may turn to new weights now.
 bool AgentNode::isMyTurn(TimePoint now) const
 {
-    bool servesNothing = this->report->layers < this->model.layers;
-    if (servesNothing)
-        return true;
     auto hosts = hostsOf(this->endpoints, this->settings.service, this->settings.place.dataCentre);
     auto base = switchBase(this->named, this->report->layersVersion);
     return base == TimePoint::max() || now - base >= switchTime(this->settings.ip, hosts, this->settings.bounds.versionSwitch);
@@ -520,8 +515,12 @@
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->orderedAt < orderPause;
     if (isOrdered)
         return;
-    if (!this->isMyTurn(now))
+    bool servesNothing = this->report->layers < this->model.layers;
+    if (!servesNothing && !this->isMyTurn(now))
         return;
+    // Entries send nothing more while the pieces are read back.
+    if (!servesNothing)
+        this->tellEntries(0);
     // Reads all pieces back right before the order: what is staged may have turned bad.
     this->isVerifying = true;
     auto left = std::make_shared<size_t>(this->manifest.digests.size());
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -61,7 +61,7 @@
     void orderWhenReady(TimePoint now);
     bool isMyTurn(TimePoint now) const;
     void order();
-    void tellEntries();
+    void tellEntries(uint32_t version);
     void answerPeer(const std::shared_ptr<ServerExchange>&);
     void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t piece);
     void sendUnverified(const std::shared_ptr<ServerExchange>&, uint32_t piece);
--- a/src/DispatchQueue.cpp
+++ b/src/DispatchQueue.cpp
@@ -14,6 +14,9 @@
 static constexpr Milliseconds shortestRetryAfter { 300 };
 static constexpr Milliseconds longestRetryAfter { 2000 };
 
+// Passes until the first event: the rest of the one that runs, and the own one.
+static constexpr double passesToFirstEvent = 2.0;
+
 static bool goesBefore(const WaitingRequest& first, const WaitingRequest& second)
 {
     return first.priority != second.priority ? first.priority < second.priority : first.since < second.since;
@@ -76,13 +79,13 @@
 
 Milliseconds expectedFirstEvent(const EngineTimes& engine, uint32_t promptTokens)
 {
-    // Tokens are written in passes of one event each, with the prompts of newcomers read between them.
+    // Tokens are written in passes of one event each, with the prompts of newcomers read in between.
     FractionalMilliseconds tokenStep = engine.step + engine.slots * engine.stepPerRequest;
-    FractionalMilliseconds pass = tokenStep * engine.tokensPerEvent;
     double tokensPerMillisecond = std::max(engine.prefillTokensPerSecond / 1000, 1e-3);
     FractionalMilliseconds ownPrefill(promptTokens / tokensPerMillisecond);
     FractionalMilliseconds othersPrefill(engine.usualPromptTokens / tokensPerMillisecond);
-    return std::chrono::duration_cast<Milliseconds>(1.5 * pass + ownPrefill + othersPrefill);
+    FractionalMilliseconds pass = tokenStep * engine.tokensPerEvent + othersPrefill;
+    return std::chrono::duration_cast<Milliseconds>(passesToFirstEvent * pass + ownPrefill);
 }
 
 Milliseconds waitAllowance(const RouteRule& route, const EngineTimes* engine, uint32_t promptTokens, Milliseconds timeBudget)
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -55,7 +55,7 @@
         return false;
     if (!record.reportsModels)
         return true;
-    if (now >= row.switchesAt)
+    if (now < row.turnsUntil)
         return false;
     uint32_t version = servedVersion(record, need.model, need.modelLayers);
     return version != 0 && version >= need.oldestVersion;
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -25,6 +25,9 @@
     }
     auto& row = this->rows[found->second];
     // A notice holds until the list has caught up with it.
+    bool hasTurned = record.layersVersion > row.record.layersVersion;
+    if (hasTurned)
+        row.turnsUntil = TimePoint();
     uint32_t noticed = row.record.layersVersion < row.record.noticedVersion && record.layersVersion < row.record.noticedVersion ? row.record.noticedVersion : 0;
     row.record = record;
     row.record.noticedVersion = noticed;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -26,7 +26,8 @@
     TimePoint statedAt {}; ///< When that statement came.
     int failuresInRow = 0; ///< Attempts that it failed since the last good answer.
     TimePoint avoidUntil {};
-    TimePoint switchesAt = TimePoint::max(); ///< When its engine leaves for newer weights.
+    TimePoint turnsUntil {}; ///< Its engine is taking in other weights, at the longest until then.
+    uint64_t noticeSequence = 0; ///< Of the newest notice of the agent beside it.
     LossRecord losses;
     std::deque<TimePoint> coldSends; ///< Requests of the last second while it is cold, oldest first.
 };
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -2,7 +2,6 @@
 
 #include "RequestRun.h"
 #include "ServerExchange.h"
-#include "VersionSwitch.h"
 
 #include <absl/strings/numbers.h>
 #include <algorithm>
@@ -33,6 +32,8 @@
 static constexpr Milliseconds peerTimeout { 1000 };
 // How long news are told to the peers again and again.
 static constexpr Milliseconds newsTime { 300 };
+// Longest time that an engine takes to turn to other weights; after it the list is believed again.
+static constexpr Milliseconds longestTurn { 5000 };
 // Refused requests that one message names.
 static constexpr size_t maxToldRefusals = 40;
 static constexpr std::string_view excerptPrefix = "/store/";
@@ -155,7 +156,7 @@
         this->apply(item, now);
     this->belief.namedBefore = Milliseconds(0);
     applyAbsences(this->belief, this->dialect.store, items, now);
-    this->planSwitches();
+    this->proceedUnadmitted(now);
     this->log.write(LogLevel::Info, "store_listed", { { "items", static_cast<uint64_t>(items.size()) } });
 }
 
@@ -166,7 +167,23 @@
     for (const auto& change : changes)
         this->apply(change, now);
     if (!changes.empty())
-        this->planSwitches();
+        this->proceedUnadmitted(now);
+}
+
+// Requests that came before the first configuration.
+void EntryNode::proceedUnadmitted(TimePoint now)
+{
+    if (!this->belief.routes || this->unadmitted.empty())
+        return;
+    auto numbers = std::move(this->unadmitted);
+    this->unadmitted.clear();
+    for (uint64_t number : numbers) {
+        auto run = this->runs.find(number);
+        if (run == this->runs.end())
+            continue;
+        auto held = run->second;
+        held->proceed(now);
+    }
 }
 
 void EntryNode::takeFailure(const std::string& reason, int failures)
@@ -252,12 +269,16 @@
 
 void EntryNode::applyNotice(const EngineNotice& notice)
 {
+    auto now = Clock::now();
     for (auto& row : this->belief.endpoints.rows) {
         bool isIt = row.isListed && row.record.reportsModels && toText(row.record.address) == notice.address;
-        if (!isIt || notice.version <= std::max(row.record.layersVersion, row.record.noticedVersion))
+        if (!isIt || notice.sequence <= row.noticeSequence)
+            continue;
+        row.noticeSequence = notice.sequence;
+        row.turnsUntil = notice.version == 0 ? now + longestTurn : TimePoint();
+        if (notice.version <= std::max(row.record.layersVersion, row.record.noticedVersion))
             continue;
         row.record.noticedVersion = notice.version;
-        row.switchesAt = TimePoint::max();
         this->log.write(LogLevel::Info, "engine_noticed", { { "endpoint", row.record.id }, { "version", notice.version } });
         startWaiting(*this, row.record.service);
     }
@@ -340,30 +361,7 @@
         this->apply(change, now);
     this->belief.namedBefore = Milliseconds(0);
     if (!excerpt->changes.empty())
-        this->planSwitches();
-}
-
-// Notes for each engine with older weights when it leaves for the named ones.
-void EntryNode::planSwitches()
-{
-    std::vector<EndpointRecord> records;
-    for (const auto& row : this->belief.endpoints.rows) {
-        if (row.isListed)
-            records.push_back(row.record);
-    }
-    for (auto& row : this->belief.endpoints.rows) {
-        row.switchesAt = TimePoint::max();
-        for (const auto& held : row.record.models) {
-            if (held.version < row.record.noticedVersion)
-                continue;
-            auto named = this->belief.versions.find(held.name);
-            auto base = named == this->belief.versions.end() ? TimePoint::max() : switchBase(named->second, held.version);
-            if (base == TimePoint::max())
-                continue;
-            auto hosts = hostsOf(records, row.record.service, row.record.dataCentre);
-            row.switchesAt = base + switchTime(row.record.address.host, hosts, this->settings.bounds.versionSwitch);
-        }
-    }
+        this->proceedUnadmitted(now);
 }
 
 // Puts what the peers say into the table of endpoints.
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -49,6 +49,7 @@
     std::unordered_map<std::string, RepeatCounts> repeats; ///< By service.
     std::unordered_map<uint64_t, std::shared_ptr<RequestRun>> runs; ///< Requests that aren't answered yet, by number.
     uint64_t nextRun = 1;
+    std::vector<uint64_t> unadmitted; ///< Runs that wait for the first configuration.
     CrashLedger crashes;
     RefusalLedger refusals; ///< Of all entries.
     RefusalLedger ownRefusals; ///< That the peers are told of.
@@ -79,6 +80,7 @@
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
     void armTick();
     void tick();
+    void proceedUnadmitted(TimePoint now);
     void describeTo(PeerMessage&);
     void takePeerMessage(const PeerMessage&);
     void takeNotice(const EngineNotice&);
@@ -88,7 +90,6 @@
     void takeExcerpt(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmByStore(BootTimePoint sentAt);
     void takePeerLoads(TimePoint now);
-    void planSwitches();
     void stopWhenDone(TimePoint now);
 
     LoopServer callers;
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -18,10 +18,10 @@
     uint32_t inFlight = 0;
 };
 
-/// An engine that has turned to other weights, as the agent beside it says.
+/// An engine that turns to other weights or has turned, as the agent beside it says.
 struct EngineNotice {
     std::string address; ///< IP:port of the engine.
-    uint32_t version = 0; ///< That it serves now; zero: none.
+    uint32_t version = 0; ///< That it serves now; zero: it takes nothing more until it has turned.
     uint64_t sequence = 0; ///< Grows with each notice of one engine.
 };
 
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -23,10 +23,14 @@
 static constexpr Milliseconds anyIdle { 3'600'000 };
 // Longest wait of a request for a second endpoint.
 static constexpr Milliseconds retryWait { 300 };
+// Longest wait of a request for the first configuration.
+static constexpr Milliseconds startWait { 500 };
 // Longest wait of a request that is late already.
 static constexpr Milliseconds lateWait { 400 };
 // Rank of a request that an endpoint has begun to answer already.
 static constexpr int startedRank = -1;
+// When a caller of an entry that has no configuration should come back.
+static constexpr Milliseconds startRetryAfter { 200 };
 // When a caller of an entry that stops should come back; it reaches another entry.
 static constexpr Milliseconds stoppingRetryAfter { 50 };
 // When a caller whose request takes endpoints down may try again.
@@ -56,7 +60,18 @@
         if (auto self = weak.lock())
             self->cancel();
     });
-    if (!this->admit(now))
+    // An entry that has just started knows its routes in a moment.
+    bool mayLearnSoon = !this->node.belief.routes && now - this->arrivedAt < startWait;
+    if (mayLearnSoon) {
+        this->node.unadmitted.push_back(this->number);
+        return;
+    }
+    this->proceed(now);
+}
+
+void RequestRun::proceed(TimePoint now)
+{
+    if (this->isEnded || !this->admit(now))
         return;
     countRequest(this->node.repeats[this->need.service], this->node.settings.bounds.repeats, now);
     this->place(now);
@@ -95,7 +110,7 @@
     this->routes = this->node.belief.routes;
     // 1. Without a configuration nothing is known of routes and keys.
     if (!this->routes) {
-        this->refuse(503, "no_configuration", Milliseconds(1000));
+        this->refuse(503, "no_configuration", startRetryAfter);
         return false;
     }
     if (!takesRequests(this->node, now)) {
@@ -496,8 +511,13 @@
 
 void RequestRun::tick(TimePoint now)
 {
-    if (this->isEnded || !this->route)
+    if (this->isEnded)
+        return;
+    if (!this->route) {
+        if (now - this->arrivedAt >= startWait)
+            this->proceed(now);
         return;
+    }
     if (now >= this->deadline) {
         auto keepAlive = this->shared_from_this();
         if (this->isInAttempt()) {
--- a/src/RequestRun.h
+++ b/src/RequestRun.h
@@ -28,6 +28,8 @@
 
     /// Checks the request, then sends it to an endpoint, lets it wait, or refuses it.
     void begin();
+    /// Goes on with a request that waited for the first configuration.
+    void proceed(TimePoint now);
     /// Sends the request to an endpoint with a free place; false when there is none. Precondition: it waits.
     bool tryStart(TimePoint now);
     /// Its time in the queue is up.
--- a/src/StoreWatch.cpp
+++ b/src/StoreWatch.cpp
@@ -11,6 +11,8 @@
 static constexpr Milliseconds longestFailurePause { 400 };
 // Longest time for an answer to a call that doesn't wait.
 static constexpr Milliseconds listTimeout { 1000 };
+// Longest wait of a call after one that failed.
+static constexpr Milliseconds probeWait { 50 };
 // Answer to a watch whose history is gone.
 static constexpr int statusGone = 410;
 
@@ -110,8 +112,10 @@
     }
     ++this->calls;
     this->sentAt = BootClock::now();
-    auto path = this->dialect.watchPath(this->settings.prefix, this->revision, this->settings.wait);
-    this->caller.get(path, this->settings.wait + this->settings.answerSlack, [weak = this->weak_from_this()](const CallResult& result) {
+    // After a failure a short call finds out soon whether the store is back.
+    auto wait = this->failures > 0 ? std::min(probeWait, this->settings.wait) : this->settings.wait;
+    auto path = this->dialect.watchPath(this->settings.prefix, this->revision, wait);
+    this->caller.get(path, wait + this->settings.answerSlack, [weak = this->weak_from_this()](const CallResult& result) {
         if (auto self = weak.lock())
             self->onChanges(result);
     });
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -7,8 +7,8 @@
 static constexpr size_t waveCount = 3;
 // Parts of the bound at which the first and the last wave begin: pieces need the time before the first one, and what waits
 // at an engine needs some after the last one.
-static constexpr double firstWave = 0.38;
-static constexpr double lastWave = 0.76;
+static constexpr double firstWave = 0.42;
+static constexpr double lastWave = 0.82;
 // Time that a request may have waited at its engine when it begins.
 static constexpr Milliseconds longestEngineWait { 800 };
 
