Remove keys, leases and hand-over; bound response bodies explicitly; test requests through an entry

The promise moves: AttemptPolicyTest (property) and process_requests_once (processes) hold that a request which may not be repeated is written again only after a typed 'not run'; process_platform_requests holds it for entries on the event loop. Fault found by that test: body_limit(none) of the parser library compares with an unset value, so that responses were refused at random; the bound is explicit now.

--- a/src/Attempt.cpp
+++ b/src/Attempt.cpp
@@ -30,9 +30,7 @@
     if (findHeader(headers, wire::outcome) == toText(Outcome::Ran))
         return {};
     auto reason = parseRefusalReason(findHeader(headers, wire::reason));
-    Refusal refusal = makeRefusal(reason.value_or(RefusalReason::ReplyLost));
-    refusal.isFromOwner = refusal.reason != RefusalReason::KeyNotOwned && refusal.reason != RefusalReason::NoConfiguration;
-    return refusal;
+    return makeRefusal(reason.value_or(RefusalReason::ReplyLost));
 }
 
 } // namespace bilberry
--- a/src/BurnReport.cpp
+++ b/src/BurnReport.cpp
@@ -25,10 +25,6 @@
     case RefusalReason::BadRequest:
     case RefusalReason::Unauthorized:
     case RefusalReason::TooLarge:
-    case RefusalReason::KeyMalformed:
-    case RefusalReason::KeyMintedAhead:
-    case RefusalReason::KeyReused:
-    case RefusalReason::KeyInProgress: // The caller sent the key again while its request was running.
     case RefusalReason::CrashedEndpoints: // The request itself brings endpoints down.
         return false;
     default:
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -19,7 +19,7 @@
 // Longest name of a row, in characters.
 static constexpr size_t maxNameLength = 128;
 // Paths that the system's own processes answer, so that no service can have them.
-static constexpr std::array<std::string_view, 8> reservedPaths { "/v1", "/healthz", "/readyz", "/metrics", "/rpc", "/forward", "/key-query", "/weights" };
+static constexpr std::array<std::string_view, 7> reservedPaths { "/v1", "/healthz", "/readyz", "/metrics", "/rpc", "/forward", "/weights" };
 
 // The state of one parse.
 struct Parse {
--- a/src/Endpoint.cpp
+++ b/src/Endpoint.cpp
@@ -22,7 +22,6 @@
 Endpoint::Endpoint(Node& node)
     : node(node)
     , weights(node)
-    , keyed(node)
     , crashes(node)
 {
     this->weights.watchLiveRequests([this] { return this->gate.load().inProgress; });
@@ -31,12 +30,10 @@
 void Endpoint::start()
 {
     this->weights.start();
-    this->keyed.start();
 }
 
 void Endpoint::stop()
 {
-    this->keyed.stop();
     this->weights.stop();
 }
 
@@ -64,7 +61,6 @@
     status.limit = load.limit;
     status.isLeaving = this->node.isLeaving || isVmLeaving(*configuration, own);
     publishOwnStatus(this->node, status);
-    this->keyed.tick(now);
     this->node.metrics.set("bilberry_requests_in_progress", load.inProgress);
     this->node.metrics.set("bilberry_requests_queued", load.queued);
     this->node.metrics.set("bilberry_admission_limit", status.limit);
@@ -107,17 +103,13 @@
     RowIndex own = configuration ? findOwnVm(this->node, *configuration) : noRow;
     if (own == noRow)
         return this->refuse(request, RefusalReason::NoConfiguration);
-    auto run = [&](const DispatchCheck& mayDispatch) {
+    auto run = [&] {
         auto reason = this->checkState(request, *configuration, own);
         if (reason != RefusalReason::None)
             return this->refuse(request, reason);
-        return this->runAtBackEnd(request, configuration->inventory.vms[own], *configuration, mayDispatch);
+        return this->runAtBackEnd(request, configuration->inventory.vms[own], *configuration);
     };
-    bool hasKey = !findHeader(request.headers, wire::idempotencyKey).empty() && findHeader(request.headers, wire::unrepeatable) == "1";
-    auto guarded = [&](const DispatchCheck& mayDispatch) {
-        return this->crashes.run(request, configuration, own, [&] { return run(mayDispatch); });
-    };
-    return hasKey ? this->keyed.handle(request, guarded) : guarded(nullptr);
+    return this->crashes.run(request, configuration, own, run);
 }
 
 static HttpRequest toBackEnd(const HttpRequest& request)
@@ -183,16 +175,12 @@
     return response;
 }
 
-HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const Configuration& configuration, const DispatchCheck& mayDispatch)
+HttpResponse Endpoint::runAtBackEnd(const HttpRequest& request, const Vm& vm, const Configuration& configuration)
 {
     auto asked = makeGateRequest(request, configuration, vm.service);
     auto pass = this->gate.enter(asked);
     if (pass.reason != RefusalReason::None)
         return this->refuse(request, pass.reason);
-    if (mayDispatch && !mayDispatch()) {
-        this->gate.leave({});
-        return this->refuse(request, RefusalReason::KeyFenced);
-    }
     auto run = std::make_shared<BackEndRun>();
     run->startedAt = Clock::now();
     run->report.wasAtLimit = pass.wasAtLimit;
@@ -200,9 +188,7 @@
     HttpTimeouts timeouts { this->node.settings.connectTimeout, timeLeft };
     run->exchange = std::make_shared<HttpExchange>(this->node.clients, vm.backEnd, toBackEnd(request), timeouts);
     while (!run->exchange->waitForProgress(checkInterval)) {
-        // A request with a key runs on, so that its answer can be kept for the next one who asks.
-        bool isKept = !findHeader(request.headers, wire::idempotencyKey).empty();
-        if (!isKept && request.isSenderGone && request.isSenderGone())
+        if (request.isSenderGone && request.isSenderGone())
             run->exchange->cancel();
     }
     const HttpReply& head = run->exchange->waitForHead();
--- a/src/Endpoint.h
+++ b/src/Endpoint.h
@@ -4,7 +4,6 @@
 #include "AdmissionGate.h"
 #include "CrashGuard.h"
 #include "HttpMessage.h"
-#include "KeyedRequests.h"
 #include "WeightAgent.h"
 
 namespace bilberry {
@@ -23,18 +22,12 @@
 
     void start();
     void stop();
-    /// Periodic work: own report, cold state, expiry of keys.
+    /// Periodic work: own report, cold state.
     void tick(TimePoint now);
     /// Handles a forwarded request.
     HttpResponse forward(const HttpRequest&);
     /// Handles a peer's or the engine's read of weights.
     HttpResponse answerWeights(const HttpRequest& request) const { return this->weights.answer(request); }
-    /// Answers the question for a key's outcome, and fences the attempt when the key was never seen.
-    HttpResponse answerKeyQuery(const HttpRequest& request) { return this->keyed.answerQuery(request); }
-    /// Answers the JSON-RPC method `key_lease` of other endpoints' processes.
-    std::string answerKeyLease(const std::string& parameters) { return this->keyed.answerLease(parameters); }
-    /// Answers the JSON-RPC method `key_hand_over` of other endpoints' processes.
-    std::string answerKeyHandOver(const std::string& parameters) { return this->keyed.answerHandOver(parameters); }
     /// Answers the JSON-RPC method `crash` of other endpoints' processes.
     std::string answerCrash(const std::string& parameters) { return this->crashes.answer(parameters); }
     /// Requests at the back end, and in the queue for it.
@@ -45,11 +38,10 @@
     RefusalReason checkState(const HttpRequest&, const Configuration&, RowIndex own) const;
     std::string describeLoad() const;
     HttpResponse passOn(const HttpRequest&, const HttpReply& head, const std::shared_ptr<BackEndRun>&);
-    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&, const DispatchCheck&);
+    HttpResponse runAtBackEnd(const HttpRequest&, const Vm&, const Configuration&);
 
     Node& node;
     WeightAgent weights;
-    KeyedRequests keyed;
     CrashGuard crashes;
     AdmissionGate gate;
 };
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -64,10 +64,7 @@
 
 HttpResponse Entry::refuse(const EntryRequest& request, Refusal refusal)
 {
-    bool isKeyed = request.configuration ? !request.key.empty() : request.http && !findHeader(request.http->headers, wire::idempotencyKey).empty();
-    if (isKeyed)
-        refusal = refusalForKey(refusal);
-    else if (this->checkQuarantine(request) == QuarantineDecision::Refuse)
+    if (this->checkQuarantine(request) == QuarantineDecision::Refuse)
         refusal = makeRefusal(RefusalReason::CrashedEndpoints);
     MetricLabels labels { { "reason", std::string(toText(refusal.reason)) }, { "outcome", std::string(toText(refusal.outcome)) } };
     bool isKnown = request.configuration && request.service != noRow;
@@ -129,7 +126,7 @@
         if (head.failure == CallFailure::NotSent)
             return { makeRefusal(RefusalReason::ConnectFailed), {}, nullptr };
         exchange.reset();
-        return request.key.empty() ? AttemptOutcome { makeRefusal(RefusalReason::ReplyLost), {}, nullptr } : this->askKeyOwner(request, address, details.id);
+        return { makeRefusal(RefusalReason::ReplyLost), {}, nullptr };
     }
     if (findHeader(head.headers, wire::attempt) != details.id) {
         this->node.metrics.count("bilberry_answers_dropped_total");
@@ -167,7 +164,7 @@
 bool Entry::awaitEndpoint(const EntryRequest& request, const RoutingTable* table, const Refusal& last, Duration& waited)
 {
     bool isGone = request.http->isSenderGone && request.http->isSenderGone();
-    bool isRouted = table && request.key.empty() && this->checkQuarantine(request) == QuarantineDecision::Run;
+    bool isRouted = table && this->checkQuarantine(request) == QuarantineDecision::Run;
     if (isGone || !isRouted || usesSimplePolicy())
         return false;
     auto now = Clock::now();
@@ -235,10 +232,6 @@
             this->router.noteRefusal(*table, choice.vm, outcome.refusal.reason);
             tried.push_back(choice.vm);
             last = outcome.refusal;
-            // What a key's owner says is not better known elsewhere.
-            bool isSettled = !request.key.empty() && last.isFromOwner;
-            if (isSettled)
-                return this->refuse(request, last);
             if (this->prepareRetry(request, last, made))
                 continue;
         }
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -48,7 +48,6 @@
     HttpResponse passOn(const EntryRequest&, AttemptOutcome, std::shared_ptr<const RoutingTable>, RowIndex vm);
     std::shared_ptr<HttpExchange> reopenStream(OpenStream&, const std::string& lastId);
     void closeStream(OpenStream&);
-    AttemptOutcome askKeyOwner(const EntryRequest&, const std::string& address, const std::string& attemptId);
     bool spendRetry(const EntryRequest&, const Refusal&);
     uint64_t nextRandom();
 
--- a/src/EntryRequest.cpp
+++ b/src/EntryRequest.cpp
@@ -79,7 +79,6 @@
     if (request.service == noRow)
         return RefusalReason::UnknownService;
     request.isUnrepeatable = isUnrepeatable(configuration.rules, request.service, http.method, path);
-    request.key = request.isUnrepeatable ? findHeader(http.headers, wire::idempotencyKey) : std::string();
     request.deadline = request.receivedAt + chooseTimeout(http.headers, configuration.rules.services[request.service]);
     return RefusalReason::None;
 }
--- a/src/EntryRequest.h
+++ b/src/EntryRequest.h
@@ -18,7 +18,6 @@
     RowIndex caller = noRow;
     bool isUnrepeatable = false;
     bool isStream = false;
-    std::string key;
     uint64_t prefixHash = 0; ///< Of the start of a model request's body; zero for plain services.
     TimePoint receivedAt {};
     TimePoint deadline {};
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -23,6 +23,8 @@
 static constexpr size_t readBytes = 16 << 10;
 // Largest header of a response.
 static constexpr uint32_t responseHeaderBytes = 32 << 10;
+// Largest body; the users of a channel have smaller bounds of their own. The library's "no limit" isn't reliable.
+static constexpr uint64_t responseBodyBytes = 1ULL << 40;
 
 std::string_view toText(ChannelEnd end)
 {
@@ -122,7 +124,7 @@
     this->state->parser.emplace();
     this->state->parser->eager(true);
     this->state->parser->header_limit(responseHeaderBytes);
-    this->state->parser->body_limit(boost::none);
+    this->state->parser->body_limit(responseBodyBytes);
     this->state->parser->skip(this->state->isHeadRequest);
 }
 
--- a/src/MessageAuthentication.cpp
+++ b/src/MessageAuthentication.cpp
@@ -23,7 +23,7 @@
 static constexpr size_t signatureParts = 3;
 // Longest signature that is looked at, in characters.
 static constexpr size_t maxSignatureLength = 128;
-static constexpr std::array<std::string_view, 5> internalPrefixes { "/rpc", "/forward/", "/key-query", "/chunks/", "/manifests/" };
+static constexpr std::array<std::string_view, 4> internalPrefixes { "/rpc", "/forward/", "/chunks/", "/manifests/" };
 // Headers, besides the project's own, that change what the receiver does.
 static constexpr std::array<std::string_view, 2> signedHeaders { "idempotency-key", "idempotency-key-minted" };
 
--- a/src/Process.cpp
+++ b/src/Process.cpp
@@ -165,10 +165,6 @@
         process.entry = std::make_unique<Entry>(process.node);
     else
         process.endpoint = std::make_unique<Endpoint>(process.node);
-    if (process.endpoint) {
-        process.rpc.addMethod("key_lease", [&process](const std::string& parameters) { return process.endpoint->answerKeyLease(parameters); });
-        process.rpc.addMethod("key_hand_over", [&process](const std::string& parameters) { return process.endpoint->answerKeyHandOver(parameters); });
-    }
     process.rpc.addMethod("crash", [&process](const std::string& parameters) {
         return process.entry ? process.entry->answerCrash(parameters) : process.endpoint->answerCrash(parameters);
     });
--- a/src/ProcessPaths.cpp
+++ b/src/ProcessPaths.cpp
@@ -51,8 +51,6 @@
 {
     if (request.path.rfind("/forward/", 0) == 0)
         return process.endpoint->forward(request);
-    if (request.path == "/key-query")
-        return process.endpoint->answerKeyQuery(request);
     return process.endpoint->answerWeights(request);
 }
 
--- a/src/Refusal.cpp
+++ b/src/Refusal.cpp
@@ -32,15 +32,6 @@
     { RefusalReason::DeadlineExceeded, "deadline-exceeded", 504, Outcome::NotRun, 1000, false, "it can't be served in time" },
     { RefusalReason::RetryBudgetExhausted, "retry-budget-exhausted", 503, Outcome::NotRun, 1000, false, "the service's retry budget is used up" },
     { RefusalReason::ConnectFailed, "connect-failed", 503, Outcome::NotRun, 1000, true, "the endpoint could not be reached" },
-    { RefusalReason::KeyFenced, "key-fenced", 503, Outcome::NotRun, 1000, false, "this attempt was given up before it ran" },
-    { RefusalReason::KeyInProgress, "key-in-progress", 409, Outcome::Unknown, 1000, false, "a request with this key is running" },
-    { RefusalReason::KeyTableFull, "key-table-full", 503, Outcome::NotRun, 5000, false, "the table of keys is full" },
-    { RefusalReason::KeyMalformed, "key-malformed", 400, Outcome::NotRun, 0, false, "the Idempotency-Key is too long, or has no Idempotency-Key-Minted in Unix milliseconds" },
-    { RefusalReason::KeyMintedAhead, "key-minted-ahead", 400, Outcome::NotRun, 1000, false, "Idempotency-Key-Minted lies in the future" },
-    { RefusalReason::KeyReused, "key-reused", 422, Outcome::NotRun, 0, false, "the key was used for another request; this one was not run" },
-    { RefusalReason::KeyNotOwned, "key-not-owned", 503, Outcome::NotRun, 1000, true, "the endpoint does not own the key now" },
-    { RefusalReason::AnswerNotKept, "answer-not-kept", 410, Outcome::Ran, 0, false, "the request ran; its answer was too large to keep" },
-    { RefusalReason::NotVouched, "not-vouched", 503, Outcome::Unknown, 0, false, "the key may have run before this process could know" },
     { RefusalReason::CrashedEndpoints, "crashed-endpoints", 422, Outcome::Final, 0, false, "the request crashed the endpoints that ran it" },
     { RefusalReason::ReplyLost, "reply-lost", 502, Outcome::Unknown, 1000, false, "the answer was lost; the request may have run" },
     { RefusalReason::StreamCut, "stream-cut", 502, Outcome::Unknown, 1000, false, "the stream broke and can't be resumed" },
@@ -96,16 +87,7 @@
 Refusal makeRefusal(RefusalReason reason)
 {
     const ReasonRow& row = rowOf(reason);
-    return Refusal { reason, row.outcome, Milliseconds(row.retryAfterMs), false };
-}
-
-Refusal refusalForKey(Refusal refusal)
-{
-    constexpr int firstTransientStatus = 500;
-    bool isTransient = rowOf(refusal.reason).status >= firstTransientStatus;
-    if (refusal.outcome == Outcome::NotRun && isTransient && !refusal.isFromOwner)
-        refusal.outcome = Outcome::Unknown;
-    return refusal;
+    return Refusal { reason, row.outcome, Milliseconds(row.retryAfterMs) };
 }
 
 int httpStatus(const Refusal& refusal)
--- a/src/Refusal.h
+++ b/src/Refusal.h
@@ -14,7 +14,6 @@
     RefusalReason reason = RefusalReason::None;
     Outcome outcome = Outcome::NotRun;
     Milliseconds retryAfter { 0 }; ///< Zero where coming back makes no sense.
-    bool isFromOwner = false; ///< Whether the process that vouches for the request's key has said so.
 };
 
 /// Names on the wire, such as "not-run" and "overloaded". Thread safe.
@@ -27,10 +26,6 @@
 /// The refusal with the outcome and retry-after that the reason calls for. Thread safe.
 Refusal makeRefusal(RefusalReason);
 
-/// The refusal as the caller of a keyed request sees it: only the key's owner can say that no submission of the key
-/// ran; what others refuse for the time being is an unknown outcome. Thread safe.
-Refusal refusalForKey(Refusal);
-
 /// HTTP status that goes with it. Thread safe.
 int httpStatus(const Refusal&);
 
--- a/src/Retry.cpp
+++ b/src/Retry.cpp
@@ -47,7 +47,6 @@
     case RefusalReason::Leaving:
     case RefusalReason::VersionNotReady:
     case RefusalReason::ConnectFailed:
-    case RefusalReason::KeyNotOwned:
         return true;
     default:
         return false;
--- a/src/WireHeaders.h
+++ b/src/WireHeaders.h
@@ -21,8 +21,6 @@
 constexpr char outcome[] = "X-Bilberry-Outcome";
 constexpr char account[] = "X-Client-Account";
 constexpr char timeoutMs[] = "X-Request-Timeout-Ms";
-constexpr char idempotencyKey[] = "Idempotency-Key";
-constexpr char idempotencyMinted[] = "Idempotency-Key-Minted";
 constexpr char lastEventId[] = "Last-Event-ID";
 constexpr char retryAfter[] = "Retry-After";
 
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,271 @@
+"""Stand-ins for the users' platform, by its published protocol: the store, endpoints, a model engine and the origin of weights.
+
+Each is a server of threads in the test's own process, so that a test can change what it does and look at what it was sent.
+"""
+
+import base64
+import hashlib
+import http.server
+import json
+import socket
+import threading
+import time
+import urllib.parse
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def handle_any(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        self.body = self.rfile.read(length)
+        try:
+            self.server.owner.answer(self)
+        except (BrokenPipeError, ConnectionResetError):
+            self.close_connection = True
+
+    do_GET = do_POST = do_PUT = handle_any
+
+    def send(self, status, body=b"", headers=()):
+        body = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, str(value))
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def hang_up(self):
+        """Ends the connection without an answer."""
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, *_):
+        pass
+
+
+class StandIn:
+    """One server on a free port of an own loopback address."""
+
+    def __init__(self, host="127.0.0.1", port=0):
+        self.server = Server((host, port), Handler)
+        self.server.owner = self
+        self.address = "%s:%d" % self.server.server_address
+        threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store(StandIn):
+    """Items with revisions; listings and watches. `turns_away` are IP numbers that get 503."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.events = []
+        self.revision = 5
+        self.turns_away = set()
+        self.is_down = False
+        self.calls = 0
+        super().__init__()
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            text = value if isinstance(value, bytes) else json.dumps(value).encode()
+            self.items[key] = {"key": key, "value": base64.b64encode(text).decode(), "revision": self.revision, "created": self.revision, "lease": 0}
+            self.events.append(self.items[key])
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            del self.items[key]
+            self.events.append({"key": key, "revision": self.revision, "removed": True})
+            self.changed.notify_all()
+
+    def answer(self, call):
+        with self.changed:
+            self.calls += 1
+        if self.is_down or call.client_address[0] in self.turns_away:
+            call.send(503, {})
+            return
+        path, _, query = call.path.partition("?")
+        query = dict(urllib.parse.parse_qsl(query))
+        if path == "/bilberrybarrow/kv-key":
+            self.answer_item(call, query["key"])
+        elif path == "/bilberrybarrow/kv-range":
+            self.answer_listing(call, query.get("prefix", ""), query.get("start-after", ""))
+        elif path == "/bilberrybarrow/kv-watch":
+            self.answer_watch(call, query.get("prefix", ""), int(query["start-after"]), int(query["wait-ms"]) / 1000)
+        else:
+            call.send(404, {})
+
+    def answer_item(self, call, key):
+        with self.changed:
+            item = self.items.get(key)
+            revision = self.revision
+        call.send(200 if item else 404, {**item, "as-of": revision} if item else {})
+
+    def answer_listing(self, call, prefix, after, page=3):
+        with self.changed:
+            keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+            body = {"items": [self.items[key] for key in keys[:page]], "more-pages": len(keys) > page, "as-of": self.revision}
+        call.send(200, body)
+
+    def answer_watch(self, call, prefix, after, wait):
+        end = time.monotonic() + wait
+        with self.changed:
+            while True:
+                events = [event for event in self.events if event["revision"] > after and event["key"].startswith(prefix)]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    break
+                self.changed.wait(left)
+            body = {"events": events, "as-of": self.revision}
+        call.send(200, body)
+
+
+class Endpoint(StandIn):
+    """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request."""
+
+    def __init__(self, name, events=0, gap=0.0):
+        self.name = name
+        self.events = events
+        self.gap = gap
+        self.faults = []
+        self.requests = []
+        super().__init__()
+
+    def answer(self, call):
+        request_id = call.headers["Bilberrybarrow-Request-Id"]
+        self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers)})
+        headers = [("Bilberrybarrow-Request-Id", request_id), ("Bilberrybarrow-Server-Load", "1,0,8"), ("Bilberrybarrow-Instance-Id", self.name)]
+        if call.headers.get("Bilberrybarrow-Expect-Instance") != self.name:
+            call.send(421, b"", headers)
+            return
+        fault = self.faults.pop(0) if self.faults else None
+        sealed = [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name)]
+        if fault == "refuse":
+            call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1")])
+        elif fault == "hang up":
+            call.hang_up()
+        elif fault == "fail":
+            call.send(500, b"failed", sealed)
+        elif fault == "promise":
+            call.send(503, b"ran", sealed)
+        elif fault == "unsealed":
+            call.send(200, b"not mine", headers)
+        elif fault == "foreign":
+            call.send(200, b"not yours", [("Bilberrybarrow-Request-Id", "other"), ("Bilberrybarrow-Response-Seal", "x")])
+        elif fault == "silent":
+            time.sleep(3)
+            call.hang_up()
+        elif self.events:
+            self.stream(call, sealed, fault)
+        else:
+            time.sleep(self.gap)
+            call.send(200, b"done by " + self.name.encode(), sealed)
+
+    def stream(self, call, headers, fault):
+        call.send_response(200)
+        for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+            call.send_header(name, value)
+        call.end_headers()
+        last = call.headers.get("Last-Event-Id")
+        for number in range(int(last) + 1 if last else 0, self.events):
+            event = f"id: {number}\ndata: token\n\n".encode()
+            if fault == "cut" and number == self.events // 2:
+                call.wfile.write(b"%x\r\n%s" % (len(event), event[:5]))
+                call.wfile.flush()
+                call.hang_up()
+                return
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            call.wfile.flush()
+            time.sleep(self.gap)
+        call.wfile.write(b"0\r\n\r\n")
+
+
+class Origin(StandIn):
+    """Manifest and pieces of each version; spoils the pieces named in `spoilt` once."""
+
+    def __init__(self, model="m", chunks=8, chunk_bytes=4096):
+        self.model = model
+        self.chunks = chunks
+        self.chunk_bytes = chunk_bytes
+        self.spoilt = set()
+        self.served = []
+        super().__init__()
+
+    def piece(self, version, number):
+        return hashlib.shake_256(f"{version}/{number}".encode()).digest(self.chunk_bytes)
+
+    def answer(self, call):
+        path, _, query = call.path.partition("?")
+        query = dict(urllib.parse.parse_qsl(query))
+        version = int(query["version"])
+        if path.startswith("/bilberrybarrow/manifest/"):
+            digests = [hashlib.sha256(self.piece(version, number)).hexdigest() for number in range(self.chunks)]
+            call.send(200, {"model": self.model, "version": version, "chunk-bytes": self.chunk_bytes, "layers": 4, "digests": digests})
+            return
+        number = int(query["chunk-count"])
+        self.served.append((version, number))
+        data = self.piece(version, number)
+        if number in self.spoilt:
+            self.spoilt.discard(number)
+            data = b"x" * len(data)
+        call.send(200, data)
+
+
+class Engine(StandIn):
+    """A model engine's own calls: report, stage and orders. It takes in what lies on its stage when it is ordered to."""
+
+    def __init__(self, origin, host, version=0, model="m", layers=4):
+        self.origin = origin
+        self.model = model
+        self.layers = layers
+        self.version = version
+        self.stage = {}
+        self.orders = 0
+        self.mixed = 0
+        self.born = int(time.time() * 1000)
+        if version:
+            self.stage = {number: origin.piece(version, number) for number in range(origin.chunks)}
+        super().__init__(host)
+
+    def report(self):
+        models = [{"name": self.model, "version": self.version, "adapters": []}] if self.version else []
+        layers = [{"from": 0, "target": self.layers, "version": self.version}] if self.version else []
+        return {"stage": "both", "models": models, "layers": layers, "busy": False, "seq-no": self.orders, "queued": 0, "active": 0, "kv-used": 0, "kv-total": 1, "handles": 0, "born": self.born}
+
+    def answer(self, call):
+        path, _, query = call.path.partition("?")
+        query = dict(urllib.parse.parse_qsl(query))
+        if path == "/bilberrybarrow/report":
+            call.send(200, self.report())
+        elif path.startswith("/bilberrybarrow/stage-put/"):
+            self.stage[int(query["chunk-count"])] = call.body
+            call.send(200, {})
+        elif path.startswith("/bilberrybarrow/stage-get/"):
+            data = self.stage.get(int(query["chunk-count"]))
+            call.send(200 if data is not None else 404, data or b"")
+        elif path == "/bilberrybarrow/order":
+            order = json.loads(call.body)
+            self.orders += 1
+            wanted = {number: self.origin.piece(order["version"], number) for number in range(self.origin.chunks)}
+            self.mixed += self.stage != wanted
+            self.version = order["version"]
+            call.send(202, {})
+        else:
+            call.send(404, {})
--- /dev/null
+++ b/tests/process_platform_requests.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""Requests through an entry of the platform: what is passed on and answered, by kind and by what the endpoints do."""
+
+import threading
+import time
+
+import harness
+import platform_fleet
+
+
+def test_what_is_passed_on(fleet, entry):
+    status, headers, body = fleet.call(entry, "/plain/x?y=1", body="payload", **{"X-Kept": "1"})
+    assert (status, body) == (200, b"done by p1"), (status, body)
+    assert headers["Bilberrybarrow-Response-Seal"] == "seal-p1"
+    sent = fleet.plain.requests[-1]
+    assert (sent["path"], sent["body"], sent["headers"]["X-Kept"]) == ("/plain/x?y=1", b"payload", "1"), sent
+    assert sent["headers"]["Bilberrybarrow-Tenant"] == "acme" and "Authorization" not in sent["headers"], sent
+    assert 3000 < int(sent["headers"]["Bilberrybarrow-Deadline-Ms"]) <= 4000, sent
+
+
+def test_refusals(fleet, entry):
+    assert fleet.call(entry, "/nowhere/")[0] == 404
+    assert fleet.call(entry, "/plain/", key="wrong")[0] == 401
+    assert fleet.call(entry, "/plain/", key=None)[0] == 401
+    assert fleet.call(entry, "/plain/", body="x" * 70_000)[0] == 413
+    assert fleet.call(entry, "/plain/", **{"Bilberrybarrow-Request-Id": ""})[0] == 400
+    status, headers, _ = fleet.call(entry, "/empty/")
+    assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
+
+
+def test_endpoints_that_fail(fleet, entry):
+    """By kind of request and fault: the status, and how often the endpoint saw the request."""
+    rows = [
+        ("/plain/", "refuse", 200, 2), ("/plain/", "hang up", 200, 2), ("/plain/", "fail", 200, 2), ("/plain/", "unsealed", 200, 2), ("/plain/", "silent", 200, 2),
+        ("/once/", "refuse", 200, 2), ("/once/", "hang up", 502, 1), ("/once/", "fail", 500, 1), ("/once/", "unsealed", 502, 1), ("/once/", "promise", 502, 1), ("/once/", "silent", 502, 1),
+    ]
+    for path, fault, wanted, sends in rows:
+        # One list: the first endpoint that is asked has the fault, the other one hasn't.
+        fleet.plain.faults = fleet.other.faults = [fault]
+        fleet.plain.requests.clear()
+        fleet.other.requests.clear()
+        status = fleet.call(entry, path)[0]
+        seen = len(fleet.plain.requests) + len(fleet.other.requests)
+        assert (status, seen) == (wanted, sends), (path, fault, status, seen)
+        time.sleep(0.3)
+
+
+def test_streams(fleet, entry):
+    for fault, runs in ((None, 1), ("cut", 2)):
+        fleet.stream.faults = fleet.second_stream.faults = [fault]
+        before = len(fleet.stream.requests) + len(fleet.second_stream.requests)
+        status, _, body = fleet.call(entry, "/stream/")
+        events = [line for line in body.decode().splitlines() if line.startswith("id:")]
+        assert status == 200 and events == [f"id: {number}" for number in range(12)], (fault, events)
+        assert len(fleet.stream.requests) + len(fleet.second_stream.requests) - before == runs
+
+
+def test_callers_who_leave(fleet, entry):
+    """The endpoint's connection is closed when the caller leaves, and its place is free again."""
+    fleet.slow.requests.clear()
+    status = fleet.call(entry, "/slow/", timeout=0.3)[0]
+    assert status == 0
+    harness.wait_until(lambda: entry.events("request")[-1]["outcome"] == "caller_left", 3, "the entry notices")
+
+
+def test_time_budget(fleet, entry):
+    start = time.monotonic()
+    status = fleet.call(entry, "/slow/", budget_ms=400)[0]
+    assert status == 504 and 0.3 < time.monotonic() - start < 0.9, (status, time.monotonic() - start)
+
+
+def test_draining(fleet, entry):
+    """An endpoint that drains gets nothing more, and one that goes neither; the other one serves."""
+    fleet.list_endpoint(fleet.plain, "plain", "draining")
+    harness.wait_until(lambda: any(line["what"] == "endpoint_draining" for line in entry.events("belief_changed")), 3, "the entry knows")
+    fleet.plain.requests.clear()
+    assert all(fleet.call(entry, "/plain/")[2] == b"done by p2" for _ in range(5))
+    assert not fleet.plain.requests
+    fleet.list_endpoint(fleet.plain, "plain")
+
+
+def test_stop(fleet, entry):
+    """A stream that runs when the entry is asked to stop is finished; then the process ends cleanly."""
+    results = []
+    caller = threading.Thread(target=lambda: results.append(fleet.call(entry, "/long/", budget_ms=6000)))
+    caller.start()
+    harness.wait_until(lambda: fleet.long.requests, 3, "the stream runs")
+    code = entry.stop()
+    caller.join()
+    status, headers, body = results[0]
+    assert code == 0 and status == 200 and body.count(b"id:") == 12, (code, status, body)
+    assert not fleet.is_ready(entry)
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__)
+    with platform_fleet.Fleet(arguments.build) as fleet:
+        fleet.add_route("/plain/", "plain")
+        fleet.add_route("/once/", "plain", "non_idempotent")
+        fleet.add_route("/stream/", "stream", "streaming")
+        fleet.add_route("/long/", "long", "streaming", **{"timeout-ms": 6000})
+        fleet.add_route("/slow/", "slow", "non_idempotent")
+        fleet.add_route("/empty/", "empty")
+        fleet.publish()
+        fleet.plain = fleet.add_endpoint("p1", "plain")
+        fleet.stream = fleet.add_endpoint("s1", "stream", events=12)
+        fleet.second_stream = fleet.add_endpoint("s2", "stream", events=12)
+        fleet.long = fleet.add_endpoint("l1", "long", events=12, gap=0.15)
+        fleet.slow = fleet.add_endpoint("w1", "slow", gap=2.0)
+        entry = fleet.start_entry()
+        fleet.wait_ready(entry)
+        harness.wait_until(lambda: fleet.call(entry, "/slow/", budget_ms=50)[0] == 504, 5, "all endpoints are known")
+        test_what_is_passed_on(fleet, entry)
+        fleet.other = fleet.add_endpoint("p2", "plain")
+        harness.wait_until(lambda: any(line.get("key") == "servers/p2" for line in entry.events("belief_changed")), 5, "the second endpoint is known")
+        for test in (test_refusals, test_endpoints_that_fail, test_streams, test_callers_who_leave, test_time_budget, test_draining, test_stop):
+            test(fleet, entry)
+            print(test.__name__, flush=True)
+
+
+if __name__ == "__main__":
+    harness.main(main)
