--- /dev/null
+++ b/tests/process_platform_weights.py
@@ -0,0 +1,58 @@
+#!/usr/bin/env python3
+"""Weights agents beside engines: named versions are taken whole, from peers before the origin, and spoilt pieces never."""
+
+import harness
+import platform_fleet
+import platform_standin
+
+
+def add_service(fleet, origin):
+    engine = {"slots": 4, "layers": 4, "chunks": origin.chunks, "chunk-bytes": origin.chunk_bytes, "models": [{"name": origin.model, "warmup-s": 0.1}]}
+    fleet.services.append({"name": "writer", "health-path": "/healthz", "max-connections": 50, "cold-s": 0.0, "cold-per-s": 0.0, "engine": engine})
+    fleet.services.append({"name": "portal", "origin": origin.address, "zone": "dc-a", "link-mbps": 100, "max-connections": 50})
+
+
+def list_engine(fleet, name, engine, data_centre):
+    report = engine.report()
+    fleet.store.put(f"servers/{name}", {"service": "writer", "address": engine.address, "zone": data_centre, "version": "v1", "slots": 4, "state": "ready", "cold-remaining-ms": 0,
+                                        "seq-no": 1, "models": report["models"], "layers": report["layers"]})
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__)
+    with platform_fleet.Fleet(arguments.build) as fleet:
+        origin = platform_standin.Origin()
+        fleet.stand_ins.append(origin)
+        add_service(fleet, origin)
+        fleet.publish()
+        engines = [platform_standin.Engine(origin, f"127.0.2.{number}", version=1 if number < 4 else 0) for number in range(1, 5)]
+        fleet.stand_ins += engines
+        for number, engine in enumerate(engines, 1):
+            list_engine(fleet, f"e{number}", engine, "dc-a" if number % 2 else "dc-b")
+        agents = [fleet.start_agent(engine, number, data_centre="dc-a" if number % 2 else "dc-b") for number, engine in enumerate(engines, 1)]
+
+        # 1. An engine that came empty is filled by its neighbour: the origin sends no piece.
+        harness.wait_until(lambda: engines[3].version == 1, 10, "the empty engine is filled")
+        assert not origin.served, origin.served
+        list_engine(fleet, "e4", engines[3], "dc-b")
+
+        # 2. A named version: every engine takes it; the origin sends each piece once, and again where it was spoilt.
+        origin.spoilt = {2, 5}
+        fleet.store.put("op/version/m", {"model": "m", "version": 2})
+        harness.wait_until(lambda: all(engine.version == 2 for engine in engines), 20, "all engines have turned")
+        assert len(origin.served) <= origin.chunks + 2 + 1, origin.served
+
+        # 3. A piece that turns bad on the stage is not loaded: it is read back and fetched again before the order.
+        for number, engine in enumerate(engines, 1):
+            list_engine(fleet, f"e{number}", engine, "dc-a" if number % 2 else "dc-b")
+        engines[0].stage[3] = b"rotten"
+        engines[0].version = 0
+        engines[0].born += 1
+        harness.wait_until(lambda: engines[0].version == 2, 10, "the restarted engine is filled again")
+
+        assert sum(engine.mixed for engine in engines) == 0
+        assert all(agent.stop() == 0 for agent in agents)
+
+
+if __name__ == "__main__":
+    harness.main(main)
