--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = $(shell cat packages.txt)
-SOURCES = $(wildcard src/*.h src/*.cpp tests/*.h tests/*.cpp)
+SOURCES = $(wildcard src/*.h src/*.cpp platform/*.h platform/*.cpp tests/*.h tests/*.cpp)
 
-.PHONY: build packages test demo bench measure format check-format lint sanitize sanitize-thread clean
+.PHONY: build packages test demo bench measure format check-format check-tree lint sanitize sanitize-thread clean
 
 build:
 	cmake -S . -B $(BUILD) -DBILBERRY_WERROR=ON
@@ -34,20 +34,25 @@
 check-format:
 	clang-format --dry-run --Werror $(SOURCES)
 
+# Names of the platform only in their folder, and one list of packages.
+check-tree:
+	python3 tests/check_tree.py
+
 lint: build
 	bash tests/lint.sh $(BUILD) $(JOBS)
 
 # Unit tests under the address and undefined-behaviour sanitizers.
 sanitize:
-	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined
-	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Sanitize
+	cmake --build $(BUILD)-sanitize -j $(JOBS) --target unittests
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -L unit -j $(JOBS) $$(python3 tests/known_red.py --ctest-arguments)
 
 # The whole path under the thread sanitizer: a race in a daemon makes its exit code 66, which the test refuses.
 sanitize-thread:
-	cmake -S . -B $(BUILD)-thread -DBILBERRY_SANITIZE=thread
-	cmake --build $(BUILD)-thread -j $(JOBS) --target bilberryd standin
+	cmake -S . -B $(BUILD)-thread -DBILBERRY_SANITIZE=thread -DCMAKE_BUILD_TYPE=Sanitize
+	cmake --build $(BUILD)-thread -j $(JOBS) --target bilberryd bilberrynode standin
 	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/thread.supp" python3 tests/process_path.py --build $(BUILD)-thread
+	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/thread.supp" python3 tests/process_platform_requests.py --build $(BUILD)-thread
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-thread
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -2,13 +2,13 @@
 
 #include "Digest.h"
 #include "PeerMessage.h"
+#include "PieceManifest.h"
 #include "ServerExchange.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
@@ -335,12 +335,13 @@
     if (address.port == 0)
         return;
     this->manifestCaller.setAddress(address);
-    this->manifestCaller.get(path, manifestTimeout, [this](const CallResult& result) { this->takeManifest(result); });
+    this->manifestCaller.get(path, manifestTimeout, [this, asksPeer](const CallResult& result) { this->takeManifest(result, asksPeer); });
 }
 
-void AgentNode::takeManifest(const CallResult& result)
+void AgentNode::takeManifest(const CallResult& result, bool isFromPeer)
 {
-    auto read = result.status == 200 ? this->dialect.engine.readManifest(result.body) : absl::StatusOr<PieceDigests>(absl::UnavailableError(result.describe()));
+    auto decode = isFromPeer ? decodeManifest : this->dialect.engine.readManifest;
+    auto read = result.status == 200 ? decode(result.body) : absl::StatusOr<PieceDigests>(absl::UnavailableError(result.describe()));
     if (!read.ok() || read->version != this->wantedVersion() || read->model != this->model.name) {
         this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", read.ok() ? std::string("another version") : std::string(read.status().message()) } });
         return;
@@ -570,8 +571,7 @@
     } else if (asksPiece && isServed) {
         this->upload({ exchange, piece, false });
     } else if (asksManifest && isHere) {
-        nlohmann::json body { { "model", this->manifest.model }, { "version", version }, { "chunk-bytes", this->manifest.pieceBytes }, { "digests", this->manifest.digests } };
-        exchange->answer(200, { { "Content-Type", "application/json" } }, body.dump());
+        exchange->answer(200, { { "Content-Type", "application/msgpack" } }, encodeManifest(this->manifest));
     } else {
         exchange->answer(404, {}, {});
     }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -50,7 +50,7 @@
     void choosePiecesFor(uint32_t version, TimePoint now);
     uint32_t wantedVersion() const;
     void fetchManifest();
-    void takeManifest(const CallResult&);
+    void takeManifest(const CallResult&, bool isFromPeer);
     void startFetches(TimePoint now);
     const ServiceRule* originService() const;
     PieceSource sourceOf(uint32_t piece, const std::vector<AgentPeer>&);
--- /dev/null
+++ b/src/PieceManifest.h
@@ -0,0 +1,15 @@
+/// The digests of a version's pieces, as agents hand them to each other.
+#pragma once
+
+#include "Dialect.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+
+namespace bilberry {
+
+std::string encodeManifest(const PieceDigests&);
+/// Fails for bytes that are no manifest. Thread safe.
+absl::StatusOr<PieceDigests> decodeManifest(const std::string& bytes);
+
+} // namespace bilberry
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -3,6 +3,7 @@
 
 #include "PeerMessage.h"
 #include "PeerTable.h"
+#include "PieceManifest.h"
 #include "StoreCopy.h"
 
 #include <rapidcheck.h>
@@ -49,6 +50,7 @@
         decodePeerMessage(changed).ok();
         decodeNotice(changed).ok();
         decodeExcerpt(changed).ok();
+        decodeManifest(changed).ok();
     }));
 }
 
@@ -113,6 +115,19 @@
     BOOST_TEST(freshestPeer(table, Milliseconds::max(), start) == "10.0.0.3");
 }
 
+BOOST_AUTO_TEST_CASE(manifestsComeBackAsTheyWere)
+{
+    PieceDigests sent { "m", 3, 32768, { std::string(64, 'a'), std::string(64, 'b') } };
+    auto bytes = encodeManifest(sent);
+    auto read = decodeManifest(bytes);
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->model == "m");
+    BOOST_TEST(read->version == 3u);
+    BOOST_TEST(read->pieceBytes == 32768u);
+    BOOST_TEST(read->digests == sent.digests, boost::test_tools::per_element());
+    BOOST_TEST(!decodeManifest(bytes.substr(0, bytes.size() - 1)).ok());
+}
+
 BOOST_AUTO_TEST_CASE(excerptsComeBackAsTheyWere)
 {
     StoreExcerpt sent { Milliseconds(350), 90, { { "a", false, std::string("\x00\xff{}", 4), 88 }, { "b", true, {}, 90 } } };
--- a/tests/lint.sh
+++ b/tests/lint.sh
@@ -4,6 +4,6 @@
 build=$1
 jobs=$2
 shift 2
-[ $# -gt 0 ] || set -- src/*.cpp tests/*.cpp
+[ $# -gt 0 ] || set -- src/*.cpp tests/*.cpp platform/*.cpp
 printf '%s\0' "$@" | xargs -0 -n 1 -P "$jobs" clang-tidy -p "$build" --quiet 2>/dev/null
 echo "lint: clean"
