Leave an endpoint at once when another one has its address

Change: a refusal that names another endpoint ends the row until it is listed anew; one that takes no connections gets a pause.

--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -73,7 +73,7 @@
         return;
     }
     ++row.failuresInRow;
-    row.avoidUntil = now + avoidTimeAfter(row.failuresInRow);
+    row.avoidUntil = std::max(row.avoidUntil, now + avoidTimeAfter(row.failuresInRow));
 }
 
 void noteLoad(EndpointRow& row, const LoadStatement& load, TimePoint now)
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -37,6 +37,8 @@
 static constexpr Milliseconds condemnedRetryAfter { 60'000 };
 // Time in which an endpoint that refused for its load or state gets nothing more.
 static constexpr Milliseconds refusalPause { 60 };
+// Time in which an endpoint that takes no connections gets nothing more.
+static constexpr Milliseconds unreachablePause { 300 };
 
 RequestRun::RequestRun(EntryNode& node, uint64_t number, std::shared_ptr<ServerExchange> exchange)
     : node(node)
@@ -395,6 +397,14 @@
         if (!crashed.empty())
             reportCrash(this->node, crashed, this->endpointId, now);
     }
+    bool isReplaced = result == AttemptResult::NotExecuted && !this->reply.endpointId.empty() && this->reply.endpointId != this->endpointId;
+    if (isReplaced) {
+        // Another endpoint has the address: the list is behind.
+        endpoint.listedUntil = now;
+        this->node.channels.drop(this->endpointId);
+    }
+    if (result == AttemptResult::NotSent)
+        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + unreachablePause);
     if (result == AttemptResult::Answered)
         noteOutcome(endpoint, true, now);
     else if (result == AttemptResult::NotExecuted)
--- a/tests/process_platform_requests.py
+++ b/tests/process_platform_requests.py
@@ -77,6 +77,18 @@
     assert all(fleet.call(entry, "/plain/")[2] == b"done by p2" for _ in range(5))
     assert not fleet.plain.requests
     fleet.list_endpoint(fleet.plain, "plain")
+    harness.wait_until(lambda: any(fleet.call(entry, "/plain/")[2] == b"done by p1" for _ in range(5)), 3, "it serves again")
+
+
+def test_address_used_again(fleet, entry):
+    """An endpoint whose address another one has now is asked once more at most, although the store still lists it."""
+    fleet.plain.requests.clear()
+    fleet.plain.name = "someone-else"
+    for _ in range(8):
+        assert fleet.call(entry, "/plain/")[0] == 200
+        time.sleep(0.1)
+    assert len(fleet.plain.requests) == 1, len(fleet.plain.requests)
+    fleet.plain.name = "p1"
 
 
 def test_stop(fleet, entry):
@@ -113,7 +125,7 @@
         test_what_is_passed_on(fleet, entry)
         fleet.other = fleet.add_endpoint("p2", "plain")
         harness.wait_until(lambda: any(line.get("key") == "servers/p2" for line in entry.events("belief_changed")), 5, "the second endpoint is known")
-        for test in (test_refusals, test_endpoints_that_fail, test_streams, test_callers_who_leave, test_time_budget, test_draining, test_stop):
+        for test in (test_refusals, test_endpoints_that_fail, test_streams, test_callers_who_leave, test_time_budget, test_draining, test_address_used_again, test_stop):
             test(fleet, entry)
             print(test.__name__, flush=True)
 
