--- a/tests/StoreWatchTest.cpp
+++ b/tests/StoreWatchTest.cpp
@@ -122,6 +122,9 @@
     store.runUntil([&] { return store.listings == 1; });
     store.isSilent = true;
     store.runUntil([&] { return store.failures >= 2; });
+    // A call has just been sent and will not be answered any more.
+    size_t before = store.held.size();
+    store.runUntil([&] { return store.held.size() > before; });
     store.isSilent = false;
     store.watchAnswers = { { 200, oneChange } };
     auto back = Clock::now();
