--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -97,6 +97,7 @@
     , timer(loop)
     , uploadTimer(loop)
     , peers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
+    , scrapers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , watch(loop, dialect.store, { settings.store, std::string(dialect.store.versionPrefix), storeWait, Milliseconds(700), Milliseconds(40) },
           { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items, true); },
               [this](const std::vector<StoreChange>& changes, BootTimePoint) { this->takeNamed(changes, false); },
@@ -118,6 +119,8 @@
 absl::Status AgentNode::start()
 {
     auto status = this->peers.listen({ this->settings.ip, this->settings.peerPort });
+    if (status.ok() && this->settings.metricsListen)
+        status = this->scrapers.listen(*this->settings.metricsListen);
     if (!status.ok())
         return status;
     this->watch.start();
@@ -162,6 +165,17 @@
     this->armTick();
 }
 
+void AgentNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
+{
+    auto missing = std::count(this->isStaged.begin(), this->isStaged.end(), false);
+    this->metrics.set("bilberry_weights_version", this->report ? this->report->layersVersion : 0);
+    this->metrics.set("bilberry_weights_wanted_version", this->wantedVersion());
+    this->metrics.set("bilberry_pieces_missing", static_cast<double>(missing));
+    this->metrics.set("bilberry_store_calls", static_cast<double>(this->watch.callCount()));
+    this->metrics.set("bilberry_log_lines_dropped", static_cast<double>(this->log.dropped()));
+    exchange->answer(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
+}
+
 void AgentNode::readConfiguration()
 {
     if (this->storeCaller.isBusy())
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -41,6 +41,7 @@
 
     void armTick();
     void tick();
+    void answerMetrics(const std::shared_ptr<ServerExchange>&);
     void readConfiguration();
     void readEndpoints();
     void readReport();
@@ -80,6 +81,7 @@
     LoopTimer timer;
     LoopTimer uploadTimer;
     LoopServer peers;
+    LoopServer scrapers;
     StoreWatch watch;
     HttpCaller storeCaller;
     HttpCaller reportCaller;
--- a/src/BootClock.h
+++ b/src/BootClock.h
@@ -5,13 +5,12 @@
 
 namespace bilberry {
 
-/// A clock in the sense of <chrono>; never set back.
+/// Never set back.
 struct BootClock {
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
 
     /// Time since the VM started. Thread safe.
     static time_point now();
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -44,8 +44,9 @@
         this->rows[found->second].listedUntil = until;
 }
 
-void EndpointTable::sweep(TimePoint now)
+std::vector<std::string> EndpointTable::sweep(TimePoint now)
 {
+    std::vector<std::string> freed;
     for (auto& row : this->rows) {
         if (row.isListed && now >= row.listedUntil)
             row.isListed = false;
@@ -53,8 +54,10 @@
         if (!isUnused)
             continue;
         this->rowById.erase(row.record.id);
+        freed.push_back(std::move(row.record.id));
         row = EndpointRow();
     }
+    return freed;
 }
 
 Milliseconds avoidTimeAfter(int failuresInRow)
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -41,8 +41,8 @@
     uint32_t put(const EndpointRecord&, TimePoint now);
     /// The endpoint is not listed any more from `until` on. Does nothing for an unknown one.
     void remove(const std::string& id, TimePoint until);
-    /// Frees rows of endpoints that are gone and have no request. To be called each tick.
-    void sweep(TimePoint now);
+    /// Frees rows of endpoints that are gone and have no request; returns their ids. To be called each tick.
+    std::vector<std::string> sweep(TimePoint now);
 };
 
 /// How long an endpoint that failed several times in a row is avoided, by the number of failures. Thread safe.
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -451,7 +451,8 @@
 void EntryNode::tick()
 {
     auto now = Clock::now();
-    this->belief.endpoints.sweep(now);
+    for (const auto& gone : this->belief.endpoints.sweep(now))
+        this->channels.drop(gone);
     this->takePeerLoads(now);
     this->askPeer(now);
     this->copy.sweep(now);
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -95,7 +95,7 @@
             self->result.status = head.status;
         return HeadVerdict::Take;
     };
-    handlers.onPiece = [weak](std::string piece) {
+    handlers.onPiece = [weak](const std::string& piece) {
         auto self = weak.lock();
         if (!self)
             return;
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -217,7 +217,7 @@
         }
     }
     if (!this->state->hasHead && this->state->parser->is_header_done()) {
-        int status = this->state->parser->get().result_int();
+        unsigned status = this->state->parser->get().result_int();
         if (status >= 100 && status < 200) {
             this->prepareParser();
             this->parse();
@@ -278,7 +278,7 @@
         piece.swap(this->state->parser->get().body());
         this->state->isPaused = true;
         auto handler = this->state->handlers.onPiece;
-        handler(std::move(piece));
+        handler(piece);
         return;
     }
     if (this->state->hasHead && this->state->parser->is_done()) {
--- a/src/HttpChannel.h
+++ b/src/HttpChannel.h
@@ -36,7 +36,7 @@
 struct ResponseHandlers {
     std::function<HeadVerdict(const ResponseHead&)> onHead;
     /// A piece of the body; the next one is read only after readOn().
-    std::function<void(std::string piece)> onPiece;
+    std::function<void(const std::string& piece)> onPiece;
     /// Called once, last. The channel may be used again only when it says so by canReuse().
     std::function<void(ChannelEnd)> onEnd;
 };
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -429,6 +429,7 @@
     auto now = Clock::now();
     this->lastResult = result;
     countAttempt(this->tally, result);
+    this->node.metrics.count("bilberry_attempts_total", { { "result", std::string(toText(result)) } });
     this->need.tried.push_back(this->endpointId);
     if (result != AttemptResult::Answered) {
         this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->caller.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->head.status }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptAt) } });
@@ -447,6 +448,7 @@
 void RequestRun::retry(TimePoint now)
 {
     bool mayGo = takeRepeat(this->node.repeats[this->need.service], this->node.settings.bounds.repeats, entryCount(this->node), now);
+    this->node.metrics.count("bilberry_repeats_total", { { "result", mayGo ? "sent" : "over_budget" } });
     if (!mayGo) {
         this->conclude(giveUp({ this->lastResult, mayRepeat(*this->route), this->hasStarted, this->tally, this->route->maxAttempts, this->timeLeft(now) }));
         return;
@@ -555,7 +557,11 @@
         { { "request", this->caller.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
             { "endpoint", this->endpointId }, { "runs", this->tally.runs }, { "refusals", this->tally.refusals }, { "budget_ms", this->caller.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "first_ms", this->firstPartAfter }, { "total_ms", total },
             { "generation", this->routes ? this->routes->generation : 0 } });
-    this->node.metrics.count("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
+    auto& metrics = this->node.metrics;
+    metrics.count("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
+    if (this->firstPartAfter > Milliseconds(0))
+        metrics.observe("bilberry_first_part_seconds", this->firstPartAfter);
+    metrics.observe("bilberry_request_seconds", total);
     this->node.runs.erase(this->number);
 }
 
--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -242,7 +242,7 @@
     return responseHeadText(head);
 }
 
-void ServerConnection::writeWhole(int status, const HttpHeaders& headers, std::string body)
+void ServerConnection::writeWhole(int status, const HttpHeaders& headers, const std::string& body)
 {
     auto bytes = this->headText(status, headers, body.size());
     if (!this->isHeadRequest)
@@ -252,7 +252,7 @@
     this->write(std::move(bytes), [self = this->shared_from_this()] { self->finishRequest(); });
 }
 
-void ServerConnection::writeHead(int status, const HttpHeaders& headers, std::string firstPart, std::function<void()> onSent)
+void ServerConnection::writeHead(int status, const HttpHeaders& headers, const std::string& firstPart, std::function<void()> onSent)
 {
     auto bytes = this->headText(status, headers, std::nullopt);
     if (!firstPart.empty())
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -48,8 +48,8 @@
     void close(bool isReset);
 
     /// Writes the head and the body of a whole answer, then reads the next request.
-    void writeWhole(int status, const HttpHeaders&, std::string body);
-    void writeHead(int status, const HttpHeaders&, std::string firstPart, std::function<void()> onSent);
+    void writeWhole(int status, const HttpHeaders&, const std::string& body);
+    void writeHead(int status, const HttpHeaders&, const std::string& firstPart, std::function<void()> onSent);
     void writePart(std::string part, std::function<void()> onSent);
     void writeLast();
     bool isOpen() const { return this->socket.is_open(); }
--- a/src/ServerExchange.cpp
+++ b/src/ServerExchange.cpp
@@ -27,18 +27,18 @@
     this->connection->onLeft = std::move(handler);
 }
 
-void ServerExchange::answer(int status, const HttpHeaders& headers, std::string body)
+void ServerExchange::answer(int status, const HttpHeaders& headers, const std::string& body)
 {
     if (this->isEnded)
         return;
     this->isEnded = true;
-    this->connection->writeWhole(status, headers, std::move(body));
+    this->connection->writeWhole(status, headers, body);
 }
 
-void ServerExchange::start(int status, const HttpHeaders& headers, std::string firstPart, std::function<void()> onSent)
+void ServerExchange::start(int status, const HttpHeaders& headers, const std::string& firstPart, std::function<void()> onSent)
 {
     if (!this->isEnded)
-        this->connection->writeHead(status, headers, std::move(firstPart), std::move(onSent));
+        this->connection->writeHead(status, headers, firstPart, std::move(onSent));
 }
 
 void ServerExchange::send(std::string part, std::function<void()> onSent)
--- a/src/ServerExchange.h
+++ b/src/ServerExchange.h
@@ -28,9 +28,9 @@
     void onCallerLeft(std::function<void()>);
 
     /// Sends a whole answer.
-    void answer(int status, const HttpHeaders&, std::string body);
+    void answer(int status, const HttpHeaders&, const std::string& body);
     /// Sends the head of an answer whose body comes in parts, together with the first part.
-    void start(int status, const HttpHeaders&, std::string firstPart, std::function<void()> onSent);
+    void start(int status, const HttpHeaders&, const std::string& firstPart, std::function<void()> onSent);
     /// Sends one more part; `onSent` is called when the connection has taken it. Precondition: start() was called and the
     /// part before is sent.
     void send(std::string part, std::function<void()> onSent);
--- a/tests/VersionSwitchTest.cpp
+++ b/tests/VersionSwitchTest.cpp
@@ -17,6 +17,7 @@
     BOOST_TEST(rc::check([] {
         std::vector<std::string> hosts;
         int count = *rc::gen::inRange(1, 40);
+        hosts.reserve(static_cast<size_t>(count));
         for (int i = 0; i < count; ++i)
             hosts.push_back("10.0.0." + std::to_string(i));
         auto shuffled = hosts;
