--- /dev/null
+++ b/src/AgentFetches.cpp
@@ -0,0 +1,153 @@
+/// The part of an agent that brings pieces to its engine's stage.
+
+#include "AgentNode.h"
+
+#include "Digest.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bilberry {
+
+// Path of a piece at a peer.
+static constexpr std::string_view piecePrefix = "/pieces/";
+// Longest time for a piece, a wait at its source included.
+static constexpr Milliseconds pieceTimeout { 3000 };
+// How often a peer that doesn't have a piece yet is asked before another one is.
+static constexpr uint32_t maxDenials = 4;
+// Pause before a piece is asked for again at the same place.
+static constexpr Milliseconds roundPause { 200 };
+// Pieces that are fetched from the origin at a time; all agents share its connections.
+static constexpr size_t parallelOriginFetches = 2;
+
+void AgentNode::startFetches(TimePoint now)
+{
+    if (this->manifest.version == 0 || this->manifest.version != this->wantedVersion())
+        return;
+    bool isMissing = std::find(this->isStaged.begin(), this->isStaged.end(), false) != this->isStaged.end();
+    if (isMissing && now - this->endpointsAt >= listInterval)
+        this->readEndpoints();
+    auto count = static_cast<uint32_t>(this->manifest.digests.size());
+    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
+    // Pieces that this agent brings into its region come first: the others wait for them.
+    auto isOwn = [&](uint32_t piece) { return importerOf(piece, this->settings.place.regionOf[this->settings.place.dataCentre], agents) == this->settings.ip; };
+    auto isOriginBusy = [&] {
+        auto isAtOrigin = [](const auto& fetch) { return fetch->isRunning && fetch->isFromOrigin; };
+        return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), isAtOrigin)) >= parallelOriginFetches;
+    };
+    auto asksOrigin = [&](uint32_t piece) { return this->sourceOf(piece, agents).isOrigin; };
+    auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ip) % count);
+    for (bool wantsOwn : { true, false }) {
+        for (uint32_t i = 0; i < count; ++i) {
+            uint32_t piece = (i + offset) % count;
+            bool isWanted = !this->isStaged[piece] && !this->isInHand[piece] && now >= this->notBefore[piece] && isOwn(piece) == wantsOwn;
+            if (!isWanted)
+                continue;
+            if (isOriginBusy() && asksOrigin(piece))
+                continue;
+            auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
+            if (free == this->fetches.end())
+                return;
+            this->startFetch(**free, piece, this->sourceOf(piece, agents));
+        }
+    }
+}
+
+const ServiceRule* AgentNode::originService() const
+{
+    for (const auto& service : this->configuration->services) {
+        if (service.origin)
+            return &service;
+    }
+    return nullptr;
+}
+
+// The place to ask for a piece now; each failure goes on to the next one.
+PieceSource AgentNode::sourceOf(uint32_t piece, const std::vector<AgentPeer>& agents)
+{
+    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
+    if (const auto* origin = this->originService())
+        question.originRegion = this->settings.place.regionOf[origin->originDataCentre];
+    auto sources = pieceSources(question, agents);
+    return sources[this->rounds[piece] % sources.size()];
+}
+
+void AgentNode::startFetch(Fetch& fetch, uint32_t piece, const PieceSource& source)
+{
+    const auto* origin = this->originService();
+    if (source.isOrigin && !origin)
+        return;
+    Address address = source.isOrigin ? *origin->origin : Address { source.host, this->settings.peerPort };
+    auto path = source.isOrigin ? this->dialect.engine.piecePath(this->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", piecePrefix, this->manifest.version, piece);
+    if (!fetch.caller)
+        fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
+    fetch.caller->setAddress(address);
+    fetch.isRunning = true;
+    fetch.piece = piece;
+    fetch.version = this->manifest.version;
+    fetch.isFromOrigin = source.isOrigin;
+    this->isInHand[piece] = true;
+    fetch.caller->get(path, pieceTimeout, [this, &fetch](const CallResult& result) { this->endFetch(fetch, result); });
+}
+
+void AgentNode::endFetch(Fetch& fetch, const CallResult& result)
+{
+    fetch.isRunning = false;
+    this->metrics.count("bilberry_piece_bytes_total", { { "source", fetch.isFromOrigin ? "origin" : "peer" } }, static_cast<double>(result.body.size()));
+    if (fetch.version != this->manifest.version)
+        return;
+    bool isGood = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[fetch.piece];
+    if (isGood) {
+        this->stage(fetch.piece, result.body);
+    } else {
+        this->isInHand[fetch.piece] = false;
+        bool isNotYet = result.status == 404 && !fetch.isFromOrigin && ++this->denials[fetch.piece] < maxDenials;
+        if (!isNotYet) {
+            ++this->rounds[fetch.piece];
+            this->denials[fetch.piece] = 0;
+        }
+        this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin || isNotYet ? roundPause : Milliseconds(0));
+        this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("wrong digest") : result.describe() } });
+    }
+    this->startFetches(Clock::now());
+}
+
+// Writes a verified piece to the engine's stage.
+void AgentNode::stage(uint32_t piece, std::string bytes)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = this->dialect.engine.stageWritePath(this->model.name, piece);
+    request.headers.emplace_back("Content-Type", "application/octet-stream");
+    request.body = std::move(bytes);
+    uint32_t version = this->manifest.version;
+    this->localCaller().call(request, engineTimeout, [this, version, piece](const CallResult& result) {
+        if (this->manifest.version != version)
+            return;
+        this->isInHand[piece] = false;
+        this->isStaged[piece] = result.status >= 200 && result.status < 300;
+        if (!this->isStaged[piece]) {
+            this->log.write(LogLevel::Warning, "stage_failed", { { "piece", piece }, { "reason", result.describe() } });
+            return;
+        }
+        this->answerHeld(piece);
+        this->orderWhenReady(Clock::now());
+    });
+}
+
+// Finds out whether a piece lies on the engine's stage already.
+void AgentNode::checkStaged(uint32_t piece)
+{
+    uint32_t version = this->manifest.version;
+    this->isInHand[piece] = true;
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, version, piece](const CallResult& result) {
+        if (this->manifest.version != version)
+            return;
+        this->isInHand[piece] = false;
+        this->isStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
+        if (this->isStaged[piece])
+            this->answerHeld(piece);
+    });
+}
+
+} // namespace bilberry
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -5,8 +5,6 @@
 #include "PieceManifest.h"
 #include "ServerExchange.h"
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -16,8 +14,7 @@
 static constexpr Milliseconds tickTime { 50 };
 // How often the engine is asked for its state.
 static constexpr Milliseconds reportInterval { 300 };
-// How often list and configuration are read while pieces are missing.
-static constexpr Milliseconds listInterval { 1000 };
+// How often the configuration is read until there is one.
 static constexpr Milliseconds configurationInterval { 1000 };
 // Longest wait of one call to the store for a newly named version.
 static constexpr Milliseconds storeWait { 2500 };
@@ -27,64 +24,17 @@
 static constexpr Milliseconds busyReportInterval { 100 };
 // Times for answers.
 static constexpr Milliseconds storeTimeout { 1500 };
-static constexpr Milliseconds engineTimeout { 2000 };
 static constexpr Milliseconds manifestTimeout { 1500 };
 static constexpr Milliseconds manifestPause { 250 };
-static constexpr Milliseconds pieceTimeout { 3000 };
 // Pieces that are fetched at a time.
 static constexpr size_t parallelFetches = 16;
-// Of those, at the origin, whose connections all agents share.
-static constexpr size_t parallelOriginFetches = 2;
-// How long a peer's request waits for a piece that is on its way here.
-static constexpr Milliseconds holdTime { 1000 };
-// How often a peer that doesn't have a piece yet is asked before another one is.
-static constexpr uint32_t maxDenials = 4;
-// Pause before a piece is asked for again at the same place.
-static constexpr Milliseconds roundPause { 200 };
 // Pause before an order is given again.
 static constexpr Milliseconds orderPause { 1500 };
 // The version that engines have from the start.
 static constexpr uint32_t firstVersion = 1;
-// Share of the VM's link that uploads may take.
-static constexpr double uploadShare = 0.9;
-static constexpr std::string_view piecePrefix = "/pieces/";
 static constexpr std::string_view manifestPrefix = "/manifests/";
 
-/// One piece on its way.
-struct AgentNode::Fetch {
-    std::unique_ptr<HttpCaller> caller; ///< Kept for the next piece from the same place.
-    bool isRunning = false;
-    uint32_t piece = 0;
-    uint32_t version = 0;
-    bool isFromOrigin = false;
-    TimePoint startedAt {};
-};
-
-/// A piece that is to be sent to a peer.
-struct AgentNode::Upload {
-    std::shared_ptr<ServerExchange> exchange;
-    uint32_t piece = 0;
-    bool isVerified = true; ///< Whether it is checked before it is sent.
-};
-
-/// A peer that waits.
-struct AgentNode::HeldRequest {
-    std::shared_ptr<ServerExchange> exchange;
-    uint32_t piece = 0;
-    uint32_t version = 0;
-    TimePoint until {};
-};
-
-// Time that a piece takes on the link at the pace of uploads.
-static Duration uploadTime(size_t bytes, double linkMegabits)
-{
-    if (linkMegabits <= 0)
-        return Duration(0);
-    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabits * uploadShare);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
-static bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
+bool serves(const EngineReport& report, const ServedModel& model, uint32_t version)
 {
     return report.layers >= model.layers && report.layersVersion == version && version != 0;
 }
@@ -383,137 +333,6 @@
     return *this->localCallers.back();
 }
 
-// Finds out whether a piece lies on the engine's stage already.
-void AgentNode::checkStaged(uint32_t piece)
-{
-    uint32_t version = this->manifest.version;
-    this->isInHand[piece] = true;
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, version, piece](const CallResult& result) {
-        if (this->manifest.version != version)
-            return;
-        this->isInHand[piece] = false;
-        this->isStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
-        if (this->isStaged[piece])
-            this->answerHeld(piece);
-    });
-}
-
-void AgentNode::startFetches(TimePoint now)
-{
-    if (this->manifest.version == 0 || this->manifest.version != this->wantedVersion())
-        return;
-    bool isMissing = std::find(this->isStaged.begin(), this->isStaged.end(), false) != this->isStaged.end();
-    if (isMissing && now - this->endpointsAt >= listInterval)
-        this->readEndpoints();
-    auto count = static_cast<uint32_t>(this->manifest.digests.size());
-    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
-    // Pieces that this agent brings into its region come first: the others wait for them.
-    auto isOwn = [&](uint32_t piece) { return importerOf(piece, this->settings.place.regionOf[this->settings.place.dataCentre], agents) == this->settings.ip; };
-    auto isOriginBusy = [&] {
-        auto isAtOrigin = [](const auto& fetch) { return fetch->isRunning && fetch->isFromOrigin; };
-        return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), isAtOrigin)) >= parallelOriginFetches;
-    };
-    auto asksOrigin = [&](uint32_t piece) { return this->sourceOf(piece, agents).isOrigin; };
-    auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ip) % count);
-    for (bool wantsOwn : { true, false }) {
-        for (uint32_t i = 0; i < count; ++i) {
-            uint32_t piece = (i + offset) % count;
-            bool isWanted = !this->isStaged[piece] && !this->isInHand[piece] && now >= this->notBefore[piece] && isOwn(piece) == wantsOwn;
-            if (!isWanted)
-                continue;
-            if (isOriginBusy() && asksOrigin(piece))
-                continue;
-            auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
-            if (free == this->fetches.end())
-                return;
-            this->startFetch(**free, piece, this->sourceOf(piece, agents), now);
-        }
-    }
-}
-
-const ServiceRule* AgentNode::originService() const
-{
-    for (const auto& service : this->configuration->services) {
-        if (service.origin)
-            return &service;
-    }
-    return nullptr;
-}
-
-// The place to ask for a piece now; each failure goes on to the next one.
-PieceSource AgentNode::sourceOf(uint32_t piece, const std::vector<AgentPeer>& agents)
-{
-    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
-    if (const auto* origin = this->originService())
-        question.originRegion = this->settings.place.regionOf[origin->originDataCentre];
-    auto sources = pieceSources(question, agents);
-    return sources[this->rounds[piece] % sources.size()];
-}
-
-void AgentNode::startFetch(Fetch& fetch, uint32_t piece, const PieceSource& source, TimePoint now)
-{
-    const auto* origin = this->originService();
-    if (source.isOrigin && !origin)
-        return;
-    Address address = source.isOrigin ? *origin->origin : Address { source.host, this->settings.peerPort };
-    auto path = source.isOrigin ? this->dialect.engine.piecePath(this->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", piecePrefix, this->manifest.version, piece);
-    if (!fetch.caller)
-        fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
-    fetch.caller->setAddress(address);
-    fetch.isRunning = true;
-    fetch.piece = piece;
-    fetch.version = this->manifest.version;
-    fetch.isFromOrigin = source.isOrigin;
-    fetch.startedAt = now;
-    this->isInHand[piece] = true;
-    fetch.caller->get(path, pieceTimeout, [this, &fetch](const CallResult& result) { this->endFetch(fetch, result); });
-}
-
-void AgentNode::endFetch(Fetch& fetch, const CallResult& result)
-{
-    fetch.isRunning = false;
-    this->metrics.count("bilberry_piece_bytes_total", { { "source", fetch.isFromOrigin ? "origin" : "peer" } }, static_cast<double>(result.body.size()));
-    if (fetch.version != this->manifest.version)
-        return;
-    bool isGood = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[fetch.piece];
-    if (isGood) {
-        this->stage(fetch.piece, result.body);
-    } else {
-        this->isInHand[fetch.piece] = false;
-        bool isNotYet = result.status == 404 && !fetch.isFromOrigin && ++this->denials[fetch.piece] < maxDenials;
-        if (!isNotYet) {
-            ++this->rounds[fetch.piece];
-            this->denials[fetch.piece] = 0;
-        }
-        this->notBefore[fetch.piece] = Clock::now() + (fetch.isFromOrigin || isNotYet ? roundPause : Milliseconds(0));
-        this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("wrong digest") : result.describe() } });
-    }
-    this->startFetches(Clock::now());
-}
-
-// Writes a verified piece to the engine's stage.
-void AgentNode::stage(uint32_t piece, std::string bytes)
-{
-    HttpRequest request;
-    request.method = "PUT";
-    request.path = this->dialect.engine.stageWritePath(this->model.name, piece);
-    request.headers.emplace_back("Content-Type", "application/octet-stream");
-    request.body = std::move(bytes);
-    uint32_t version = this->manifest.version;
-    this->localCaller().call(request, engineTimeout, [this, version, piece](const CallResult& result) {
-        if (this->manifest.version != version)
-            return;
-        this->isInHand[piece] = false;
-        this->isStaged[piece] = result.status >= 200 && result.status < 300;
-        if (!this->isStaged[piece]) {
-            this->log.write(LogLevel::Warning, "stage_failed", { { "piece", piece }, { "reason", result.describe() } });
-            return;
-        }
-        this->answerHeld(piece);
-        this->orderWhenReady(Clock::now());
-    });
-}
-
 // Whether this engine may turn to new weights now.
 bool AgentNode::isMyTurn(TimePoint now) const
 {
@@ -565,113 +384,4 @@
     });
 }
 
-// Peers ask for /pieces/VERSION/PIECE and /manifests/VERSION.
-void AgentNode::answerPeer(const std::shared_ptr<ServerExchange>& exchange)
-{
-    const auto& path = exchange->request().path;
-    std::vector<std::string> words = absl::StrSplit(path, '/', absl::SkipEmpty());
-    uint32_t version = 0;
-    uint32_t piece = 0;
-    bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
-    bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
-    bool isHere = this->manifest.version == version && version != 0;
-    this->hintedVersion = std::max(this->hintedVersion, asksPiece ? version : 0);
-    bool isComing = version > this->manifest.version && version <= this->wantedVersion();
-    bool isServed = this->report && serves(*this->report, this->model, version);
-    if (asksPiece && isHere && piece < this->manifest.digests.size()) {
-        this->answerPiece(exchange, piece);
-    } else if (asksPiece && isComing && !isServed) {
-        this->held.push_back({ exchange, piece, version, Clock::now() + holdTime });
-    } else if (asksPiece && isServed) {
-        this->upload({ exchange, piece, false });
-    } else if (asksManifest && isHere) {
-        exchange->answer(200, { { "Content-Type", "application/msgpack" } }, encodeManifest(this->manifest));
-    } else {
-        exchange->answer(404, {}, {});
-    }
-}
-
-void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
-{
-    if (this->isStaged[piece])
-        this->upload({ exchange, piece, true });
-    else
-        this->held.push_back({ exchange, piece, this->manifest.version, Clock::now() + holdTime });
-}
-
-// Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine.
-void AgentNode::upload(Upload request)
-{
-    this->uploads.push_back(std::move(request));
-    if (this->uploads.size() == 1)
-        this->sendNextUpload();
-}
-
-void AgentNode::sendNextUpload()
-{
-    auto now = Clock::now();
-    if (now < this->nextUploadAt) {
-        this->uploadTimer.expires_at(this->nextUploadAt);
-        this->uploadTimer.async_wait([this](const boost::system::error_code& error) {
-            if (hasFired(this->uploadTimer, error))
-                this->sendNextUpload();
-        });
-        return;
-    }
-    auto next = std::move(this->uploads.front());
-    this->uploads.pop_front();
-    this->nextUploadAt = now + uploadTime(this->model.chunkBytes, this->settings.linkMegabits);
-    if (next.isVerified)
-        this->sendStaged(next.exchange, next.piece);
-    else
-        this->sendUnverified(next.exchange, next.piece);
-    if (!this->uploads.empty())
-        this->sendNextUpload();
-}
-
-// Sends a piece of the version that the engine serves, whose digests aren't known here; the peer checks it.
-void AgentNode::sendUnverified(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
-{
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [exchange](const CallResult& result) {
-        exchange->answer(result.status == 200 ? 200 : 404, {}, result.status == 200 ? result.body : std::string());
-    });
-}
-
-// Sends a piece as it lies on the stage, unless it has turned bad there.
-void AgentNode::sendStaged(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
-{
-    uint32_t version = this->manifest.version;
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, exchange, version, piece](const CallResult& result) {
-        bool isCurrent = this->manifest.version == version;
-        bool isGood = isCurrent && result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
-        if (isCurrent && !isGood)
-            this->isStaged[piece] = false;
-        exchange->answer(isGood ? 200 : 404, {}, isGood ? result.body : std::string());
-    });
-}
-
-void AgentNode::answerHeld(uint32_t piece)
-{
-    std::vector<HeldRequest> kept;
-    auto waiting = std::move(this->held);
-    this->held.clear();
-    for (auto& request : waiting) {
-        if (request.piece == piece && request.version == this->manifest.version)
-            this->upload({ request.exchange, piece, true });
-        else
-            kept.push_back(std::move(request));
-    }
-    this->held.insert(this->held.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
-}
-
-void AgentNode::dropOldHeld(TimePoint now)
-{
-    for (auto& request : this->held) {
-        if (now >= request.until)
-            request.exchange->answer(404, {}, {});
-    }
-    auto isOld = [&](const HeldRequest& request) { return now >= request.until; };
-    this->held.erase(std::remove_if(this->held.begin(), this->held.end(), isOld), this->held.end());
-}
-
 } // namespace bilberry
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -19,6 +19,14 @@
 
 namespace bilberry {
 
+/// Longest time for an answer of the engine on the own VM.
+constexpr Milliseconds engineTimeout { 2000 };
+/// How often the list of endpoints is read while pieces are missing.
+constexpr Milliseconds listInterval { 1000 };
+
+/// Whether an engine has all layers of that version. Thread safe.
+bool serves(const EngineReport&, const ServedModel&, uint32_t version);
+
 /// Used by the loop's thread only.
 class AgentNode {
 public:
@@ -35,9 +43,29 @@
     void beginStop();
 
 private:
-    struct Fetch;
-    struct HeldRequest;
-    struct Upload;
+    /// One piece on its way here.
+    struct Fetch {
+        std::unique_ptr<HttpCaller> caller; ///< Kept for the next piece from the same place.
+        bool isRunning = false;
+        uint32_t piece = 0;
+        uint32_t version = 0;
+        bool isFromOrigin = false;
+    };
+
+    /// A piece that is to be sent to a peer.
+    struct Upload {
+        std::shared_ptr<ServerExchange> exchange;
+        uint32_t piece = 0;
+        bool isVerified = true; ///< Whether it is checked before it is sent.
+    };
+
+    /// A peer that waits for a piece.
+    struct HeldRequest {
+        std::shared_ptr<ServerExchange> exchange;
+        uint32_t piece = 0;
+        uint32_t version = 0;
+        TimePoint until {};
+    };
 
     void armTick();
     void tick();
@@ -55,7 +83,7 @@
     void startFetches(TimePoint now);
     const ServiceRule* originService() const;
     PieceSource sourceOf(uint32_t piece, const std::vector<AgentPeer>&);
-    void startFetch(Fetch&, uint32_t piece, const PieceSource&, TimePoint now);
+    void startFetch(Fetch&, uint32_t piece, const PieceSource&);
     void endFetch(Fetch&, const CallResult&);
     void stage(uint32_t piece, std::string bytes);
     void checkStaged(uint32_t piece);
--- /dev/null
+++ b/src/AgentPeers.cpp
@@ -0,0 +1,138 @@
+/// The part of an agent that gives pieces and digests to other agents.
+
+#include "AgentNode.h"
+
+#include "Digest.h"
+#include "PieceManifest.h"
+#include "ServerExchange.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace bilberry {
+
+// How long a peer's request waits for a piece that is on its way here.
+static constexpr Milliseconds holdTime { 1000 };
+// Share of the VM's link that uploads may take.
+static constexpr double uploadShare = 0.9;
+
+// Time that a piece takes on the link at the pace of uploads.
+static Duration uploadTime(size_t bytes, double linkMegabits)
+{
+    if (linkMegabits <= 0)
+        return Duration(0);
+    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabits * uploadShare);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+// Peers ask for /pieces/VERSION/PIECE and /manifests/VERSION.
+void AgentNode::answerPeer(const std::shared_ptr<ServerExchange>& exchange)
+{
+    const auto& path = exchange->request().path;
+    std::vector<std::string> words = absl::StrSplit(path, '/', absl::SkipEmpty());
+    uint32_t version = 0;
+    uint32_t piece = 0;
+    bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
+    bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
+    bool isHere = this->manifest.version == version && version != 0;
+    this->hintedVersion = std::max(this->hintedVersion, asksPiece ? version : 0);
+    bool isComing = version > this->manifest.version && version <= this->wantedVersion();
+    bool isServed = this->report && serves(*this->report, this->model, version);
+    if (asksPiece && isHere && piece < this->manifest.digests.size()) {
+        this->answerPiece(exchange, piece);
+    } else if (asksPiece && isComing && !isServed) {
+        this->held.push_back({ exchange, piece, version, Clock::now() + holdTime });
+    } else if (asksPiece && isServed) {
+        this->upload({ exchange, piece, false });
+    } else if (asksManifest && isHere) {
+        exchange->answer(200, { { "Content-Type", "application/msgpack" } }, encodeManifest(this->manifest));
+    } else {
+        exchange->answer(404, {}, {});
+    }
+}
+
+void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+{
+    if (this->isStaged[piece])
+        this->upload({ exchange, piece, true });
+    else
+        this->held.push_back({ exchange, piece, this->manifest.version, Clock::now() + holdTime });
+}
+
+// Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine.
+void AgentNode::upload(Upload request)
+{
+    this->uploads.push_back(std::move(request));
+    if (this->uploads.size() == 1)
+        this->sendNextUpload();
+}
+
+void AgentNode::sendNextUpload()
+{
+    auto now = Clock::now();
+    if (now < this->nextUploadAt) {
+        this->uploadTimer.expires_at(this->nextUploadAt);
+        this->uploadTimer.async_wait([this](const boost::system::error_code& error) {
+            if (hasFired(this->uploadTimer, error))
+                this->sendNextUpload();
+        });
+        return;
+    }
+    auto next = std::move(this->uploads.front());
+    this->uploads.pop_front();
+    this->nextUploadAt = now + uploadTime(this->model.chunkBytes, this->settings.linkMegabits);
+    if (next.isVerified)
+        this->sendStaged(next.exchange, next.piece);
+    else
+        this->sendUnverified(next.exchange, next.piece);
+    if (!this->uploads.empty())
+        this->sendNextUpload();
+}
+
+// Sends a piece of the version that the engine serves, whose digests aren't known here; the peer checks it.
+void AgentNode::sendUnverified(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+{
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [exchange](const CallResult& result) {
+        exchange->answer(result.status == 200 ? 200 : 404, {}, result.status == 200 ? result.body : std::string());
+    });
+}
+
+// Sends a piece as it lies on the stage, unless it has turned bad there.
+void AgentNode::sendStaged(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+{
+    uint32_t version = this->manifest.version;
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, exchange, version, piece](const CallResult& result) {
+        bool isCurrent = this->manifest.version == version;
+        bool isGood = isCurrent && result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
+        if (isCurrent && !isGood)
+            this->isStaged[piece] = false;
+        exchange->answer(isGood ? 200 : 404, {}, isGood ? result.body : std::string());
+    });
+}
+
+void AgentNode::answerHeld(uint32_t piece)
+{
+    std::vector<HeldRequest> kept;
+    auto waiting = std::move(this->held);
+    this->held.clear();
+    for (auto& request : waiting) {
+        if (request.piece == piece && request.version == this->manifest.version)
+            this->upload({ request.exchange, piece, true });
+        else
+            kept.push_back(std::move(request));
+    }
+    this->held.insert(this->held.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
+}
+
+void AgentNode::dropOldHeld(TimePoint now)
+{
+    for (auto& request : this->held) {
+        if (now >= request.until)
+            request.exchange->answer(404, {}, {});
+    }
+    auto isOld = [&](const HeldRequest& request) { return now >= request.until; };
+    this->held.erase(std::remove_if(this->held.begin(), this->held.end(), isOld), this->held.end());
+}
+
+} // namespace bilberry
--- a/src/RequestRun.h
+++ b/src/RequestRun.h
@@ -17,6 +17,9 @@
 struct EntryNode;
 class ServerExchange;
 
+/// Whether the head is that of a success for this request, by its endpoint. Thread safe.
+bool isOwnSuccess(const ResponseHead&, const EndpointReply&, const CallerRequest&);
+
 /// Used by the loop's thread only. Held by the node's table of runs until it ends.
 class RequestRun : public std::enable_shared_from_this<RequestRun> {
 public:
