Let another run continue a stream whose run had a gap; don't order while the engine is lost

Found by reading: a gap in one run's events ended every later run of the stream, though the events before it were good (StreamEventsTest fails on the former code); a piece that was staged after the engine's report had been lost led to a read of no report; a repeat never gets the refusal of a first attempt.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -343,6 +343,8 @@
 
 void AgentNode::orderWhenReady(TimePoint now)
 {
+    if (!this->report)
+        return;
     bool isComplete = this->manifest.version != 0 && std::find(this->isStaged.begin(), this->isStaged.end(), false) == this->isStaged.end();
     if (!isComplete || this->isVerifying || this->report->isBusy || serves(*this->report, this->model, this->manifest.version))
         return;
--- a/src/RequestRun.cpp
+++ b/src/RequestRun.cpp
@@ -202,7 +202,7 @@
     auto allowance = isFirst ? this->allowedWait(now) : std::min(retryWait, this->timeLeft(now));
     auto wait = expectedWait(queue, rank, now);
     bool isHopeless = countAhead(queue, rank) > 0 && wait != Milliseconds::max() && wait > allowance;
-    if (allowance <= Milliseconds(0) || (isFirst && isHopeless)) {
+    if (isFirst && (isHopeless || allowance <= Milliseconds(0))) {
         this->refuse(503, "overloaded", retryAfter(wait, this->node.random()));
         return;
     }
@@ -290,9 +290,7 @@
 
 void RequestRun::refuse(int status, const char* reason, Milliseconds comeBackAfter)
 {
-    HttpHeaders headers;
-    if (!this->caller.id.empty())
-        headers.emplace_back("Content-Type", "text/plain");
+    HttpHeaders headers { { "Content-Type", "text/plain" } };
     if (comeBackAfter > Milliseconds(0))
         headers.emplace_back("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(comeBackAfter).count()));
     if (status >= 500 && this->route) {
--- a/src/StreamEvents.cpp
+++ b/src/StreamEvents.cpp
@@ -65,6 +65,7 @@
 void dropBegunEvent(StreamEvents& stream)
 {
     stream.pending.clear();
+    stream.fault = StreamFault::None;
 }
 
 } // namespace bilberry
--- a/src/StreamEvents.h
+++ b/src/StreamEvents.h
@@ -26,7 +26,7 @@
 
 /// Takes in bytes; returns the whole events that can be passed on. After a fault nothing more is passed on.
 std::string takeWholeEvents(StreamEvents&, std::string_view bytes);
-/// Forgets the begun event, before another run continues the stream.
+/// Forgets the begun event and the fault of the run that ended, before another run continues after the last whole event.
 void dropBegunEvent(StreamEvents&);
 /// The `id` field of an event; nothing when it has none or it is no number. Thread safe.
 std::optional<uint64_t> eventId(std::string_view event);
--- a/tests/StreamEventsTest.cpp
+++ b/tests/StreamEventsTest.cpp
@@ -70,6 +70,9 @@
         BOOST_TEST(takeWholeEvents(stream, makeEvent(second, "b")).empty());
         BOOST_TEST((stream.fault == StreamFault::Gap));
         BOOST_TEST(takeWholeEvents(stream, makeEvent(6, "c")).empty());
+        // Another run may continue after the last good event.
+        dropBegunEvent(stream);
+        BOOST_TEST(takeWholeEvents(stream, makeEvent(6, "c")) == makeEvent(6, "c"));
     }
 }
 
