--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -9,26 +9,25 @@
 
 namespace bilberry {
 
-// Path of a piece at a peer.
+// Paths of a piece at a peer: for this agent, and for one that passes it on in another region.
 static constexpr std::string_view piecePrefix = "/pieces/";
+static constexpr std::string_view importPrefix = "/imports/";
 // Longest time for a piece, a wait at its source included.
-static constexpr Milliseconds pieceTimeout { 3000 };
+static constexpr Milliseconds pieceTimeout { 4000 };
 // How often a peer that doesn't have a piece yet is asked before another one is.
 static constexpr uint32_t maxDenials = 4;
 // Pause before a piece is asked for again at the same place.
 static constexpr Milliseconds roundPause { 200 };
-// Pieces that are fetched from the origin at a time; all agents share its connections.
-static constexpr size_t parallelOriginFetches = 2;
+// Pieces that are fetched from the origin at a time; all agents share its connections, and a piece that is here soon can be
+// passed on soon.
+static constexpr size_t parallelOriginFetches = 1;
 
 void AgentNode::startFetches(TimePoint now)
 {
     if (this->manifest.version == 0 || this->manifest.version != this->wantedVersion())
         return;
-    bool isMissing = std::find(this->isStaged.begin(), this->isStaged.end(), false) != this->isStaged.end();
-    if (isMissing && now - this->endpointsAt >= listInterval)
-        this->readEndpoints();
     auto count = static_cast<uint32_t>(this->manifest.digests.size());
-    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, this->manifest.version, this->settings.place);
+    auto agents = this->agentsFor(this->manifest.version);
     // Pieces that this agent brings into its region come first: the others wait for them.
     auto isOwn = [&](uint32_t piece) { return importerOf(piece, this->settings.place.regionOf[this->settings.place.dataCentre], agents) == this->settings.ip; };
     auto isOriginBusy = [&] {
@@ -53,32 +52,20 @@
     }
 }
 
-const ServiceRule* AgentNode::originService() const
-{
-    for (const auto& service : this->configuration->services) {
-        if (service.origin)
-            return &service;
-    }
-    return nullptr;
-}
-
 // The place to ask for a piece now; each failure goes on to the next one.
-PieceSource AgentNode::sourceOf(uint32_t piece, const std::vector<AgentPeer>& agents)
+PieceSource AgentNode::sourceOf(uint32_t piece, const std::vector<AgentPeer>& agents) const
 {
-    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf[this->settings.place.dataCentre], {} };
-    if (const auto* origin = this->originService())
-        question.originRegion = this->settings.place.regionOf[origin->originDataCentre];
+    PieceQuestion question { piece, this->settings.ip, this->settings.place.regionOf.at(this->settings.place.dataCentre), this->originRegion() };
     auto sources = pieceSources(question, agents);
     return sources[this->rounds[piece] % sources.size()];
 }
 
 void AgentNode::startFetch(Fetch& fetch, uint32_t piece, const PieceSource& source)
 {
-    const auto* origin = this->originService();
-    if (source.isOrigin && !origin)
+    if (source.isOrigin && !this->brief->origin)
         return;
-    Address address = source.isOrigin ? *origin->origin : Address { source.host, this->settings.peerPort };
-    auto path = source.isOrigin ? this->dialect.engine.piecePath(this->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", piecePrefix, this->manifest.version, piece);
+    Address address = source.isOrigin ? *this->brief->origin : Address { source.host, this->settings.peerPort };
+    auto path = source.isOrigin ? this->dialect.engine.piecePath(this->brief->model.name, this->manifest.version, piece) : fmt::format("{}{}/{}", source.isInOwnRegion ? piecePrefix : importPrefix, this->manifest.version, piece);
     if (!fetch.caller)
         fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
     fetch.caller->setAddress(address);
@@ -117,7 +104,7 @@
 {
     HttpRequest request;
     request.method = "PUT";
-    request.path = this->dialect.engine.stageWritePath(this->model.name, piece);
+    request.path = this->dialect.engine.stageWritePath(this->brief->model.name, piece);
     request.headers.emplace_back("Content-Type", "application/octet-stream");
     request.body = std::move(bytes);
     uint32_t version = this->manifest.version;
@@ -131,16 +118,27 @@
             return;
         }
         this->answerHeld(piece);
+        this->noteStaged();
         this->orderWhenReady(Clock::now());
     });
 }
 
+// Tells when the last piece has come.
+void AgentNode::noteStaged()
+{
+    bool isMissing = std::find(this->isStaged.begin(), this->isStaged.end(), false) != this->isStaged.end();
+    if (isMissing)
+        return;
+    auto sinceNamed = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->newestNamedAt());
+    this->log.write(LogLevel::Info, "weights_staged", { { "version", this->manifest.version }, { "since_named_ms", sinceNamed } });
+}
+
 // Finds out whether a piece lies on the engine's stage already.
 void AgentNode::checkStaged(uint32_t piece)
 {
     uint32_t version = this->manifest.version;
     this->isInHand[piece] = true;
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, version, piece](const CallResult& result) {
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->brief->model.name, piece), engineTimeout, [this, version, piece](const CallResult& result) {
         if (this->manifest.version != version)
             return;
         this->isInHand[piece] = false;
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -14,17 +14,11 @@
 static constexpr Milliseconds tickTime { 50 };
 // How often the engine is asked for its state.
 static constexpr Milliseconds reportInterval { 300 };
-// How often the configuration is read until there is one.
-static constexpr Milliseconds configurationInterval { 1000 };
-// Longest wait of one call to the store for a newly named version.
-static constexpr Milliseconds storeWait { 2500 };
 // How long entries are told of an engine that has turned to other weights.
 static constexpr Milliseconds noticeTime { 700 };
 // How often the engine is asked for its state while an order is carried out.
 static constexpr Milliseconds busyReportInterval { 100 };
-// Times for answers.
-static constexpr Milliseconds storeTimeout { 1500 };
-static constexpr Milliseconds manifestTimeout { 1500 };
+static constexpr Milliseconds manifestTimeout { 1000 };
 static constexpr Milliseconds manifestPause { 250 };
 // Pieces that are fetched at a time.
 static constexpr size_t parallelFetches = 16;
@@ -39,6 +33,14 @@
     return report.layers >= model.layers && report.layersVersion == version && version != 0;
 }
 
+static BriefWatchSettings briefSettings(const NodeSettings& settings)
+{
+    BriefWatchSettings brief { settings.ip, settings.place.dataCentre, settings.peerPort, {}, settings.service };
+    for (const auto& seed : settings.seeds)
+        brief.seeds.push_back(seed.host);
+    return brief;
+}
+
 AgentNode::AgentNode(EventLoop& loop, const NodeSettings& settings, const Dialect& dialect, EventLog& log)
     : loop(loop)
     , settings(settings)
@@ -48,14 +50,7 @@
     , uploadTimer(loop)
     , peers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
     , scrapers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
-    , watch(loop, dialect.store, { settings.store, std::string(dialect.store.versionPrefix), storeWait, Milliseconds(700), Milliseconds(40) },
-          { [this](const std::vector<StoreChange>& items, BootTimePoint) { this->takeNamed(items, true); },
-              [this](const std::vector<StoreChange>& changes, BootTimePoint) { this->takeNamed(changes, false); },
-              [this](const std::string& reason, int failures) {
-                  if (failures == 1)
-                      this->log.write(LogLevel::Warning, "store_call_failed", { { "reason", reason } });
-              } })
-    , storeCaller(loop, settings.store)
+    , briefs(loop, briefSettings(settings), { [this](const ServiceBrief& brief) { this->takeBrief(brief); }, [this](const std::string& reason) { this->takeLoss(reason); } })
     , reportCaller(loop, *settings.engine)
     , manifestCaller(loop, *settings.engine)
     , noticeSender(loop, settings.ip, settings.peerPort)
@@ -73,7 +68,7 @@
         status = this->scrapers.listen(*this->settings.metricsListen);
     if (!status.ok())
         return status;
-    this->watch.start();
+    this->briefs.start();
     this->tick();
     return absl::OkStatus();
 }
@@ -101,15 +96,15 @@
 void AgentNode::tick()
 {
     auto now = Clock::now();
-    if (!this->configuration && now - this->configurationAskedAt >= configurationInterval)
-        this->readConfiguration();
-    bool isTurning = this->orderedVersion != 0 && this->report && !serves(*this->report, this->model, this->orderedVersion);
+    bool isTurning = this->orderedVersion != 0 && this->report && !serves(*this->report, this->brief->model, this->orderedVersion);
     if (now - this->reportAskedAt >= (isTurning || now < this->noticeUntil ? busyReportInterval : reportInterval))
         this->readReport();
-    if (this->configuration && this->report) {
-        this->choosePiecesFor(this->wantedVersion(), now);
+    if (this->brief && this->report) {
+        this->choosePiecesFor(this->wantedVersion());
         this->startFetches(now);
         this->orderWhenReady(now);
+        // While something is to be brought, who has it changes all the time.
+        this->briefs.hurry(!serves(*this->report, this->brief->model, this->wantedVersion()));
     }
     this->dropOldHeld(now);
     this->armTick();
@@ -121,62 +116,32 @@
     this->metrics.set("bilberry_weights_version", this->report ? this->report->layersVersion : 0);
     this->metrics.set("bilberry_weights_wanted_version", this->wantedVersion());
     this->metrics.set("bilberry_pieces_missing", static_cast<double>(missing));
-    this->metrics.set("bilberry_store_calls", static_cast<double>(this->watch.callCount()));
     this->metrics.set("bilberry_log_lines_dropped", static_cast<double>(this->log.dropped()));
     exchange->answer(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
 }
 
-void AgentNode::readConfiguration()
+void AgentNode::takeBrief(const ServiceBrief& read)
 {
-    if (this->storeCaller.isBusy())
+    auto now = Clock::now();
+    if (this->areEntriesLost) {
+        this->areEntriesLost = false;
+        this->log.write(LogLevel::Info, "entries_regained", { { "entry", this->briefs.entry() }, { "age_ms", read.age } });
+    }
+    this->brief = read;
+    for (const auto& version : read.named)
+        this->takeNamed(version, now);
+    if (!this->report)
         return;
-    this->configurationAskedAt = Clock::now();
-    this->storeCaller.get(this->dialect.store.itemPath(this->dialect.store.configurationKey, true), storeTimeout, [this](const CallResult& result) {
-        if (result.status != 200)
-            return;
-        auto item = this->dialect.store.readItem(result.body);
-        auto table = item.ok() ? this->dialect.store.readRouteTable(item->value) : absl::StatusOr<RouteTable>(item.status());
-        if (!table.ok()) {
-            this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", std::string(this->dialect.store.configurationKey) }, { "fault", std::string(table.status().message()) } });
-            return;
-        }
-        const auto* service = findService(*table, this->settings.service);
-        if (!service || service->models.empty())
-            return;
-        this->model = service->models.front();
-        this->configuration = std::make_shared<const RouteTable>(*std::move(table));
-    });
+    this->choosePiecesFor(this->wantedVersion());
+    this->startFetches(now);
 }
 
-// Reads all pages of the list of endpoints.
-void AgentNode::readEndpoints()
+void AgentNode::takeLoss(const std::string& reason)
 {
-    if (this->storeCaller.isBusy())
+    if (this->areEntriesLost)
         return;
-    this->endpointsAt = Clock::now();
-    auto gathered = std::make_shared<std::vector<EndpointRecord>>();
-    auto next = std::make_shared<std::function<void(const std::string&)>>();
-    std::weak_ptr<std::function<void(const std::string&)>> weakNext = next;
-    *next = [this, gathered, weakNext](const std::string& after) {
-        auto self = weakNext.lock();
-        this->storeCaller.get(this->dialect.store.listPath(this->dialect.store.endpointPrefix, after, false), storeTimeout, [this, gathered, self](const CallResult& result) {
-            auto page = result.status == 200 ? this->dialect.store.readPage(result.body) : absl::StatusOr<StorePage>(absl::UnavailableError(result.describe()));
-            if (!page.ok())
-                return;
-            for (const auto& item : page->items) {
-                auto record = this->dialect.store.readEndpoint(this->dialect.store.readKey(item.key).name, item.value);
-                if (record.ok())
-                    gathered->push_back(*std::move(record));
-            }
-            if (page->hasMore && !page->items.empty()) {
-                (*self)(page->items.back().key);
-                return;
-            }
-            this->endpoints = std::move(*gathered);
-            this->hasEndpoints = true;
-        });
-    };
-    (*next)({});
+    this->areEntriesLost = true;
+    this->log.write(LogLevel::Warning, "entries_lost", { { "reason", reason } });
 }
 
 void AgentNode::readReport()
@@ -212,7 +177,7 @@
     this->report = read;
     if (hasSwitched && read.layersVersion != 0)
         this->noticeUntil = now + noticeTime;
-    if (now < this->noticeUntil && serves(read, this->model, read.layersVersion))
+    if (now < this->noticeUntil && serves(read, this->brief->model, read.layersVersion))
         this->tellEntries(read.layersVersion);
 }
 
@@ -225,25 +190,14 @@
         this->noticeSender.send(bytes, seed.host);
 }
 
-void AgentNode::takeNamed(const std::vector<StoreChange>& changes, bool isListing)
+// Entries may have learned of a version at different times: the earliest counts.
+void AgentNode::takeNamed(const BriefVersion& version, TimePoint now)
 {
-    // What the first listing holds was named some time before: its engine turns without a wait.
-    auto before = isListing && !this->hasNamed ? this->settings.bounds.versionSwitch : Milliseconds(0);
-    this->hasNamed = true;
-    for (const auto& change : changes) {
-        auto key = this->dialect.store.readKey(change.key);
-        if (change.isRemoved || key.topic != StoreTopic::WeightVersion || (!this->model.name.empty() && key.name != this->model.name))
-            continue;
-        auto version = this->dialect.store.readWeightVersion(change.value);
-        if (!version.ok()) {
-            this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", change.key }, { "fault", std::string(version.status().message()) } });
-            continue;
-        }
-        if (!this->named.empty() && *version <= this->named.rbegin()->first)
-            continue;
-        this->named[*version] = Clock::now() - before;
-        this->log.write(LogLevel::Info, "weights_named", { { "version", *version }, { "revision", change.revision } });
-    }
+    auto namedAt = now - version.namedFor;
+    auto [known, isNew] = this->named.try_emplace(version.version, namedAt);
+    known->second = std::min(known->second, namedAt);
+    if (isNew)
+        this->log.write(LogLevel::Info, "weights_named", { { "version", version.version }, { "named_for_ms", version.namedFor }, { "entry", this->briefs.entry() } });
 }
 
 TimePoint AgentNode::newestNamedAt() const
@@ -255,62 +209,61 @@
 uint32_t AgentNode::wantedVersion() const
 {
     uint32_t wanted = std::max(this->named.empty() ? firstVersion : this->named.rbegin()->first, this->hintedVersion);
-    for (const auto& record : this->endpoints) {
-        if (record.service == this->settings.service)
-            wanted = std::max(wanted, servedVersion(record, this->model.name, this->model.layers));
+    if (this->brief) {
+        for (const auto& engine : this->brief->engines)
+            wanted = std::max(wanted, engine.version);
     }
     return std::max(wanted, this->report ? this->report->layersVersion : 0);
 }
 
 // Begins to bring a version, unless the engine has it or it is being brought.
-void AgentNode::choosePiecesFor(uint32_t version, TimePoint now)
+void AgentNode::choosePiecesFor(uint32_t version)
 {
-    if (serves(*this->report, this->model, version) || this->manifest.version == version)
-        return;
-    // The list must be of after the naming, so that all agents divide the pieces in the same way.
-    bool isListOld = !this->hasEndpoints || this->endpointsAt <= this->newestNamedAt();
-    if (isListOld || now - this->endpointsAt >= listInterval)
-        this->readEndpoints();
-    if (!isListOld)
+    if (!serves(*this->report, this->brief->model, version) && this->manifest.version != version)
         this->fetchManifest();
 }
 
+std::vector<AgentPeer> AgentNode::agentsFor(uint32_t version) const
+{
+    return listAgents(this->brief->engines, version, this->settings.place);
+}
+
+// Region of the origin of weights; empty when there is none.
+std::string AgentNode::originRegion() const
+{
+    auto found = this->settings.place.regionOf.find(this->brief->originDataCentre);
+    return found == this->settings.place.regionOf.end() ? std::string() : found->second;
+}
+
 void AgentNode::fetchManifest()
 {
     auto now = Clock::now();
     if (this->manifestCaller.isBusy() || now - this->manifestAskedAt < manifestPause)
         return;
     this->manifestAskedAt = now;
-    // 1. The origin and one peer in turn: either may be away.
-    Address address;
-    if (const auto* origin = this->originService())
-        address = *origin->origin;
-    std::string path;
     uint32_t version = this->wantedVersion();
-    auto agents = listAgents(this->endpoints, this->settings.service, this->model.name, this->model.layers, version, this->settings.place);
-    bool asksPeer = this->manifestRound % 2 == 1 && !agents.empty();
-    path = this->dialect.engine.manifestPath(this->model.name, version);
-    if (asksPeer) {
-        const auto& peer = agents[(this->manifestRound / 2) % agents.size()];
-        address = { peer.host, this->settings.peerPort };
-        path = fmt::format("{}{}", manifestPrefix, version);
-    }
-    ++this->manifestRound;
-    if (address.port == 0)
+    auto sources = manifestSources(this->settings.ip, this->originRegion(), this->agentsFor(version));
+    const auto& source = sources[this->manifestRound++ % sources.size()];
+    if (source.isOrigin && !this->brief->origin)
         return;
-    this->manifestCaller.setAddress(address);
-    this->manifestCaller.get(path, manifestTimeout, [this, asksPeer](const CallResult& result) { this->takeManifest(result, asksPeer); });
+    this->manifestCaller.setAddress(source.isOrigin ? *this->brief->origin : Address { source.host, this->settings.peerPort });
+    auto path = source.isOrigin ? this->dialect.engine.manifestPath(this->brief->model.name, version) : fmt::format("{}{}", manifestPrefix, version);
+    this->manifestCaller.get(path, manifestTimeout, [this, isFromPeer = !source.isOrigin](const CallResult& result) { this->takeManifest(result, isFromPeer); });
 }
 
 void AgentNode::takeManifest(const CallResult& result, bool isFromPeer)
 {
     auto decode = isFromPeer ? decodeManifest : this->dialect.engine.readManifest;
     auto read = result.status == 200 ? decode(result.body) : absl::StatusOr<PieceDigests>(absl::UnavailableError(result.describe()));
-    if (!read.ok() || read->version != this->wantedVersion() || read->model != this->model.name) {
+    if (!read.ok() || read->version != this->wantedVersion() || read->model != this->brief->model.name) {
         this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", read.ok() ? std::string("another version") : std::string(read.status().message()) } });
+        // A peer that said at once that it has none costs no pause.
+        if (isFromPeer && result.status == 404)
+            this->manifestAskedAt = TimePoint();
         return;
     }
     this->manifest = *std::move(read);
+    this->manifestRound = 0;
     size_t count = this->manifest.digests.size();
     this->isStaged.assign(count, false);
     this->isInHand.assign(count, false);
@@ -321,6 +274,7 @@
     // What an earlier process or version staged may serve.
     for (uint32_t piece = 0; piece < count; ++piece)
         this->checkStaged(piece);
+    this->answerHeldManifests();
 }
 
 HttpCaller& AgentNode::localCaller()
@@ -336,22 +290,22 @@
 // Whether this engine may turn to new weights now.
 bool AgentNode::isMyTurn(TimePoint now) const
 {
-    auto hosts = hostsOf(this->endpoints, this->settings.service, this->settings.place.dataCentre);
+    auto hosts = hostsOf(this->brief->engines, this->settings.place.dataCentre);
     auto base = switchBase(this->named, this->report->layersVersion);
     return base == TimePoint::max() || now - base >= switchTime(this->settings.ip, hosts, this->settings.bounds.versionSwitch);
 }
 
 void AgentNode::orderWhenReady(TimePoint now)
 {
-    if (!this->report)
+    if (!this->report || !this->brief)
         return;
     bool isComplete = this->manifest.version != 0 && std::find(this->isStaged.begin(), this->isStaged.end(), false) == this->isStaged.end();
-    if (!isComplete || this->isVerifying || this->report->isBusy || serves(*this->report, this->model, this->manifest.version))
+    if (!isComplete || this->isVerifying || this->report->isBusy || serves(*this->report, this->brief->model, this->manifest.version))
         return;
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->orderedAt < orderPause;
     if (isOrdered)
         return;
-    bool servesNothing = this->report->layers < this->model.layers;
+    bool servesNothing = this->report->layers < this->brief->model.layers;
     if (!servesNothing && !this->isMyTurn(now))
         return;
     // Entries send nothing more while the pieces are read back.
@@ -362,7 +316,7 @@
     auto left = std::make_shared<size_t>(this->manifest.digests.size());
     uint32_t version = this->manifest.version;
     for (uint32_t piece = 0; piece < this->manifest.digests.size(); ++piece) {
-        this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, left, version, piece](const CallResult& result) {
+        this->localCaller().get(this->dialect.engine.stageReadPath(this->brief->model.name, piece), engineTimeout, [this, left, version, piece](const CallResult& result) {
             bool isCurrent = this->manifest.version == version;
             if (isCurrent)
                 this->isStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
@@ -381,7 +335,7 @@
     this->orderedAt = Clock::now();
     this->orderedVersion = this->manifest.version;
     uint32_t version = this->manifest.version;
-    this->localCaller().call(this->dialect.engine.loadOrder(this->model.name, version), engineTimeout, [this, version](const CallResult& result) {
+    this->localCaller().call(this->dialect.engine.loadOrder(this->brief->model.name, version), engineTimeout, [this, version](const CallResult& result) {
         this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - this->newestNamedAt()) } });
     });
 }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -1,7 +1,7 @@
 /// A weights agent on the event loop: keeps the engine on its VM on the weights that operators have named.
 #pragma once
 
-#include "BootClock.h"
+#include "BriefWatch.h"
 #include "Dialect.h"
 #include "EventLog.h"
 #include "HttpCall.h"
@@ -10,7 +10,6 @@
 #include "NodeSettings.h"
 #include "NoticeSender.h"
 #include "PieceSources.h"
-#include "StoreWatch.h"
 #include "VersionSwitch.h"
 
 #include <deque>
@@ -21,8 +20,6 @@
 
 /// Longest time for an answer of the engine on the own VM.
 constexpr Milliseconds engineTimeout { 2000 };
-/// How often the list of endpoints is read while pieces are missing.
-constexpr Milliseconds listInterval { 1000 };
 
 /// Whether an engine has all layers of that version. Thread safe.
 bool serves(const EngineReport&, const ServedModel&, uint32_t version);
@@ -57,12 +54,19 @@
         std::shared_ptr<ServerExchange> exchange;
         uint32_t piece = 0;
         bool isVerified = true; ///< Whether it is checked before it is sent.
+        bool isImport = false; ///< Whether the peer's region waits for it.
+    };
+
+    /// A peer that waits for the digests of a version.
+    struct HeldManifest {
+        std::shared_ptr<ServerExchange> exchange;
+        uint32_t version = 0;
+        TimePoint until {};
     };
 
     /// A peer that waits for a piece.
     struct HeldRequest {
-        std::shared_ptr<ServerExchange> exchange;
-        uint32_t piece = 0;
+        Upload upload;
         uint32_t version = 0;
         TimePoint until {};
     };
@@ -70,29 +74,32 @@
     void armTick();
     void tick();
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
-    void readConfiguration();
-    void readEndpoints();
+    void takeBrief(const ServiceBrief&);
+    void takeLoss(const std::string& reason);
     void readReport();
     void takeReport(const EngineReport&, TimePoint now);
-    void takeNamed(const std::vector<StoreChange>&, bool isListing);
+    void takeNamed(const BriefVersion&, TimePoint now);
     TimePoint newestNamedAt() const;
-    void choosePiecesFor(uint32_t version, TimePoint now);
+    void choosePiecesFor(uint32_t version);
     uint32_t wantedVersion() const;
     void fetchManifest();
     void takeManifest(const CallResult&, bool isFromPeer);
     void startFetches(TimePoint now);
-    const ServiceRule* originService() const;
-    PieceSource sourceOf(uint32_t piece, const std::vector<AgentPeer>&);
+    std::vector<AgentPeer> agentsFor(uint32_t version) const;
+    std::string originRegion() const;
+    PieceSource sourceOf(uint32_t piece, const std::vector<AgentPeer>&) const;
     void startFetch(Fetch&, uint32_t piece, const PieceSource&);
     void endFetch(Fetch&, const CallResult&);
     void stage(uint32_t piece, std::string bytes);
+    void noteStaged();
     void checkStaged(uint32_t piece);
     void orderWhenReady(TimePoint now);
     bool isMyTurn(TimePoint now) const;
     void order();
     void tellEntries(uint32_t version);
     void answerPeer(const std::shared_ptr<ServerExchange>&);
-    void answerPiece(const std::shared_ptr<ServerExchange>&, uint32_t piece);
+    void answerPiece(Upload);
+    void answerHeldManifests();
     void sendUnverified(const std::shared_ptr<ServerExchange>&, uint32_t piece);
     void sendStaged(const std::shared_ptr<ServerExchange>&, uint32_t piece);
     void upload(Upload);
@@ -110,8 +117,7 @@
     LoopTimer uploadTimer;
     LoopServer peers;
     LoopServer scrapers;
-    StoreWatch watch;
-    HttpCaller storeCaller;
+    BriefWatch briefs;
     HttpCaller reportCaller;
     HttpCaller manifestCaller;
     std::vector<std::unique_ptr<HttpCaller>> localCallers; ///< To the engine, as many as are used at a time.
@@ -120,16 +126,12 @@
     std::deque<Upload> uploads; ///< To peers, in the order in which they leave.
     TimePoint nextUploadAt {};
     std::vector<HeldRequest> held; ///< Peers that wait for a piece which is on its way.
+    std::vector<HeldManifest> heldManifests;
 
     // What is believed.
-    std::shared_ptr<const RouteTable> configuration;
-    ServedModel model;
-    std::vector<EndpointRecord> endpoints;
-    bool hasEndpoints = false; ///< Whether a whole list was read.
-    TimePoint endpointsAt {}; ///< When that was asked for last.
-    TimePoint configurationAskedAt {};
+    std::optional<ServiceBrief> brief; ///< The newest one; nothing until an entry has answered.
+    bool areEntriesLost = false; ///< Whether the last question to an entry had no answer.
     NamedVersions named;
-    bool hasNamed = false; ///< Whether the store was read for named versions.
     std::optional<EngineReport> report;
     uint32_t hintedVersion = 0; ///< That a peer has asked for.
     uint64_t notices = 0;
--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -13,7 +13,8 @@
 namespace bilberry {
 
 // How long a peer's request waits for a piece that is on its way here.
-static constexpr Milliseconds holdTime { 1000 };
+static constexpr Milliseconds holdTime { 2500 };
+static constexpr Milliseconds manifestHoldTime { 700 };
 // Share of the VM's link that uploads may take.
 static constexpr double uploadShare = 0.9;
 
@@ -26,44 +27,50 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-// Peers ask for /pieces/VERSION/PIECE and /manifests/VERSION.
+// Peers ask for /pieces/VERSION/PIECE, for /imports/VERSION/PIECE when their region waits for it, and for /manifests/VERSION.
 void AgentNode::answerPeer(const std::shared_ptr<ServerExchange>& exchange)
 {
     const auto& path = exchange->request().path;
     std::vector<std::string> words = absl::StrSplit(path, '/', absl::SkipEmpty());
     uint32_t version = 0;
     uint32_t piece = 0;
-    bool asksPiece = words.size() == 3 && words[0] == "pieces" && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
+    bool isImport = words.size() == 3 && words[0] == "imports";
+    bool asksPiece = words.size() == 3 && (isImport || words[0] == "pieces") && absl::SimpleAtoi(words[1], &version) && absl::SimpleAtoi(words[2], &piece);
     bool asksManifest = words.size() == 2 && words[0] == "manifests" && absl::SimpleAtoi(words[1], &version);
     bool isHere = this->manifest.version == version && version != 0;
-    this->hintedVersion = std::max(this->hintedVersion, asksPiece ? version : 0);
+    this->hintedVersion = std::max(this->hintedVersion, asksPiece || asksManifest ? version : 0);
     bool isComing = version > this->manifest.version && version <= this->wantedVersion();
-    bool isServed = this->report && serves(*this->report, this->model, version);
+    bool isServed = this->report && this->brief && serves(*this->report, this->brief->model, version);
     if (asksPiece && isHere && piece < this->manifest.digests.size()) {
-        this->answerPiece(exchange, piece);
+        this->answerPiece({ exchange, piece, true, isImport });
     } else if (asksPiece && isComing && !isServed) {
-        this->held.push_back({ exchange, piece, version, Clock::now() + holdTime });
+        this->held.push_back({ { exchange, piece, true, isImport }, version, Clock::now() + holdTime });
     } else if (asksPiece && isServed) {
-        this->upload({ exchange, piece, false });
+        this->upload({ exchange, piece, false, isImport });
     } else if (asksManifest && isHere) {
         exchange->answer(200, { { "Content-Type", "application/msgpack" } }, encodeManifest(this->manifest));
+    } else if (asksManifest && version > this->manifest.version && !isServed) {
+        this->heldManifests.push_back({ exchange, version, Clock::now() + manifestHoldTime });
     } else {
         exchange->answer(404, {}, {});
     }
 }
 
-void AgentNode::answerPiece(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
+void AgentNode::answerPiece(Upload request)
 {
-    if (this->isStaged[piece])
-        this->upload({ exchange, piece, true });
+    if (this->isStaged[request.piece])
+        this->upload(std::move(request));
     else
-        this->held.push_back({ exchange, piece, this->manifest.version, Clock::now() + holdTime });
+        this->held.push_back({ std::move(request), this->manifest.version, Clock::now() + holdTime });
 }
 
-// Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine.
+// Pieces leave one after the other, at a pace that leaves room on the VM's link for the answers of its engine; those that
+// are passed on in another region go first.
 void AgentNode::upload(Upload request)
 {
-    this->uploads.push_back(std::move(request));
+    auto isLocal = [](const Upload& waiting) { return !waiting.isImport; };
+    auto position = request.isImport ? std::find_if(this->uploads.begin(), this->uploads.end(), isLocal) : this->uploads.end();
+    this->uploads.insert(position, std::move(request));
     if (this->uploads.size() == 1)
         this->sendNextUpload();
 }
@@ -81,7 +88,7 @@
     }
     auto next = std::move(this->uploads.front());
     this->uploads.pop_front();
-    this->nextUploadAt = now + uploadTime(this->model.chunkBytes, this->settings.linkMegabits);
+    this->nextUploadAt = now + uploadTime(this->brief->model.chunkBytes, this->settings.linkMegabits);
     if (next.isVerified)
         this->sendStaged(next.exchange, next.piece);
     else
@@ -93,7 +100,7 @@
 // Sends a piece of the version that the engine serves, whose digests aren't known here; the peer checks it.
 void AgentNode::sendUnverified(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
 {
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [exchange](const CallResult& result) {
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->brief->model.name, piece), engineTimeout, [exchange](const CallResult& result) {
         exchange->answer(result.status == 200 ? 200 : 404, {}, result.status == 200 ? result.body : std::string());
     });
 }
@@ -102,7 +109,7 @@
 void AgentNode::sendStaged(const std::shared_ptr<ServerExchange>& exchange, uint32_t piece)
 {
     uint32_t version = this->manifest.version;
-    this->localCaller().get(this->dialect.engine.stageReadPath(this->model.name, piece), engineTimeout, [this, exchange, version, piece](const CallResult& result) {
+    this->localCaller().get(this->dialect.engine.stageReadPath(this->brief->model.name, piece), engineTimeout, [this, exchange, version, piece](const CallResult& result) {
         bool isCurrent = this->manifest.version == version;
         bool isGood = isCurrent && result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
         if (isCurrent && !isGood)
@@ -111,28 +118,46 @@
     });
 }
 
+void AgentNode::answerHeldManifests()
+{
+    auto bytes = encodeManifest(this->manifest);
+    for (const auto& request : this->heldManifests) {
+        bool isIt = request.version == this->manifest.version;
+        request.exchange->answer(isIt ? 200 : 404, { { "Content-Type", "application/msgpack" } }, isIt ? bytes : std::string());
+    }
+    this->heldManifests.clear();
+}
+
 void AgentNode::answerHeld(uint32_t piece)
 {
     std::vector<HeldRequest> kept;
     auto waiting = std::move(this->held);
     this->held.clear();
     for (auto& request : waiting) {
-        if (request.piece == piece && request.version == this->manifest.version)
-            this->upload({ request.exchange, piece, true });
+        if (request.upload.piece == piece && request.version == this->manifest.version)
+            this->upload(std::move(request.upload));
         else
             kept.push_back(std::move(request));
     }
     this->held.insert(this->held.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
 }
 
-void AgentNode::dropOldHeld(TimePoint now)
+// Tells those whose time is up that it isn't here yet, and drops them.
+template <typename Held, typename ExchangeOf>
+static void dropOld(std::vector<Held>& waiting, TimePoint now, ExchangeOf exchangeOf)
 {
-    for (auto& request : this->held) {
-        if (now >= request.until)
-            request.exchange->answer(404, {}, {});
+    auto isOld = [&](const Held& request) { return now >= request.until; };
+    for (const auto& request : waiting) {
+        if (isOld(request))
+            exchangeOf(request)->answer(404, {}, {});
     }
-    auto isOld = [&](const HeldRequest& request) { return now >= request.until; };
-    this->held.erase(std::remove_if(this->held.begin(), this->held.end(), isOld), this->held.end());
+    waiting.erase(std::remove_if(waiting.begin(), waiting.end(), isOld), waiting.end());
+}
+
+void AgentNode::dropOldHeld(TimePoint now)
+{
+    dropOld(this->held, now, [](const HeldRequest& request) { return request.upload.exchange; });
+    dropOld(this->heldManifests, now, [](const HeldManifest& request) { return request.exchange; });
 }
 
 } // namespace bilberry
--- /dev/null
+++ b/src/EntryDirectory.cpp
@@ -0,0 +1,61 @@
+#include "EntryDirectory.h"
+
+#include <algorithm>
+#include <tuple>
+#include <xxhash.h>
+
+namespace bilberry {
+
+// An entry that failed is avoided for that long, doubled with each further failure.
+static constexpr Milliseconds firstAvoidTime { 500 };
+static constexpr int mostDoublings = 4;
+// Entries that are kept in mind; beyond that no more are learned.
+static constexpr size_t maxEntries = 64;
+
+void EntryDirectory::add(const std::string& ip, const std::string& dataCentreOfEntry)
+{
+    if (ip.empty() || (this->rows.size() >= maxEntries && this->rows.count(ip) == 0))
+        return;
+    auto& row = this->rows[ip];
+    if (!dataCentreOfEntry.empty())
+        row.dataCentre = dataCentreOfEntry;
+}
+
+void EntryDirectory::noteAnswer(const std::string& ip, const std::string& dataCentreOfEntry)
+{
+    this->add(ip, dataCentreOfEntry);
+    auto found = this->rows.find(ip);
+    if (found == this->rows.end())
+        return;
+    found->second.failuresInRow = 0;
+    found->second.avoidUntil = TimePoint();
+}
+
+void EntryDirectory::noteFailure(const std::string& ip, TimePoint now)
+{
+    auto found = this->rows.find(ip);
+    if (found == this->rows.end())
+        return;
+    auto& row = found->second;
+    row.avoidUntil = now + firstAvoidTime * (1 << std::min(row.failuresInRow, mostDoublings));
+    ++row.failuresInRow;
+}
+
+// Lower is asked first.
+static std::tuple<TimePoint, int, uint64_t> rankOf(const EntryDirectory& directory, const std::string& ip, const EntryDirectory::Row& row, TimePoint now)
+{
+    auto avoided = now < row.avoidUntil ? row.avoidUntil : TimePoint();
+    int distance = row.dataCentre == directory.dataCentre ? 0 : row.dataCentre.empty() ? 1
+                                                                                       : 2;
+    auto pair = directory.ownHost + "/" + ip;
+    return { avoided, distance, XXH64(pair.data(), pair.size(), 0) };
+}
+
+std::string chooseEntry(const EntryDirectory& directory, TimePoint now)
+{
+    auto isBetter = [&](const auto& first, const auto& second) { return rankOf(directory, first.first, first.second, now) < rankOf(directory, second.first, second.second, now); };
+    auto best = std::min_element(directory.rows.begin(), directory.rows.end(), isBetter);
+    return best == directory.rows.end() ? std::string() : best->first;
+}
+
+} // namespace bilberry
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -12,6 +12,7 @@
 #include "NodeSettings.h"
 #include "PeerExchange.h"
 #include "RepeatBudget.h"
+#include "ServiceBrief.h"
 #include "StoreCopy.h"
 #include "StoreWatch.h"
 
@@ -23,6 +24,9 @@
 
 class RequestRun;
 
+/// How long news are told to the peers again and again.
+constexpr Milliseconds newsTime { 300 };
+
 /// Used by the loop's thread only.
 struct EntryNode {
     /// Preconditions: loop and log outlive the node.
@@ -71,6 +75,14 @@
     PeerExchange peers;
 
 private:
+    /// An agent that waits for news of its service.
+    struct HeldBrief {
+        std::shared_ptr<ServerExchange> exchange;
+        std::string service;
+        uint32_t newest = 0; ///< Version named last, as the agent knows.
+        TimePoint until {};
+    };
+
     void takeListing(const std::vector<StoreChange>&, BootTimePoint sentAt);
     void takeChanges(const std::vector<StoreChange>&, BootTimePoint sentAt);
     void takeFailure(const std::string& reason, int failures);
@@ -86,6 +98,10 @@
     void takeNotice(const EngineNotice&);
     void applyNotice(const EngineNotice&);
     void answerPeer(const std::shared_ptr<ServerExchange>&);
+    void answerExcerpt(const std::shared_ptr<ServerExchange>&);
+    void answerBrief(const std::shared_ptr<ServerExchange>&);
+    void answerDueBriefs(TimePoint now);
+    std::optional<ServiceBrief> makeBrief(const std::string& service, TimePoint now) const;
     void askPeer(TimePoint now);
     void takeExcerpt(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmByStore(BootTimePoint sentAt);
@@ -99,6 +115,7 @@
     HttpCaller peerCaller;
     StoreCopy copy;
     TimePoint peerAskedAt {};
+    std::vector<HeldBrief> heldBriefs;
     bool livesFromPeers = false;
     StoreWatch watch;
     LoopTimer timer;
--- a/src/NodeSettings.cpp
+++ b/src/NodeSettings.cpp
@@ -15,7 +15,7 @@
 DEFINE_string(ip, "", "own IP number towards other processes");
 DEFINE_string(peer_ports, "", "ports for the exchange between processes: one, or FIRST,LAST; empty: no exchange");
 DEFINE_string(seeds, "", "IP:port of some entries, separated by commas");
-DEFINE_string(store, "", "IP:port of the platform's store");
+DEFINE_string(store, "", "IP:port of the platform's store, of entries");
 DEFINE_string(engine, "", "IP:port of the engine, of agents");
 DEFINE_string(service, "", "service of the engine, of agents");
 DEFINE_double(link_megabits, 0, "rate of the VM's link in Mbit/s; 0: not known");
@@ -138,12 +138,16 @@
     settings.metricsListen = readAddress("metrics_listen", FLAGS_metrics_listen, false, faults);
     settings.ip = FLAGS_ip;
     settings.peerPort = readPeerPort(faults);
+    if (!isEntry && settings.peerPort == 0)
+        faults.push_back("--peer_ports: must be set for an agent, which lives from what entries tell it");
     std::vector<std::string> seeds = absl::StrSplit(FLAGS_seeds, ',', absl::SkipEmpty());
     for (const auto& seed : seeds) {
         if (auto address = readAddress("seeds", seed, true, faults))
             settings.seeds.push_back(*address);
     }
-    settings.store = readAddress("store", FLAGS_store, true, faults).value_or(Address());
+    if (!isEntry && settings.seeds.empty())
+        faults.push_back("--seeds: must be set for an agent");
+    settings.store = readAddress("store", FLAGS_store, isEntry, faults).value_or(Address());
     settings.engine = readAddress("engine", FLAGS_engine, !isEntry, faults);
     if (!isEntry && FLAGS_service.empty())
         faults.push_back("--service: must be set");
--- a/src/NodeSettings.h
+++ b/src/NodeSettings.h
@@ -42,7 +42,7 @@
     std::string ip; ///< Own address towards other processes.
     int peerPort = 0; ///< Of all processes of a deployment; zero: no exchange with peers.
     std::vector<Address> seeds; ///< Some entries, perhaps gone.
-    Address store;
+    Address store; ///< Of entries.
     std::optional<Address> engine; ///< Of agents.
     std::string service; ///< Of the engine.
     double linkMegabits = 0; ///< Of the VM's link, per second; zero: not known.
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with its layout.
-static constexpr uint32_t layoutVersion = 1;
+static constexpr uint32_t layoutVersion = 2;
 static constexpr uint32_t noticeLayoutVersion = 101;
 
 uint32_t endpointHash(const std::string& id)
@@ -37,7 +37,7 @@
         refusals.push_back(refusal.fingerprint);
         refusals.push_back(static_cast<uint64_t>(std::max<int64_t>(0, refusal.sinceFirst.count())));
     }
-    json whole = json::array({ layoutVersion, message.incarnation, message.sequence, message.isStopping, message.beliefAge.count(), loads, message.peers, crashes, notices, refusals });
+    json whole = json::array({ layoutVersion, message.incarnation, message.sequence, message.isStopping, message.beliefAge.count(), loads, message.peers, crashes, notices, refusals, message.dataCentre });
     auto bytes = json::to_msgpack(whole);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -97,12 +97,12 @@
 absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
     auto whole = json::from_msgpack(bytes, true, false);
-    bool hasLayout = whole.is_array() && whole.size() == 10 && whole[0].is_number_unsigned() && whole[0].get<uint32_t>() == layoutVersion;
+    bool hasLayout = whole.is_array() && whole.size() == 11 && whole[0].is_number_unsigned() && whole[0].get<uint32_t>() == layoutVersion;
     if (!hasLayout)
         return absl::InvalidArgumentError("not a message of this layout");
     bool isTyped = whole[1].is_number_unsigned() && whole[2].is_number_unsigned() && whole[3].is_boolean() && whole[4].is_number_integer()
         && areNumbers(whole[5]) && whole[5].size() % 2 == 0 && areTexts(whole[6]) && areNumbers(whole[7]) && whole[7].size() % 2 == 0 && areNotices(whole[8])
-        && areNumbers(whole[9]) && whole[9].size() % 2 == 0;
+        && areNumbers(whole[9]) && whole[9].size() % 2 == 0 && whole[10].is_string();
     if (!isTyped)
         return absl::InvalidArgumentError("a field is of another type");
     PeerMessage message;
@@ -119,6 +119,7 @@
         message.notices.push_back(readNotice(row));
     for (size_t i = 0; i + 1 < whole[9].size(); i += 2)
         message.refusals.push_back({ whole[9][i].get<uint64_t>(), Milliseconds(whole[9][i + 1].get<uint32_t>()) });
+    message.dataCentre = whole[10].get<std::string>();
     return message;
 }
 
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -30,6 +30,7 @@
     uint64_t sequence = 0; ///< Grows with each message of an incarnation.
     bool isStopping = false;
     Milliseconds beliefAge { 0 }; ///< Of what it knows from the store.
+    std::string dataCentre; ///< Of the sender.
     std::vector<PeerLoad> loads; ///< All that aren't zero.
     std::vector<std::string> peers; ///< IP numbers of entries that it has heard of lately.
     std::vector<CrashReport> crashes; ///< Of the last moments.
--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -34,6 +34,7 @@
     row.heardAt = now;
     row.isStopping = message.isStopping;
     row.beliefAge = message.beliefAge;
+    row.dataCentre = message.dataCentre;
     row.loads.clear();
     for (const auto& load : message.loads)
         row.loads[load.endpoint] = load.inFlight;
@@ -96,6 +97,16 @@
     return best;
 }
 
+std::vector<std::string> neighbours(const PeerTable& table, const std::string& dataCentre, size_t most, TimePoint now)
+{
+    std::vector<std::string> found;
+    for (const auto& [ip, row] : table.rows) {
+        if (isHeard(row, now) && row.dataCentre == dataCentre && found.size() < most)
+            found.push_back(ip);
+    }
+    return found;
+}
+
 std::vector<std::string> livePeers(const PeerTable& table, size_t most, TimePoint now)
 {
     std::vector<std::string> live;
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -16,6 +16,7 @@
     uint64_t sequence = 0;
     TimePoint heardAt {}; ///< The default value: never.
     bool isStopping = false;
+    std::string dataCentre; ///< Empty until it was heard.
     Milliseconds beliefAge = Milliseconds::max(); ///< When the message was sent.
     std::unordered_map<uint32_t, uint32_t> loads; ///< Requests by hash of the endpoint.
 };
@@ -42,6 +43,8 @@
 /// The entry heard of lately whose knowledge of the store is the newest, if it is newer than `ownAge`; empty when there is
 /// none. Thread safe.
 std::string freshestPeer(const PeerTable&, Milliseconds ownAge, TimePoint now);
+/// Entries of a data centre that were heard of lately. Thread safe.
+std::vector<std::string> neighbours(const PeerTable&, const std::string& dataCentre, size_t most, TimePoint now);
 /// IP numbers to name in messages. Thread safe.
 std::vector<std::string> livePeers(const PeerTable&, size_t most, TimePoint now);
 
--- a/src/PieceSources.cpp
+++ b/src/PieceSources.cpp
@@ -4,19 +4,17 @@
 
 namespace bilberry {
 
-std::vector<AgentPeer> listAgents(const std::vector<EndpointRecord>& records, const std::string& service, const std::string& model, uint32_t modelLayers, uint32_t version, const Place& place)
+// Agents for each one that asks the origin for the digests.
+static constexpr size_t agentsPerManifestRoot = 16;
+static constexpr size_t leastManifestRoots = 2;
+
+std::vector<AgentPeer> listAgents(const std::vector<BriefEngine>& engines, uint32_t version, const Place& place)
 {
     std::vector<AgentPeer> agents;
-    for (const auto& record : records) {
-        if (record.service != service)
-            continue;
-        auto region = place.regionOf.find(record.dataCentre);
-        bool isHolder = servedVersion(record, model, modelLayers) == version;
-        agents.push_back({ record.address.host, region == place.regionOf.end() ? std::string() : region->second, isHolder });
+    for (const auto& engine : engines) {
+        auto region = place.regionOf.find(engine.dataCentre);
+        agents.push_back({ engine.host, region == place.regionOf.end() ? std::string() : region->second, engine.version == version });
     }
-    std::sort(agents.begin(), agents.end(), [](const AgentPeer& first, const AgentPeer& second) { return first.host < second.host; });
-    auto isSame = [](const AgentPeer& first, const AgentPeer& second) { return first.host == second.host; };
-    agents.erase(std::unique(agents.begin(), agents.end(), isSame), agents.end());
     return agents;
 }
 
@@ -44,27 +42,50 @@
 std::vector<PieceSource> pieceSources(const PieceQuestion& question, const std::vector<AgentPeer>& agents)
 {
     std::vector<PieceSource> sources;
-    auto add = [&](const std::string& host) {
+    auto add = [&](const std::string& host, bool isInOwnRegion) {
         bool isKnown = std::any_of(sources.begin(), sources.end(), [&](const PieceSource& source) { return source.host == host; });
         if (!host.empty() && host != question.ownHost && !isKnown)
-            sources.push_back({ false, host });
+            sources.push_back({ false, host, isInOwnRegion });
     };
     // 1. A neighbour that has all pieces.
     auto neighbours = agentsOf(question.ownRegion, agents);
-    add(holderFor(question, neighbours));
+    add(holderFor(question, neighbours), true);
     // 2. Those who bring the piece into the region, in turn, up to the agent itself: it takes over when all before it fail.
     for (size_t i = 0; i < neighbours.size(); ++i) {
         const auto& next = neighbours[(question.piece + i) % neighbours.size()].host;
         if (next == question.ownHost)
             break;
-        add(next);
+        add(next, true);
     }
     // 3. Outside: a holder, the region of the origin, the origin.
-    add(holderFor(question, agents));
+    add(holderFor(question, agents), false);
     if (question.originRegion != question.ownRegion)
-        add(importerOf(question.piece, question.originRegion, agents));
+        add(importerOf(question.piece, question.originRegion, agents), false);
     sources.push_back({ true, {} });
     return sources;
 }
 
+std::vector<PieceSource> manifestSources(const std::string& ownHost, const std::string& originRegion, const std::vector<AgentPeer>& agents)
+{
+    auto roots = agentsOf(originRegion, agents);
+    if (roots.empty())
+        roots = agents;
+    roots.resize(std::min(roots.size(), std::max(leastManifestRoots, agents.size() / agentsPerManifestRoot)));
+    auto isOwn = [&](const AgentPeer& agent) { return agent.host == ownHost; };
+    bool isRoot = std::any_of(roots.begin(), roots.end(), isOwn);
+    std::vector<PieceSource> sources;
+    if (isRoot)
+        sources.push_back({ true, {} });
+    // Each agent begins with another root, so that these share the load.
+    auto position = static_cast<size_t>(std::find_if(agents.begin(), agents.end(), isOwn) - agents.begin());
+    for (size_t i = 0; i < roots.size(); ++i) {
+        const auto& root = roots[(position + i) % roots.size()];
+        if (!isOwn(root))
+            sources.push_back({ false, root.host });
+    }
+    if (!isRoot)
+        sources.push_back({ true, {} });
+    return sources;
+}
+
 } // namespace bilberry
--- a/src/PieceSources.h
+++ b/src/PieceSources.h
@@ -4,7 +4,7 @@
 
 #include "Address.h"
 #include "EndpointChoice.h"
-#include "EndpointRecord.h"
+#include "ServiceBrief.h"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +23,7 @@
 struct PieceSource {
     bool isOrigin = false;
     std::string host; ///< Of a peer.
+    bool isInOwnRegion = false; ///< Of the peer.
 };
 
 struct PieceQuestion {
@@ -32,9 +33,9 @@
     std::string originRegion;
 };
 
-/// Agents of a service, from its list of endpoints, in the order of their hosts; all agents with the same list get the same.
+/// Agents of a service, from its list of engines, in the order of their hosts; all agents with the same list get the same.
 /// Thread safe.
-std::vector<AgentPeer> listAgents(const std::vector<EndpointRecord>&, const std::string& service, const std::string& model, uint32_t modelLayers, uint32_t version, const Place&);
+std::vector<AgentPeer> listAgents(const std::vector<BriefEngine>&, uint32_t version, const Place&);
 
 /// The agent that brings a piece into a region; empty when the region has none. Thread safe.
 std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>&);
@@ -42,4 +43,7 @@
 /// Places to ask for a piece, the best first; the origin is always the last. Thread safe.
 std::vector<PieceSource> pieceSources(const PieceQuestion&, const std::vector<AgentPeer>&);
 
+/// Places to ask for the digests of a version, the best first: a few agents ask the origin, all others ask these. Thread safe.
+std::vector<PieceSource> manifestSources(const std::string& ownHost, const std::string& originRegion, const std::vector<AgentPeer>&);
+
 } // namespace bilberry
--- /dev/null
+++ b/src/ServiceBrief.h
@@ -0,0 +1,53 @@
+/// What an entry tells the weights agents of a service, so that these need no call to the platform's store: the model, where
+/// its weights come from, the versions that were named, and the engines.
+#pragma once
+
+#include "Address.h"
+#include "RouteTable.h"
+#include "Types.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+struct Belief;
+
+/// A version of the model's weights that operators have named.
+struct BriefVersion {
+    uint32_t version = 0;
+    Milliseconds namedFor { 0 }; ///< Time since the entry learned of it.
+};
+
+/// An engine of the service.
+struct BriefEngine {
+    std::string host; ///< IP number of its VM.
+    std::string dataCentre;
+    uint32_t version = 0; ///< Of the weights that it serves as a whole; zero: none.
+};
+
+struct ServiceBrief {
+    Milliseconds age { 0 }; ///< Of what the entry knows.
+    std::string dataCentre; ///< Of the entry.
+    std::vector<std::string> entries; ///< IP numbers of other entries in that data centre.
+    ServedModel model;
+    std::optional<Address> origin;
+    std::string originDataCentre;
+    std::vector<BriefVersion> named; ///< The oldest first.
+    std::vector<BriefEngine> engines; ///< In the order of their hosts, each host once.
+};
+
+/// Fills in what belief says of a service; nothing when it knows no such service, or one without a model. Thread safe.
+std::optional<ServiceBrief> describeService(const Belief&, const std::string& service, TimePoint now);
+
+/// The newest version that was named; zero when none was. Thread safe.
+uint32_t newestNamed(const ServiceBrief&);
+
+std::string encodeBrief(const ServiceBrief&);
+/// Fails for bytes that are no brief. Thread safe.
+absl::StatusOr<ServiceBrief> decodeBrief(const std::string& bytes);
+
+} // namespace bilberry
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -1,5 +1,7 @@
 #include "VersionSwitch.h"
 
+#include "ServiceBrief.h"
+
 #include <algorithm>
 
 namespace bilberry {
@@ -43,12 +45,12 @@
     return oldest;
 }
 
-std::vector<std::string> hostsOf(const std::vector<EndpointRecord>& records, const std::string& service, const std::string& dataCentre)
+std::vector<std::string> hostsOf(const std::vector<BriefEngine>& engines, const std::string& dataCentre)
 {
     std::vector<std::string> hosts;
-    for (const auto& record : records) {
-        if (record.service == service && record.dataCentre == dataCentre)
-            hosts.push_back(record.address.host);
+    for (const auto& engine : engines) {
+        if (engine.dataCentre == dataCentre)
+            hosts.push_back(engine.host);
     }
     return hosts;
 }
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -3,7 +3,6 @@
 /// the same times from the published list of endpoints. Pure decisions.
 #pragma once
 
-#include "EndpointRecord.h"
 #include "Types.h"
 
 #include <map>
@@ -12,6 +11,8 @@
 
 namespace bilberry {
 
+struct BriefEngine;
+
 /// Versions of a model's weights that operators have named, with the time at which each was learned.
 using NamedVersions = std::map<uint32_t, TimePoint>;
 
@@ -26,7 +27,7 @@
 /// The oldest version on which a request may begin; zero: any. Thread safe.
 uint32_t oldestAllowed(const NamedVersions&, Milliseconds bound, TimePoint now);
 
-/// Hosts of a service's endpoints in a data centre. Thread safe.
-std::vector<std::string> hostsOf(const std::vector<EndpointRecord>&, const std::string& service, const std::string& dataCentre);
+/// Hosts of the engines in a data centre. Thread safe.
+std::vector<std::string> hostsOf(const std::vector<BriefEngine>&, const std::string& dataCentre);
 
 } // namespace bilberry
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -4,6 +4,7 @@
 #include "PeerMessage.h"
 #include "PeerTable.h"
 #include "PieceManifest.h"
+#include "ServiceBrief.h"
 #include "StoreCopy.h"
 
 #include <rapidcheck.h>
@@ -19,6 +20,7 @@
         sent.incarnation = *rc::gen::arbitrary<uint64_t>();
         sent.sequence = *rc::gen::arbitrary<uint64_t>();
         sent.isStopping = *rc::gen::arbitrary<bool>();
+        sent.dataCentre = "dc-a";
         sent.beliefAge = Milliseconds(*rc::gen::arbitrary<int64_t>());
         for (uint32_t endpoint : *rc::gen::arbitrary<std::vector<uint32_t>>())
             sent.loads.push_back({ endpoint, endpoint / 2 });
@@ -28,6 +30,7 @@
         auto read = decodePeerMessage(encodePeerMessage(sent));
         RC_ASSERT(read.ok());
         RC_ASSERT(read->incarnation == sent.incarnation && read->sequence == sent.sequence);
+        RC_ASSERT(read->dataCentre == sent.dataCentre);
         RC_ASSERT(read->isStopping == sent.isStopping && read->beliefAge == sent.beliefAge);
         RC_ASSERT(read->loads.size() == sent.loads.size() && read->peers == sent.peers);
         RC_ASSERT(read->crashes[0].fingerprint == sent.crashes[0].fingerprint && read->notices[0].version == 3u);
@@ -51,6 +54,7 @@
         decodeNotice(changed).ok();
         decodeExcerpt(changed).ok();
         decodeManifest(changed).ok();
+        decodeBrief(changed).ok();
     }));
 }
 
--- a/tests/PieceSourcesTest.cpp
+++ b/tests/PieceSourcesTest.cpp
@@ -126,25 +126,36 @@
     BOOST_TEST(pieceSources({ 0, "10.9.9.9", "r9", "r0" }, {}).size() == 1u);
 }
 
-BOOST_AUTO_TEST_CASE(agentsAreListedOnceInTheOrderOfTheirHosts)
+BOOST_AUTO_TEST_CASE(agentsAreListedWithTheirRegions)
 {
-    EndpointRecord record;
-    record.service = "writer";
-    record.dataCentre = "dc-1";
-    record.models = { { "m", 2 } };
-    record.layers = 16;
-    record.layersVersion = 2;
-    std::vector<EndpointRecord> records;
-    for (const char* host : { "10.0.0.3", "10.0.0.1", "10.0.0.3" }) {
-        record.address.host = host;
-        records.push_back(record);
-    }
-    record.service = "other";
-    records.push_back(record);
-    auto agents = listAgents(records, "writer", "m", 16, 2, place);
+    auto agents = listAgents({ { "10.0.0.1", "dc-1", 2 }, { "10.0.0.3", "dc-9", 1 } }, 2, place);
     BOOST_TEST(agents.size() == 2u);
     BOOST_TEST(agents[0].host == "10.0.0.1");
     BOOST_TEST(agents[0].region == "r1");
     BOOST_TEST(agents[0].isHolder);
-    BOOST_TEST(!listAgents(records, "writer", "m", 16, 3, place)[0].isHolder);
+    BOOST_TEST(agents[1].region.empty());
+    BOOST_TEST(!agents[1].isHolder);
+}
+
+// Only a few agents ask the origin for digests, however many there are; each of the others asks one of these first, and the
+// origin last.
+BOOST_AUTO_TEST_CASE(fewAgentsAskTheOriginForDigests)
+{
+    for (int inEach : { 1, 2, 20, 200 }) {
+        auto agents = makeAgents(inEach, 0);
+        size_t roots = 0;
+        std::map<std::string, int> askers;
+        for (const auto& agent : agents) {
+            auto sources = manifestSources(agent.host, "r1", agents);
+            roots += sources.front().isOrigin ? 1 : 0;
+            bool asksOrigin = std::any_of(sources.begin(), sources.end(), [](const PieceSource& source) { return source.isOrigin; });
+            BOOST_TEST(asksOrigin);
+            if (!sources.front().isOrigin)
+                ++askers[sources.front().host];
+        }
+        BOOST_TEST(roots >= 1u);
+        BOOST_TEST(roots <= std::max<size_t>(2, agents.size() / 16));
+        for (const auto& [host, count] : askers)
+            BOOST_TEST(count <= 48);
+    }
 }
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -111,7 +111,7 @@
     def start_agent(self, engine, number, service="writer", data_centre="dc-a", **more):
         ip = f"127.0.2.{number}"
         flags = {"role": "agent", "vm": f"agent-{number}", "data_centre": data_centre, "data_centres": "dc-a=north,dc-b=south", "ip": ip, "peer_ports": self.peer_port, "seeds": "127.0.1.1:1",
-                 "store": self.store.address, "engine": engine.address, "service": service, **more}
+                 "engine": engine.address, "service": service, **more}
         node = Node(self, f"agent-{number}", flags)
         self.nodes.append(node)
         return node
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -78,6 +78,7 @@
         self.turns_away = set()
         self.is_down = False
         self.calls = 0
+        self.callers = set()
         super().__init__()
 
     def put(self, key, value):
@@ -98,6 +99,7 @@
     def answer(self, call):
         with self.changed:
             self.calls += 1
+            self.callers.add(call.client_address[0])
         if self.is_down or call.client_address[0] in self.turns_away:
             call.send(503, {})
             return
--- a/tests/process_platform_settings.py
+++ b/tests/process_platform_settings.py
@@ -27,7 +27,7 @@
         ({"role": "x"}, "--role"), ({"vm": ""}, "--vm"), ({"data_centre": "b"}, "--data_centre"), ({"data_centres": "a"}, "--data_centres"), ({"listen": "nowhere"}, "--listen"),
         ({"listen": ""}, "--listen"), ({"store": ""}, "--store"), ({"store": "host:80"}, "--store"), ({"seeds": "127.0.0.1:1,x"}, "--seeds"), ({"peer_ports": "99999"}, "--peer_ports"),
         ({"repeat_ratio": "-1"}, "--repeat_ratio"), ({"repeat_ratio": "much"}, "--repeat_ratio"), ({"stop_grace_s": "1e9"}, "--stop_grace_s"), ({"unknown": "1"}, "--unknown"),
-        ({"role": "agent", "service": "s"}, "--engine"), ({"role": "agent", "engine": "127.0.0.1:1"}, "--service"), ({"max_descriptors": "1"}, "--max_descriptors"),
+        ({"role": "agent", "service": "s"}, "--engine"), ({"role": "agent", "service": "s", "engine": "127.0.0.1:1"}, "--peer_ports"), ({"role": "agent", "service": "s", "engine": "127.0.0.1:1"}, "--seeds"), ({"role": "agent", "engine": "127.0.0.1:1"}, "--service"), ({"max_descriptors": "1"}, "--max_descriptors"),
     ]
     for change, named in rows:
         result = run(build, {**good, **change})
--- a/tests/process_platform_weights.py
+++ b/tests/process_platform_weights.py
@@ -29,6 +29,7 @@
         fleet.stand_ins += engines
         for number, engine in enumerate(engines, 1):
             list_engine(fleet, f"e{number}", engine, "dc-a" if number % 2 else "dc-b")
+        entry = fleet.start_entry(1)
         agents = [fleet.start_agent(engine, number, data_centre="dc-a" if number % 2 else "dc-b") for number, engine in enumerate(engines, 1)]
 
         # 1. An engine that came empty is filled by its neighbour: the origin sends no piece.
@@ -50,6 +51,15 @@
         engines[0].born += 1
         harness.wait_until(lambda: engines[0].version == 2, 10, "the restarted engine is filled again")
 
+        # 4. The store is read by entries alone, and agents go on while their entry is away.
+        assert not [address for address in fleet.store.callers if address.startswith("127.0.2.")], fleet.store.callers
+        entry.kill()
+        harness.wait_until(lambda: agents[0].events("entries_lost"), 5, "the entry is missed")
+        entry = fleet.start_entry(1, **{key: value for key, value in entry.flags.items() if key.endswith("listen")})
+        harness.wait_until(lambda: agents[0].events("entries_regained"), 10, "an entry is back")
+        fleet.store.put("op/version/m", {"model": "m", "version": 3})
+        harness.wait_until(lambda: all(engine.version == 3 for engine in engines), 20, "all engines have turned again")
+
         assert sum(engine.mixed for engine in engines) == 0
         assert all(agent.stop() == 0 for agent in agents)
 
