Turn engines one after the other, and leave old weights earlier

The allowance for the wait at an engine was 0.8 s. Three waves left a third of the engines, and those whose pieces were late, away at one moment. Change: turns evenly spread from 0.40 to 0.77 of the bound; an engine on old weights gets nothing more 1.8 s before it.

--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -6,13 +6,12 @@
 
 namespace bilberry {
 
-static constexpr size_t waveCount = 3;
-// Parts of the bound at which the first and the last wave begin: pieces need the time before the first one, and what waits
+// Parts of the bound at which the first and the last engine turn: pieces need the time before the first one, and what waits
 // at an engine needs some after the last one.
-static constexpr double firstWave = 0.42;
-static constexpr double lastWave = 0.82;
+static constexpr double firstTurn = 0.40;
+static constexpr double lastTurn = 0.77;
 // Time that a request may have waited at its engine when it begins.
-static constexpr Milliseconds longestEngineWait { 800 };
+static constexpr Milliseconds longestEngineWait { 1800 };
 
 static Milliseconds partOf(Milliseconds bound, double share)
 {
@@ -23,8 +22,8 @@
 {
     std::sort(hosts.begin(), hosts.end());
     auto position = static_cast<size_t>(std::lower_bound(hosts.begin(), hosts.end(), host) - hosts.begin());
-    auto wave = static_cast<double>(position % waveCount);
-    return partOf(bound, firstWave + wave * (lastWave - firstWave) / (waveCount - 1));
+    auto steps = static_cast<double>(std::max<size_t>(hosts.size(), 2) - 1);
+    return partOf(bound, firstTurn + static_cast<double>(std::min(position, hosts.size())) * (lastTurn - firstTurn) / steps);
 }
 
 TimePoint switchBase(const NamedVersions& named, uint32_t held)
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -1,5 +1,5 @@
 /// When each engine of a service turns to newly named weights. Answers a load that needs most engines at any time: they turn
-/// in waves, spread over the time that is allowed, so that only a part of them is away at once. Agents and entries compute
+/// one after the other, spread over the time that is allowed, so that only a part of them is away at once. Agents and entries compute
 /// the same times from the published list of endpoints. Pure decisions.
 #pragma once
 
