--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -80,6 +80,9 @@
 void AgentNode::endFetch(Fetch& fetch, const CallResult& result)
 {
     fetch.isRunning = false;
+    // All agents share the connections that the origin bears.
+    if (fetch.isFromOrigin)
+        fetch.caller->close();
     this->metrics.count("bilberry_piece_bytes_total", { { "source", fetch.isFromOrigin ? "origin" : "peer" } }, static_cast<double>(result.body.size()));
     if (fetch.version != this->manifest.version)
         return;
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -253,6 +253,7 @@
 
 void AgentNode::takeManifest(const CallResult& result, bool isFromPeer)
 {
+    this->manifestCaller.close();
     auto decode = isFromPeer ? decodeManifest : this->dialect.engine.readManifest;
     auto read = result.status == 200 ? decode(result.body) : absl::StatusOr<PieceDigests>(absl::UnavailableError(result.describe()));
     if (!read.ok() || read->version != this->wantedVersion() || read->model != this->brief->model.name) {
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -48,6 +48,16 @@
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
+    open_connections = 0
+
+    def finish_request(self, *connection):
+        with self.owner.lock:
+            self.open_connections += 1
+        try:
+            super().finish_request(*connection)
+        finally:
+            with self.owner.lock:
+                self.open_connections -= 1
 
     def handle_error(self, *_):
         pass
@@ -57,6 +67,7 @@
     """One server on a free port of an own loopback address."""
 
     def __init__(self, host="127.0.0.1", port=0):
+        self.lock = threading.Lock()
         self.server = Server((host, port), Handler)
         self.server.owner = self
         self.address = "%s:%d" % self.server.server_address
--- a/tests/process_platform_weights.py
+++ b/tests/process_platform_weights.py
@@ -42,6 +42,8 @@
         fleet.store.put("op/version/m", {"model": "m", "version": 2})
         harness.wait_until(lambda: all(engine.version == 2 for engine in engines), 20, "all engines have turned")
         assert len(origin.served) <= origin.chunks + 2 + 1, origin.served
+        # Its connections are few, and shared by all agents: none is kept.
+        harness.wait_until(lambda: origin.server.open_connections == 0, 2, "no connection to the origin is kept")
 
         # 3. A piece that turns bad on the stage is not loaded: it is read back and fetched again before the order.
         for number, engine in enumerate(engines, 1):
