Explain a request by its id, and read entries and agents by their metrics

bilberryctl explain ID reads the logs of several processes and joins the lines of one request with what happened meanwhile; status and burn take metrics addresses or files. The three walks of docs/operations/platform.md are tests by these commands alone.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -3,6 +3,7 @@
 #include "Digest.h"
 #include "PeerMessage.h"
 #include "PieceManifest.h"
+#include "ProcessFigures.h"
 #include "ServerExchange.h"
 
 #include <algorithm>
@@ -112,6 +113,7 @@
 
 void AgentNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
 {
+    noteProcessFigures(this->metrics);
     auto missing = std::count(this->isStaged.begin(), this->isStaged.end(), false);
     this->metrics.set("bilberry_weights_version", this->report ? this->report->layersVersion : 0);
     this->metrics.set("bilberry_weights_wanted_version", this->wantedVersion());
--- a/src/CtlBurn.cpp
+++ b/src/CtlBurn.cpp
@@ -1,5 +1,6 @@
 #include "BurnReport.h"
 #include "BurnText.h"
+#include "CtlNodes.h"
 #include "CtlVerbs.h"
 #include "ProcessClient.h"
 
@@ -23,6 +24,9 @@
   Shows, per service and client account, the objective, good and bad requests by cause, the error budget left and the
   burn rate over two windows. The short window is read now; the long one begins with the snapshot that an earlier call
   saved, or else with the start of each process. Objectives come from the rules in force at the first process.
+bilberryctl burn [--objective=SHARE] [--interval_ms=N | --earlier=FILE,...] [--json] --metrics=IP:port|FILE[,...]
+  Good and bad requests of entries on the users' platform and the burn rate, between two readings of their metrics: now
+  and after the interval, or the files and now.
   exit codes: 0 within the objectives, 1 a budget burns in both windows, 2 wrong usage, 3 a process was not reached
 )";
 
@@ -119,13 +123,15 @@
 
 int runBurn(const CtlArguments& words)
 {
-    auto addresses = readProcessFlag();
-    if (!addresses.ok())
-        return failVerb("burn", addresses.status(), exitUsage);
     if (!words.empty())
         return failVerb("burn", "takes no argument but flags", exitUsage);
     if (FLAGS_interval_ms < minIntervalMs || FLAGS_interval_ms > maxIntervalMs)
         return failVerb("burn", fmt::format("--interval_ms: {} is not from {} to {}", FLAGS_interval_ms, minIntervalMs, maxIntervalMs), exitUsage);
+    if (!FLAGS_metrics.empty())
+        return runNodeBurn();
+    auto addresses = readProcessFlag();
+    if (!addresses.ok())
+        return failVerb("burn", addresses.status(), exitUsage);
     BurnSnapshot start;
     if (!FLAGS_since.empty()) {
         auto read = readSnapshotFile(FLAGS_since);
--- a/src/CtlExplain.cpp
+++ b/src/CtlExplain.cpp
@@ -1,11 +1,13 @@
 #include "CtlVerbs.h"
 #include "Explain.h"
+#include "LogAccount.h"
 #include "ProcessClient.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 DEFINE_string(service, "", "explain request: name of the service");
@@ -15,11 +17,14 @@
 
 const char explainUsage[] = R"(bilberryctl explain vm NAME [--at=YYYY-MM-DD] [--json] --process=IP:port
   Shows for each model why the VM carries it or not.
+bilberryctl explain ID < LOG
+  Reads the logs of several processes from standard input and tells what happened to the request of that id, with times
+  and what decided each step.
 bilberryctl explain request (--service=NAME | --model=NAME) [--json] --process=IP:port
   Shows for each endpoint what keeps it from taking such a request now, as the process sees it; ask the entry of the
   data centre in question.
-  exit codes: 0 the VM carries a model / an endpoint is available, 1 it carries none / the request would be refused,
-  2 wrong usage, 3 the process was not reached
+  exit codes: 0 the VM carries a model / the id was found / an endpoint is available, 1 it carries none / no line bears
+  the id / the request would be refused, 2 wrong usage, 3 the process was not reached
 )";
 
 // All that one process knows and an explanation needs.
@@ -126,12 +131,28 @@
     return available > 0 ? exitOk : exitFaulty;
 }
 
+// Joins the lines of standard input about one request.
+static int showAccount(const std::string& request)
+{
+    auto read = readLogLines(std::cin);
+    if (read.unreadable > 0)
+        std::fprintf(stderr, "bilberryctl explain: %zu lines of the input are no log lines\n", read.unreadable);
+    auto account = accountOf(read, request);
+    if (account.empty())
+        return failVerb("explain", fmt::format("no log line of the {} read bears request {}", read.lines.size(), request), exitFaulty);
+    std::fputs(account.c_str(), stdout);
+    return exitOk;
+}
+
 int runExplain(const CtlArguments& words)
 {
+    bool isRequestId = words.size() == 1 && words[0] != "request" && words[0] != "vm";
+    if (isRequestId)
+        return showAccount(words[0]);
     bool isVm = words.size() == 2 && words[0] == "vm";
     bool isRequest = words.size() == 1 && words[0] == "request";
     if (!isVm && !isRequest)
-        return failVerb("explain", "takes \"vm NAME\" or \"request\"", exitUsage);
+        return failVerb("explain", "takes \"vm NAME\", \"request\" or the id of a request", exitUsage);
     auto addresses = readProcessFlag();
     if (!addresses.ok())
         return failVerb("explain", addresses.status(), exitUsage);
--- /dev/null
+++ b/src/CtlNodes.cpp
@@ -0,0 +1,88 @@
+#include "CtlNodes.h"
+
+#include "Address.h"
+#include "CtlVerbs.h"
+#include "NodeReport.h"
+#include "ProcessClient.h"
+
+#include <absl/strings/str_split.h>
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+DEFINE_string(metrics, "", "status and burn of entries and agents: comma-separated IP:port of their metrics, or files that hold such a page");
+DEFINE_string(earlier, "", "burn: files of an earlier reading, in the order of --metrics, instead of a wait of --interval_ms");
+DEFINE_double(objective, 0.999, "burn of entries: share of the requests that should be answered, above 0 and below 1");
+DECLARE_int32(interval_ms);
+
+namespace bilberry {
+
+using Readings = std::vector<NodeFigures>;
+
+static absl::StatusOr<std::string> readPage(const std::string& source)
+{
+    if (parseAddress(source).ok())
+        return fetchMetrics(source);
+    std::ifstream file(source);
+    if (!file)
+        return absl::NotFoundError(source + ": neither IP:port nor a file that can be read");
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// Reads each page under the name of its source; an error names the page that can't be read.
+static absl::StatusOr<Readings> readAll(const std::string& list, const std::string& names)
+{
+    std::vector<std::string> sources = absl::StrSplit(list, ',', absl::SkipEmpty());
+    std::vector<std::string> sourceNames = absl::StrSplit(names, ',', absl::SkipEmpty());
+    if (sources.size() != sourceNames.size())
+        return absl::InvalidArgumentError(fmt::format("--earlier names {} files, --metrics {} sources", sources.size(), sourceNames.size()));
+    Readings readings;
+    for (size_t i = 0; i < sources.size(); ++i) {
+        auto page = readPage(sources[i]);
+        auto samples = page.ok() ? parseMetricsText(*page) : absl::StatusOr<std::vector<MetricSample>>(page.status());
+        if (!samples.ok())
+            return absl::UnavailableError(fmt::format("{}: {}", sources[i], std::string(samples.status().message())));
+        readings.push_back(readNodeFigures(sourceNames[i], *samples));
+    }
+    return readings;
+}
+
+int runNodeStatus()
+{
+    auto readings = readAll(FLAGS_metrics, FLAGS_metrics);
+    if (!readings.ok())
+        return failVerb("status", readings.status(), exitNotReached);
+    auto rows = nlohmann::json::array();
+    for (const auto& node : *readings) {
+        rows.push_back(toJson(node));
+        if (!FLAGS_json)
+            std::fputs(formatNodeFigures(node).c_str(), stdout);
+    }
+    if (FLAGS_json)
+        std::printf("%s\n", rows.dump(1).c_str());
+    return exitOk;
+}
+
+int runNodeBurn()
+{
+    if (FLAGS_objective <= 0 || FLAGS_objective >= 1)
+        return failVerb("burn", fmt::format("--objective: {} is not above 0 and below 1", FLAGS_objective), exitUsage);
+    auto before = FLAGS_earlier.empty() ? readAll(FLAGS_metrics, FLAGS_metrics) : readAll(FLAGS_earlier, FLAGS_metrics);
+    if (before.ok() && FLAGS_earlier.empty())
+        std::this_thread::sleep_for(Milliseconds(FLAGS_interval_ms));
+    auto now = before.ok() ? readAll(FLAGS_metrics, FLAGS_metrics) : before;
+    if (!now.ok())
+        return failVerb("burn", now.status(), absl::IsInvalidArgument(now.status()) ? exitUsage : exitNotReached);
+    auto burn = burnOf(requestsBetween(*before, *now), FLAGS_objective);
+    if (FLAGS_json)
+        std::printf("%s\n", nlohmann::json { { "good", burn.good }, { "bad", burn.bad }, { "causes", burn.causes }, { "burn_rate", burn.rate } }.dump(1).c_str());
+    else
+        std::fputs(formatNodeBurn(burn, FLAGS_objective).c_str(), stdout);
+    return burn.rate > 1 ? exitFaulty : exitOk;
+}
+
+} // namespace bilberry
--- a/src/CtlStatus.cpp
+++ b/src/CtlStatus.cpp
@@ -1,3 +1,4 @@
+#include "CtlNodes.h"
 #include "CtlVerbs.h"
 #include "ProcessClient.h"
 
@@ -9,6 +10,8 @@
 const char statusUsage[] = R"(bilberryctl status [--json] --process=IP:port[,IP:port...]
   Shows what each process says of itself: the generations in force, requests in progress, and each VM that it has heard
   with age, limit and served versions. Processes that disagree on the configuration are pointed out.
+bilberryctl status [--json] --metrics=IP:port|FILE[,...]
+  The same of entries and agents on the users' platform, from their metrics or from files that hold them.
   exit codes: 0 all answered and agree, 1 they disagree, 2 wrong usage, 3 a process was not reached
 )";
 
@@ -30,6 +33,8 @@
 
 int runStatus(const CtlArguments& words)
 {
+    if (!FLAGS_metrics.empty() && words.empty())
+        return runNodeStatus();
     auto addresses = readProcessFlag();
     if (!addresses.ok())
         return failVerb("status", addresses.status(), exitUsage);
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,5 +1,6 @@
 #include "EntryNode.h"
 
+#include "ProcessFigures.h"
 #include "RequestRun.h"
 #include "ServerExchange.h"
 
@@ -247,6 +248,7 @@
 
 void EntryNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
 {
+    noteProcessFigures(this->metrics);
     this->metrics.set("bilberry_belief_age_seconds", std::chrono::duration<double>(ageOf(this->belief, BootClock::now())).count());
     this->metrics.set("bilberry_requests_in_progress", static_cast<double>(this->runs.size()));
     this->metrics.set("bilberry_store_calls", static_cast<double>(this->watch.callCount()));
--- /dev/null
+++ b/src/LogAccount.cpp
@@ -0,0 +1,176 @@
+#include "LogAccount.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <set>
+#include <string_view>
+
+namespace bilberry {
+
+using nlohmann::json;
+
+// Time before a request from which on events count that may explain it.
+static constexpr Milliseconds timeBefore { 5000 };
+
+struct ReasonText {
+    std::string_view reason;
+    std::string_view text;
+};
+
+static constexpr std::array<ReasonText, 17> reasonTexts { {
+    { "overloaded", "so many requests waited before it that it could not have been answered in time" },
+    { "no_free_place", "no endpoint had a free place in the time that it could wait" },
+    { "not_run", "every endpoint that was tried refused it or could not be reached" },
+    { "revocations_unknown", "the store was not heard for too long to know that the caller's key still holds" },
+    { "no_configuration", "the entry had not read a configuration yet" },
+    { "stopping", "the entry was being stopped" },
+    { "crashes_endpoints", "it was there when three endpoints went down" },
+    { "lost", "the connection to its endpoint ended before the answer; it may have run" },
+    { "malformed", "what its endpoint sent is no answer to it; it may have run" },
+    { "server_error", "its endpoint failed it; it may have run" },
+    { "timed_out", "its time was up; it may have run" },
+    { "not_sent", "no connection to an endpoint could be made" },
+    { "not_executed", "its endpoint said that it did not run it" },
+    { "unknown_key", "no client account has its key" },
+    { "no_route", "no route has its host and path" },
+    { "no_request_id", "it came without an id" },
+    { "", "" },
+} };
+
+static std::string_view textOf(std::string_view reason)
+{
+    auto found = std::find_if(reasonTexts.begin(), reasonTexts.end(), [&](const ReasonText& row) { return row.reason == reason; });
+    return found == reasonTexts.end() ? std::string_view("a reason that this program does not know") : found->text;
+}
+
+static std::string textField(const json& fields, const char* name)
+{
+    auto found = fields.find(name);
+    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+// Zero when the line has no such number.
+static int64_t numberField(const json& fields, const char* name)
+{
+    auto found = fields.find(name);
+    return found != fields.end() && found->is_number() ? found->get<int64_t>() : 0;
+}
+
+LogLines readLogLines(std::istream& input)
+{
+    LogLines read;
+    std::string text;
+    while (std::getline(input, text)) {
+        auto begin = text.find('{');
+        auto fields = begin == std::string::npos ? json() : json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
+        bool isLine = fields.is_object() && fields.contains("time_ms") && fields["time_ms"].is_number() && !textField(fields, "event").empty();
+        if (!isLine) {
+            read.unreadable += text.empty() ? 0 : 1;
+            continue;
+        }
+        LogLine line { Milliseconds(numberField(fields, "time_ms")), textField(fields, "vm"), textField(fields, "event"), std::move(fields) };
+        read.lines.push_back(std::move(line));
+    }
+    std::stable_sort(read.lines.begin(), read.lines.end(), [](const LogLine& first, const LogLine& second) { return first.time < second.time; });
+    return read;
+}
+
+static std::string describeEnd(const json& fields)
+{
+    auto reason = textField(fields, "reason");
+    auto text = fmt::format("{}, status {}", textField(fields, "outcome"), numberField(fields, "status"));
+    if (!reason.empty())
+        text += fmt::format(", {}: {}", reason, textOf(reason));
+    text += fmt::format("\n      route \"{}\", {} attempts that may have run and {} that have not; waited {} ms for a place, first part after {} ms, took {} of {} ms", textField(fields, "route"),
+        numberField(fields, "runs"), numberField(fields, "refusals"), numberField(fields, "queued_ms"), numberField(fields, "first_ms"), numberField(fields, "total_ms"), numberField(fields, "budget_ms"));
+    text += fmt::format("\n      decided on configuration {}, with knowledge {} ms old", numberField(fields, "generation"), numberField(fields, "belief_age_ms"));
+    auto endpoint = textField(fields, "endpoint");
+    if (endpoint.empty())
+        return text;
+    text += fmt::format("; endpoint {} was thought to have {} requests", endpoint, numberField(fields, "load_thought"));
+    int64_t stated = numberField(fields, "load_stated");
+    return stated < 0 ? text : text + fmt::format(" and said {}", stated);
+}
+
+// All fields but those that each line has.
+static std::string describeFields(const json& fields)
+{
+    static const std::set<std::string> common { "time_ms", "level", "vm", "event" };
+    std::string text;
+    for (const auto& [name, value] : fields.items()) {
+        if (common.count(name) == 0)
+            text += fmt::format(" {} {}", name, value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return text;
+}
+
+static std::string describe(const LogLine& line)
+{
+    if (line.event == "request")
+        return describeEnd(line.fields);
+    if (line.event != "attempt_failed")
+        return line.event + ":" + describeFields(line.fields);
+    return fmt::format("attempt at {} failed after {} ms: {}, status {}", textField(line.fields, "endpoint"), numberField(line.fields, "after_ms"), textField(line.fields, "result"), numberField(line.fields, "status"));
+}
+
+// What the request's own lines tell of where and when it was.
+struct RequestSpan {
+    std::set<std::string> entries; ///< VMs.
+    std::set<std::string> endpoints;
+    Milliseconds begin = Milliseconds::max();
+    Milliseconds end = Milliseconds::min();
+};
+
+static RequestSpan spanOf(const std::vector<LogLine>& lines, const std::string& request)
+{
+    RequestSpan span;
+    for (const auto& line : lines) {
+        if (textField(line.fields, "request") != request)
+            continue;
+        span.entries.insert(line.vm);
+        if (auto endpoint = textField(line.fields, "endpoint"); !endpoint.empty())
+            span.endpoints.insert(endpoint);
+        span.begin = std::min(span.begin, line.time - Milliseconds(numberField(line.fields, "total_ms")));
+        span.end = std::max(span.end, line.time);
+    }
+    return span;
+}
+
+static bool isAboutKnowledge(const LogLine& line)
+{
+    static const std::set<std::string> events { "store_lost", "store_regained", "took_peers_belief", "left_peers_belief", "started", "stopping", "reloaded", "log_lines_dropped" };
+    return events.count(line.event) != 0 || (line.event == "belief_changed" && textField(line.fields, "what") == "configuration");
+}
+
+static bool isAboutEndpoint(const LogLine& line, const std::set<std::string>& endpoints)
+{
+    auto key = textField(line.fields, "key");
+    auto isIt = [&](const std::string& endpoint) { return textField(line.fields, "endpoint") == endpoint || (key.size() > endpoint.size() && key.compare(key.size() - endpoint.size(), endpoint.size(), endpoint) == 0); };
+    bool isNews = line.event == "endpoint_crashed" || line.event == "engine_noticed" || line.event == "belief_changed";
+    return isNews && std::any_of(endpoints.begin(), endpoints.end(), isIt);
+}
+
+// Whether a line of another request or of none may explain the request.
+static bool mayExplain(const LogLine& line, const RequestSpan& span)
+{
+    bool isNear = line.time >= span.begin - timeBefore && line.time <= span.end;
+    bool isOfEntry = span.entries.count(line.vm) != 0;
+    return isNear && isOfEntry && (isAboutKnowledge(line) || isAboutEndpoint(line, span.endpoints));
+}
+
+std::string accountOf(const LogLines& read, const std::string& request)
+{
+    auto span = spanOf(read.lines, request);
+    if (span.entries.empty())
+        return {};
+    auto text = fmt::format("request {}\n", request);
+    for (const auto& line : read.lines) {
+        bool isOwn = textField(line.fields, "request") == request;
+        if (isOwn || mayExplain(line, span))
+            text += fmt::format("{:>+8} ms  {}{}  {}\n", (line.time - span.begin).count(), isOwn ? "" : "(meanwhile) ", line.vm, describe(line));
+    }
+    return text;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/ProcessFigures.cpp
@@ -0,0 +1,29 @@
+#include "ProcessFigures.h"
+
+#include "Metrics.h"
+
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace bilberry {
+
+static double seconds(const timeval& time)
+{
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+}
+
+void noteProcessFigures(Metrics& metrics)
+{
+    rusage usage {};
+    if (::getrusage(RUSAGE_SELF, &usage) == 0)
+        metrics.set("process_cpu_seconds", seconds(usage.ru_utime) + seconds(usage.ru_stime));
+    // Pages in all, and in memory.
+    double all = 0;
+    double resident = 0;
+    std::ifstream file("/proc/self/statm");
+    if (file >> all >> resident)
+        metrics.set("process_resident_memory_bytes", resident * static_cast<double>(::sysconf(_SC_PAGESIZE)));
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/ProcessFigures.h
@@ -0,0 +1,11 @@
+/// What the process itself uses.
+#pragma once
+
+namespace bilberry {
+
+class Metrics;
+
+/// Sets the gauges of processor time and memory. Thread safe.
+void noteProcessFigures(Metrics&);
+
+} // namespace bilberry
--- a/tests/process_platform_logs.py
+++ b/tests/process_platform_logs.py
@@ -2,8 +2,11 @@
 """Logs and metrics of an entry: a reader that stops reading slows no request and costs no memory; drops are counted; a reload
 changes bounds; three kinds of failed request can be told apart from their id alone."""
 
+import json
 import pathlib
 import signal
+import subprocess
+import tempfile
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -20,6 +23,20 @@
     return [line for line in node.lines if line.get("request") == request]
 
 
+def ctl(fleet, *arguments, text=""):
+    """Runs bilberryctl; gives (exit code, standard output, standard error)."""
+    result = subprocess.run([f"{fleet.build}/bilberryctl", *arguments], input=text, capture_output=True, text=True, timeout=30, check=False)
+    return result.returncode, result.stdout, result.stderr
+
+
+def explain(fleet, request):
+    """The account of a request from the logs of all processes, as an engineer gets it."""
+    log = "".join(json.dumps(line) + "\n" for node in fleet.nodes for line in list(node.lines))
+    code, account, error = ctl(fleet, "explain", request, text=log)
+    assert code == 0, (code, error)
+    return account
+
+
 def test_reader_that_stops(fleet):
     entry = fleet.start_entry(1, reads_log=False, log_lines_per_second=100000)
     fleet.wait_ready(entry)
@@ -54,6 +71,8 @@
     line = lines_of(entry, "walk1")[-1]
     assert (line["outcome"], line["runs"], line["reason"]) == ("refused", 0, "no_free_place"), line
     assert not any(change.get("what") == "endpoint_listed" and "empty" in change["key"] for change in entry.events("belief_changed"))
+    account = explain(fleet, "walk1")
+    assert "no endpoint had a free place" in account and "0 attempts that may have run and 0 that have not" in account, account
 
 
 def test_cut_in_mid_stream(fleet, entry):
@@ -63,6 +82,8 @@
     attempt, last = lines_of(entry, "walk2")
     assert (attempt["event"], attempt["endpoint"], attempt["result"]) == ("attempt_failed", "s1", "lost"), attempt
     assert (last["outcome"], last["reason"]) == ("cut_off", "lost"), last
+    account = explain(fleet, "walk2")
+    assert "attempt at s1 failed" in account and "cut_off" in account and "1 attempts that may have run" in account, account
 
 
 def test_lost_while_the_store_was_away(fleet, entry):
@@ -71,10 +92,33 @@
     harness.wait_until(lambda: lines_of(entry, "walk3") and lines_of(entry, "walk3")[-1]["reason"] == "revocations_unknown", 2, "its line is written")
     lost = entry.events("store_lost")
     assert lost and lost[-1]["time_ms"] < lines_of(entry, "walk3")[-1]["time_ms"]
+    account = explain(fleet, "walk3")
+    assert "revocations_unknown: the store was not heard for too long" in account and "store_lost" in account, account
     fleet.store.is_down = False
     harness.wait_until(lambda: entry.events("store_regained"), 5, "the store is back")
 
 
+def test_status_and_burn(fleet, entry):
+    address = entry.flags["metrics_listen"]
+    code, output, error = ctl(fleet, "status", f"--metrics={address}")
+    assert code == 0 and "entry" in output and "refused/no_free_place 1" in output and "cut_off/lost 1" in output, (code, output, error)
+    rows = json.loads(ctl(fleet, "status", "--json", f"--metrics={address}")[1])
+    assert rows[0]["memory_bytes"] > 1e6 and rows[0]["processor_seconds"] > 0 and rows[0]["in_progress"] == 0, rows
+    with tempfile.TemporaryDirectory() as folder:
+        page = pathlib.Path(folder) / "earlier"
+        page.write_text(fleet.metrics(entry))
+        assert [fleet.call(entry, "/plain/")[0] for _ in range(20)] == [200] * 20
+        code, output, error = ctl(fleet, "burn", f"--metrics={address}", f"--earlier={page}")
+        assert code == 0 and "20 good, 0 bad" in output, (code, output, error)
+        assert fleet.call(entry, "/empty/")[0] == 503
+        code, output, error = ctl(fleet, "burn", "--objective=0.99", f"--metrics={address}", f"--earlier={page}")
+        assert code == 1 and "20 good, 1 bad, burn rate 4.76" in output and "refused/no_free_place 1" in output, (code, output, error)
+    assert ctl(fleet, "status", "--metrics=127.0.0.1:1")[0] == 3
+    assert ctl(fleet, "burn", "--metrics=/nowhere/page")[0] == 3
+    assert ctl(fleet, "burn", "--objective=1", f"--metrics={address}")[0] == 2
+    assert ctl(fleet, "explain", "nobody", text="{}\n")[0] == 1
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -88,7 +132,7 @@
         entry = fleet.start_entry(2)
         fleet.wait_ready(entry)
         time.sleep(0.5)
-        for test in (test_reload, test_refused_before_any_endpoint, test_cut_in_mid_stream, test_lost_while_the_store_was_away):
+        for test in (test_reload, test_refused_before_any_endpoint, test_cut_in_mid_stream, test_lost_while_the_store_was_away, test_status_and_burn):
             test(fleet, entry)
             print(test.__name__, flush=True)
 
