--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -13,7 +13,7 @@
 static constexpr std::string_view piecePrefix = "/pieces/";
 static constexpr std::string_view importPrefix = "/imports/";
 // Longest time for a piece, a wait at its source included.
-static constexpr Milliseconds pieceTimeout { 4000 };
+static constexpr Milliseconds pieceTimeout { 2500 };
 // How often a peer that doesn't have a piece yet is asked before another one is.
 static constexpr uint32_t maxDenials = 4;
 // Pause before a piece is asked for again at the same place.
--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -13,7 +13,7 @@
 namespace bilberry {
 
 // How long a peer's request waits for a piece that is on its way here.
-static constexpr Milliseconds holdTime { 2500 };
+static constexpr Milliseconds holdTime { 2000 };
 static constexpr Milliseconds manifestHoldTime { 700 };
 // Share of the VM's link that uploads may take.
 static constexpr double uploadShare = 0.9;
