Let entries pause 150 ms between calls to the store

Cause: servers change their entries all the time, so that each entry called the store again 40 ms after each answer: half of all calls on the grown sites. Ruled out: longer waits (answers come at once while things change); the bounds on drains, keys and configurations begin at 2 s.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -14,6 +14,8 @@
 static constexpr ChannelTimes endpointTimes { Milliseconds(600), Milliseconds(1500) };
 // Longest wait of one call to the store, which bounds how old belief gets while the store answers.
 static constexpr Milliseconds storeWait { 1000 };
+// Pause between two calls, in which changes that come together gather: all entries share the store's rate.
+static constexpr Milliseconds storePause { 150 };
 // Share of the bound on revocations up to which keyed requests are let in, and up to which callers are wanted.
 static constexpr double revocationShare = 0.85;
 static constexpr double readyShare = 0.6;
@@ -55,7 +57,7 @@
     , scrapers(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeer(exchange); })
     , peerCaller(loop, Address())
-    , watch(loop, dialect.store, { settings.store, {}, storeWait, Milliseconds(700), Milliseconds(40) }, { [this](const std::vector<StoreChange>& items, BootTimePoint sentAt) { this->takeListing(items, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->takeChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->takeFailure(reason, failures); } })
+    , watch(loop, dialect.store, { settings.store, {}, storeWait, Milliseconds(700), storePause }, { [this](const std::vector<StoreChange>& items, BootTimePoint sentAt) { this->takeListing(items, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->takeChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->takeFailure(reason, failures); } })
     , timer(loop)
 {
 }
