--- a/src/BriefWatch.h
+++ b/src/BriefWatch.h
@@ -39,10 +39,12 @@
     BriefWatch(const BriefWatch&) = delete;
     BriefWatch& operator=(const BriefWatch&) = delete;
 
+    /// Asks the first entry. Does nothing when there are no seeds. Precondition: not called before.
     void start();
-    /// Whether the next briefs are wanted soon, with or without news.
+    /// Whether the next briefs are wanted soon, with or without news. Holds from the next question on, not for one that an entry
+    /// holds already.
     void hurry(bool);
-    /// IP number of the entry that answered last; empty when none did.
+    /// IP number of the entry that answered last; empty when none did, or when it has failed since.
     const std::string& entry() const;
 
 private:
--- a/src/Dialect.h
+++ b/src/Dialect.h
@@ -84,6 +84,7 @@
     absl::StatusOr<StorePage> (*readPage)(const std::string& body);
     absl::StatusOr<StoreChanges> (*readChanges)(const std::string& body);
     absl::StatusOr<StoreChange> (*readItem)(const std::string& body);
+    /// A kind of request that isn't known counts as one that runs at most once; numbers that are absent are zero.
     absl::StatusOr<RouteTable> (*readRouteTable)(const std::string& value);
     absl::StatusOr<EndpointRecord> (*readEndpoint)(const std::string& id, const std::string& value);
     absl::StatusOr<uint32_t> (*readWeightVersion)(const std::string& value);
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -28,7 +28,7 @@
     const std::vector<std::string>* accountRegions = nullptr;
     std::vector<std::string> tried; ///< Ids of endpoints that had the request before.
     uint32_t entries = 1; ///< That share the endpoints, this one included.
-    uint64_t entryKey = 0; ///< Another one for each entry.
+    uint64_t entryKey = 0; ///< Differs between entries: picks those that may use a new engine when they are more than its places.
     double coldRate = 0; ///< Requests per second that a cold endpoint may get from this entry.
 };
 
--- a/src/EntryDirectory.h
+++ b/src/EntryDirectory.h
@@ -22,9 +22,11 @@
     std::string dataCentre;
     std::map<std::string, Row> rows; ///< By IP number.
 
-    /// Learns of an entry that may exist, in a data centre where that is known.
+    /// Learns of an entry that may exist; `dataCentre` is empty while it isn't known. Beyond a bound no more are learned.
     void add(const std::string& ip, const std::string& dataCentre);
+    /// The entry has answered, and says where it is.
     void noteAnswer(const std::string& ip, const std::string& dataCentre);
+    /// The entry has not answered: it is avoided for a time that grows with each failure. Does nothing for an unknown one.
     void noteFailure(const std::string& ip, TimePoint now);
 };
 
--- a/src/LogAccount.h
+++ b/src/LogAccount.h
@@ -24,7 +24,7 @@
     size_t unreadable = 0; ///< Lines that are no log lines.
 };
 
-/// Reads JSON lines; what stands before the first brace of a line, such as a collector's prefix, is left out.
+/// Reads JSON lines to the end of the input; what stands before the first brace of a line, such as a collector's prefix, is left out.
 LogLines readLogLines(std::istream&);
 
 /// The account of a request; empty when no line bears its id. It holds the request's own lines, and what happened meanwhile
--- a/src/NodeReport.h
+++ b/src/NodeReport.h
@@ -28,10 +28,11 @@
     double memoryBytes = 0;
 };
 
-/// Thread safe.
+/// Takes the figures from a page of metrics; what the page doesn't have stays zero. Thread safe.
 NodeFigures readNodeFigures(const std::string& source, const std::vector<MetricSample>&);
 /// One line for a person, ended by a newline. Thread safe.
 std::string formatNodeFigures(const NodeFigures&);
+/// The same for a program. Thread safe.
 nlohmann::json toJson(const NodeFigures&);
 
 /// Requests between two readings, over all processes; a process that has started anew counts from its start. Thread safe.
@@ -47,6 +48,7 @@
 
 /// Precondition: 0 < objective < 1. Thread safe.
 NodeBurn burnOf(const RequestCounts&, double objective);
+/// Two lines for a person. Thread safe.
 std::string formatNodeBurn(const NodeBurn&, double objective);
 
 } // namespace bilberry
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -17,7 +17,7 @@
 // Peers that one message names, and how often they are named.
 static constexpr size_t namedPeers = 8;
 static constexpr Milliseconds namingInterval { 1000 };
-// Entries of other data centres, whose endpoints overlap less, hear each such message.
+// Entries of other data centres, which use other endpoints for the most part, hear one of so many messages.
 static constexpr uint64_t farEntriesHearEach = 3;
 
 struct PeerExchange::State {
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -14,7 +14,7 @@
 struct PeerExchangeSettings {
     std::string ip; ///< Own IP number.
     int port = 0; ///< Of all entries.
-    std::string dataCentre; ///< Entries there hear more often than others.
+    std::string dataCentre; ///< Own one; entries there hear more often than others.
     std::vector<std::string> seeds; ///< IP numbers of some entries, perhaps gone.
 };
 
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -43,7 +43,7 @@
 /// The entry heard of lately whose knowledge of the store is the newest, if it is newer than `ownAge`; empty when there is
 /// none. Thread safe.
 std::string freshestPeer(const PeerTable&, Milliseconds ownAge, TimePoint now);
-/// Entries of a data centre that were heard of lately. Thread safe.
+/// IP numbers of at most `most` entries of a data centre that were heard of lately. Thread safe.
 std::vector<std::string> neighbours(const PeerTable&, const std::string& dataCentre, size_t most, TimePoint now);
 /// IP numbers to name in messages. Thread safe.
 std::vector<std::string> livePeers(const PeerTable&, size_t most, TimePoint now);
--- a/src/ServiceBrief.h
+++ b/src/ServiceBrief.h
@@ -32,7 +32,7 @@
 struct ServiceBrief {
     Milliseconds age { 0 }; ///< Of what the entry knows.
     std::string dataCentre; ///< Of the entry.
-    std::vector<std::string> entries; ///< IP numbers of other entries in that data centre.
+    std::vector<std::string> entries; ///< IP numbers of some other entries in that data centre.
     ServedModel model;
     std::optional<Address> origin;
     std::string originDataCentre;
@@ -46,8 +46,9 @@
 /// The newest version that was named; zero when none was. Thread safe.
 uint32_t newestNamed(const ServiceBrief&);
 
+/// The brief as bytes (MessagePack). Thread safe.
 std::string encodeBrief(const ServiceBrief&);
-/// Fails for bytes that are no brief. Thread safe.
+/// Fails for bytes that are no brief of this layout. Thread safe.
 absl::StatusOr<ServiceBrief> decodeBrief(const std::string& bytes);
 
 } // namespace bilberry
