Test again that engines of other services are left out

The former test of listAgents checked it; its successor in ServiceBriefTest listed engines of one service alone, so that a check was lost in. With the filter taken out of describeService the test fails (3 engines, not 2), with it it passes. No program changes.

--- a/tests/ServiceBriefTest.cpp
+++ b/tests/ServiceBriefTest.cpp
@@ -50,6 +50,9 @@
     auto belief = makeBelief();
     belief.endpoints.put(engine("b", "10.0.0.2", 2), start);
     belief.endpoints.put(engine("a", "10.0.0.1", 3), start);
+    auto foreign = engine("c", "10.0.0.3", 3);
+    foreign.service = "other";
+    belief.endpoints.put(foreign, start);
     auto brief = describeService(belief, "writer", start);
     BOOST_REQUIRE(brief.has_value());
     BOOST_TEST(brief->model.name == "m");
