--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	python3 tests/check_tree.py
 
 lint: build
-	bash tests/lint.sh $(BUILD) $(JOBS)
+	python3 tests/lint.py $(BUILD) $(JOBS)
 
 # The unit tests that need it under the address and undefined-behaviour sanitizers.
 sanitize:
