Use a part of the fixed retries only in the first window of a process

Cause: a restarted entry had its whole share of the fixed retries again, though the process before it may have used it in the same window, so that the fleet could exceed its limit after restarts. In the first window, a process now takes the part that still keeps both within the limit.

--- a/src/RetryWindow.h
+++ b/src/RetryWindow.h
@@ -21,6 +21,9 @@
     static constexpr size_t bucketCount = 20;
     std::array<uint32_t, bucketCount> requests {};
     std::array<uint32_t, bucketCount> retries {};
+    /// When the first request was counted. What an earlier process on this VM retried isn't known, so only a part of the fixed
+    /// number is used until a whole window has passed.
+    TimePoint countingSince {};
     int64_t currentBucket = 0; ///< Number of the newest bucket, counted from the clock's epoch.
 };
 
--- a/tests/RetryWindowTest.cpp
+++ b/tests/RetryWindowTest.cpp
@@ -49,11 +49,35 @@
     }));
 }
 
+// A process that has just started doesn't know what the one before it on the VM has retried in the same window. Both together
+// stay within the limit.
+BOOST_AUTO_TEST_CASE(restartsDontMultiplyTheFixedNumber)
+{
+    RetryWindowLimits limits { 0.2, 20, Milliseconds(10'000) };
+    TimePoint now { std::chrono::hours(1) };
+    auto takeAll = [&](RetryWindow& counts) {
+        int taken = 0;
+        while (tryTakeRetry(counts, limits, 1, now))
+            ++taken;
+        return taken;
+    };
+    RetryWindow before;
+    before.countingSince = now - limits.window;
+    int taken = takeAll(before);
+    BOOST_TEST(taken == 16);
+    RetryWindow after;
+    taken += takeAll(after);
+    BOOST_TEST(taken == 20);
+    now += limits.window + Milliseconds(600);
+    BOOST_TEST(takeAll(after) == 16);
+}
+
 BOOST_AUTO_TEST_CASE(budgetIsRestoredAfterTheWindow)
 {
     RetryWindowLimits limits { 0.2, 10, Milliseconds(10'000) };
     RetryWindow counts;
     TimePoint now { std::chrono::hours(1) };
+    counts.countingSince = now - limits.window;
     int taken = 0;
     while (tryTakeRetry(counts, limits, 1, now))
         ++taken;
