--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace bilberry {
 
@@ -186,13 +187,21 @@
 }
 
 // Notifies entries directly, since the list of endpoints shows the version of an engine only after some delay. Version 0 tells
-// them to send no more requests to the engine until it has switched.
+// them to send no more requests to the engine until it has switched. The entries of the own data centre, which use the engine
+// most, pass the notice on.
 void AgentNode::notifyEntries(uint32_t version)
 {
     auto startedAt = static_cast<uint64_t>(this->engineReport->startedAtUnixMs.value_or(0));
     auto bytes = encodeNotice({ toText(*this->settings.engineAddress), version, startedAt + ++this->noticeCount });
+    std::set<std::string> entries;
     for (const auto& seed : this->settings.seedAddresses)
-        this->noticeSender.send(bytes, seed.host);
+        entries.insert(seed.host);
+    if (this->serviceSummary)
+        entries.insert(this->serviceSummary->entries.begin(), this->serviceSummary->entries.end());
+    if (!this->summaryWatch.currentEntry().empty())
+        entries.insert(this->summaryWatch.currentEntry());
+    for (const auto& entry : entries)
+        this->noticeSender.send(bytes, entry);
 }
 
 // Records when a version was named. Entries may have learned of it at different times; the earliest time is kept.
--- a/src/AttemptPolicy.cpp
+++ b/src/AttemptPolicy.cpp
@@ -1,9 +1,17 @@
 #include "AttemptPolicy.h"
 
+#include <algorithm>
+
 namespace bilberry {
 
 // Number of attempts that may end without running the request (refused or not connected) before it is given up.
 static constexpr int maxRefusals = 4;
+// The silence timeout is this many times the route's target latency, clamped to these bounds.
+static constexpr int silenceTimeoutFactor = 4;
+static constexpr Milliseconds minSilenceTimeout { 300 };
+static constexpr Milliseconds maxSilenceTimeout { 1500 };
+// Factor by which the silence timeout is longer while the request may wait in the endpoint's queue.
+static constexpr int queuedSilenceFactor = 2;
 // An endpoint can't make use of less time than this, so no attempt is started with less.
 static constexpr Milliseconds minAttemptTime { 20 };
 
@@ -22,6 +30,8 @@
         return "lost";
     case AttemptResult::Malformed:
         return "malformed";
+    case AttemptResult::Silent:
+        return "silent";
     case AttemptResult::TimedOut:
         return "timed_out";
     }
@@ -33,6 +43,13 @@
     return result != AttemptResult::NotExecuted && result != AttemptResult::NotSent;
 }
 
+Milliseconds silenceTimeout(const SilenceContext& context)
+{
+    auto timeout = std::clamp(context.targetLatency * silenceTimeoutFactor, minSilenceTimeout, maxSilenceTimeout);
+    bool mayBeQueued = context.isEndpointFull && context.isEndpointAlive;
+    return mayBeQueued ? timeout * queuedSilenceFactor : timeout;
+}
+
 void countAttempt(AttemptTotals& totals, AttemptResult result)
 {
     if (mayHaveRun(result))
--- a/src/AttemptPolicy.h
+++ b/src/AttemptPolicy.h
@@ -19,6 +19,7 @@
     NotSent, ///< No connection was made.
     Lost, ///< No complete response arrived; the request may have run.
     Malformed, ///< What arrived is no valid response to this request, which may have run.
+    Silent, ///< No byte arrived for too long on a connection that is still open; the request may run.
     TimedOut, ///< The deadline passed or the caller disconnected; the request may have run.
 };
 
@@ -28,6 +29,18 @@
 /// Whether the endpoint may have run the request. Thread safe.
 bool mayHaveRun(AttemptResult);
 
+/// What is known of an endpoint from which an attempt has received no byte for some time.
+struct SilenceContext {
+    Milliseconds targetLatency { 0 }; ///< The route's.
+    /// Whether the endpoint has at least as many requests as it runs concurrently, so that this one may wait in its queue.
+    bool isEndpointFull = false;
+    bool isEndpointAlive = false; ///< Whether the endpoint has answered other requests since the last byte of this attempt.
+};
+
+/// Returns the time without a byte after which an attempt of a repeatable request is abandoned. Under load, a request that
+/// waits in the queue of an endpoint that works isn't lost, and a retry would only add to the load. Thread safe.
+Milliseconds silenceTimeout(const SilenceContext&);
+
 /// Totals over the attempts of one request.
 struct AttemptTotals {
     int runs = 0; ///< Number of attempts that may have run the request.
--- a/src/ClusterView.cpp
+++ b/src/ClusterView.cpp
@@ -64,8 +64,10 @@
 
 static ClusterViewChange applyEndpoint(ClusterView& view, const StoreAdapter& adapter, const StoreKey& key, const StoreChange& change, TimePoint now, std::string& error)
 {
-    if (change.isRemoved)
+    if (change.isRemoved) {
+        view.departedEndpoints[key.name] = now;
         return removeEndpoint(view, key.name, now);
+    }
     auto record = adapter.parseEndpoint(key.name, change.value);
     if (!record.ok()) {
         // The record doesn't describe a usable endpoint.
@@ -74,7 +76,10 @@
     }
     auto found = view.endpoints.rowById.find(key.name);
     bool hasChanged = found == view.endpoints.rowById.end() || !view.endpoints.rows[found->second].isListed || differs(view.endpoints.rows[found->second].record, *record);
-    view.endpoints.upsert(*record, now);
+    view.departedEndpoints.erase(key.name);
+    auto& row = view.endpoints.rows[view.endpoints.upsert(*record, now)];
+    row.heldUntil = TimePoint();
+    row.isWrittenInEra = true;
     if (!hasChanged)
         return ClusterViewChange::None;
     return record->isDraining ? ClusterViewChange::EndpointDraining : ClusterViewChange::EndpointListed;
@@ -82,6 +87,12 @@
 
 static ClusterViewChange applyDataCentre(ClusterView& view, const StoreKey& key, const StoreChange& change)
 {
+    view.rewrittenEvacuations.insert(key.name);
+    view.heldEvacuations.erase(key.name);
+    if (change.isRemoved)
+        view.listedEvacuations.erase(key.name);
+    else
+        view.listedEvacuations.insert(key.name);
     if (change.isRemoved)
         return view.evacuatedDataCentres.erase(key.name) > 0 ? ClusterViewChange::DataCentreRestored : ClusterViewChange::None;
     return view.evacuatedDataCentres.insert(key.name).second ? ClusterViewChange::DataCentreEvacuated : ClusterViewChange::None;
@@ -131,14 +142,20 @@
         else if (key.kind == StoreKeyKind::DataCentreEvacuation)
             evacuatedDataCentres.insert(key.name);
     }
-    view.evacuatedDataCentres = std::move(evacuatedDataCentres);
+    view.listedEvacuations = std::move(evacuatedDataCentres);
+    view.evacuatedDataCentres = view.listedEvacuations;
+    view.evacuatedDataCentres.insert(view.heldEvacuations.begin(), view.heldEvacuations.end());
     std::vector<std::string> unlistedEndpoints;
     for (const auto& [id, row] : view.endpoints.rowById) {
         if (endpoints.count(id) == 0)
             unlistedEndpoints.push_back(id);
     }
-    for (const auto& id : unlistedEndpoints)
+    for (const auto& id : unlistedEndpoints) {
+        // Endpoints that registered in the seconds that the store has lost haven't departed.
+        if (now >= view.eraHoldUntil)
+            view.departedEndpoints[id] = now;
         removeEndpoint(view, id, now);
+    }
 }
 
 Milliseconds ageOf(const ClusterView& view, BootTimePoint now)
--- a/src/ClusterView.h
+++ b/src/ClusterView.h
@@ -19,13 +19,20 @@
 struct ClusterView {
     EntryConfigurationPointer routes; ///< Null until a configuration has been read.
     EndpointTable endpoints;
-    std::set<std::string> evacuatedDataCentres;
+    std::set<std::string> evacuatedDataCentres; ///< The listed and the held ones; no request may be sent to them.
     std::map<std::string, NamedVersions> namedVersions; ///< The versions that operators have named; the key is the model.
     BootTimePoint confirmedAt {}; ///< When the last call that confirmed this view was sent.
     bool isConfirmed = false; ///< Whether any call has confirmed this view.
     /// How long before this entry reads it a version may have been named; a version is taken as named that long before it
     /// is read.
     Milliseconds namingTimeOffset { 0 };
+    uint64_t era = 0; ///< The store's era, see StoreEra.h; zero while no answer has stated it.
+    TimePoint eraHoldUntil {}; ///< Until when what was known before the store's last loss is held; the default value without one.
+    /// When endpoints were removed, or were draining when the store lost changes; the key is the id. Kept for a limited time.
+    std::map<std::string, TimePoint> departedEndpoints;
+    std::set<std::string> listedEvacuations; ///< The evacuated data centres by the store's current era.
+    std::set<std::string> heldEvacuations; ///< Those that the earlier era showed and that haven't been written since.
+    std::set<std::string> rewrittenEvacuations; ///< Data centres whose evacuation was set or ended since the store's last loss.
     TimePoint outageEndedAt {}; ///< When the store answered again after its last outage.
     uint64_t unreadableItems = 0; ///< Number of items that could not be parsed.
 };
@@ -51,8 +58,8 @@
 /// a value is removed. A removed endpoint stays listed until EndpointRow::listedUntil. Not thread safe.
 ClusterViewChange applyStoreChange(ClusterView&, const StoreAdapter&, const StoreChange&, TimePoint now, std::string& error);
 
-/// Removes endpoints and evacuations of data centres that a complete listing doesn't contain. The configuration and named
-/// versions stay. Not thread safe.
+/// Removes endpoints and evacuations of data centres that a complete listing doesn't contain. The configuration, named
+/// versions and held evacuations stay. Not thread safe.
 void removeUnlistedItems(ClusterView&, const StoreAdapter&, const std::vector<StoreChange>& listing, TimePoint now);
 
 /// Returns the age of the view, or Milliseconds::max() when no call has confirmed it. Thread safe.
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -53,7 +53,7 @@
 {
     const auto& record = row.record;
     bool isInService = row.isListed && now < row.listedUntil && !record.isDraining && record.service == requirements.service;
-    if (!isInService || now < row.avoidUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
+    if (!isInService || now < row.avoidUntil || now < row.heldUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
         return false;
     auto region = regionOfDataCentre(location, record.dataCentre);
     if (!isRegionAllowed(requirements.routeRegions, region) || !isRegionAllowed(requirements.accountRegions, region))
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -5,8 +5,11 @@
 namespace bilberry {
 
 // Age up to which a load report counts in full, and the age from which it is ignored.
-static constexpr Milliseconds freshLoadReportAge { 300 };
-static constexpr Milliseconds staleLoadReportAge { 1500 };
+static constexpr Milliseconds freshLoadReportAge { 200 };
+static constexpr Milliseconds staleLoadReportAge { 1000 };
+// Time for which an engine that refused a request because of a version switch gets no other one, unless a notice or the list
+// of endpoints shows earlier that it serves again.
+static constexpr Milliseconds assumedSwitchTime { 500 };
 // Number of consecutive failures from which an endpoint is avoided, and the bounds of the time for which it is avoided.
 static constexpr int minFailuresToAvoid = 2;
 static constexpr Milliseconds shortestAvoidTime { 250 };
@@ -91,21 +94,26 @@
 
 void noteLoadReport(EndpointRow& row, const LoadReport& load, TimePoint now)
 {
-    uint32_t total = load.running + load.waiting;
-    row.reportedOthersInFlight = total > row.inFlight ? total - row.inFlight : 0;
+    auto stated = static_cast<int>(load.running + load.waiting);
+    row.unknownInFlight = stated - static_cast<int>(row.inFlight + row.peersInFlight);
     row.loadReportedAt = now;
 }
 
+void noteSwitching(EndpointRow& row, TimePoint now)
+{
+    row.weightSwitchUntil = std::max(row.weightSwitchUntil, now + assumedSwitchTime);
+}
+
 double estimatedLoad(const EndpointRow& row, TimePoint now)
 {
-    double reportedByEntries = row.inFlight + row.peersInFlight;
+    double known = row.inFlight + row.peersInFlight;
     auto age = now - row.loadReportedAt;
-    if (row.arePeerLoadsCurrent || age >= staleLoadReportAge)
-        return reportedByEntries;
+    if (age >= staleLoadReportAge)
+        return known;
     double weight = 1;
     if (age > freshLoadReportAge)
         weight = std::chrono::duration<double>(staleLoadReportAge - age) / (staleLoadReportAge - freshLoadReportAge);
-    return std::max(reportedByEntries, row.inFlight + weight * row.reportedOthersInFlight);
+    return std::max<double>(row.inFlight, known + weight * row.unknownInFlight);
 }
 
 } // namespace bilberry
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -21,15 +21,18 @@
     /// When the endpoint stops counting as listed, after its record was removed from the store. The record may be gone
     /// only briefly.
     TimePoint listedUntil = TimePoint::max();
+    TimePoint heldUntil {}; ///< Until when the endpoint isn't used because an earlier era of the store showed that it leaves.
+    bool isWrittenInEra = false; ///< Whether a change of the store's current era brought the record, not a listing.
     TimePoint coldUntil {}; ///< Until when the endpoint is cold.
     /// Until when the other entries' requests at the endpoint aren't known. Until then, this entry uses only its share of
     /// the slots, as each entry does.
     TimePoint peerLoadUnknownUntil {};
     uint32_t inFlight = 0; ///< The number of this entry's requests at the endpoint.
     uint32_t peersInFlight = 0; ///< The number of the other entries' requests, as these entries report it.
-    bool arePeerLoadsCurrent = false; ///< Whether all other entries have reported recently.
-    uint32_t reportedOthersInFlight = 0; ///< The number of other entries' requests, from the endpoint's last load report.
+    /// By how much the endpoint's last load report exceeded the requests that this entry knew of then; negative if it was lower.
+    int unknownInFlight = 0;
     TimePoint loadReportedAt {}; ///< When that load report was received.
+    TimePoint lastHeardAt {}; ///< When the endpoint last sent bytes of an answer.
     int consecutiveFailures = 0; ///< The number of failed attempts since the last good answer.
     TimePoint avoidUntil {}; ///< Until when the endpoint is avoided after consecutive failures.
     TimePoint weightSwitchUntil {}; ///< The latest end of a version switch that is in progress at the engine.
@@ -61,9 +64,10 @@
 void noteOutcome(EndpointRow&, bool isSuccess, TimePoint now);
 /// Records a load report of the endpoint.
 void noteLoadReport(EndpointRow&, const LoadReport&, TimePoint now);
-/// Estimates the number of requests of all entries at the endpoint: from what the entries report, and also from the
-/// endpoint's own load report when some entries haven't reported recently. The weight of a load report falls with its age.
-/// Thread safe.
+/// Records that the endpoint refused a request because it is switching to other weights.
+void noteSwitching(EndpointRow&, TimePoint now);
+/// Estimates the number of requests of all entries at the endpoint: those that the entries report, corrected by what the
+/// endpoint's own last load report stated beyond them. The weight of the correction falls with its age. Thread safe.
 double estimatedLoad(const EndpointRow&, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
+#include "StoreEra.h"
 
 #include <algorithm>
 
@@ -10,6 +11,10 @@
 
 // Time between two runs of the periodic tasks.
 static constexpr Milliseconds tickInterval { 20 };
+// Longest time between two updates of the peers' loads in the table of endpoints.
+static constexpr Milliseconds peerLoadsInterval { 200 };
+// Time after the start within which the configuration isn't used before a peer was heard from.
+static constexpr Milliseconds peerWaitAfterStart { 500 };
 // Time limits of connections to endpoints.
 static constexpr ChannelTimeouts endpointTimes { Milliseconds(600), Milliseconds(1500) };
 // Longest time for which the store may hold one call; bounds the age of the cluster view while the store answers.
@@ -47,7 +52,7 @@
     , channels(loop, endpointTimes)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
     , peers(
-          loop, peerSettings(settings), [this](PeerMessage& message) { this->fillPeerMessage(message); }, [this](const PeerMessage& message) { this->applyPeerMessage(message); },
+          loop, peerSettings(settings), [this](PeerMessage& message, PeerMessageScope scope) { this->fillPeerMessage(message, scope); }, [this](const PeerMessage& message) { this->applyPeerMessage(message); },
           [this](const EngineNotice& notice) { this->handleAgentNotice(notice); })
     , callerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRequestNumber++;
@@ -59,7 +64,7 @@
     , metricsServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeerRequest(exchange); })
     , peerCaller(loop, Address())
-    , storeWatch(loop, adapter.store, { settings.storeAddress, {}, storeLongPollWait, Milliseconds(700), storePause }, { [this](const std::vector<StoreChange>& items, BootTimePoint sentAt) { this->applyListing(items, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->applyChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->handleStoreFailure(reason, failures); } })
+    , storeWatch(loop, adapter.store, { settings.storeAddress, {}, storeLongPollWait, Milliseconds(700), storePause }, { [this](const std::vector<StoreChange>& items, uint64_t era, BootTimePoint sentAt) { this->applyListing(items, era, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->applyChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->handleStoreFailure(reason, failures); } })
     , tickTimer(loop)
 {
 }
@@ -85,6 +90,7 @@
         status = this->peerServer.listen({ this->settings.ownIp, this->settings.peerPort });
     if (!status.ok())
         return status;
+    this->startedAt = Clock::now();
     this->storeWatch.start();
     this->scheduleTick();
     return absl::OkStatus();
@@ -115,12 +121,34 @@
     this->confirmView(sentAt);
 }
 
-void EntryNode::applyChange(const StoreChange& change, TimePoint now)
+// Notes the store's era. When it rises, what was known before is held until it has been written again (see StoreEra.h).
+void EntryNode::noteEra(uint64_t era, TimePoint now)
 {
-    if (!this->storeReplica.applyChange(change, now))
+    auto known = this->clusterView.era;
+    if (!noteStoreEra(this->clusterView, era, now))
+        return;
+    this->metrics.addToCounter("bilberry_store_losses_total");
+    this->log.write(LogLevel::Warning, "store_lost_changes", { { "era", era }, { "known_era", known } });
+}
+
+void EntryNode::applyChange(const StoreChange& change, bool isListed, TimePoint now)
+{
+    bool isOfEarlierEra = change.era < this->clusterView.era;
+    if (!isOfEarlierEra && !this->storeReplica.isNewer(change))
         return;
     std::string error;
-    auto effect = applyStoreChange(this->clusterView, this->adapter.store, change, now, error);
+    const auto& store = this->adapter.store;
+    auto effect = isOfEarlierEra ? applyEarlierChange(this->clusterView, store, change, now, error)
+        : isListed               ? applyListedItem(this->clusterView, store, change, now, error)
+                                 : applyStoreChange(this->clusterView, store, change, now, error);
+    // The replica keeps the configuration and the versions that are in force, which peers may have to learn from it.
+    auto kind = store.parseKey(change.key).kind;
+    bool onlyIncreases = kind == StoreKeyKind::Configuration || kind == StoreKeyKind::WeightVersion;
+    bool isSuperseded = (onlyIncreases || isOfEarlierEra) && effect == ClusterViewChange::None;
+    if (isSuperseded)
+        this->storeReplica.noteVersion(change);
+    else
+        this->storeReplica.put(change, now);
     if (effect == ClusterViewChange::None)
         return;
     if (effect == ClusterViewChange::Unreadable) {
@@ -133,19 +161,20 @@
         limits.maxConnections = static_cast<size_t>(this->settings.maxFileDescriptors) / 2;
         this->callerServer.setLimits(limits);
     }
-    this->log.write(LogLevel::Info, "belief_changed", { { "what", toText(effect) }, { "key", change.key }, { "revision", change.revision }, { "generation", this->clusterView.routes ? this->clusterView.routes->generation : 0 } });
+    this->log.write(LogLevel::Info, "belief_changed", { { "what", toText(effect) }, { "key", change.key }, { "revision", change.revision }, { "era", change.era }, { "generation", this->clusterView.routes ? this->clusterView.routes->generation : 0 } });
 }
 
-void EntryNode::applyListing(const std::vector<StoreChange>& items, BootTimePoint sentAt)
+void EntryNode::applyListing(const std::vector<StoreChange>& items, uint64_t era, BootTimePoint sentAt)
 {
     auto now = Clock::now();
+    this->noteEra(era, now);
     // The versions in the first listing may have been named long before. They are taken as named so long ago that just the
     // recovery grace period is left for the switch.
     const auto& bounds = this->settings.reloadable;
     this->clusterView.namingTimeOffset = this->clusterView.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
     this->confirmViewByStore(sentAt);
     for (const auto& item : items)
-        this->applyChange(item, now);
+        this->applyChange(item, true, now);
     this->clusterView.namingTimeOffset = Milliseconds(0);
     removeUnlistedItems(this->clusterView, this->adapter.store, items, now);
     this->dispatchRequestsAwaitingConfiguration(now);
@@ -157,15 +186,31 @@
     auto now = Clock::now();
     this->confirmViewByStore(sentAt);
     for (const auto& change : changes)
-        this->applyChange(change, now);
+        this->applyChange(change, false, now);
     if (!changes.empty())
         this->dispatchRequestsAwaitingConfiguration(now);
 }
 
+// Whether the entry has a configuration and, for a short time after its start, whether no peer is known to have a newer one:
+// the store may have lost changes shortly before, and its answer alone may bring back a key that was withdrawn.
+bool EntryNode::isConfigurationCurrent(TimePoint now) const
+{
+    if (!this->clusterView.routes)
+        return false;
+    if (this->settings.peerPort == 0 || now - this->startedAt >= peerWaitAfterStart)
+        return true;
+    return hasHeardPeer(this->peers.table()) && peerWithNewerConfiguration(this->peers.table(), this->clusterView.routes->generation, now).empty();
+}
+
+bool hasCurrentConfiguration(const EntryNode& node, TimePoint now)
+{
+    return node.isConfigurationCurrent(now);
+}
+
 // Dispatches the requests that arrived before the first configuration.
 void EntryNode::dispatchRequestsAwaitingConfiguration(TimePoint now)
 {
-    if (!this->clusterView.routes || this->requestsAwaitingConfiguration.empty())
+    if (this->requestsAwaitingConfiguration.empty() || !this->isConfigurationCurrent(now))
         return;
     auto numbers = std::move(this->requestsAwaitingConfiguration);
     this->requestsAwaitingConfiguration.clear();
@@ -199,7 +244,7 @@
 bool isReady(const EntryNode& node, BootTimePoint now)
 {
     bool isStopping = node.stopRequestedAt != TimePoint::max();
-    if (isStopping || !node.clusterView.routes)
+    if (isStopping || !hasCurrentConfiguration(node, Clock::now()))
         return false;
     auto isUsable = [](const EndpointRow& row) { return row.isListed && !row.record.isDraining; };
     const auto& rows = node.clusterView.endpoints.rows;
@@ -225,19 +270,23 @@
     for (uint64_t fingerprint : fingerprints) {
         CrashReport report { fingerprint, endpoint };
         if (node.crashes.addReport(report, now))
-            node.recentCrashes.push_back({ report, now + peerReportRepeatTime });
+            node.peerReports.addCrash(report, ReportSource::Own, now);
     }
     node.hasChangesForPeers = true;
     node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", endpointId }, { "requests", static_cast<uint64_t>(fingerprints.size()) } });
 }
 
-// Removes crashes and notices that have been sent to the peers for long enough, and expired crash and refusal records.
+void reportSwitchingEngine(EntryNode& node, EndpointRow& row, TimePoint now)
+{
+    noteSwitching(row, now);
+    if (node.peerReports.addSwitchingEngine(endpointHash(row.record.id), ReportSource::Own, now))
+        node.hasChangesForPeers = true;
+}
+
+// Removes events that have been sent to the peers for long enough, and expired crash and refusal records.
 static void removeExpiredReports(EntryNode& node, TimePoint now)
 {
-    auto isOldCrash = [&](const EntryNode::RecentCrash& recent) { return now >= recent.until; };
-    auto isOldNotice = [&](const EntryNode::RecentNotice& recent) { return now >= recent.until; };
-    node.recentCrashes.erase(std::remove_if(node.recentCrashes.begin(), node.recentCrashes.end(), isOldCrash), node.recentCrashes.end());
-    node.recentNotices.erase(std::remove_if(node.recentNotices.begin(), node.recentNotices.end(), isOldNotice), node.recentNotices.end());
+    node.peerReports.removeExpired(now);
     node.crashes.removeExpired(now);
     node.refusals.removeExpired(now);
     node.ownRefusals.removeExpired(now);
@@ -320,10 +369,17 @@
     auto now = Clock::now();
     for (const auto& endpointId : this->clusterView.endpoints.removeUnusedRows(now))
         this->channels.closeIdleChannels(endpointId);
-    this->updatePeerLoads(now);
+    // Each message updates the loads, so that here only those of peers that have fallen silent need to go.
+    if (now - this->peerLoadsUpdatedAt >= peerLoadsInterval)
+        this->updatePeerLoads(now);
     this->requestStoreDelta(now);
     this->answerDueSummaryRequests(now);
     this->storeReplica.removeExpiredTombstones(now);
+    bool isHolding = now < this->clusterView.eraHoldUntil;
+    expireEraHold(this->clusterView, now);
+    if (!isHolding)
+        this->storeReplica.removeEarlierEras(this->adapter.store.configurationKey, this->adapter.store.versionPrefix);
+    this->dispatchRequestsAwaitingConfiguration(now);
     removeExpiredReports(*this, now);
     checkRequestTimeouts(*this, now);
     for (const auto& [service, queue] : this->queues)
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -11,6 +11,7 @@
 #include "Metrics.h"
 #include "NodeSettings.h"
 #include "PeerExchange.h"
+#include "PeerReports.h"
 #include "ProtocolAdapter.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
@@ -25,9 +26,6 @@
 
 class ProxiedRequest;
 
-/// How long a crash or a notice is repeated in messages to the peers, since datagrams may be lost.
-constexpr Milliseconds peerReportRepeatTime { 300 };
-
 /// Used by the loop's thread only.
 struct EntryNode {
     /// Preconditions: loop and log outlive the node.
@@ -42,6 +40,8 @@
     void reload(const ReloadableSettings&);
     /// Stops accepting requests from new callers, finishes the active requests, and then stops the loop.
     void beginStop();
+    /// See hasCurrentConfiguration().
+    bool isConfigurationCurrent(TimePoint now) const;
 
     EventLoop& loop;
     NodeSettings settings;
@@ -60,18 +60,7 @@
     RefusalHistory ownRefusals; ///< The refused requests of this entry, which are reported to the peers.
     /// Seeded from the VM's name and the boot clock; used to choose services and endpoints and to spread retry delays.
     std::mt19937_64 random;
-    /// A crash that is reported to the peers until the given time.
-    struct RecentCrash {
-        CrashReport report;
-        TimePoint until {};
-    };
-    /// An engine's notice that is forwarded to the peers until the given time.
-    struct RecentNotice {
-        EngineNotice notice;
-        TimePoint until {};
-    };
-    std::vector<RecentCrash> recentCrashes;
-    std::vector<RecentNotice> recentNotices;
+    PeerReports peerReports; ///< Events that are passed on to the peers.
     /// Whether there are changes since the last message to the peers. It is set with each new crash, notice or refusal and
     /// with each change of the load, and lets the next message be sent earlier.
     bool hasChangesForPeers = false;
@@ -88,26 +77,30 @@
         TimePoint until {};
     };
 
-    void applyListing(const std::vector<StoreChange>&, BootTimePoint sentAt);
+    void applyListing(const std::vector<StoreChange>&, uint64_t era, BootTimePoint sentAt);
     void applyChanges(const std::vector<StoreChange>&, BootTimePoint sentAt);
     void handleStoreFailure(const std::string& reason, int failures);
     void confirmView(BootTimePoint sentAt);
-    void applyChange(const StoreChange&, TimePoint now);
+    void noteEra(uint64_t era, TimePoint now);
+    void applyChange(const StoreChange&, bool isListed, TimePoint now);
     void answerReadiness(const std::shared_ptr<ServerExchange>&);
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
     void scheduleTick();
     void tick();
     void dispatchRequestsAwaitingConfiguration(TimePoint now);
-    void fillPeerMessage(PeerMessage&);
+    void fillPeerMessage(PeerMessage&, PeerMessageScope);
     void applyPeerMessage(const PeerMessage&);
     void handleAgentNotice(const EngineNotice&);
     void applyNotice(const EngineNotice&);
+    void applySwitchingEngine(uint32_t endpointHash, TimePoint now);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
     void answerStoreDelta(const std::shared_ptr<ServerExchange>&);
     void handleSummaryRequest(const std::shared_ptr<ServerExchange>&);
     void answerDueSummaryRequests(TimePoint now);
     std::optional<ServiceSummary> makeSummary(const std::string& service, TimePoint now) const;
     void requestStoreDelta(TimePoint now);
+    std::string peerToAsk(TimePoint now) const;
+    void adoptView(const StoreDelta&, const std::string& peer, BootTimePoint confirmedAt, TimePoint now);
     void applyStoreDelta(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmViewByStore(BootTimePoint sentAt);
     void updatePeerLoads(TimePoint now);
@@ -119,6 +112,8 @@
     AsyncHttpServer peerServer;
     HttpCaller peerCaller;
     StoreReplica storeReplica;
+    TimePoint peerLoadsUpdatedAt {}; ///< When the loads of peers were last copied into the table of endpoints.
+    TimePoint startedAt {};
     TimePoint deltaRequestedAt {}; ///< When a peer was last asked for a store delta.
     std::vector<PendingSummaryRequest> pendingSummaryRequests;
     bool isViewFromPeer = false; ///< Whether the cluster view was last confirmed by a peer, not by the store.
@@ -130,6 +125,9 @@
 /// Returns whether the entry is ready for new callers: it has a configuration and usable endpoints, its cluster view isn't
 /// too old, and it isn't stopping.
 bool isReady(const EntryNode&, BootTimePoint now);
+/// Returns whether the entry has a configuration that it may use. Shortly after the start, it may not use the store's before
+/// its peers have been asked for a newer one.
+bool hasCurrentConfiguration(const EntryNode&, TimePoint now);
 /// Returns whether new requests are accepted: always before a stop is requested, and after it for the time in which the load
 /// balancer may still send some. Thread safe.
 bool acceptsRequests(const EntryNode&, TimePoint now);
@@ -140,6 +138,8 @@
 void dispatchWaitingRequests(EntryNode&, const std::string& service);
 /// Records the requests that were running at an endpoint when it crashed, and reports them to the peers.
 void reportCrash(EntryNode&, const std::vector<uint64_t>& fingerprints, const std::string& endpointId, TimePoint now);
+/// Records that an engine refused a request because of a version switch, and reports it to the peers.
+void reportSwitchingEngine(EntryNode&, EndpointRow&, TimePoint now);
 /// Returns the number of entries that are assumed to share the fleet's retry budget, the rate of requests to cold endpoints
 /// and the slots of endpoints, this one included.
 uint32_t entryCount(const EntryNode&);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
+#include <optional>
 
 namespace bilberry {
 
@@ -21,65 +23,79 @@
 static constexpr Milliseconds minAgeGainFromPeer { 300 };
 // Least time between two requests for a store delta.
 static constexpr Milliseconds storeDeltaInterval { 400 };
+// Time after the start within which a peer with a newer configuration is asked for it.
+static constexpr Seconds configurationCheckTime { 10 };
 // Timeout of a request for a store delta.
 static constexpr Milliseconds storeDeltaTimeout { 1000 };
 // Longest duration of a version switch of an engine; after it the engine is used again as its store record says.
 static constexpr Milliseconds maxWeightSwitchTime { 5000 };
+// Time for which a refused request is kept in messages, since datagrams may be lost.
+static constexpr Milliseconds refusalRepeatTime { 300 };
 // Largest number of refused requests in one message.
 static constexpr size_t maxRefusalsPerMessage = 40;
 static constexpr std::string_view storeDeltaPathPrefix = "/store/";
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
-void EntryNode::fillPeerMessage(PeerMessage& message)
+void EntryNode::fillPeerMessage(PeerMessage& message, PeerMessageScope scope)
 {
+    auto now = Clock::now();
     message.isStopping = this->stopRequestedAt != TimePoint::max();
     message.viewAge = ageOf(this->clusterView, BootClock::now());
     message.dataCentre = this->settings.location.dataCentre;
+    message.storeVersion = this->storeReplica.version;
+    message.storeVersion.era = this->clusterView.era;
+    message.generation = this->clusterView.routes ? this->clusterView.routes->generation : 0;
     for (const auto& row : this->clusterView.endpoints.rows) {
         if (row.inFlight > 0)
             message.loads.push_back({ endpointHash(row.record.id), row.inFlight });
     }
-    auto now = Clock::now();
-    for (const auto& recent : this->recentCrashes) {
-        if (now < recent.until)
-            message.crashes.push_back(recent.report);
-    }
-    for (const auto& recent : this->recentNotices) {
-        if (now < recent.until)
-            message.notices.push_back(recent.notice);
-    }
-    message.refusals = refusalsSince(this->ownRefusals, now - peerReportRepeatTime, maxRefusalsPerMessage, now);
+    this->peerReports.fillMessage(message, scope);
+    if (scope != PeerMessageScope::Near)
+        return;
+    // Callers come back to entries of the same data centre.
+    message.refusals = refusalsSince(this->ownRefusals, now - refusalRepeatTime, maxRefusalsPerMessage, now);
     this->hasChangesForPeers = false;
 }
 
 void EntryNode::applyPeerMessage(const PeerMessage& message)
 {
     auto now = Clock::now();
-    for (const auto& crash : message.crashes)
-        this->crashes.addReport(crash, now);
-    for (const auto& notice : message.notices)
+    bool isNear = message.dataCentre == this->settings.location.dataCentre;
+    auto source = isNear ? ReportSource::SameDataCentre : ReportSource::OtherDataCentre;
+    for (const auto& crash : message.crashes) {
+        if (this->crashes.addReport(crash, now))
+            this->peerReports.addCrash(crash, source, now);
+    }
+    for (const auto& notice : message.notices) {
+        this->peerReports.addNotice(notice, source, now);
         this->applyNotice(notice);
+    }
+    for (uint32_t engine : message.switchingEngines) {
+        if (this->peerReports.addSwitchingEngine(engine, source, now))
+            this->applySwitchingEngine(engine, now);
+    }
     for (const auto& refusal : message.refusals)
         this->refusals.addRefusal(refusal.fingerprint, now - refusal.timeSinceFirstArrival, now);
+    this->updatePeerLoads(now);
 }
 
-// Handles a notice that comes directly from an agent. It is forwarded to the peers, since an agent knows only some entries.
+// Handles a notice that comes directly from an agent. It is passed on to the peers, since an agent knows only some entries.
 void EntryNode::handleAgentNotice(const EngineNotice& notice)
 {
-    auto isSame = [&](const RecentNotice& recent) { return recent.notice.address == notice.address; };
-    auto known = std::find_if(this->recentNotices.begin(), this->recentNotices.end(), isSame);
-    // An agent sends each notice several times; only the first one is forwarded to the peers.
-    bool isNew = known == this->recentNotices.end() || known->notice.version != notice.version;
-    if (isNew) {
-        if (known != this->recentNotices.end())
-            this->recentNotices.erase(known);
-        this->recentNotices.push_back({ notice, Clock::now() + peerReportRepeatTime });
+    if (this->peerReports.addNotice(notice, ReportSource::Own, Clock::now()))
         this->hasChangesForPeers = true;
-    }
     this->applyNotice(notice);
 }
 
+void EntryNode::applySwitchingEngine(uint32_t engine, TimePoint now)
+{
+    for (auto& row : this->clusterView.endpoints.rows) {
+        if (row.isListed && row.record.isModelEngine && endpointHash(row.record.id) == engine)
+            noteSwitching(row, now);
+    }
+}
+
 void EntryNode::applyNotice(const EngineNotice& notice)
 {
     auto now = Clock::now();
@@ -98,34 +114,74 @@
     }
 }
 
-// Answers a peer's request for /store/REVISION with the changes since that revision.
+// Reads the version from the path /store/ERA/REVISION.
+static std::optional<StoreVersion> parseDeltaPath(const std::string& path)
+{
+    StoreVersion version;
+    std::vector<std::string> fields = absl::StrSplit(path, '/', absl::SkipEmpty());
+    bool isDeltaPath = fields.size() == 3 && path.rfind(storeDeltaPathPrefix, 0) == 0 && absl::SimpleAtoi(fields[1], &version.era) && absl::SimpleAtoi(fields[2], &version.revision);
+    return isDeltaPath ? std::optional<StoreVersion>(version) : std::nullopt;
+}
+
+// Answers a peer's request for /store/ERA/REVISION with the changes since that version.
 void EntryNode::answerStoreDelta(const std::shared_ptr<ServerExchange>& exchange)
 {
-    uint64_t revision = 0;
-    std::string_view path = exchange->request().path;
-    bool isDeltaPath = path.substr(0, storeDeltaPathPrefix.size()) == storeDeltaPathPrefix && absl::SimpleAtoi(absl::string_view(path.data() + storeDeltaPathPrefix.size(), path.size() - storeDeltaPathPrefix.size()), &revision);
-    if (!isDeltaPath || !this->clusterView.isConfirmed) {
-        exchange->sendResponse(isDeltaPath ? 503 : 404, {}, {});
+    auto version = parseDeltaPath(exchange->request().path);
+    if (!version || !this->clusterView.isConfirmed) {
+        exchange->sendResponse(version ? 503 : 404, {}, {});
         return;
     }
-    StoreDelta delta { ageOf(this->clusterView, BootClock::now()), this->storeReplica.revision, changesAfter(this->storeReplica, revision) };
+    StoreDelta delta { ageOf(this->clusterView, BootClock::now()), this->storeReplica.version, changesAfter(this->storeReplica, *version) };
+    delta.version.era = this->clusterView.era;
     exchange->sendResponse(200, { { "Content-Type", "application/msgpack" } }, encodeStoreDelta(delta));
 }
 
-// Requests a store delta from the peer with the most recent cluster view while the store doesn't answer.
-void EntryNode::requestStoreDelta(TimePoint now)
+// Returns the peer to ask for a store delta: while the store doesn't answer, the one with the most recent cluster view; and at
+// any time one with a newer configuration, which the store may have lost. Empty when no peer is to be asked.
+std::string EntryNode::peerToAsk(TimePoint now) const
 {
+    const auto& table = this->peers.table();
     auto age = ageOf(this->clusterView, BootClock::now());
-    bool isDue = (age > minAgeToAskPeer || (this->isStoreUnreachable && age > minAgeGainFromPeer)) && now - this->deltaRequestedAt >= storeDeltaInterval && !this->peerCaller.isBusy();
-    if (!isDue)
+    if (age > minAgeToAskPeer || (this->isStoreUnreachable && age > minAgeGainFromPeer))
+        return freshestPeer(table, age == Milliseconds::max() ? age : age - minAgeGainFromPeer, this->clusterView.era, now);
+    bool mayLackConfiguration = this->clusterView.routes && (now - this->startedAt < configurationCheckTime || now < this->clusterView.eraHoldUntil);
+    return mayLackConfiguration ? peerWithNewerConfiguration(table, this->clusterView.routes->generation, now) : std::string();
+}
+
+void EntryNode::requestStoreDelta(TimePoint now)
+{
+    if (now - this->deltaRequestedAt < storeDeltaInterval || this->peerCaller.isBusy())
         return;
-    auto peer = freshestPeer(this->peers.table(), age == Milliseconds::max() ? age : age - minAgeGainFromPeer, now);
+    auto peer = this->peerToAsk(now);
     if (peer.empty())
         return;
     this->deltaRequestedAt = now;
     this->peerCaller.setAddress({ peer, this->settings.peerPort });
     auto sentAt = BootClock::now();
-    this->peerCaller.get(fmt::format("{}{}", storeDeltaPathPrefix, this->storeReplica.revision), storeDeltaTimeout, [this, peer, sentAt](const CallResult& result) { this->applyStoreDelta(result, peer, sentAt); });
+    const auto& version = this->storeReplica.version;
+    this->peerCaller.get(fmt::format("{}{}/{}", storeDeltaPathPrefix, version.era, version.revision), storeDeltaTimeout, [this, peer, sentAt](const CallResult& result) { this->applyStoreDelta(result, peer, sentAt); });
+}
+
+// Takes over a peer's view if it is more recent than the own one: it is of the same era, or of a later one and then complete.
+void EntryNode::adoptView(const StoreDelta& delta, const std::string& peer, BootTimePoint confirmedAt, TimePoint now)
+{
+    if (!this->isViewFromPeer) {
+        this->isViewFromPeer = true;
+        this->log.write(LogLevel::Info, "took_peers_belief", { { "peer", peer }, { "age_ms", delta.age }, { "changes", static_cast<uint64_t>(delta.changes.size()) } });
+    }
+    bool isOfLaterEra = delta.version.era > this->clusterView.era;
+    this->noteEra(delta.version.era, now);
+    const auto& bounds = this->settings.reloadable;
+    this->clusterView.namingTimeOffset = this->clusterView.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
+    this->confirmView(confirmedAt);
+    for (const auto& change : delta.changes)
+        this->applyChange(change, isOfLaterEra, now);
+    this->clusterView.namingTimeOffset = Milliseconds(0);
+    if (!isOfLaterEra)
+        return;
+    std::vector<StoreChange> listing;
+    std::copy_if(delta.changes.begin(), delta.changes.end(), std::back_inserter(listing), [&](const StoreChange& change) { return change.era == delta.version.era && !change.isRemoved; });
+    removeUnlistedItems(this->clusterView, this->adapter.store, listing, now);
 }
 
 void EntryNode::applyStoreDelta(const CallResult& result, const std::string& peer, BootTimePoint sentAt)
@@ -135,35 +191,32 @@
         this->log.write(LogLevel::Info, "peer_call_failed", { { "peer", peer }, { "reason", std::string(delta.status().message()) } });
         return;
     }
+    auto now = Clock::now();
     // The peer measures the age after the request was sent, so its view is at least as recent as this.
     auto peerConfirmedAt = sentAt - delta->age;
-    if (this->clusterView.isConfirmed && peerConfirmedAt <= this->clusterView.confirmedAt)
-        return;
-    if (!this->isViewFromPeer) {
-        this->isViewFromPeer = true;
-        this->log.write(LogLevel::Info, "took_peers_belief", { { "peer", peer }, { "age_ms", delta->age }, { "changes", static_cast<uint64_t>(delta->changes.size()) } });
+    bool isMoreRecent = delta->version.era >= this->clusterView.era && (!this->clusterView.isConfirmed || peerConfirmedAt > this->clusterView.confirmedAt);
+    if (isMoreRecent) {
+        this->adoptView(*delta, peer, peerConfirmedAt, now);
+    } else {
+        // The store's own word is more recent, but it may lack what it has lost.
+        for (const auto& change : delta->changes) {
+            if (change.era < this->clusterView.era)
+                this->applyChange(change, false, now);
+        }
     }
-    auto now = Clock::now();
-    const auto& bounds = this->settings.reloadable;
-    this->clusterView.namingTimeOffset = this->clusterView.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
-    this->confirmView(peerConfirmedAt);
-    for (const auto& change : delta->changes)
-        this->applyChange(change, now);
-    this->clusterView.namingTimeOffset = Milliseconds(0);
-    if (!delta->changes.empty())
-        this->dispatchRequestsAwaitingConfiguration(now);
+    this->dispatchRequestsAwaitingConfiguration(now);
 }
 
 // Copies the loads that the peers report into the table of endpoints.
 void EntryNode::updatePeerLoads(TimePoint now)
 {
-    const auto& table = this->peers.table();
-    bool areLoadsCurrent = haveAllPeersReported(table, now);
+    this->peerLoadsUpdatedAt = now;
+    auto loads = peersInFlight(this->peers.table(), now);
     for (auto& row : this->clusterView.endpoints.rows) {
         if (row.record.id.empty())
             continue;
-        row.peersInFlight = peersInFlight(table, endpointHash(row.record.id), now);
-        row.arePeerLoadsCurrent = areLoadsCurrent;
+        auto found = loads.find(endpointHash(row.record.id));
+        row.peersInFlight = found == loads.end() ? 0 : found->second;
     }
 }
 
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -56,8 +56,10 @@
     stopTimer(this->timer);
     this->result.end = end;
     this->result.hasTimedOut = hasTimedOut;
-    if (end != ChannelEnd::Complete)
+    if (end != ChannelEnd::Complete) {
         this->result.status = 0;
+        this->result.headers.clear();
+    }
     if (end != ChannelEnd::Complete && this->channel)
         this->channel->close();
     auto handler = std::move(this->handler);
@@ -91,8 +93,10 @@
 {
     ResponseHandlers handlers;
     handlers.onHead = [weakState](const ResponseHead& head) {
-        if (auto self = weakState.lock())
+        if (auto self = weakState.lock()) {
             self->result.status = head.status;
+            self->result.headers = head.headers;
+        }
         return ResponseDisposition::Accept;
     };
     handlers.onBodyChunk = [weakState](const std::string& chunk) {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -13,6 +13,7 @@
     int status = 0; ///< Zero if no complete response was received.
     ChannelEnd end = ChannelEnd::Lost;
     bool hasTimedOut = false;
+    HttpHeaders headers; ///< Empty if no complete response was received.
     std::string body;
 
     /// HTTP status or kind of failure, for logs.
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -317,11 +317,15 @@
 
 void HttpChannel::close()
 {
+    // An exchange that is given up is reset, so that bytes of its request that haven't left yet never reach the peer.
+    boost::system::error_code ignored;
+    bool isGivenUp = (this->state->isRunning || this->state->isWriting) && this->state->socket.is_open();
+    if (isGivenUp)
+        this->state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     this->state->isRunning = false;
     this->state->isReusable = false;
     this->state->handlers = {};
     stopTimer(this->state->timer);
-    boost::system::error_code ignored;
     this->state->socket.close(ignored);
 }
 
--- a/src/HttpChannel.h
+++ b/src/HttpChannel.h
@@ -64,7 +64,7 @@
     /// Resumes reading after onBodyChunk, which pauses it so that a slow consumer slows the sender down. Precondition:
     /// onBodyChunk was called.
     void resumeReading();
-    /// Closes the connection at once; no callback is called any more.
+    /// Closes the connection at once, with a reset if an exchange is in progress; no callback is called any more.
     void close();
     /// Whether another exchange can follow: the last response was complete, the peer keeps the connection alive, and no
     /// unexpected bytes were received.
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "BootClock.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 
@@ -9,44 +10,32 @@
 
 namespace bilberry {
 
-// Shortest and longest time between two messages; the longest one applies to messages to the entries of all data centres.
-static constexpr Milliseconds shortestInterval { 40 };
-static constexpr Milliseconds longestInterval { 400 };
-// Bytes per second that one entry sends to all others together; with many entries messages are sent less often.
-static constexpr double maxBytesPerSecond = 20'000;
-// Largest number of peers that one message lists, and the time between two messages that list peers.
-static constexpr size_t maxPeersPerMessage = 8;
-static constexpr Milliseconds peerListInterval { 1000 };
-// Entries of other data centres mostly use other endpoints, so only one in this many messages is sent to them.
-static constexpr uint64_t remoteMessagePeriod = 3;
-
 struct PeerExchange::State {
     State(EventLoop& loop, const PeerExchangeSettings& settings)
         : settings(settings)
         , socket(loop)
     {
         this->table.ownIp = settings.ip;
+        this->table.ownDataCentre = settings.dataCentre;
+        this->schedule.seeds = settings.seeds;
+        this->schedule.startedAt = Clock::now();
     }
 
     PeerExchangeSettings settings;
     asio::ip::udp::socket socket;
-    std::function<void(PeerMessage&)> fillMessage;
+    std::function<void(PeerMessage&, PeerMessageScope)> fillMessage;
     std::function<void(const PeerMessage&)> onMessage;
     std::function<void(const EngineNotice&)> onNotice;
     PeerTable table;
+    PeerSchedule schedule;
     std::array<char, maxPeerMessageBytes> buffer {};
     asio::ip::udp::endpoint sender;
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
     uint64_t sentBytes = 0;
-    uint64_t changeSendCount = 0; ///< Number of sends that were caused by a change, while no message to all entries was due.
-    TimePoint sentAt {};
-    TimePoint sentToAllAt {}; ///< When the state was last sent to the entries of all data centres.
-    TimePoint peerListSentAt {};
-    TimePoint nextSendAt {};
 };
 
-PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice)
+PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&, PeerMessageScope)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice)
     : state(std::make_shared<State>(loop, settings))
 {
     this->state->fillMessage = std::move(fillMessage);
@@ -80,15 +69,30 @@
 }
 
 // Handles a notice from an agent or a message from a peer; other bytes are dropped.
-void PeerExchange::handleDatagram(State& state, const std::string& bytes)
+void PeerExchange::handleDatagram(const std::string& bytes)
 {
+    auto& state = *this->state;
     if (auto notice = decodeNotice(bytes); notice.ok()) {
         state.onNotice(*notice);
         return;
     }
     auto message = decodePeerMessage(bytes);
-    if (message.ok() && state.table.applyMessage(state.sender.address().to_string(), *message, Clock::now()))
-        state.onMessage(*message);
+    auto now = Clock::now();
+    auto ip = state.sender.address().to_string();
+    if (!message.ok() || !state.table.applyMessage(ip, *message, now))
+        return;
+    state.onMessage(*message);
+    if (message->wantsPeers)
+        this->introduceEntries(ip, message->dataCentre, now);
+}
+
+// Answers an entry that asks for a list of entries.
+void PeerExchange::introduceEntries(const std::string& ip, const std::string& dataCentre, TimePoint now)
+{
+    auto message = this->composeMessage(PeerMessageScope::Introduction, now);
+    message.wantsPeers = false;
+    message.peers = peersForNewcomer(this->state->table, dataCentre, now);
+    this->send(encodePeerMessage(message), ip);
 }
 
 void PeerExchange::receive()
@@ -98,7 +102,7 @@
         if (error == asio::error::operation_aborted || !shared->socket.is_open())
             return;
         if (!error)
-            handleDatagram(*shared, std::string(shared->buffer.data(), count));
+            this->handleDatagram(std::string(shared->buffer.data(), count));
         this->receive();
     });
 }
@@ -114,18 +118,20 @@
         this->state->sentBytes += bytes.size();
 }
 
-// Encodes this entry's state. If it is too large for a datagram, refusals and notices are left out first, then the loads.
-std::string PeerExchange::encodeState(TimePoint now)
+PeerMessage PeerExchange::composeMessage(PeerMessageScope scope, TimePoint now)
 {
     auto& state = *this->state;
     PeerMessage message;
     message.incarnation = state.incarnation;
     message.sequence = ++state.sequence;
-    state.fillMessage(message);
-    if (now - state.peerListSentAt >= peerListInterval) {
-        state.peerListSentAt = now;
-        message.peers = recentlyHeardPeers(state.table, maxPeersPerMessage, now);
-    }
+    state.fillMessage(message, scope);
+    addPeerState(message, scope, state.schedule, state.table, now);
+    return message;
+}
+
+// Encodes a message. If it is too large for a datagram, refusals and notices are left out first, then the digests and loads.
+static std::string encodeWithinLimit(PeerMessage message)
+{
     auto bytes = encodePeerMessage(message);
     if (bytes.size() > maxPeerMessageBytes) {
         message.refusals.clear();
@@ -134,40 +140,44 @@
     }
     if (bytes.size() > maxPeerMessageBytes) {
         message.loads.clear();
+        message.digests.clear();
         bytes = encodePeerMessage(message);
     }
     return bytes;
 }
 
-void PeerExchange::sendState(bool includesOtherDataCentres, TimePoint now)
+// Sends one message of the scope to all entries in the list that get one.
+void PeerExchange::sendMessages(const std::vector<PeerSend>& sends, PeerMessageScope scope, TimePoint now)
 {
     auto& state = *this->state;
-    auto bytes = this->encodeState(now);
-    size_t receivers = 0;
-    for (const auto& [ip, row] : state.table.rows) {
-        bool isNear = row.dataCentre == state.settings.dataCentre;
-        if (!includesOtherDataCentres && !isNear)
+    bool isAnyDue = std::any_of(sends.begin(), sends.end(), [&](const PeerSend& due) { return due.scope == scope; });
+    if (!isAnyDue)
+        return;
+    auto message = this->composeMessage(scope, now);
+    auto bytes = encodeWithinLimit(message);
+    auto messageOfPreviousRelease = message;
+    messageOfPreviousRelease.layout = PeerMessageLayout::WithoutDigests;
+    auto bytesOfPreviousRelease = encodeWithinLimit(std::move(messageOfPreviousRelease));
+    size_t stateBytes = 0;
+    for (const auto& due : sends) {
+        if (due.scope != scope)
             continue;
-        this->send(bytes, ip);
-        ++receivers;
+        auto row = state.table.rows.find(due.ip);
+        bool isPreviousRelease = row != state.table.rows.end() && row->second.layout == PeerMessageLayout::WithoutDigests;
+        this->send(isPreviousRelease ? bytesOfPreviousRelease : bytes, due.ip);
+        stateBytes += bytesOfPreviousRelease.size();
     }
-    state.sentAt = now;
-    if (includesOtherDataCentres)
-        state.sentToAllAt = now;
-    double sendingSeconds = static_cast<double>(bytes.size() * receivers) / maxBytesPerSecond;
-    state.nextSendAt = now + std::max(shortestInterval, std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(sendingSeconds)));
+    if (scope == PeerMessageScope::Near)
+        limitRate(state.schedule, stateBytes, now);
 }
 
 void PeerExchange::tick(bool hasChanged, TimePoint now)
 {
     auto& state = *this->state;
     state.table.removeSilentPeers(state.settings.seeds, now);
-    if (now < state.nextSendAt)
-        return;
-    bool isAllDue = now - state.sentToAllAt >= longestInterval;
-    if (!hasChanged && !isAllDue)
-        return;
-    this->sendState(isAllDue || state.changeSendCount++ % remoteMessagePeriod == 0, now);
+    auto sends = dueSends(state.schedule, state.table, hasChanged, now);
+    for (auto scope : { PeerMessageScope::Near, PeerMessageScope::Remote, PeerMessageScope::Introduction })
+        this->sendMessages(sends, scope, now);
 }
 
 const PeerTable& PeerExchange::table() const
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -5,6 +5,7 @@
 
 #include "EventLoop.h"
 #include "PeerMessage.h"
+#include "PeerSchedule.h"
 #include "PeerTable.h"
 
 #include <absl/status/status.h>
@@ -16,17 +17,17 @@
 struct PeerExchangeSettings {
     std::string ip; ///< This entry's IP address.
     int port = 0; ///< The port of all entries.
-    std::string dataCentre; ///< This entry's data centre; entries in it are sent messages more often than others.
+    std::string dataCentre; ///< This entry's data centre.
     std::vector<std::string> seeds; ///< IP addresses of some entries, which may no longer exist.
 };
 
 /// Used by the loop's thread only.
 class PeerExchange {
 public:
-    /// `fillMessage` fills in the entry's state, except for incarnation, sequence and peers. `onMessage` receives each new
-    /// message of a peer, `onNotice` each notice that comes directly from an agent. Precondition: the loop outlives the
-    /// exchange.
-    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice);
+    /// `fillMessage` fills in the entry's state for a message of the given scope, except for incarnation, sequence, peers and
+    /// digests. `onMessage` receives each new message of a peer, `onNotice` each notice that comes directly from an agent.
+    /// Precondition: the loop outlives the exchange.
+    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&, PeerMessageScope)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice);
     ~PeerExchange();
     PeerExchange(const PeerExchange&) = delete;
     PeerExchange& operator=(const PeerExchange&) = delete;
@@ -44,9 +45,10 @@
     struct State;
 
     void receive();
-    static void handleDatagram(State&, const std::string& bytes);
-    std::string encodeState(TimePoint now);
-    void sendState(bool includesOtherDataCentres, TimePoint now);
+    void handleDatagram(const std::string& bytes);
+    void introduceEntries(const std::string& ip, const std::string& dataCentre, TimePoint now);
+    PeerMessage composeMessage(PeerMessageScope, TimePoint now);
+    void sendMessages(const std::vector<PeerSend>&, PeerMessageScope, TimePoint now);
     void send(const std::string& bytes, const std::string& ip);
 
     std::shared_ptr<State> state;
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -2,15 +2,18 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <xxhash.h>
 
 namespace bilberry {
 
 using nlohmann::json;
 
-// First element of each encoded message or notice; changes with the layout.
-static constexpr uint32_t layoutVersion = 3;
+// First element of each encoded notice; messages begin with their PeerMessageLayout.
 static constexpr uint32_t noticeLayoutVersion = 101;
+// Number of elements of a message in each layout.
+static constexpr size_t elementsWithoutDigests = 11;
+static constexpr size_t elementsWithDigests = 17;
 // Size of one packed load.
 static constexpr size_t packedLoadBytes = 5;
 
@@ -45,6 +48,25 @@
     return loads;
 }
 
+static json encodePeers(const PeerMessage& message)
+{
+    json peers = json::array();
+    for (const auto& peer : message.peers) {
+        peers.push_back(peer.ip);
+        if (message.layout == PeerMessageLayout::WithDigests)
+            peers.push_back(peer.dataCentre);
+    }
+    return peers;
+}
+
+static json encodeDigests(const PeerMessage& message)
+{
+    json digests = json::array();
+    for (const auto& digest : message.digests)
+        digests.push_back(json::array({ digest.dataCentre, digest.contacts, digest.entryCount, std::max<int64_t>(0, digest.age.count()), json::binary(packLoads(digest.loads)) }));
+    return digests;
+}
+
 std::string encodePeerMessage(const PeerMessage& message)
 {
     json crashes = json::array();
@@ -60,7 +82,15 @@
         refusals.push_back(refusal.fingerprint);
         refusals.push_back(static_cast<uint64_t>(std::max<int64_t>(0, refusal.timeSinceFirstArrival.count())));
     }
-    json root = json::array({ layoutVersion, message.incarnation, message.sequence, message.isStopping, message.viewAge.count(), json::binary(packLoads(message.loads)), message.peers, crashes, notices, refusals, message.dataCentre });
+    json root = json::array({ static_cast<uint32_t>(message.layout), message.incarnation, message.sequence, message.isStopping, message.viewAge.count(), json::binary(packLoads(message.loads)), encodePeers(message), crashes, notices, refusals, message.dataCentre });
+    if (message.layout == PeerMessageLayout::WithDigests) {
+        root.push_back(message.wantsPeers);
+        root.push_back(encodeDigests(message));
+        root.push_back(message.switchingEngines);
+        root.push_back(message.storeVersion.era);
+        root.push_back(message.storeVersion.revision);
+        root.push_back(message.generation);
+    }
     auto bytes = json::to_msgpack(root);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -122,24 +152,64 @@
     return readNotice(root[1]);
 }
 
-absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes)
+static bool isDigest(const json& row)
 {
-    auto root = json::from_msgpack(bytes, true, false);
-    bool hasLayout = root.is_array() && root.size() == 11 && root[0].is_number_unsigned() && root[0].get<uint32_t>() == layoutVersion;
-    if (!hasLayout)
-        return absl::InvalidArgumentError("not a peer message of the current layout");
-    bool isTyped = root[1].is_number_unsigned() && root[2].is_number_unsigned() && root[3].is_boolean() && root[4].is_number_integer()
+    return row.is_array() && row.size() == 5 && row[0].is_string() && areStrings(row[1]) && row[2].is_number_unsigned() && row[3].is_number_unsigned() && areLoads(row[4]);
+}
+
+// Returns the layout of a message, or std::nullopt if the element that states it or the number of elements is wrong.
+static std::optional<PeerMessageLayout> readLayout(const json& root)
+{
+    if (!root.is_array() || root.empty() || !root[0].is_number_unsigned())
+        return std::nullopt;
+    auto layout = root[0].get<uint32_t>();
+    if (layout == static_cast<uint32_t>(PeerMessageLayout::WithoutDigests) && root.size() == elementsWithoutDigests)
+        return PeerMessageLayout::WithoutDigests;
+    if (layout == static_cast<uint32_t>(PeerMessageLayout::WithDigests) && root.size() == elementsWithDigests)
+        return PeerMessageLayout::WithDigests;
+    return std::nullopt;
+}
+
+static bool isTyped(const json& root, PeerMessageLayout layout)
+{
+    bool isBaseTyped = root[1].is_number_unsigned() && root[2].is_number_unsigned() && root[3].is_boolean() && root[4].is_number_integer()
         && areLoads(root[5]) && areStrings(root[6]) && areNumbers(root[7]) && root[7].size() % 2 == 0 && areNotices(root[8])
         && areNumbers(root[9]) && root[9].size() % 2 == 0 && root[10].is_string();
-    if (!isTyped)
+    if (!isBaseTyped || layout == PeerMessageLayout::WithoutDigests)
+        return isBaseTyped;
+    return root[6].size() % 2 == 0 && root[11].is_boolean() && root[12].is_array() && std::all_of(root[12].begin(), root[12].end(), isDigest) && areNumbers(root[13])
+        && root[14].is_number_unsigned() && root[15].is_number_unsigned() && root[16].is_number_unsigned();
+}
+
+static void readPeers(const json& list, PeerMessage& message)
+{
+    bool hasDataCentres = message.layout == PeerMessageLayout::WithDigests;
+    for (size_t i = 0; i < list.size(); i += hasDataCentres ? 2 : 1)
+        message.peers.push_back({ list[i].get<std::string>(), hasDataCentres ? list[i + 1].get<std::string>() : std::string() });
+}
+
+static void readDigests(const json& list, PeerMessage& message)
+{
+    for (const auto& row : list)
+        message.digests.push_back({ row[0].get<std::string>(), row[1].get<std::vector<std::string>>(), row[2].get<uint32_t>(), Milliseconds(row[3].get<uint32_t>()), unpackLoads(row[4].get_binary()) });
+}
+
+absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes)
+{
+    auto root = json::from_msgpack(bytes, true, false);
+    auto layout = readLayout(root);
+    if (!layout)
+        return absl::InvalidArgumentError("not a peer message of a known layout");
+    if (!isTyped(root, *layout))
         return absl::InvalidArgumentError("a field of the peer message has the wrong type");
     PeerMessage message;
+    message.layout = *layout;
     message.incarnation = root[1].get<uint64_t>();
     message.sequence = root[2].get<uint64_t>();
     message.isStopping = root[3].get<bool>();
     message.viewAge = Milliseconds(root[4].get<int64_t>());
     message.loads = unpackLoads(root[5].get_binary());
-    message.peers = root[6].get<std::vector<std::string>>();
+    readPeers(root[6], message);
     for (size_t i = 0; i + 1 < root[7].size(); i += 2)
         message.crashes.push_back({ root[7][i].get<uint64_t>(), root[7][i + 1].get<uint32_t>() });
     for (const auto& row : root[8])
@@ -147,6 +217,13 @@
     for (size_t i = 0; i + 1 < root[9].size(); i += 2)
         message.refusals.push_back({ root[9][i].get<uint64_t>(), Milliseconds(root[9][i + 1].get<uint32_t>()) });
     message.dataCentre = root[10].get<std::string>();
+    if (*layout == PeerMessageLayout::WithoutDigests)
+        return message;
+    message.wantsPeers = root[11].get<bool>();
+    readDigests(root[12], message);
+    message.switchingEngines = root[13].get<std::vector<uint32_t>>();
+    message.storeVersion = { root[14].get<uint64_t>(), root[15].get<uint64_t>() };
+    message.generation = root[16].get<uint64_t>();
     return message;
 }
 
--- /dev/null
+++ b/src/PeerReports.cpp
@@ -0,0 +1,89 @@
+#include "PeerReports.h"
+
+#include <algorithm>
+
+namespace bilberry {
+
+// Number of messages of each scope in which an event is passed on; more than one, since datagrams may be lost.
+static constexpr int repetitions = 2;
+// Time for which an event is recognized when it comes again from another peer.
+static constexpr Milliseconds recognitionTime { 5000 };
+// Time after which an engine that still refuses requests is passed on again.
+static constexpr Milliseconds switchReportInterval { 1000 };
+
+static bool isPassedOn(ReportSource source, PeerMessageScope scope)
+{
+    switch (scope) {
+    case PeerMessageScope::Near:
+        return source != ReportSource::SameDataCentre;
+    case PeerMessageScope::Remote:
+        return source != ReportSource::OtherDataCentre;
+    case PeerMessageScope::Introduction:
+        return false;
+    }
+    return false;
+}
+
+void PeerReports::addCrash(const CrashReport& crash, ReportSource source, TimePoint now)
+{
+    this->crashes.push_back({ crash, source, now });
+}
+
+bool PeerReports::addNotice(const EngineNotice& notice, ReportSource source, TimePoint now)
+{
+    auto isOfEngine = [&](const Row<EngineNotice>& row) { return row.event.address == notice.address; };
+    auto known = std::find_if(this->notices.begin(), this->notices.end(), isOfEngine);
+    if (known == this->notices.end()) {
+        this->notices.push_back({ notice, source, now });
+        return true;
+    }
+    // An agent repeats a notice with a higher sequence; only the first one with that version is passed on.
+    bool isNew = notice.sequence > known->event.sequence && notice.version != known->event.version;
+    if (isNew)
+        *known = { notice, source, now };
+    return isNew;
+}
+
+bool PeerReports::addSwitchingEngine(uint32_t endpointHash, ReportSource source, TimePoint now)
+{
+    auto isEngine = [&](const Row<uint32_t>& row) { return row.event == endpointHash; };
+    if (std::any_of(this->switchingEngines.begin(), this->switchingEngines.end(), isEngine))
+        return false;
+    this->switchingEngines.push_back({ endpointHash, source, now });
+    return true;
+}
+
+template <typename Event>
+static void takeEvents(std::vector<PeerReports::Row<Event>>& rows, PeerMessageScope scope, std::vector<Event>& events)
+{
+    for (auto& row : rows) {
+        int& count = scope == PeerMessageScope::Near ? row.nearCount : row.remoteCount;
+        if (!isPassedOn(row.source, scope) || count >= repetitions)
+            continue;
+        ++count;
+        events.push_back(row.event);
+    }
+}
+
+void PeerReports::fillMessage(PeerMessage& message, PeerMessageScope scope)
+{
+    takeEvents(this->crashes, scope, message.crashes);
+    takeEvents(this->notices, scope, message.notices);
+    takeEvents(this->switchingEngines, scope, message.switchingEngines);
+}
+
+template <typename Event>
+static void removeRows(std::vector<PeerReports::Row<Event>>& rows, Milliseconds keptFor, TimePoint now)
+{
+    auto isOld = [&](const PeerReports::Row<Event>& row) { return now - row.addedAt >= keptFor; };
+    rows.erase(std::remove_if(rows.begin(), rows.end(), isOld), rows.end());
+}
+
+void PeerReports::removeExpired(TimePoint now)
+{
+    removeRows(this->crashes, recognitionTime, now);
+    removeRows(this->notices, recognitionTime, now);
+    removeRows(this->switchingEngines, switchReportInterval, now);
+}
+
+} // namespace bilberry
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -9,11 +9,6 @@
 
 namespace bilberry {
 
-// An attempt of a repeatable request is abandoned when no byte arrives for silenceTimeoutFactor times the route's target
-// latency, clamped to these bounds.
-static constexpr Milliseconds minSilenceTimeout { 300 };
-static constexpr Milliseconds maxSilenceTimeout { 1500 };
-static constexpr int silenceTimeoutFactor = 4;
 // Longest time that a request waits for another endpoint after a failed attempt.
 static constexpr Milliseconds maxRetryQueueWait { 300 };
 // Longest time that a request waits for the entry's first configuration.
@@ -52,7 +47,7 @@
             self->cancelRequest();
     });
     // An entry that has just started receives its configuration shortly, so the request is deferred rather than refused.
-    bool isStartingUp = !this->node.clusterView.routes && now - this->arrivedAt < maxConfigurationWait;
+    bool isStartingUp = !hasCurrentConfiguration(this->node, now) && now - this->arrivedAt < maxConfigurationWait;
     if (isStartingUp) {
         this->node.requestsAwaitingConfiguration.push_back(this->number);
         return;
@@ -349,9 +344,10 @@
     }
     if (!this->hasActiveAttempt() || !mayRepeat(*this->route))
         return;
-    auto silenceTimeout = std::clamp(this->route->targetLatency * silenceTimeoutFactor, minSilenceTimeout, maxSilenceTimeout);
-    if (now - this->lastReceivedAt >= silenceTimeout)
-        this->abandonAttempt(AttemptResult::Lost);
+    const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
+    bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
+    if (now - this->lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->lastReceivedAt }))
+        this->abandonAttempt(AttemptResult::Silent);
 }
 
 void ProxiedRequest::finishRequest(const char* outcome, int status, const char* reason)
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -18,6 +18,8 @@
 static constexpr Milliseconds maxIdleForUnrepeatable { 1000 };
 // Longest idle time of a connection that is reused for a repeatable request. It is long enough to allow any reuse.
 static constexpr Milliseconds maxIdleForRepeatable { 3'600'000 };
+// Status of an endpoint that doesn't run requests that are meant for it, because of its identity or its weights.
+static constexpr int httpStatusMisdirected = 421;
 // Time for which an endpoint gets no new request after it refused one because of its load or state.
 static constexpr Milliseconds refusalBackoff { 60 };
 // Time for which an endpoint gets no new request after a connection to it failed.
@@ -91,14 +93,17 @@
     this->responseHead = received;
     this->endpointReply = std::move(newReply);
     this->reportedLoad = this->endpointReply.load;
+    auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
+    endpoint.lastHeardAt = now;
     if (this->endpointReply.load)
-        noteLoadReport(this->node.clusterView.endpoints.rows[this->endpointRow], *this->endpointReply.load, now);
+        noteLoadReport(endpoint, *this->endpointReply.load, now);
     return ResponseDisposition::Accept;
 }
 
 void ProxiedRequest::onBodyChunk(const std::string& chunk)
 {
     this->lastReceivedAt = Clock::now();
+    this->node.clusterView.endpoints.rows[this->endpointRow].lastHeardAt = this->lastReceivedAt;
     bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest);
     if (isStream) {
         this->onStreamChunk(chunk);
@@ -192,13 +197,19 @@
         endpoint.listedUntil = now;
         this->node.channels.closeIdleChannels(this->endpointId);
     }
+    // An engine that names itself and yet doesn't take a request that is meant for it holds no weights to run it with.
+    bool isSwitching = result == AttemptResult::NotExecuted && !isAddressReused && this->responseHead.status == httpStatusMisdirected && endpoint.record.isModelEngine;
+    if (isSwitching)
+        reportSwitchingEngine(this->node, endpoint, now);
     if (result == AttemptResult::NotSent)
         endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + connectFailureBackoff);
+    // An endpoint that answers other requests has queued a silent one, or has lost its answer.
+    bool isAliveAndSilent = result == AttemptResult::Silent && endpoint.lastHeardAt > this->lastReceivedAt;
     if (result == AttemptResult::Answered)
         noteOutcome(endpoint, true, now);
     else if (result == AttemptResult::NotExecuted)
         endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + refusalBackoff);
-    else if (result != AttemptResult::TimedOut)
+    else if (result != AttemptResult::TimedOut && !isAliveAndSilent)
         noteOutcome(endpoint, false, now);
     this->node.channels.releaseChannel(this->endpointId, std::move(this->channel));
     this->channel = nullptr;
--- a/src/StoreChange.h
+++ b/src/StoreChange.h
@@ -14,6 +14,7 @@
     bool isRemoved = false;
     std::string value; ///< The bytes that were written.
     uint64_t revision = 0; ///< The store's revision of this change.
+    uint64_t era = 0; ///< The store's era when it returned this change; zero if it wasn't stated.
 };
 
 /// One page of a listing of the store.
--- a/src/StoreReplica.cpp
+++ b/src/StoreReplica.cpp
@@ -11,14 +11,35 @@
 // lists the store again.
 static constexpr std::chrono::minutes tombstoneLifetime { 2 };
 
-bool StoreReplica::applyChange(const StoreChange& change, TimePoint now)
+bool StoreReplica::isNewer(const StoreChange& change) const
 {
     auto found = this->rows.find(change.key);
-    if (found != this->rows.end() && found->second.change.revision >= change.revision)
-        return false;
+    return found == this->rows.end() || versionOf(found->second.change) < versionOf(change);
+}
+
+void StoreReplica::put(const StoreChange& change, TimePoint now)
+{
     this->rows[change.key] = { change, now };
-    this->revision = std::max(this->revision, change.revision);
-    return true;
+    this->noteVersion(change);
+}
+
+void StoreReplica::noteVersion(const StoreChange& change)
+{
+    this->version = std::max(this->version, versionOf(change));
+}
+
+void StoreReplica::removeEarlierEras(std::string_view configurationKey, std::string_view versionPrefix)
+{
+    for (auto row = this->rows.begin(); row != this->rows.end();) {
+        const auto& change = row->second.change;
+        bool holdsInAnyEra = change.key == configurationKey || std::string_view(change.key).substr(0, versionPrefix.size()) == versionPrefix;
+        row = change.era < this->version.era && !holdsInAnyEra ? this->rows.erase(row) : std::next(row);
+    }
+}
+
+StoreVersion versionOf(const StoreChange& change)
+{
+    return { change.era, change.revision };
 }
 
 void StoreReplica::removeExpiredTombstones(TimePoint now)
@@ -29,14 +50,15 @@
     }
 }
 
-std::vector<StoreChange> changesAfter(const StoreReplica& replica, uint64_t revision)
+std::vector<StoreChange> changesAfter(const StoreReplica& replica, const StoreVersion& version)
 {
     std::vector<StoreChange> changes;
     for (const auto& [key, row] : replica.rows) {
-        if (row.change.revision > revision)
+        bool isHeld = row.change.era < replica.version.era;
+        if (isHeld || version.era > replica.version.era || version < versionOf(row.change))
             changes.push_back(row.change);
     }
-    std::sort(changes.begin(), changes.end(), [](const StoreChange& first, const StoreChange& second) { return first.revision < second.revision; });
+    std::sort(changes.begin(), changes.end(), [](const StoreChange& first, const StoreChange& second) { return versionOf(first) < versionOf(second); });
     return changes;
 }
 
@@ -45,31 +67,31 @@
     json changes = json::array();
     for (const auto& change : delta.changes) {
         std::vector<uint8_t> value(change.value.begin(), change.value.end());
-        changes.push_back(json::array({ change.key, change.revision, change.isRemoved, json::binary(std::move(value)) }));
+        changes.push_back(json::array({ change.key, change.revision, change.isRemoved, json::binary(std::move(value)), change.era }));
     }
-    auto bytes = json::to_msgpack(json::array({ delta.age.count(), delta.revision, changes }));
+    auto bytes = json::to_msgpack(json::array({ delta.age.count(), delta.version.revision, changes, delta.version.era }));
     return std::string(bytes.begin(), bytes.end());
 }
 
 static bool isEncodedChange(const json& row)
 {
-    return row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_unsigned() && row[2].is_boolean() && row[3].is_binary();
+    return row.is_array() && row.size() == 5 && row[0].is_string() && row[1].is_number_unsigned() && row[2].is_boolean() && row[3].is_binary() && row[4].is_number_unsigned();
 }
 
 absl::StatusOr<StoreDelta> decodeStoreDelta(const std::string& bytes)
 {
     auto root = json::from_msgpack(bytes, true, false);
-    bool isTyped = root.is_array() && root.size() == 3 && root[0].is_number_integer() && root[1].is_number_unsigned() && root[2].is_array();
+    bool isTyped = root.is_array() && root.size() == 4 && root[0].is_number_integer() && root[1].is_number_unsigned() && root[2].is_array() && root[3].is_number_unsigned();
     if (!isTyped)
         return absl::InvalidArgumentError("not a store delta");
     StoreDelta delta;
     delta.age = Milliseconds(root[0].get<int64_t>());
-    delta.revision = root[1].get<uint64_t>();
+    delta.version = { root[3].get<uint64_t>(), root[1].get<uint64_t>() };
     for (const auto& row : root[2]) {
         if (!isEncodedChange(row))
             return absl::InvalidArgumentError("a change in the store delta has the wrong layout");
         const auto& value = row[3].get_binary();
-        delta.changes.push_back({ row[0].get<std::string>(), row[2].get<bool>(), std::string(value.begin(), value.end()), row[1].get<uint64_t>() });
+        delta.changes.push_back({ row[0].get<std::string>(), row[2].get<bool>(), std::string(value.begin(), value.end()), row[1].get<uint64_t>(), row[4].get<uint64_t>() });
     }
     return delta;
 }
--- a/src/StoreReplica.h
+++ b/src/StoreReplica.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "StoreChange.h"
+#include "StoreVersion.h"
 #include "Types.h"
 
 #include <absl/status/statusor.h>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberry {
@@ -20,10 +22,17 @@
     };
 
     std::map<std::string, Row> rows; ///< The latest change of each key; removals stay as tombstones for a limited time.
-    uint64_t revision = 0; ///< The revision of the newest change.
-
-    /// Applies a change. Returns false when the replica already has a change of that key that is at least as new.
-    bool applyChange(const StoreChange&, TimePoint now);
+    StoreVersion version; ///< The era and revision of the newest change.
+
+    /// Whether the replica has no change of that key that is at least as new.
+    bool isNewer(const StoreChange&) const;
+    /// Replaces what the replica has of that key.
+    void put(const StoreChange&, TimePoint now);
+    /// Raises the replica's version to that of a change without keeping the change.
+    void noteVersion(const StoreChange&);
+    /// Removes rows of earlier eras, except for the key of the configuration and keys with that prefix, whose newest value
+    /// holds in any era.
+    void removeEarlierEras(std::string_view configurationKey, std::string_view versionPrefix);
     /// Removes tombstones that are old enough for every entry to have received them.
     void removeExpiredTombstones(TimePoint now);
 };
@@ -31,12 +40,16 @@
 /// The changes that one entry sends to another one.
 struct StoreDelta {
     Milliseconds age { 0 }; ///< The age of the sender's cluster view when it received the request.
-    uint64_t revision = 0; ///< The revision of the sender's newest change.
-    std::vector<StoreChange> changes; ///< All changes after the requested revision, oldest first.
+    StoreVersion version; ///< The era and revision of the sender's newest change.
+    /// All changes after the requested version, oldest first, and those that the sender holds from earlier eras.
+    std::vector<StoreChange> changes;
 };
 
-/// Returns the changes after a revision, oldest first. Thread safe.
-std::vector<StoreChange> changesAfter(const StoreReplica&, uint64_t revision);
+/// Returns the version of a change. Thread safe.
+StoreVersion versionOf(const StoreChange&);
+/// Returns the changes after a version, oldest first, and all changes of eras before the replica's. If the requested version
+/// is of a later era than the replica's, returns all changes. Thread safe.
+std::vector<StoreChange> changesAfter(const StoreReplica&, const StoreVersion&);
 
 /// Encodes the delta as MessagePack. Thread safe.
 std::string encodeStoreDelta(const StoreDelta&);
--- a/src/StoreWatch.cpp
+++ b/src/StoreWatch.cpp
@@ -43,9 +43,11 @@
     bool isStopped = false;
     bool isListed = false; ///< Whether a complete listing was received, which watch calls can continue from.
     std::vector<StoreChange> listing; ///< The pages received so far.
+    uint64_t listingEra = 0; ///< The era of the first page; all pages must be of it.
     uint64_t listingRevision = 0; ///< The revision of the first page; later pages may lack changes made since then.
     BootTimePoint listingSentAt {};
     BootTimePoint sentAt {};
+    uint64_t era = 0; ///< The era of the last complete listing.
     uint64_t revision = 0;
     int consecutiveFailures = 0;
     uint64_t callCount = 0;
@@ -87,8 +89,18 @@
         this->retryAfterFailure(std::string(page.status().message()));
         return;
     }
-    if (this->listing.empty())
+    uint64_t era = this->adapter.parseEra(result.headers);
+    if (this->listing.empty()) {
+        this->listingEra = era;
         this->listingRevision = page->revision;
+    }
+    if (era != this->listingEra || era < this->era) {
+        this->listing.clear();
+        this->retryAfterFailure(era < this->era ? "a listing of an earlier era" : "the era rose between two pages of a listing");
+        return;
+    }
+    for (auto& item : page->items)
+        item.era = era;
     bool isLast = !page->hasMore || page->items.empty();
     std::move(page->items.begin(), page->items.end(), std::back_inserter(this->listing));
     if (!isLast) {
@@ -97,10 +109,11 @@
     }
     this->consecutiveFailures = 0;
     this->isListed = true;
+    this->era = this->listingEra;
     this->revision = this->listingRevision;
     auto items = std::move(this->listing);
     this->listing.clear();
-    this->handlers.onListing(items, this->listingSentAt);
+    this->handlers.onListing(items, this->era, this->listingSentAt);
     this->requestChanges();
 }
 
@@ -137,12 +150,16 @@
         this->retryAfterFailure(std::string(changes.status().message()));
         return;
     }
-    // A revision that decreases shows that the store has lost its history, so the items are listed again.
-    if (changes->revision < this->revision) {
+    // After a return from an older copy, the store gives out revisions a second time, so that even changes that seem to
+    // continue may not. The items are listed again then, and also when the revision decreases.
+    uint64_t answerEra = this->adapter.parseEra(result.headers);
+    if (answerEra != this->era || changes->revision < this->revision) {
         this->isListed = false;
         this->requestNextPage();
         return;
     }
+    for (auto& change : changes->changes)
+        change.era = answerEra;
     this->consecutiveFailures = 0;
     this->revision = changes->revision;
     this->handlers.onChanges(changes->changes, this->sentAt);
--- a/src/StoreWatch.h
+++ b/src/StoreWatch.h
@@ -1,5 +1,5 @@
 /// Follows the keys under a prefix of the platform's store: lists them, then watches them for changes by long polling, and
-/// lists them again when the store no longer has the history since the last call.
+/// lists them again when the store no longer has the history since the last call, or has come back from an older copy.
 #pragma once
 
 #include "BootClock.h"
@@ -23,9 +23,9 @@
 
 /// The callbacks of a StoreWatch, which are called on the loop's thread. All must be set.
 struct StoreWatchHandlers {
-    /// Receives a complete listing of all pages; `sentAt` is when the call for its first page was sent.
-    std::function<void(const std::vector<StoreChange>&, BootTimePoint sentAt)> onListing;
-    /// Receives the changes since the last call. An empty list confirms that nothing has changed. `sentAt` is when the call
+    /// Receives a complete listing of all pages, which are of one era; `sentAt` is when the call for its first page was sent.
+    std::function<void(const std::vector<StoreChange>&, uint64_t era, BootTimePoint sentAt)> onListing;
+    /// Receives the changes since the last call, which are of the era of the last listing. An empty list confirms that nothing has changed. `sentAt` is when the call
     /// was sent.
     std::function<void(const std::vector<StoreChange>&, BootTimePoint sentAt)> onChanges;
     /// Is called when a call has failed, with the reason and the number of consecutive failures.
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -68,7 +68,6 @@
         record.isModelEngine = true;
         record.models = { { "m", 1 } };
         table.upsert(record, start);
-        table.rows[i].arePeerLoadsCurrent = true;
     }
     EndpointRequirements requirements;
     requirements.service = "writer";
--- a/tests/EndpointChoiceTest.cpp
+++ b/tests/EndpointChoiceTest.cpp
@@ -60,6 +60,7 @@
         { "route's region", [](EndpointRow&, EndpointRequirements& requirements, auto&) { requirements.routeRegions = &southOnly; } },
         { "account's region", [](EndpointRow&, EndpointRequirements& requirements, auto&) { requirements.accountRegions = &southOnly; } },
         { "tried", [](EndpointRow&, EndpointRequirements& requirements, auto&) { requirements.triedEndpointIds = { "e" }; } },
+        { "held since the store's last loss", [](EndpointRow& row, EndpointRequirements&, auto&) { row.heldUntil = start + Milliseconds(1); } },
         { "avoided", [](EndpointRow& row, EndpointRequirements&, auto&) { row.avoidUntil = start + Milliseconds(1); } },
         { "no weights", [](EndpointRow& row, EndpointRequirements&, auto&) { row.record.models.clear(); } },
         { "some layers", [](EndpointRow& row, EndpointRequirements&, auto&) { row.record.loadedLayers = 15; } },
@@ -120,15 +121,25 @@
     }));
 }
 
-BOOST_AUTO_TEST_CASE(reportedLoadIsUsedOnlyWithoutLoadsOfOtherEntries)
+// What the endpoint states beyond the requests that this entry knows of is added to them, for a short time. What the other
+// entries report since then is added as well, and the own requests are never left out.
+BOOST_AUTO_TEST_CASE(reportedLoadCorrectsLoadsOfOtherEntries)
 {
     EndpointRow row;
     row.inFlight = 2;
     noteLoadReport(row, { 6, 1, 8 }, start);
     BOOST_TEST(estimatedLoad(row, start) == 7);
+    BOOST_TEST(estimatedLoad(row, start + Milliseconds(600)) < 7);
+    BOOST_TEST(estimatedLoad(row, start + Milliseconds(600)) > 2);
     BOOST_TEST(estimatedLoad(row, start + Seconds(2)) == 2);
-    row.arePeerLoadsCurrent = true;
-    row.peersInFlight = 1;
+    row.peersInFlight = 3;
+    noteLoadReport(row, { 5, 0, 8 }, start);
+    BOOST_TEST(estimatedLoad(row, start) == 5);
+    row.peersInFlight = 5;
+    ++row.inFlight;
+    BOOST_TEST(estimatedLoad(row, start) == 8);
+    noteLoadReport(row, { 1, 0, 8 }, start);
+    row.peersInFlight = 0;
     BOOST_TEST(estimatedLoad(row, start) == 3);
 }
 
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -24,7 +24,15 @@
         sent.viewAge = Milliseconds(*rc::gen::arbitrary<int64_t>());
         for (uint32_t endpoint : *rc::gen::arbitrary<std::vector<uint32_t>>())
             sent.loads.push_back({ endpoint, endpoint % 256 });
-        sent.peers = { "10.0.0.1", "10.0.0.2" };
+        sent.layout = *rc::gen::element(PeerMessageLayout::WithDigests, PeerMessageLayout::WithoutDigests);
+        bool hasDigests = sent.layout == PeerMessageLayout::WithDigests;
+        sent.peers = { { "10.0.0.1", hasDigests ? "dc-b" : "" }, { "10.0.0.2", "" } };
+        sent.wantsPeers = hasDigests;
+        if (hasDigests)
+            sent.digests = { { "dc-b", { "10.0.0.1", "10.0.0.4" }, 7, Milliseconds(120), { { 9, 3 } } } };
+        sent.switchingEngines = hasDigests ? std::vector<uint32_t> { 4, 5 } : std::vector<uint32_t>();
+        sent.storeVersion = { hasDigests ? 3U : 0U, hasDigests ? 90U : 0U };
+        sent.generation = hasDigests ? 12 : 0;
         sent.crashes = { { *rc::gen::arbitrary<uint64_t>(), 5 } };
         sent.notices = { { "10.0.0.9:80", 3, 17 } };
         auto read = decodePeerMessage(encodePeerMessage(sent));
@@ -32,7 +40,13 @@
         RC_ASSERT(read->incarnation == sent.incarnation && read->sequence == sent.sequence);
         RC_ASSERT(read->dataCentre == sent.dataCentre);
         RC_ASSERT(read->isStopping == sent.isStopping && read->viewAge == sent.viewAge);
-        RC_ASSERT(read->loads.size() == sent.loads.size() && std::equal(read->loads.begin(), read->loads.end(), sent.loads.begin(), [](const PeerLoad& first, const PeerLoad& second) { return first.endpoint == second.endpoint && first.inFlight == second.inFlight; }) && read->peers == sent.peers);
+        RC_ASSERT(read->loads.size() == sent.loads.size() && std::equal(read->loads.begin(), read->loads.end(), sent.loads.begin(), [](const PeerLoad& first, const PeerLoad& second) { return first.endpoint == second.endpoint && first.inFlight == second.inFlight; }));
+        RC_ASSERT(read->layout == sent.layout && read->wantsPeers == sent.wantsPeers && read->switchingEngines == sent.switchingEngines);
+        RC_ASSERT(read->storeVersion == sent.storeVersion && read->generation == sent.generation);
+        RC_ASSERT(read->peers.size() == 2u && read->peers[0].ip == "10.0.0.1" && read->peers[0].dataCentre == sent.peers[0].dataCentre && read->peers[1].ip == "10.0.0.2");
+        RC_ASSERT(read->digests.size() == sent.digests.size());
+        if (hasDigests)
+            RC_ASSERT(read->digests[0].contacts == sent.digests[0].contacts && read->digests[0].entryCount == 7u && read->digests[0].age == Milliseconds(120) && read->digests[0].loads[0].inFlight == 3u);
         RC_ASSERT(read->crashes[0].fingerprint == sent.crashes[0].fingerprint && read->notices[0].version == 3u);
     }));
 }
@@ -73,20 +87,22 @@
 {
     PeerTable table;
     table.ownIp = "10.0.0.1";
+    table.ownDataCentre = "dc-a";
     PeerMessage message;
+    message.dataCentre = "dc-a";
     message.incarnation = 5;
     message.sequence = 7;
     message.loads = { { 3, 4 } };
     BOOST_TEST(table.applyMessage("10.0.0.2", message, start));
-    BOOST_TEST(peersInFlight(table, 3, start) == 4u);
+    BOOST_TEST(peersInFlight(table, start)[3] == 4u);
     message.sequence = 6;
     message.loads.clear();
     BOOST_TEST(!table.applyMessage("10.0.0.2", message, start));
-    BOOST_TEST(peersInFlight(table, 3, start) == 4u);
+    BOOST_TEST(peersInFlight(table, start)[3] == 4u);
     message.incarnation = 6;
     message.sequence = 1;
     BOOST_TEST(table.applyMessage("10.0.0.2", message, start));
-    BOOST_TEST(peersInFlight(table, 3, start) == 0u);
+    BOOST_TEST(peersInFlight(table, start)[3] == 0u);
     BOOST_TEST(!table.applyMessage("10.0.0.1", message, start));
 }
 
@@ -96,15 +112,16 @@
 {
     PeerTable table;
     table.ownIp = "10.0.0.1";
+    table.ownDataCentre = "dc-a";
     PeerMessage message;
+    message.dataCentre = "dc-a";
     message.incarnation = 1;
     message.sequence = 1;
     message.loads = { { 3, 4 } };
     table.applyMessage("10.0.0.2", message, start);
-    BOOST_TEST(haveAllPeersReported(table, start));
     auto later = start + Seconds(5);
-    BOOST_TEST(peersInFlight(table, 3, later) == 0u);
-    BOOST_TEST(!haveAllPeersReported(table, later));
+    BOOST_TEST(peersInFlight(table, later)[3] == 0u);
+    BOOST_TEST(!isRecentlyHeard(table.rows["10.0.0.2"], later));
     BOOST_TEST(countEntries(table, later) == 2u);
     auto muchLater = start + Seconds(90);
     BOOST_TEST(countEntries(table, muchLater) == 1u);
@@ -119,16 +136,22 @@
 {
     PeerTable table;
     table.ownIp = "10.0.0.1";
+    table.ownDataCentre = "dc-a";
     PeerMessage message;
+    message.dataCentre = "dc-a";
     message.incarnation = 1;
     message.sequence = 1;
     message.viewAge = Milliseconds(900);
     table.applyMessage("10.0.0.2", message, start);
     message.viewAge = Milliseconds(200);
     table.applyMessage("10.0.0.3", message, start);
-    BOOST_TEST(freshestPeer(table, Milliseconds(2000), start) == "10.0.0.3");
-    BOOST_TEST(freshestPeer(table, Milliseconds(100), start).empty());
-    BOOST_TEST(freshestPeer(table, Milliseconds::max(), start) == "10.0.0.3");
+    BOOST_TEST(freshestPeer(table, Milliseconds(2000), 0, start) == "10.0.0.3");
+    BOOST_TEST(freshestPeer(table, Milliseconds(100), 0, start).empty());
+    BOOST_TEST(freshestPeer(table, Milliseconds::max(), 0, start) == "10.0.0.3");
+    // A view of an earlier era of the store isn't more recent, whatever its age.
+    table.rows["10.0.0.2"].storeVersion = { 2, 5 };
+    table.rows["10.0.0.3"].storeVersion = { 1, 9 };
+    BOOST_TEST(freshestPeer(table, Milliseconds(2000), 2, start) == "10.0.0.2");
 }
 
 BOOST_AUTO_TEST_CASE(manifestsRoundTripThroughEncoding)
@@ -146,36 +169,50 @@
 
 BOOST_AUTO_TEST_CASE(storeDeltasRoundTripThroughEncoding)
 {
-    StoreDelta sent { Milliseconds(350), 90, { { "a", false, std::string("\x00\xff{}", 4), 88 }, { "b", true, {}, 90 } } };
+    StoreDelta sent { Milliseconds(350), { 2, 90 }, { { "a", false, std::string("\x00\xff{}", 4), 88, 1 }, { "b", true, {}, 90, 2 } } };
     auto read = decodeStoreDelta(encodeStoreDelta(sent));
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((read->age == sent.age));
-    BOOST_TEST(read->revision == 90u);
+    BOOST_TEST((read->version == sent.version));
+    BOOST_TEST(read->changes[0].era == 1u);
     BOOST_TEST(read->changes.size() == 2u);
     BOOST_TEST(read->changes[0].value == sent.changes[0].value);
     BOOST_TEST(read->changes[1].isRemoved);
 }
 
-// The replica keeps the newest change of each key, in whatever order and however often changes arrive.
+// The replica keeps the newest change of each key, by era and revision, in whatever order and however often changes arrive. A
+// peer gets the changes after the version that it states, and always those held from earlier eras.
 BOOST_AUTO_TEST_CASE(replicaKeepsNewestChangePerKey)
 {
     BOOST_TEST(rc::check([] {
-        auto order = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 40));
+        auto order = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(1, 4), rc::gen::inRange(1, 40)));
         StoreReplica replica;
-        std::map<std::string, uint64_t> newest;
-        for (int revision : order) {
+        std::map<std::string, StoreVersion> newest;
+        StoreVersion highest;
+        for (auto [era, revision] : order) {
             std::string key = "k" + std::to_string(revision % 4);
-            StoreChange change { key, revision % 3 == 0, "v", static_cast<uint64_t>(revision) };
-            bool isNewer = newest[key] < change.revision;
-            RC_ASSERT(replica.applyChange(change, start) == isNewer);
-            newest[key] = std::max(newest[key], change.revision);
+            StoreChange change { key, revision % 3 == 0, "v", static_cast<uint64_t>(revision), static_cast<uint64_t>(era) };
+            bool isNewer = newest[key] < versionOf(change);
+            RC_ASSERT(replica.isNewer(change) == isNewer);
+            if (isNewer)
+                replica.put(change, start);
+            newest[key] = std::max(newest[key], versionOf(change));
+            highest = std::max(highest, versionOf(change));
         }
-        uint64_t last = 0;
-        for (const auto& change : changesAfter(replica, 10)) {
-            RC_ASSERT(change.revision > 10u);
-            RC_ASSERT(change.revision > last);
-            RC_ASSERT(newest[change.key] == change.revision);
-            last = change.revision;
+        RC_ASSERT(replica.version == highest);
+        StoreVersion asked { 2, 10 };
+        StoreVersion last;
+        for (const auto& change : changesAfter(replica, asked)) {
+            RC_ASSERT(change.era < highest.era || highest.era < asked.era || asked < versionOf(change));
+            RC_ASSERT(last < versionOf(change) || last == versionOf(change));
+            RC_ASSERT(newest[change.key] == versionOf(change));
+            last = versionOf(change);
+        }
+        for (const auto& [key, version] : newest) {
+            bool isSent = version.era < highest.era || highest.era < asked.era || asked < version;
+            auto sent = changesAfter(replica, asked);
+            bool isFound = std::any_of(sent.begin(), sent.end(), [key = key](const StoreChange& change) { return change.key == key; });
+            RC_ASSERT(isFound == isSent);
         }
     }));
 }
--- a/tests/StoreWatchTest.cpp
+++ b/tests/StoreWatchTest.cpp
@@ -46,7 +46,7 @@
         settings.timeoutMargin = Milliseconds(100);
         settings.pauseBetweenCalls = Milliseconds(1);
         StoreWatchHandlers handlers;
-        handlers.onListing = [this](const std::vector<StoreChange>& items, BootTimePoint) { this->listedItems += items.size(); };
+        handlers.onListing = [this](const std::vector<StoreChange>& items, uint64_t, BootTimePoint) { this->listedItems += items.size(); };
         handlers.onChanges = [this](const std::vector<StoreChange>& changes, BootTimePoint) {
             ++this->changeCalls;
             this->changes.insert(this->changes.end(), changes.begin(), changes.end());
