--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -25,7 +25,9 @@
 
 void AgentNode::startFetches(TimePoint now)
 {
-    if (this->manifest.version == 0 || this->manifest.version != this->wantedVersion())
+    // While the manifest of a newer version can't be had, the older one goes on: the origin may be away for long.
+    bool isNeeded = this->manifest.version == this->wantedVersion() || this->manifest.version > this->engineReport->loadedLayersVersion;
+    if (this->manifest.version == 0 || !isNeeded)
         return;
     auto count = static_cast<uint32_t>(this->manifest.digests.size());
     auto agents = this->listAgentPeers(this->manifest.version);
@@ -70,6 +72,7 @@
     if (!fetch.caller)
         fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
     fetch.caller->setAddress(address);
+    fetch.caller->setMaxResponseBytes(this->manifest.pieceBytes);
     fetch.isRunning = true;
     fetch.piece = piece;
     fetch.version = this->manifest.version;
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -25,6 +25,9 @@
 static constexpr Milliseconds manifestRetryInterval { 250 };
 // Limit of concurrent fetches of pieces from all sources.
 static constexpr size_t maxConcurrentFetches = 16;
+// Largest answer of the engine, which is a report or a piece, and largest manifest.
+static constexpr size_t maxEngineAnswerBytes = 4 << 20;
+static constexpr size_t maxManifestBytes = 4 << 20;
 // Time after which a load order that has had no effect is repeated.
 static constexpr Milliseconds loadOrderRetryInterval { 1500 };
 // The version that engines load when no version was ever named.
@@ -58,6 +61,8 @@
     , manifestCaller(loop, *settings.engineAddress)
     , noticeSender(loop, settings.ownIp, settings.peerPort)
 {
+    this->reportCaller.setMaxResponseBytes(maxEngineAnswerBytes);
+    this->manifestCaller.setMaxResponseBytes(maxManifestBytes);
     for (size_t i = 0; i < maxConcurrentFetches; ++i)
         this->fetches.push_back(std::make_unique<Fetch>());
 }
@@ -182,7 +187,7 @@
     this->engineReport = newReport;
     if (hasSwitched && newReport.loadedLayersVersion != 0)
         this->noticeUntil = now + noticeDuration;
-    if (now < this->noticeUntil && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
+    if (now < this->noticeUntil && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
         this->notifyEntries(newReport.loadedLayersVersion);
 }
 
@@ -231,10 +236,21 @@
     return std::max(wanted, this->engineReport ? this->engineReport->loadedLayersVersion : 0);
 }
 
-// Requests the manifest of a version, unless the engine serves that version or the version is being fetched already.
+// Whether an older version than the wanted one is still brought to the engine, because most of it is there: the engine must
+// leave the version that it serves before the wanted one can arrive.
+bool AgentNode::isFinishingOlderVersion() const
+{
+    bool isOlder = this->manifest.version != 0 && this->manifest.version < this->wantedVersion();
+    bool isLoaded = this->manifest.version <= this->engineReport->loadedLayersVersion || this->orderedVersion == this->manifest.version;
+    auto staged = static_cast<size_t>(std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true));
+    return isOlder && !isLoaded && shouldFinishVersion(staged, this->isPieceStaged.size());
+}
+
+// Requests the manifest of a version, unless the engine serves that version, or it or an older version is being fetched.
 void AgentNode::fetchManifestIfNeeded(uint32_t version)
 {
-    if (!servesVersion(*this->engineReport, this->serviceSummary->model, version) && this->manifest.version != version)
+    bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version);
+    if (!isServed && this->manifest.version != version && !this->isFinishingOlderVersion())
         this->fetchManifest();
 }
 
@@ -300,6 +316,7 @@
             return *caller;
     }
     this->engineCallers.push_back(std::make_unique<HttpCaller>(this->loop, *this->settings.engineAddress));
+    this->engineCallers.back()->setMaxResponseBytes(maxEngineAnswerBytes);
     return *this->engineCallers.back();
 }
 
@@ -309,7 +326,9 @@
 {
     auto hosts = engineHostsIn(this->serviceSummary->engines, this->settings.location.dataCentre);
     auto switchDelayStart = supersededAt(this->namedVersions, this->engineReport->loadedLayersVersion);
-    return switchDelayStart == TimePoint::max() || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
+    // The engine must leave an older version at once when an even newer one is to follow.
+    bool isFollowed = this->manifest.version < this->wantedVersion();
+    return switchDelayStart == TimePoint::max() || isFollowed || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
 }
 
 void AgentNode::orderLoadWhenReady(TimePoint now)
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -87,6 +87,7 @@
     void handleReport(const EngineReport&, TimePoint now);
     void recordNamedVersion(const SummaryVersion&, TimePoint now);
     TimePoint newestNamedAt() const;
+    bool isFinishingOlderVersion() const;
     void fetchManifestIfNeeded(uint32_t version);
     uint32_t wantedVersion() const;
     void fetchManifest();
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <random>
 #include <string>
 #include <xxhash.h>
@@ -12,8 +13,15 @@
 static constexpr double engineConcurrencyPerSlot = 1.0;
 static constexpr double plainConcurrencyPerSlot = 2.0;
 // A farther endpoint is chosen only if its load, as a share of its concurrency limit, is lower by more than this.
+static constexpr double otherNearPenalty = 0.08;
 static constexpr double sameRegionPenalty = 0.10;
 static constexpr double otherRegionPenalty = 0.25;
+// Number of entries of its data centre that prefer an engine, and the least number of engines that an entry prefers.
+static constexpr double entriesPerNearEngine = 4;
+static constexpr size_t minNearEngines = 4;
+// Number of entries of other regions that use an engine, and the least number of such engines that an entry uses.
+static constexpr double entriesPerFarEngine = 6;
+static constexpr size_t minFarEngines = 2;
 // Number of endpoints of each distance that are drawn at random and compared.
 static constexpr size_t sampledEndpointsPerDistance = 2;
 
@@ -68,17 +76,24 @@
     return version != 0 && version >= requirements.minWeightVersion;
 }
 
-// Distance of an endpoint: 0 in the same data centre, 1 in the same region, 2 elsewhere. It is an index of distancePenalties.
-static size_t distanceTo(const EndpointRecord& record, const NodeLocation& location)
+// How far an endpoint is; an index of distancePenalties.
+enum Distance : size_t {
+    PreferredNear,
+    OtherNear,
+    SameRegion,
+    OtherRegion,
+};
+
+static constexpr std::array<double, 4> distancePenalties { 0, otherNearPenalty, sameRegionPenalty, otherRegionPenalty };
+
+static Distance distanceTo(const EndpointRecord& record, const NodeLocation& location)
 {
     if (record.dataCentre == location.dataCentre)
-        return 0;
-    return regionOfDataCentre(location, record.dataCentre) == regionOfDataCentre(location, location.dataCentre) ? 1 : 2;
+        return PreferredNear;
+    return regionOfDataCentre(location, record.dataCentre) == regionOfDataCentre(location, location.dataCentre) ? SameRegion : OtherRegion;
 }
 
-static constexpr std::array<double, 3> distancePenalties { 0, sameRegionPenalty, otherRegionPenalty };
-
-// An endpoint with free capacity.
+// An endpoint that may be chosen.
 struct EndpointCandidate {
     uint32_t row = noEndpoint;
     double score = 0; ///< Load as a share of the concurrency limit, plus the penalty for the distance.
@@ -98,6 +113,40 @@
     return best;
 }
 
+// A number that is evenly distributed over the pairs of an entry and an endpoint.
+static uint64_t pairHash(const EndpointRequirements& requirements, const EndpointRecord& record)
+{
+    return XXH64(record.id.data(), record.id.size(), requirements.entryHash);
+}
+
+// Moves some engines, which differ between entries, to the front: as many as `entriesPerEngine` of `entryCount` entries
+// having the same number lets each engine have. Returns their number; all candidates if they aren't engines.
+static size_t bringOwnShareToFront(std::vector<EndpointCandidate>& candidates, const EndpointTable& table, const EndpointRequirements& requirements, double entriesPerEngine, uint32_t entryCount, size_t minCount)
+{
+    double share = entriesPerEngine / std::max(entryCount, 1U);
+    auto count = std::max(minCount, static_cast<size_t>(std::ceil(share * static_cast<double>(candidates.size()))));
+    bool isEngine = !candidates.empty() && table.rows[candidates.front().row].record.isModelEngine;
+    if (!isEngine || count >= candidates.size())
+        return candidates.size();
+    auto isBefore = [&](const EndpointCandidate& first, const EndpointCandidate& second) {
+        return pairHash(requirements, table.rows[first.row].record) < pairHash(requirements, table.rows[second.row].record);
+    };
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(count), candidates.end(), isBefore);
+    return count;
+}
+
+// Divides the engines among the entries. In the own data centre, an entry prefers some. Of those of other regions, it uses only
+// some: the loads there are known late, and if all entries chose among the same few free engines, they would overload them.
+static void divideEngines(std::array<std::vector<EndpointCandidate>, distancePenalties.size()>& candidates, const EndpointTable& table, const EndpointRequirements& requirements)
+{
+    auto& near = candidates[PreferredNear];
+    auto preferred = near.begin() + static_cast<ptrdiff_t>(bringOwnShareToFront(near, table, requirements, entriesPerNearEngine, requirements.nearEntryCount, minNearEngines));
+    candidates[OtherNear].assign(preferred, near.end());
+    near.erase(preferred, near.end());
+    auto& far = candidates[OtherRegion];
+    far.resize(bringOwnShareToFront(far, table, requirements, entriesPerFarEngine, requirements.entryCount, minFarEngines));
+}
+
 // While an entry doesn't know what the others send to a new engine, it sends no more than its share, so that all entries
 // together stay within the engine's concurrency limit.
 static bool isWithinEntryShare(const EndpointRow& row, double limit, const EndpointRequirements& requirements, TimePoint now)
@@ -108,8 +157,7 @@
     if (share >= 1)
         return row.inFlight + 1 <= share;
     // With more entries than slots, a hash selects the entries that may send one request.
-    auto hashInput = std::to_string(requirements.entryHash) + row.record.id;
-    auto fraction = static_cast<double>(XXH64(hashInput.data(), hashInput.size(), 0) >> 11) / static_cast<double>(1ULL << 53);
+    auto fraction = static_cast<double>(pairHash(requirements, row.record) >> 11) / static_cast<double>(1ULL << 53);
     return row.inFlight == 0 && fraction < share;
 }
 
@@ -117,21 +165,28 @@
 {
     EndpointChoice choice;
     std::array<std::vector<EndpointCandidate>, distancePenalties.size()> candidates;
-    // 1. Collect the eligible endpoints with free capacity by distance.
+    // 1. Collect the eligible endpoints by distance.
     for (uint32_t i = 0; i < table.rows.size(); ++i) {
         const auto& row = table.rows[i];
-        if (!isEligible(row, requirements, location, evacuatedDataCentres, now))
-            continue;
-        choice.hasEligible = true;
-        double limit = concurrencyLimit(row.record);
-        double load = estimatedLoad(row, now);
-        if (load + 1 > limit || !isWithinEntryShare(row, limit, requirements, now))
-            continue;
-        ++choice.availableCount;
-        size_t distance = distanceTo(row.record, location);
-        candidates[distance].push_back({ i, load / limit + distancePenalties[distance] });
+        if (isEligible(row, requirements, location, evacuatedDataCentres, now))
+            candidates[distanceTo(row.record, location)].push_back({ i });
+    }
+    divideEngines(candidates, table, requirements);
+    // 2. Leave those with free capacity.
+    for (size_t distance = 0; distance < candidates.size(); ++distance) {
+        choice.hasEligible = choice.hasEligible || !candidates[distance].empty();
+        auto isFull = [&](EndpointCandidate& candidate) {
+            const auto& row = table.rows[candidate.row];
+            double limit = concurrencyLimit(row.record);
+            double load = estimatedLoad(row, now);
+            candidate.score = load / limit + distancePenalties[distance];
+            return load + 1 > limit || !isWithinEntryShare(row, limit, requirements, now);
+        };
+        auto& sameDistance = candidates[distance];
+        sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
+        choice.availableCount += static_cast<uint32_t>(sameDistance.size());
     }
-    // 2. Choose the best of a random sample of each distance.
+    // 3. Choose the best of a random sample of each distance.
     std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
     EndpointCandidate best;
     for (auto& sameDistance : candidates) {
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -29,6 +29,7 @@
     const std::vector<std::string>* accountRegions = nullptr; ///< Regions that the client account allows; null or empty: all.
     std::vector<std::string> triedEndpointIds; ///< IDs of endpoints to which the request was sent before.
     uint32_t entryCount = 1; ///< Number of entries that share the endpoints, this one included.
+    uint32_t nearEntryCount = 1; ///< Number of them in this entry's data centre, this one included.
     /// Hash that differs between entries. When there are more entries than a new engine has slots, it selects those that may
     /// use the engine.
     uint64_t entryHash = 0;
@@ -52,10 +53,12 @@
 /// Whether the endpoint could run the request if it had free capacity. Thread safe.
 bool isEligible(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
 
-/// Draws two endpoints with free capacity at random for each distance (same data centre, same region, other region) and
-/// chooses the one with the lowest load plus a penalty for the distance (the power of two choices). Nearer ones are
-/// preferred while their load isn't much higher. Entries learn of loads with a delay: if all of them took the least loaded
-/// endpoint, they would overload it. `random` is uniform. Thread safe.
+/// Draws two endpoints with free capacity at random for each distance (preferred ones of the same data centre, others there,
+/// same region, other region) and chooses the one with the lowest load plus a penalty for the distance (the power of two
+/// choices). Nearer ones are preferred while their load isn't much higher. Entries learn of loads with a delay: if all of
+/// them took the least loaded endpoint, they would overload it. Where a data centre has many entries, each prefers some of
+/// its engines, so that connections are used again before they time out, and uses only some of the engines of other regions.
+/// `random` is uniform. Thread safe.
 EndpointChoice chooseEndpoint(const EndpointTable&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, uint64_t random, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -141,10 +141,11 @@
     auto effect = isOfEarlierEra ? applyEarlierChange(this->clusterView, store, change, now, error)
         : isListed               ? applyListedItem(this->clusterView, store, change, now, error)
                                  : applyStoreChange(this->clusterView, store, change, now, error);
-    // The replica keeps the configuration and the versions that are in force, which peers may have to learn from it.
-    auto kind = store.parseKey(change.key).kind;
-    bool onlyIncreases = kind == StoreKeyKind::Configuration || kind == StoreKeyKind::WeightVersion;
-    bool isSuperseded = (onlyIncreases || isOfEarlierEra) && effect == ClusterViewChange::None;
+    // The replica keeps what is in force, also from an earlier era, since peers may have to learn it from this entry.
+    auto key = store.parseKey(change.key);
+    bool onlyIncreases = key.kind == StoreKeyKind::Configuration || key.kind == StoreKeyKind::WeightVersion;
+    bool isHeld = key.kind == StoreKeyKind::Endpoint && isEndpointHeld(this->clusterView, key.name, now);
+    bool isSuperseded = isHeld || ((onlyIncreases || isOfEarlierEra) && effect == ClusterViewChange::None);
     if (isSuperseded)
         this->storeReplica.noteVersion(change);
     else
@@ -199,7 +200,7 @@
         return false;
     if (this->settings.peerPort == 0 || now - this->startedAt >= peerWaitAfterStart)
         return true;
-    return hasHeardPeer(this->peers.table()) && peerWithNewerConfiguration(this->peers.table(), this->clusterView.routes->generation, now).empty();
+    return this->hasPeerAnswered && peerWithNewerConfiguration(this->peers.table(), this->clusterView.routes->generation, now).empty();
 }
 
 bool hasCurrentConfiguration(const EntryNode& node, TimePoint now)
@@ -264,6 +265,11 @@
     return std::max(assumedEntries, countEntries(node.peers.table(), Clock::now()));
 }
 
+uint32_t nearEntryCount(const EntryNode& node)
+{
+    return node.nearPeers + 1;
+}
+
 void reportCrash(EntryNode& node, const std::vector<uint64_t>& fingerprints, const std::string& endpointId, TimePoint now)
 {
     uint32_t endpoint = endpointHash(endpointId);
@@ -372,6 +378,7 @@
     // Each message updates the loads, so that here only those of peers that have fallen silent need to go.
     if (now - this->peerLoadsUpdatedAt >= peerLoadsInterval)
         this->updatePeerLoads(now);
+    this->chooseStoreReading(now);
     this->requestStoreDelta(now);
     this->answerDueSummaryRequests(now);
     this->storeReplica.removeExpiredTombstones(now);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -15,6 +15,7 @@
 #include "ProtocolAdapter.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
+#include "StoreReaders.h"
 #include "StoreReplica.h"
 #include "StoreWatch.h"
 
@@ -52,6 +53,7 @@
     ChannelPool channels;
     DispatchQueues queues; ///< The queue of waiting requests; the key is the service.
     std::unordered_map<std::string, RetryWindow> retryWindows; ///< The key is the service.
+    size_t bufferedResponseBytes = 0; ///< The bytes of endpoints' responses that are buffered until they are complete.
     std::unordered_map<uint64_t, std::shared_ptr<ProxiedRequest>> activeRequests; ///< Requests that aren't answered yet; the key is their number.
     uint64_t nextRequestNumber = 1;
     std::vector<uint64_t> requestsAwaitingConfiguration; ///< The numbers of requests that wait for the first configuration.
@@ -66,6 +68,8 @@
     bool hasChangesForPeers = false;
     TimePoint stopRequestedAt = TimePoint::max(); ///< The maximum while no stop is requested.
 
+    uint32_t nearPeers = 0; ///< The number of recently heard entries of this data centre.
+
     PeerExchange peers;
 
 private:
@@ -104,6 +108,7 @@
     void applyStoreDelta(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmViewByStore(BootTimePoint sentAt);
     void updatePeerLoads(TimePoint now);
+    void chooseStoreReading(TimePoint now);
     void stopWhenDone(TimePoint now);
 
     AsyncHttpServer callerServer;
@@ -112,8 +117,11 @@
     AsyncHttpServer peerServer;
     HttpCaller peerCaller;
     StoreReplica storeReplica;
+    StoreReading storeReading;
+    bool isReadingStore = true; ///< Whether this entry calls the store itself.
     TimePoint peerLoadsUpdatedAt {}; ///< When the loads of peers were last copied into the table of endpoints.
     TimePoint startedAt {};
+    bool hasPeerAnswered = false; ///< Whether a peer has answered a request for a store delta since the start.
     TimePoint deltaRequestedAt {}; ///< When a peer was last asked for a store delta.
     std::vector<PendingSummaryRequest> pendingSummaryRequests;
     bool isViewFromPeer = false; ///< Whether the cluster view was last confirmed by a peer, not by the store.
@@ -143,5 +151,7 @@
 /// Returns the number of entries that are assumed to share the fleet's retry budget, the rate of requests to cold endpoints
 /// and the slots of endpoints, this one included.
 uint32_t entryCount(const EntryNode&);
+/// Returns the number of entries of this data centre that were recently heard, this one included.
+uint32_t nearEntryCount(const EntryNode&);
 
 } // namespace bilberry
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -6,6 +6,7 @@
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
 #include "ServiceSummary.h"
+#include "StoreEra.h"
 #include "SummaryWatch.h"
 
 #include <absl/strings/numbers.h>
@@ -22,9 +23,9 @@
 // Least difference in age for which a peer is asked.
 static constexpr Milliseconds minAgeGainFromPeer { 300 };
 // Least time between two requests for a store delta.
-static constexpr Milliseconds storeDeltaInterval { 400 };
-// Time after the start within which a peer with a newer configuration is asked for it.
-static constexpr Seconds configurationCheckTime { 10 };
+static constexpr Milliseconds storeDeltaInterval { 200 };
+// Time after the start within which a peer is asked for what the store may have lost.
+static constexpr Seconds startCheckTime { 10 };
 // Timeout of a request for a store delta.
 static constexpr Milliseconds storeDeltaTimeout { 1000 };
 // Longest duration of a version switch of an engine; after it the engine is used again as its store record says.
@@ -131,23 +132,43 @@
         exchange->sendResponse(version ? 503 : 404, {}, {});
         return;
     }
-    StoreDelta delta { ageOf(this->clusterView, BootClock::now()), this->storeReplica.version, changesAfter(this->storeReplica, *version) };
+    StoreDelta delta { ageOf(this->clusterView, BootClock::now()), this->storeReplica.version, eraHoldTimeLeft(this->clusterView, Clock::now()), changesAfter(this->storeReplica, *version) };
     delta.version.era = this->clusterView.era;
     exchange->sendResponse(200, { { "Content-Type", "application/msgpack" } }, encodeStoreDelta(delta));
 }
 
-// Returns the peer to ask for a store delta: while the store doesn't answer, the one with the most recent cluster view; and at
-// any time one with a newer configuration, which the store may have lost. Empty when no peer is to be asked.
+// Returns the peer to ask for a store delta: while the store doesn't answer, the one with the most recent cluster view; after
+// the start, any one; and one with a newer configuration, which the store may have lost. Empty when no peer is to be asked.
 std::string EntryNode::peerToAsk(TimePoint now) const
 {
     const auto& table = this->peers.table();
     auto age = ageOf(this->clusterView, BootClock::now());
     if (age > minAgeToAskPeer || (this->isStoreUnreachable && age > minAgeGainFromPeer))
         return freshestPeer(table, age == Milliseconds::max() ? age : age - minAgeGainFromPeer, this->clusterView.era, now);
-    bool mayLackConfiguration = this->clusterView.routes && (now - this->startedAt < configurationCheckTime || now < this->clusterView.eraHoldUntil);
+    if (!this->isReadingStore) {
+        StoreVersion ownVersion { this->clusterView.era, this->storeReplica.version.revision };
+        if (auto reader = readerToAsk(table, ownVersion, age, now); !reader.empty())
+            return reader;
+    }
+    bool isStarting = now - this->startedAt < startCheckTime;
+    if (isStarting && !this->hasPeerAnswered)
+        return freshestPeer(table, Milliseconds::max(), this->clusterView.era, now);
+    bool mayLackConfiguration = this->clusterView.routes && (isStarting || now < this->clusterView.eraHoldUntil);
     return mayLackConfiguration ? peerWithNewerConfiguration(table, this->clusterView.routes->generation, now) : std::string();
 }
 
+// Starts or ends this entry's own calls to the store, depending on which entries read it.
+void EntryNode::chooseStoreReading(TimePoint now)
+{
+    auto age = ageOf(this->clusterView, BootClock::now());
+    bool shouldRead = this->settings.peerPort == 0 || shouldReadStore(this->storeReading, this->peers.table(), age, now);
+    if (shouldRead == this->isReadingStore)
+        return;
+    this->isReadingStore = shouldRead;
+    this->storeWatch.setPaused(!shouldRead, { this->clusterView.era, this->storeReplica.version.revision });
+    this->log.write(LogLevel::Info, shouldRead ? "store_reading_begun" : "store_reading_ended", { { "age_ms", age } });
+}
+
 void EntryNode::requestStoreDelta(TimePoint now)
 {
     if (now - this->deltaRequestedAt < storeDeltaInterval || this->peerCaller.isBusy())
@@ -165,7 +186,7 @@
 // Takes over a peer's view if it is more recent than the own one: it is of the same era, or of a later one and then complete.
 void EntryNode::adoptView(const StoreDelta& delta, const std::string& peer, BootTimePoint confirmedAt, TimePoint now)
 {
-    if (!this->isViewFromPeer) {
+    if (this->isReadingStore && !this->isViewFromPeer) {
         this->isViewFromPeer = true;
         this->log.write(LogLevel::Info, "took_peers_belief", { { "peer", peer }, { "age_ms", delta.age }, { "changes", static_cast<uint64_t>(delta.changes.size()) } });
     }
@@ -192,6 +213,9 @@
         return;
     }
     auto now = Clock::now();
+    this->hasPeerAnswered = true;
+    if (delta->version.era == this->clusterView.era)
+        joinEraHold(this->clusterView, delta->holdTimeLeft, now);
     // The peer measures the age after the request was sent, so its view is at least as recent as this.
     auto peerConfirmedAt = sentAt - delta->age;
     bool isMoreRecent = delta->version.era >= this->clusterView.era && (!this->clusterView.isConfirmed || peerConfirmedAt > this->clusterView.confirmedAt);
@@ -211,7 +235,9 @@
 void EntryNode::updatePeerLoads(TimePoint now)
 {
     this->peerLoadsUpdatedAt = now;
-    auto loads = peersInFlight(this->peers.table(), now);
+    const auto& table = this->peers.table();
+    this->nearPeers = static_cast<uint32_t>(peersInDataCentre(table, table.ownDataCentre, table.rows.size(), now).size());
+    auto loads = peersInFlight(table, now);
     for (auto& row : this->clusterView.endpoints.rows) {
         if (row.record.id.empty())
             continue;
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -6,8 +6,8 @@
 
 namespace bilberry {
 
-// Largest response body that is accepted.
-static constexpr size_t maxResponseBytes = 32 << 20;
+// Largest response body that is accepted by default. A page of the store holds a configuration of megabytes at most.
+static constexpr size_t defaultMaxResponseBytes = 16 << 20;
 // A connection is closed if bytes sent on it stay unacknowledged for this time.
 static constexpr Milliseconds unacknowledgedTimeout { 1500 };
 static constexpr Milliseconds connectTimeout { 600 };
@@ -33,6 +33,7 @@
 
     EventLoop& loop;
     Address address;
+    size_t maxResponseBytes = defaultMaxResponseBytes;
     LoopTimer timer;
     std::shared_ptr<HttpChannel> channel;
     CallHandler handler;
@@ -104,7 +105,7 @@
         if (!self)
             return;
         self->result.body += chunk;
-        if (self->result.body.size() > maxResponseBytes)
+        if (self->result.body.size() > self->maxResponseBytes)
             self->finishCall(ChannelEnd::Malformed, false);
         else
             self->channel->resumeReading();
@@ -132,6 +133,11 @@
         this->state->channel->close();
 }
 
+void HttpCaller::setMaxResponseBytes(size_t bytes)
+{
+    this->state->maxResponseBytes = bytes;
+}
+
 void HttpCaller::setAddress(const Address& address)
 {
     assert(!this->isBusy());
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -37,6 +37,8 @@
     void get(const std::string& path, Milliseconds timeout, CallHandler);
     /// Cancels the call in flight without calling its handler, and closes the connection.
     void close();
+    /// Sets the largest response body that later calls accept; a longer one counts as malformed.
+    void setMaxResponseBytes(size_t);
     /// Sets the address for later calls. Precondition: no call is in flight.
     void setAddress(const Address&);
     /// Whether a call is in flight.
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -21,7 +21,7 @@
 
 // Size of one read from the socket.
 static constexpr size_t readBufferBytes = 16 << 10;
-// Largest head of a response.
+// Largest head of a response, and largest header of a chunk.
 static constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
 // Largest body of a response. The users of a channel set lower bounds; this one only stands in for the library's "no limit"
 // setting, which isn't reliable.
@@ -211,7 +211,9 @@
     while (this->state->buffer.size() > 0 && !this->state->parser->is_done()) {
         size_t used = this->state->parser->put(this->state->buffer.data(), error);
         this->state->buffer.consume(used);
-        if (error == http::error::need_more)
+        // What the parser leaves in the buffer is the beginning of a head, a chunk's header or a trailer, which may have no end.
+        bool isTooLong = error == http::error::need_more && this->state->buffer.size() > maxResponseHeaderBytes;
+        if (error == http::error::need_more && !isTooLong)
             break;
         if (error) {
             this->finishExchange(ChannelEnd::Malformed);
--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -98,11 +98,6 @@
         digest = now - digest->second.madeAt > removalTime ? this->digests.erase(digest) : std::next(digest);
 }
 
-bool hasHeardPeer(const PeerTable& table)
-{
-    return std::any_of(table.rows.begin(), table.rows.end(), [](const auto& entry) { return entry.second.heardAt != TimePoint(); });
-}
-
 std::unordered_map<uint32_t, uint32_t> peersInFlight(const PeerTable& table, TimePoint now)
 {
     std::unordered_map<uint32_t, uint32_t> total;
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -57,8 +57,6 @@
 
 /// Whether the entry isn't stopping and was heard recently. Thread safe.
 bool isRecentlyHeard(const PeerRow&, TimePoint now);
-/// Whether any entry was heard. Thread safe.
-bool hasHeardPeer(const PeerTable&);
 /// Returns the requests of all other entries at endpoints, by the hash of the endpoint's id: of the recently heard entries
 /// of this data centre, and of the others by their digests. Thread safe.
 std::unordered_map<uint32_t, uint32_t> peersInFlight(const PeerTable&, TimePoint now);
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -32,7 +32,10 @@
 {
 }
 
-ProxiedRequest::~ProxiedRequest() = default;
+ProxiedRequest::~ProxiedRequest()
+{
+    this->discardBody();
+}
 
 Milliseconds ProxiedRequest::timeLeft(TimePoint now) const
 {
@@ -161,6 +164,7 @@
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
     this->requirements.entryCount = entryCount(this->node);
+    this->requirements.nearEntryCount = nearEntryCount(this->node);
     this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
     this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, now);
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -57,6 +57,8 @@
     ResponseDisposition onResponseHead(const ResponseHead&);
     void onBodyChunk(const std::string& chunk);
     void onStreamChunk(const std::string& chunk);
+    void noteProgress();
+    void discardBody();
     void forwardEvents(const std::string& events);
     void onAttemptEnd(ChannelEnd);
     AttemptResult attemptResult(ChannelEnd) const;
@@ -93,7 +95,8 @@
     uint32_t endpointRow = noEndpoint;
     std::string endpointId;
     TimePoint attemptStartedAt {};
-    TimePoint lastReceivedAt {}; ///< When the last bytes were received, or when the attempt started.
+    TimePoint lastReceivedAt {}; ///< When the attempt last made progress: at its start, with its head, with bytes of a body and
+                                 ///< with whole events of a stream.
     ResponseHead responseHead;
     EndpointReply endpointReply;
     std::string body;
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -11,6 +11,8 @@
 
 // Largest response that is buffered as a whole before it is forwarded. A larger one counts as malformed.
 static constexpr size_t maxBufferedResponseBytes = 16 << 20;
+// Largest number of bytes of all responses that are buffered at a time.
+static constexpr size_t maxBufferedBytesOfAll = 48 << 20;
 // Number of responses to earlier requests that an attempt skips on its connection.
 static constexpr int maxSkippedResponses = 2;
 // Longest idle time of a connection that is reused for a request that may not be repeated. Such a request can't be retried
@@ -62,7 +64,7 @@
     this->lastReceivedAt = now;
     this->responseHead = ResponseHead();
     this->endpointReply = EndpointReply();
-    this->body.clear();
+    this->discardBody();
     this->skippedResponses = 0;
     this->channel = this->node.channels.acquireChannel(endpoint.record.id, endpoint.record.address, mayRepeat(*this->route) ? maxIdleForRepeatable : maxIdleForUnrepeatable);
     ResponseHandlers handlers;
@@ -102,23 +104,38 @@
 
 void ProxiedRequest::onBodyChunk(const std::string& chunk)
 {
-    this->lastReceivedAt = Clock::now();
-    this->node.clusterView.endpoints.rows[this->endpointRow].lastHeardAt = this->lastReceivedAt;
     bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest);
     if (isStream) {
         this->onStreamChunk(chunk);
         return;
     }
+    this->noteProgress();
     this->body += chunk;
-    if (this->body.size() > maxBufferedResponseBytes)
+    this->node.bufferedResponseBytes += chunk.size();
+    if (this->body.size() > maxBufferedResponseBytes || this->node.bufferedResponseBytes > maxBufferedBytesOfAll)
         this->abandonAttempt(AttemptResult::Malformed);
     else
         this->channel->resumeReading();
 }
 
+void ProxiedRequest::noteProgress()
+{
+    this->lastReceivedAt = Clock::now();
+    this->node.clusterView.endpoints.rows[this->endpointRow].lastHeardAt = this->lastReceivedAt;
+}
+
+void ProxiedRequest::discardBody()
+{
+    this->node.bufferedResponseBytes -= this->body.size();
+    this->body.clear();
+}
+
+// Only whole events are progress of a stream: a stalled endpoint may still send a byte now and then.
 void ProxiedRequest::onStreamChunk(const std::string& chunk)
 {
     auto events = takeCompleteEvents(this->eventStream, chunk);
+    if (!events.empty())
+        this->noteProgress();
     if (!events.empty())
         this->forwardEvents(events);
     else if (this->eventStream.fault == StreamFault::None)
--- a/src/StoreEra.cpp
+++ b/src/StoreEra.cpp
@@ -1,5 +1,6 @@
 #include "StoreEra.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace bilberry {
@@ -35,6 +36,18 @@
     return now < view.eraHoldUntil;
 }
 
+Milliseconds eraHoldTimeLeft(const ClusterView& view, TimePoint now)
+{
+    return isHoldActive(view, now) ? std::chrono::duration_cast<Milliseconds>(view.eraHoldUntil - now) : Milliseconds(0);
+}
+
+void joinEraHold(ClusterView& view, Milliseconds timeLeft, TimePoint now)
+{
+    auto bounded = std::min(timeLeft, rewriteTime);
+    if (bounded > Milliseconds(0))
+        view.eraHoldUntil = std::max(view.eraHoldUntil, now + bounded);
+}
+
 // Keeps an endpoint from use until the hold ends.
 static void holdEndpoint(ClusterView& view, const std::string& id)
 {
@@ -68,6 +81,12 @@
     return change;
 }
 
+bool isEndpointHeld(const ClusterView& view, const std::string& id, TimePoint now)
+{
+    auto found = view.endpoints.rowById.find(id);
+    return found != view.endpoints.rowById.end() && now < view.endpoints.rows[found->second].heldUntil;
+}
+
 // Keeps an endpoint from use that a peer knows as draining or gone since the earlier era.
 static ClusterViewChange applyEarlierEndpoint(ClusterView& view, const StoreAdapter& adapter, const std::string& id, const StoreChange& change, TimePoint now)
 {
--- a/src/StoreEra.h
+++ b/src/StoreEra.h
@@ -15,9 +15,15 @@
 /// Notes the era of an answer of the store, before its items are applied. Returns whether the store has lost changes since
 /// the last one, so that the hold begins. An era that isn't higher changes nothing. Not thread safe.
 bool noteStoreEra(ClusterView&, uint64_t era, TimePoint now);
+/// Returns for how long the hold goes on; zero without one. Thread safe.
+Milliseconds eraHoldTimeLeft(const ClusterView&, TimePoint now);
+/// Begins a hold that a peer of the same era states, or prolongs the own one to its end. Not thread safe.
+void joinEraHold(ClusterView&, Milliseconds timeLeft, TimePoint now);
 /// Applies an item of a complete listing. An endpoint that the earlier era showed draining or gone isn't used until the hold
 /// ends or the endpoint is written again. Otherwise as applyStoreChange(). Not thread safe.
 ClusterViewChange applyListedItem(ClusterView&, const StoreAdapter&, const StoreChange&, TimePoint now, std::string& error);
+/// Whether an endpoint isn't used because the earlier era showed it draining or gone. Thread safe.
+bool isEndpointHeld(const ClusterView&, const std::string& id, TimePoint now);
 /// Applies a change that is known from the earlier era only, from a peer: it can keep an endpoint from use, evacuate a data
 /// centre, or bring a newer configuration or version, nothing else. Not thread safe.
 ClusterViewChange applyEarlierChange(ClusterView&, const StoreAdapter&, const StoreChange&, TimePoint now, std::string& error);
--- a/src/StoreReplica.cpp
+++ b/src/StoreReplica.cpp
@@ -69,7 +69,7 @@
         std::vector<uint8_t> value(change.value.begin(), change.value.end());
         changes.push_back(json::array({ change.key, change.revision, change.isRemoved, json::binary(std::move(value)), change.era }));
     }
-    auto bytes = json::to_msgpack(json::array({ delta.age.count(), delta.version.revision, changes, delta.version.era }));
+    auto bytes = json::to_msgpack(json::array({ delta.age.count(), delta.version.revision, changes, delta.version.era, delta.holdTimeLeft.count() }));
     return std::string(bytes.begin(), bytes.end());
 }
 
@@ -81,12 +81,13 @@
 absl::StatusOr<StoreDelta> decodeStoreDelta(const std::string& bytes)
 {
     auto root = json::from_msgpack(bytes, true, false);
-    bool isTyped = root.is_array() && root.size() == 4 && root[0].is_number_integer() && root[1].is_number_unsigned() && root[2].is_array() && root[3].is_number_unsigned();
+    bool isTyped = root.is_array() && root.size() == 5 && root[0].is_number_integer() && root[1].is_number_unsigned() && root[2].is_array() && root[3].is_number_unsigned() && root[4].is_number_integer();
     if (!isTyped)
         return absl::InvalidArgumentError("not a store delta");
     StoreDelta delta;
     delta.age = Milliseconds(root[0].get<int64_t>());
     delta.version = { root[3].get<uint64_t>(), root[1].get<uint64_t>() };
+    delta.holdTimeLeft = Milliseconds(root[4].get<int64_t>());
     for (const auto& row : root[2]) {
         if (!isEncodedChange(row))
             return absl::InvalidArgumentError("a change in the store delta has the wrong layout");
--- a/src/StoreReplica.h
+++ b/src/StoreReplica.h
@@ -41,6 +41,7 @@
 struct StoreDelta {
     Milliseconds age { 0 }; ///< The age of the sender's cluster view when it received the request.
     StoreVersion version; ///< The era and revision of the sender's newest change.
+    Milliseconds holdTimeLeft { 0 }; ///< For how long the sender still holds facts of earlier eras, see StoreEra.h.
     /// All changes after the requested version, oldest first, and those that the sender holds from earlier eras.
     std::vector<StoreChange> changes;
 };
--- a/src/StoreWatch.cpp
+++ b/src/StoreWatch.cpp
@@ -41,6 +41,8 @@
     HttpCaller caller;
     LoopTimer timer;
     bool isStopped = false;
+    bool isPaused = false;
+    bool isIdle = false; ///< Whether no call is in flight or scheduled, because of a pause.
     bool isListed = false; ///< Whether a complete listing was received, which watch calls can continue from.
     std::vector<StoreChange> listing; ///< The pages received so far.
     uint64_t listingEra = 0; ///< The era of the first page; all pages must be of it.
@@ -119,6 +121,10 @@
 
 void StoreWatch::State::requestChanges()
 {
+    if (this->isPaused) {
+        this->isIdle = true;
+        return;
+    }
     if (!this->isListed) {
         this->requestNextPage();
         return;
@@ -191,6 +197,18 @@
     this->state->requestChanges();
 }
 
+void StoreWatch::setPaused(bool isPaused, const StoreVersion& version)
+{
+    auto& state = *this->state;
+    state.isPaused = isPaused;
+    if (isPaused || !state.isIdle)
+        return;
+    state.isIdle = false;
+    if (version.era == state.era)
+        state.revision = std::max(state.revision, version.revision);
+    state.requestChanges();
+}
+
 uint64_t StoreWatch::callCount() const
 {
     return this->state->callCount;
--- a/src/StoreWatch.h
+++ b/src/StoreWatch.h
@@ -6,6 +6,7 @@
 #include "EventLoop.h"
 #include "HttpChannel.h"
 #include "ProtocolAdapter.h"
+#include "StoreVersion.h"
 
 #include <memory>
 #include <string>
@@ -42,6 +43,9 @@
     StoreWatch& operator=(const StoreWatch&) = delete;
 
     void start();
+    /// Ends the calls after the one in flight, or goes on with them. `version` is the newest change that the owner has from
+    /// elsewhere; going on, the watch continues from it if it is of the same era.
+    void setPaused(bool, const StoreVersion& version);
     /// Returns the number of listing and watch calls sent so far, failed ones included.
     uint64_t callCount() const;
 
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -44,6 +44,11 @@
     return oldest;
 }
 
+bool shouldFinishVersion(size_t staged, size_t total)
+{
+    return total > 0 && 2 * staged >= total;
+}
+
 std::vector<std::string> engineHostsIn(const std::vector<ServiceEngine>& engines, const std::string& dataCentre)
 {
     std::vector<std::string> hosts;
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -33,6 +33,10 @@
 /// switchDelay(); when it is zero, any version is allowed. Thread safe.
 uint32_t oldestAllowedVersion(const NamedVersions&, Milliseconds bound, TimePoint now);
 
+/// Whether an agent goes on with an older version of which it has `staged` of `total` pieces although a newer one was named.
+/// Thread safe.
+bool shouldFinishVersion(size_t staged, size_t total);
+
 /// Returns the hosts of the engines in a data centre. Thread safe.
 std::vector<std::string> engineHostsIn(const std::vector<ServiceEngine>&, const std::string& dataCentre);
 
--- a/tests/EndpointChoiceTest.cpp
+++ b/tests/EndpointChoiceTest.cpp
@@ -350,3 +350,61 @@
     table.rows[row].inFlight = 1;
     BOOST_TEST(chosenEndpointId(table, requirements) == "e");
 }
+
+namespace {
+
+// Sends requests from each of several entries at a light load of the engines; returns the number of different engines that one
+// entry uses, on average, and the largest number of entries that use one engine.
+std::pair<double, size_t> enginesUsed(uint32_t entryCount, uint32_t nearEntryCount, const std::string& dataCentre, int engineCount)
+{
+    EndpointTable table;
+    for (int i = 0; i < engineCount; ++i)
+        table.upsert(engineRecord("e" + std::to_string(i), dataCentre), start - Seconds(2));
+    auto requirements = makeEngineRequirements();
+    requirements.entryCount = entryCount;
+    requirements.nearEntryCount = nearEntryCount;
+    std::map<uint32_t, std::set<uint32_t>> entriesByEngine;
+    std::mt19937_64 random { 5 };
+    size_t pairs = 0;
+    for (uint32_t entry = 0; entry < entryCount; ++entry) {
+        requirements.entryHash = entry + 1;
+        for (int i = 0; i < 100; ++i)
+            entriesByEngine[chooseEndpoint(table, requirements, location, {}, random(), start).row].insert(entry);
+    }
+    size_t most = 0;
+    for (const auto& [engine, entries] : entriesByEngine) {
+        pairs += entries.size();
+        most = std::max(most, entries.size());
+    }
+    return { static_cast<double>(pairs) / entryCount, most };
+}
+
+} // namespace
+
+// With many entries, each uses a few engines, and each engine is used by a few entries; with few entries, all use all.
+BOOST_AUTO_TEST_CASE(enginesAreDividedAmongManyEntries)
+{
+    BOOST_TEST(enginesUsed(4, 4, "dc-a", 12).first == 12);
+    auto near = enginesUsed(11, 11, "dc-a", 22);
+    BOOST_TEST(near.first == 8);
+    BOOST_TEST(near.second <= 8u);
+    auto far = enginesUsed(54, 11, "dc-c", 86);
+    BOOST_TEST(far.first <= 10);
+    BOOST_TEST(far.second <= 14u);
+}
+
+// An entry whose preferred engines are full uses the others of its data centre, so that no free engine stays unused.
+BOOST_AUTO_TEST_CASE(preferredEnginesAreNoLimit)
+{
+    EndpointTable table;
+    for (int i = 0; i < 20; ++i)
+        table.upsert(engineRecord("e" + std::to_string(i), "dc-a"), start - Seconds(2));
+    auto requirements = makeEngineRequirements();
+    requirements.nearEntryCount = 10;
+    for (int i = 0; i < 20 * 4; ++i) {
+        auto choice = chooseEndpoint(table, requirements, location, {}, static_cast<uint64_t>(i), start);
+        BOOST_REQUIRE(choice.row != noEndpoint);
+        ++table.rows[choice.row].inFlight;
+    }
+    BOOST_TEST((chooseEndpoint(table, requirements, location, {}, 1, start).row == noEndpoint));
+}
--- a/tests/LoopHttpTest.cpp
+++ b/tests/LoopHttpTest.cpp
@@ -355,3 +355,118 @@
     BOOST_TEST(result->status == 0);
     BOOST_TEST(!caller.isBusy());
 }
+
+namespace {
+
+/// A server that answers the first request with a beginning and then the same bytes without end, until the client closes.
+struct EndlessServer {
+    EndlessServer(EventLoop& loop, std::string beginning, std::string repeated)
+        : acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(loop)
+        , beginning(std::move(beginning))
+    {
+        while (this->block.size() < blockBytes)
+            this->block += repeated;
+        this->acceptor.async_accept(this->socket, [this](const boost::system::error_code& error) {
+            if (!error)
+                this->socket.async_read_some(asio::buffer(this->buffer), [this](const boost::system::error_code& failure, size_t) { this->writeNext(failure, this->beginning); });
+        });
+    }
+
+    void writeNext(const boost::system::error_code& error, const std::string& bytes)
+    {
+        this->isClosed = static_cast<bool>(error);
+        if (error)
+            return;
+        this->sentBytes += bytes.size();
+        asio::async_write(this->socket, asio::buffer(bytes), [this](const boost::system::error_code& failure, size_t) { this->writeNext(failure, this->block); });
+    }
+
+    static constexpr size_t blockBytes = 16 << 10;
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::string beginning;
+    std::string block;
+    size_t sentBytes = 0;
+    bool isClosed = false;
+    std::array<char, 4096> buffer {};
+};
+
+} // namespace
+
+// Bytes without end, in any part of a response, end the call in time: the connection is closed, no response is reported, and
+// no more is read than the largest response that is accepted (and what fits into the sockets' buffers).
+BOOST_AUTO_TEST_CASE(responsesWithoutEndAreGivenUp)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Row {
+        const char* name;
+        std::string beginning;
+        std::string repeated;
+        bool endsByTimeout;
+    };
+    const std::vector<Row> rows {
+        { "no HTTP", "x", "x", false },
+        { "status line", "HTTP/1.1 200 ", "a", false },
+        { "header line", head + "X-Long: ", "a", false },
+        { "headers", head, "X-Again: 1\r\n", false },
+        { "chunk extension", chunked + "1;", "a", false },
+        { "chunk size", chunked, "0", false },
+        { "trailer", chunked + "1\r\na\r\n0\r\nX-Long: ", "a", false },
+        { "trailers", chunked + "1\r\na\r\n0\r\n", "X-Again: 1\r\n", false },
+        { "chunks", chunked, "4\r\naaaa\r\n", false },
+        { "body without length", head + "\r\n", "a", false },
+        { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", true },
+    };
+    constexpr size_t maxBytes = 1 << 20;
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            EventLoop loop { 1 };
+            EndlessServer server(loop, row.beginning, row.repeated);
+            HttpCaller caller(loop, { "127.0.0.1", server.acceptor.local_endpoint().port() });
+            caller.setMaxResponseBytes(maxBytes);
+            std::optional<CallResult> result;
+            auto timeout = row.endsByTimeout ? Milliseconds(300) : testTimeout / 2;
+            caller.get("/", timeout, [&](const CallResult& received) { result = received; });
+            runUntil(loop, [&] { return result.has_value() && server.isClosed; });
+            BOOST_TEST(result->status == 0);
+            BOOST_TEST(result->hasTimedOut == row.endsByTimeout);
+            BOOST_TEST(result->body.size() <= maxBytes + 2 * EndlessServer::blockBytes);
+            // The system buffers some megabytes of a loopback connection.
+            if (!row.endsByTimeout)
+                BOOST_TEST(server.sentBytes < maxBytes * 4 + (8 << 20));
+        }
+    }
+}
+
+// What is given up while its request is still being written reaches the server as a reset, not as an end after which it could
+// go on with the bytes that it has.
+BOOST_AUTO_TEST_CASE(givenUpExchangesAreReset)
+{
+    EventLoop loop { 1 };
+    asio::ip::tcp::acceptor acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket accepted(loop);
+    bool isAccepted = false;
+    acceptor.async_accept(accepted, [&](const boost::system::error_code& error) { isAccepted = !error; });
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", acceptor.local_endpoint().port() }, ChannelTimeouts());
+    Exchange exchange;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/";
+    request.body = std::string(16 << 20, 'x');
+    exchange.startExchange(channel, request);
+    runUntil(loop, [&] { return isAccepted; });
+    loop.restart();
+    loop.run_for(Milliseconds(50));
+    channel->close();
+    boost::system::error_code error;
+    std::vector<char> buffer(1 << 20);
+    size_t received = 0;
+    while (!error)
+        received += accepted.read_some(asio::buffer(buffer), error);
+    BOOST_TEST((error == asio::error::connection_reset));
+    BOOST_TEST(received < request.body.size());
+}
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -169,11 +169,12 @@
 
 BOOST_AUTO_TEST_CASE(storeDeltasRoundTripThroughEncoding)
 {
-    StoreDelta sent { Milliseconds(350), { 2, 90 }, { { "a", false, std::string("\x00\xff{}", 4), 88, 1 }, { "b", true, {}, 90, 2 } } };
+    StoreDelta sent { Milliseconds(350), { 2, 90 }, Milliseconds(700), { { "a", false, std::string("\x00\xff{}", 4), 88, 1 }, { "b", true, {}, 90, 2 } } };
     auto read = decodeStoreDelta(encodeStoreDelta(sent));
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((read->age == sent.age));
     BOOST_TEST((read->version == sent.version));
+    BOOST_TEST((read->holdTimeLeft == sent.holdTimeLeft));
     BOOST_TEST(read->changes[0].era == 1u);
     BOOST_TEST(read->changes.size() == 2u);
     BOOST_TEST(read->changes[0].value == sent.changes[0].value);
--- a/tests/StoreEraTest.cpp
+++ b/tests/StoreEraTest.cpp
@@ -156,8 +156,9 @@
 BOOST_AUTO_TEST_CASE(newEntriesLearnLostFactsFromPeers)
 {
     Follower follower;
-    follower.list(1, {});
     follower.list(2, { configurationChange(4, "withdrawn"), endpointChange("e", "ready"), endpointChange("f", "ready") });
+    joinEraHold(follower.view, Milliseconds(4000), start);
+    BOOST_TEST((eraHoldTimeLeft(follower.view, start) == Milliseconds(4000)));
     follower.tellEarlier(configurationChange(5, "valid"));
     BOOST_TEST(follower.view.routes->generation == 5u);
     follower.tellEarlier(endpointChange("e", "draining"));
@@ -173,6 +174,8 @@
     follower.change(endpointChange("f", "ready"));
     follower.tellEarlier(removalOf(endpointChange("f", "ready")));
     BOOST_TEST(isUsable(follower.view, "f", start));
+    BOOST_TEST(!isUsable(follower.view, "e", start + Milliseconds(3999)));
+    BOOST_TEST(isUsable(follower.view, "e", start + Milliseconds(4000)));
 }
 
 namespace {
--- a/tests/StoreWatchTest.cpp
+++ b/tests/StoreWatchTest.cpp
@@ -29,11 +29,24 @@
             this->heldExchanges.push_back(exchange);
         } else if (isListing) {
             ++this->listingCount;
-            exchange->sendResponse(200, {}, R"({"items":[{"key":"op/config","value":"e30=","revision":7}],"more-pages":false,"as-of":9})");
+            this->answerListing(exchange);
         } else {
-            auto [status, body] = this->watchAnswers.front();
+            auto [status, body, era] = this->watchAnswers.front();
             this->watchAnswers.erase(this->watchAnswers.begin());
-            exchange->sendResponse(status, {}, body);
+            this->era = std::max(this->era, era);
+            exchange->sendResponse(status, { { "Store-Era", std::to_string(era == 0 ? this->era : era) } }, body);
+        }
+    }
+
+    // Answers with the next of the given pages, or with a single page of one item.
+    void answerListing(const std::shared_ptr<ServerExchange>& exchange)
+    {
+        if (!this->pages.empty()) {
+            auto [body, era] = this->pages.front();
+            this->pages.erase(this->pages.begin());
+            exchange->sendResponse(200, { { "Store-Era", std::to_string(era) } }, body);
+        } else {
+            exchange->sendResponse(200, { { "Store-Era", std::to_string(this->era) } }, R"({"items":[{"key":"op/config","value":"e30=","revision":7}],"more-pages":false,"as-of":9})");
         }
     }
 
@@ -46,7 +59,11 @@
         settings.timeoutMargin = Milliseconds(100);
         settings.pauseBetweenCalls = Milliseconds(1);
         StoreWatchHandlers handlers;
-        handlers.onListing = [this](const std::vector<StoreChange>& items, uint64_t, BootTimePoint) { this->listedItems += items.size(); };
+        handlers.onListing = [this](const std::vector<StoreChange>& items, uint64_t listedEra, BootTimePoint) {
+            this->listedItems += items.size();
+            this->listedEras.push_back(listedEra);
+            BOOST_TEST(std::all_of(items.begin(), items.end(), [&](const StoreChange& item) { return item.era == listedEra; }));
+        };
         handlers.onChanges = [this](const std::vector<StoreChange>& changes, BootTimePoint) {
             ++this->changeCalls;
             this->changes.insert(this->changes.end(), changes.begin(), changes.end());
@@ -70,7 +87,19 @@
     AsyncHttpServer server;
     std::unique_ptr<StoreWatch> watch;
     bool isSilent = false;
-    std::vector<std::pair<int, std::string>> watchAnswers;
+    struct WatchAnswer {
+        int status = 200;
+        std::string body;
+        uint64_t era = 0; ///< The era that it states; zero: the store's.
+    };
+    struct Page {
+        std::string body;
+        uint64_t era = 1;
+    };
+    uint64_t era = 1;
+    std::vector<WatchAnswer> watchAnswers;
+    std::vector<Page> pages;
+    std::vector<uint64_t> listedEras; ///< The eras of the listings that were received.
     std::vector<std::shared_ptr<ServerExchange>> heldExchanges;
     size_t listingCount = 0;
     size_t listedItems = 0;
@@ -99,7 +128,7 @@
 // that can't be parsed counts as a failure and doesn't cause a new listing.
 BOOST_AUTO_TEST_CASE(lostHistoryIsListedAgain)
 {
-    for (const auto& lost : { std::pair<int, std::string> { 410, "{}" }, { 200, R"({"events":[],"as-of":3})" } }) {
+    for (const auto& lost : { FakeStore::WatchAnswer { 410, "{}" }, { 200, R"({"events":[],"as-of":3})" } }) {
         FakeStore store;
         store.watchAnswers = { lost, { 200, oneChange } };
         store.startWatch(Milliseconds(1000));
@@ -131,3 +160,66 @@
     store.runUntil([&] { return store.changeCalls == 1; });
     BOOST_TEST((Clock::now() - recoveredAt < Milliseconds(1200)));
 }
+
+// After a return from an older copy, the store gives out revisions a second time. An answer of another era is no continuation,
+// even if its revisions are higher; the items are listed again, and the changes in it aren't passed on.
+BOOST_AUTO_TEST_CASE(changesOfAnotherEraAreListedAgain)
+{
+    for (int status : { 200, 410 }) {
+        FakeStore store;
+        store.watchAnswers = { { 200, noChange }, { status, oneChange, 2 }, { 200, noChange } };
+        store.startWatch(Milliseconds(1000));
+        store.runUntil([&] { return store.changeCalls == 2; });
+        BOOST_TEST(store.listedEras == std::vector<uint64_t>({ 1, 2 }), boost::test_tools::per_element());
+        BOOST_TEST(store.changes.empty());
+    }
+}
+
+// Pages of two eras aren't one listing: it is begun again.
+BOOST_AUTO_TEST_CASE(listingsAreOfOneEra)
+{
+    const std::string firstPage = R"({"items":[{"key":"a","value":"e30=","revision":7}],"more-pages":true,"as-of":9})";
+    const std::string lastPage = R"({"items":[{"key":"b","value":"e30=","revision":3}],"more-pages":false,"as-of":4})";
+    FakeStore store;
+    store.pages = { { firstPage, 1 }, { lastPage, 2 }, { firstPage, 2 }, { lastPage, 2 } };
+    store.era = 2;
+    store.watchAnswers = { { 200, noChange } };
+    store.startWatch(Milliseconds(1000));
+    store.runUntil([&] { return store.changeCalls == 1; });
+    BOOST_TEST(store.listedEras == std::vector<uint64_t>({ 2 }), boost::test_tools::per_element());
+    BOOST_TEST(store.listedItems == 2u);
+    BOOST_TEST(store.failureCount == 1u);
+}
+
+// A late answer of an earlier era doesn't bring the lost era back.
+BOOST_AUTO_TEST_CASE(earlierErasAreFailures)
+{
+    FakeStore store;
+    store.era = 3;
+    store.watchAnswers = { { 200, oneChange, 2 }, { 200, noChange } };
+    store.pages = { { R"({"items":[],"more-pages":false,"as-of":9})", 3 }, { R"({"items":[],"more-pages":false,"as-of":9})", 2 } };
+    store.startWatch(Milliseconds(1000));
+    store.runUntil([&] { return store.changeCalls == 1; });
+    BOOST_TEST(store.listedEras == std::vector<uint64_t>({ 3, 3 }), boost::test_tools::per_element());
+    BOOST_TEST(store.failureCount == 1u);
+    BOOST_TEST(store.changes.empty());
+}
+
+// A paused watch makes no calls; when it goes on, it continues from what was learned elsewhere.
+BOOST_AUTO_TEST_CASE(pausedWatchesMakeNoCalls)
+{
+    FakeStore store;
+    store.watchAnswers = { { 200, noChange } };
+    store.startWatch(Milliseconds(1000));
+    store.watch->setPaused(true, {});
+    store.runUntil([&] { return store.listingCount == 1; });
+    store.loop.restart();
+    store.loop.run_for(Milliseconds(100));
+    auto calls = store.watch->callCount();
+    BOOST_TEST(store.changeCalls == 0u);
+    store.watch->setPaused(false, { 1, 20 });
+    store.watchAnswers = { { 200, R"({"events":[],"as-of":21})" } };
+    store.runUntil([&] { return store.changeCalls == 1; });
+    BOOST_TEST(store.watch->callCount() > calls);
+    BOOST_TEST(store.listingCount == 1u);
+}
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -86,6 +86,8 @@
         self.items = {}
         self.events = []
         self.revision = 5
+        self.era = 1
+        self.copy = None
         self.turns_away = set()
         self.is_down = False
         self.calls = 0
@@ -107,12 +109,28 @@
             self.events.append({"key": key, "revision": self.revision, "removed": True})
             self.changed.notify_all()
 
+    def take_copy(self):
+        """Keeps a copy, which return_to_copy() brings back."""
+        with self.changed:
+            self.copy = (dict(self.items), list(self.events), self.revision)
+
+    def return_to_copy(self):
+        """Loses what was written since the copy; revisions are given out again, and the era rises."""
+        with self.changed:
+            items, events, self.revision = self.copy
+            self.items, self.events = dict(items), list(events)
+            self.era += 1
+            self.changed.notify_all()
+
+    def reply(self, call, status, body):
+        call.send(status, body, [("Store-Era", self.era)])
+
     def answer(self, call):
         with self.changed:
             self.calls += 1
             self.callers.add(call.client_address[0])
         if self.is_down or call.client_address[0] in self.turns_away:
-            call.send(503, {})
+            self.reply(call, 503, {})
             return
         path, _, query = call.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query))
@@ -129,17 +147,20 @@
         with self.changed:
             item = self.items.get(key)
             revision = self.revision
-        call.send(200 if item else 404, {**item, "as-of": revision} if item else {})
+        self.reply(call, 200 if item else 404, {**item, "as-of": revision} if item else {})
 
     def answer_listing(self, call, prefix, after, page=3):
         with self.changed:
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
             body = {"items": [self.items[key] for key in keys[:page]], "more-pages": len(keys) > page, "as-of": self.revision}
-        call.send(200, body)
+        self.reply(call, 200, body)
 
     def answer_watch(self, call, prefix, after, wait):
         end = time.monotonic() + wait
         with self.changed:
+            if after > self.revision:
+                self.reply(call, 410, {})
+                return
             while True:
                 events = [event for event in self.events if event["revision"] > after and event["key"].startswith(prefix)]
                 left = end - time.monotonic()
@@ -147,7 +168,7 @@
                     break
                 self.changed.wait(left)
             body = {"events": events, "as-of": self.revision}
-        call.send(200, body)
+        self.reply(call, 200, body)
 
 
 class Endpoint(StandIn):
@@ -182,6 +203,8 @@
             call.send(200, b"not mine", headers)
         elif fault == "foreign":
             call.send(200, b"not yours", [("Bilberrybarrow-Request-Id", "other"), ("Bilberrybarrow-Response-Seal", "x")])
+        elif fault in ("endless head", "endless body", "endless header"):
+            self.send_without_end(call, sealed, fault)
         elif fault == "silent":
             time.sleep(3)
             call.hang_up()
@@ -191,6 +214,20 @@
             time.sleep(self.gap)
             call.send(200, b"done by " + self.name.encode(), sealed)
 
+    def send_without_end(self, call, headers, fault):
+        """Bytes that are no answer, until the caller closes."""
+        beginning = {"endless head": b"", "endless header": b"HTTP/1.1 200 OK\r\nX-Long: ", "endless body": b"HTTP/1.1 200 OK\r\n"}[fault]
+        if fault == "endless body":
+            beginning += "".join(f"{name}: {value}\r\n" for name, value in headers).encode() + b"\r\n"
+        call.close_connection = True
+        call.wfile.write(beginning)
+        self.endless_closed = False
+        try:
+            while True:
+                call.wfile.write(b"x" * 65536)
+        except OSError:
+            self.endless_closed = True
+
     def stream(self, call, headers, fault):
         call.send_response(200)
         for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
@@ -204,20 +241,38 @@
                 call.wfile.flush()
                 call.hang_up()
                 return
+            if fault == "drip" and number == self.events // 2:
+                self.drip(call)
+                return
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             call.wfile.flush()
-            time.sleep(self.gap)
+            time.sleep(0.9 if fault == "slow" and number < 3 else self.gap)
         call.wfile.write(b"0\r\n\r\n")
 
 
+    def drip(self, call):
+        """A byte of an event now and then, until the caller closes."""
+        call.close_connection = True
+        try:
+            while True:
+                call.wfile.write(b"1\r\n:\r\n")
+                call.wfile.flush()
+                time.sleep(0.2)
+        except OSError:
+            pass
+
+
 class Origin(StandIn):
-    """Manifest and pieces of each version; spoils the pieces named in `spoilt` once."""
+    """Manifest and pieces of each version; spoils the pieces named in `spoilt` once. It has nothing of the versions in `away`,
+    and answers requests for pieces after `delay` seconds."""
 
     def __init__(self, model="m", chunks=8, chunk_bytes=4096):
         self.model = model
         self.chunks = chunks
         self.chunk_bytes = chunk_bytes
         self.spoilt = set()
+        self.away = set()
+        self.delay = 0.0
         self.served = []
         super().__init__()
 
@@ -228,12 +283,16 @@
         path, _, query = call.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query))
         version = int(query["version"])
+        if version in self.away:
+            call.hang_up()
+            return
         if path.startswith("/bilberrybarrow/manifest/"):
             digests = [hashlib.sha256(self.piece(version, number)).hexdigest() for number in range(self.chunks)]
             call.send(200, {"model": self.model, "version": version, "chunk-bytes": self.chunk_bytes, "layers": 4, "digests": digests})
             return
         number = int(query["chunk-count"])
         self.served.append((version, number))
+        time.sleep(self.delay)
         data = self.piece(version, number)
         if number in self.spoilt:
             self.spoilt.discard(number)
--- a/tests/process_platform_requests.py
+++ b/tests/process_platform_requests.py
@@ -32,6 +32,8 @@
     """By kind of request and fault: the status, and how often the endpoint saw the request."""
     rows = [
         ("/plain/", "refuse", 200, 2), ("/plain/", "hang up", 200, 2), ("/plain/", "fail", 200, 2), ("/plain/", "unsealed", 200, 2), ("/plain/", "silent", 200, 2),
+        ("/plain/", "endless head", 200, 2), ("/plain/", "endless header", 200, 2), ("/plain/", "endless body", 200, 2),
+        ("/once/", "endless head", 502, 1), ("/once/", "endless header", 502, 1), ("/once/", "endless body", 502, 1),
         ("/once/", "refuse", 200, 2), ("/once/", "hang up", 502, 1), ("/once/", "fail", 500, 1), ("/once/", "unsealed", 502, 1), ("/once/", "promise", 502, 1), ("/once/", "silent", 502, 1),
     ]
     for path, fault, wanted, sends in rows:
@@ -46,7 +48,7 @@
 
 
 def test_streams(fleet, entry):
-    for fault, runs in ((None, 1), ("cut", 2)):
+    for fault, runs in ((None, 1), ("cut", 2), ("slow", 1), ("drip", 2)):
         fleet.stream.faults = fleet.second_stream.faults = [fault]
         before = len(fleet.stream.requests) + len(fleet.second_stream.requests)
         status, _, body = fleet.call(entry, "/stream/")
--- a/tests/process_platform_store.py
+++ b/tests/process_platform_store.py
@@ -61,6 +61,38 @@
         assert fleet.call(entry, "/plain/", key="another-key")[0] == 200
 
 
+def test_return_from_older_copy(fleet, first, second):
+    """The store loses the last seconds: a withdrawn key stays withdrawn and a drained endpoint unused, also at an entry that
+    starts in the middle; what is written again holds."""
+    leaving = fleet.add_endpoint("p2", "plain")
+    harness.wait_until(lambda: fleet.call(first, "/plain/", key="another-key")[2] == b"done by p2", 5, "the second endpoint is used")
+    fleet.store.take_copy()
+    fleet.keys = ["third-key"]
+    fleet.publish()
+    fleet.list_endpoint(leaving, "plain", state="draining")
+    for entry in (first, second):
+        harness.wait_until(lambda: fleet.call(entry, "/plain/", key="another-key")[0] == 401, 3, f"{entry.name} refuses the withdrawn key")
+    harness.wait_until(lambda: all(any(line["key"] == "servers/p2" and line["what"] == "endpoint_draining" for line in entry.events("belief_changed")) for entry in (first, second)), 3, "p2 drains")
+    leaving.requests.clear()
+    fleet.store.return_to_copy()
+    harness.wait_until(lambda: first.events("store_lost_changes") and second.events("store_lost_changes"), 5, "both entries see the new era")
+    first.kill()
+    again = fleet.start_entry(1, **{key: value for key, value in first.flags.items() if key.endswith("listen")})
+    harness.wait_until(lambda: fleet.is_ready(again), 10, "the entry that starts in the middle is ready")
+    for _ in range(20):
+        for entry in (again, second):
+            assert fleet.call(entry, "/plain/", key="another-key")[0] in (401, 503)
+            assert fleet.call(entry, "/plain/", key="third-key")[0] == 200
+    assert not leaving.requests, leaving.requests
+    # The operator and the endpoint write again what was lost.
+    fleet.version -= 1
+    fleet.publish()
+    fleet.list_endpoint(leaving, "plain")
+    harness.wait_until(lambda: fleet.call(again, "/plain/", key="third-key")[2] == b"done by p2", 5, "an endpoint that writes itself anew is used")
+    assert fleet.call(second, "/plain/", key="another-key")[0] == 401
+    return again
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -76,6 +108,7 @@
         test_turned_away(fleet, first, second)
         first = test_restart_without_store(fleet, first, second)
         test_revocation(fleet, (first, second))
+        test_return_from_older_copy(fleet, first, second)
 
 
 if __name__ == "__main__":
--- a/tests/process_platform_weights.py
+++ b/tests/process_platform_weights.py
@@ -62,6 +62,20 @@
         fleet.store.put("op/version/m", {"model": "m", "version": 3})
         harness.wait_until(lambda: all(engine.version == 3 for engine in engines), 20, "all engines have turned again")
 
+        # 5. Of a version that most pieces have arrived of when a newer one is named, the rest is fetched, also while the newer
+        #    one can't be had.
+        for number, engine in enumerate(engines, 1):
+            list_engine(fleet, f"e{number}", engine, "dc-a" if number % 2 else "dc-b")
+        origin.delay = 0.4
+        origin.away = {5}
+        before = len(origin.served)
+        fleet.store.put("op/version/m", {"model": "m", "version": 4})
+        harness.wait_until(lambda: len(origin.served) - before >= 6, 10, "most pieces are under way")
+        fleet.store.put("op/version/m", {"model": "m", "version": 5})
+        harness.wait_until(lambda: all(engine.version == 4 for engine in engines), 15, "all engines have the older version")
+        origin.away = set()
+        harness.wait_until(lambda: all(engine.version == 5 for engine in engines), 20, "all engines have the newer version")
+
         assert sum(engine.mixed for engine in engines) == 0
         assert all(agent.stop() == 0 for agent in agents)
 
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -8,6 +8,7 @@
 import time
 
 import harness
+from harness import call
 
 ENGINE_FLAGS = ["--slots=8", "--token_ms=20", "--cold_ms=100", "--cold_slots=2"]
 TOKENS = 25
@@ -124,20 +125,33 @@
     fleet.wait_for_entries()
 
 
+def is_struck(process, fault):
+    """Whether a request has met the fault: the back end has died of it, or has used it up."""
+    if process.process.poll() is not None:
+        return True
+    left = json.loads(call("POST", process.control, "/fault", "{}", {"Content-Type": "application/json"})[2])
+    return all(left[name] == 0 for name in fault if name != "work_ms") and "work_ms" not in fault
+
+
 def back_end_dies(fleet):
     """A register server dies before, during or after the run of repeatable calls, or loses the reply: they are answered whole."""
     for moment, fault in (("before", {"crash_before_run": 1}), ("during", {"work_ms": 300}), ("after", {"crash_after_run": 1}), ("reply lost", {"drop_reply": 1})):
         before = total(fleet, RETRIED)
-        load = start_load(fleet, 2, "--rate=40", "--workers=32", "--path=/register/lookups", "--seed=7")
+        load = start_load(fleet, 6, "--rate=40", "--workers=32", "--path=/register/lookups", "--seed=7")
         name = fleet.endpoints("register")[0]
-        fleet.back_end(name).fault(**fault)
+        back_end = fleet.back_end(name)
+        # An entry may use an endpoint that was down only some time after its return.
+        started = back_end.counts()["started"]
+        harness.wait_until(lambda: back_end.counts()["started"] > started, 5, f"{name} gets requests: {moment}")
+        back_end.fault(**fault)
         if moment == "during":
-            harness.wait_until(lambda: fleet.back_end(name).counts()["running"] > 0, 10, "a run")
-            fleet.back_end(name).kill()
+            harness.wait_until(lambda: back_end.counts()["running"] > 0, 5, "a run")
+            back_end.kill()
+        harness.wait_until(lambda: is_struck(back_end, fault), 5, f"a request meets the fault: {moment}")
         harness.assert_whole(harness.finish(load), f"back end died: {moment}")
         assert total(fleet, RETRIED) > before, f"no reply was lost: {moment}"
         if moment != "reply lost":
-            fleet.back_end(name).process.wait(5)
+            back_end.process.wait(5)
             fleet.start_back_end(name)
             fleet.publish()
             fleet.wait_for_entries()
