Take requests back that haven't begun on superseded weights in time

An attempt now has a time by which it must have begun; if no head has come by then, its connection is reset. So requests may be sent to engines with the older version for half a second longer.

--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -346,7 +346,15 @@
             this->handleQueueTimeout();
         return;
     }
-    if (!this->hasActiveAttempt() || !mayRepeat(*this->route))
+    if (!this->hasActiveAttempt())
+        return;
+    // The engine must not begin the request on superseded weights.
+    bool hasBegun = this->responseHead.status != 0;
+    if (!hasBegun && now >= this->mustBeginBy) {
+        this->abandonAttempt(AttemptResult::Silent);
+        return;
+    }
+    if (!mayRepeat(*this->route))
         return;
     const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -9,9 +9,11 @@
 // Shares of the bound after which the first and the last engine switch. The time before the first switch is needed to fetch the
 // pieces, and the time after the last one to finish the requests that wait at an engine.
 static constexpr double firstSwitchShare = 0.40;
-static constexpr double lastSwitchShare = 0.77;
-// Longest time for which a request may have waited at its engine before it begins.
-static constexpr Milliseconds maxEngineWait { 1800 };
+static constexpr double lastSwitchShare = 0.80;
+// Time before the end of the bound from which no request is sent to an engine with the older version, and from which one that
+// hasn't begun there is taken back. The latter covers the time in which entries learn of a version.
+static constexpr Milliseconds lastSendMargin { 1300 };
+static constexpr Milliseconds takeBackMargin { 600 };
 
 static Milliseconds scaleDuration(Milliseconds bound, double share)
 {
@@ -38,12 +40,20 @@
     if (bound == Milliseconds(0))
         return oldest;
     for (const auto& [version, learnedAt] : named) {
-        if (now - learnedAt >= bound - maxEngineWait)
+        if (now - learnedAt >= bound - lastSendMargin)
             oldest = version;
     }
     return oldest;
 }
 
+TimePoint mustBeginBy(const NamedVersions& named, uint32_t held, Milliseconds bound)
+{
+    auto supersession = supersededAt(named, held);
+    if (bound == Milliseconds(0) || supersession == TimePoint::max())
+        return TimePoint::max();
+    return supersession + bound - takeBackMargin;
+}
+
 bool shouldFinishVersion(size_t staged, size_t total)
 {
     return total > 0 && 2 * staged >= total;
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -33,6 +33,11 @@
 /// switchDelay(); when it is zero, any version is allowed. Thread safe.
 uint32_t oldestAllowedVersion(const NamedVersions&, Milliseconds bound, TimePoint now);
 
+/// Returns the time by which a request that was sent to an engine with version `held` must have begun there; a request that
+/// hasn't may wait at the engine, or on the way to it, past the bound, and must be taken back. TimePoint::max() when no newer
+/// version is named or `bound` is zero. Thread safe.
+TimePoint mustBeginBy(const NamedVersions&, uint32_t held, Milliseconds bound);
+
 /// Whether an agent goes on with an older version of which it has `staged` of `total` pieces although a newer one was named.
 /// Thread safe.
 bool shouldFinishVersion(size_t staged, size_t total);
