--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -382,9 +382,7 @@
     this->requestStoreDelta(now);
     this->answerDueSummaryRequests(now);
     this->storeReplica.removeExpiredTombstones(now);
-    bool isHolding = now < this->clusterView.eraHoldUntil;
-    expireEraHold(this->clusterView, now);
-    if (!isHolding)
+    if (expireEraHold(this->clusterView, now))
         this->storeReplica.removeEarlierEras(this->adapter.store.configurationKey, this->adapter.store.versionPrefix);
     this->dispatchRequestsAwaitingConfiguration(now);
     removeExpiredReports(*this, now);
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -350,7 +350,7 @@
         return;
     // The engine must not begin the request on superseded weights.
     bool hasBegun = this->responseHead.status != 0;
-    if (!hasBegun && now >= this->mustBeginBy) {
+    if (!hasBegun && now >= this->beginDeadline) {
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -62,10 +62,10 @@
     this->endpointRow = chosenRow;
     this->endpointId = endpoint.record.id;
     this->attemptStartedAt = now;
-    this->mustBeginBy = TimePoint::max();
+    this->beginDeadline = TimePoint::max();
     auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
     if (endpoint.record.isModelEngine && named != this->node.clusterView.namedVersions.end())
-        this->mustBeginBy = bilberry::mustBeginBy(named->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers), this->node.settings.reloadable.maxVersionSwitchTime);
+        this->beginDeadline = mustBeginBy(named->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers), this->node.settings.reloadable.maxVersionSwitchTime);
     this->lastReceivedAt = now;
     this->responseHead = ResponseHead();
     this->endpointReply = EndpointReply();
--- a/src/StoreEra.cpp
+++ b/src/StoreEra.cpp
@@ -124,16 +124,17 @@
     return ClusterViewChange::None;
 }
 
-void expireEraHold(ClusterView& view, TimePoint now)
+bool expireEraHold(ClusterView& view, TimePoint now)
 {
     for (auto departed = view.departedEndpoints.begin(); departed != view.departedEndpoints.end();)
         departed = now - departed->second > departureMemory ? view.departedEndpoints.erase(departed) : std::next(departed);
     if (view.eraHoldUntil == TimePoint() || isHoldActive(view, now))
-        return;
+        return false;
     view.eraHoldUntil = TimePoint();
     view.evacuatedDataCentres = view.listedEvacuations;
     view.heldEvacuations.clear();
     view.rewrittenEvacuations.clear();
+    return true;
 }
 
 } // namespace bilberry
--- a/src/StoreEra.h
+++ b/src/StoreEra.h
@@ -27,7 +27,8 @@
 /// Applies a change that is known from the earlier era only, from a peer: it can keep an endpoint from use, evacuate a data
 /// centre, or bring a newer configuration or version, nothing else. Not thread safe.
 ClusterViewChange applyEarlierChange(ClusterView&, const StoreAdapter&, const StoreChange&, TimePoint now, std::string& error);
-/// Ends the hold when its time has passed, and forgets endpoints that departed long ago. Is to be called on each tick. Not thread safe.
-void expireEraHold(ClusterView&, TimePoint now);
+/// Ends the hold when its time has passed, and forgets endpoints that departed long ago. Returns whether the hold has just
+/// ended. Is to be called on each tick. Not thread safe.
+bool expireEraHold(ClusterView&, TimePoint now);
 
 } // namespace bilberry
--- a/tests/StoreEraTest.cpp
+++ b/tests/StoreEraTest.cpp
@@ -142,9 +142,9 @@
     // One that is never written again ends with the hold, and one that the copy shows stays.
     follower.change(evacuation, start + Seconds(5));
     follower.list(3, {}, start + Seconds(6));
-    expireEraHold(follower.view, start + Seconds(15));
+    BOOST_TEST(!expireEraHold(follower.view, start + Seconds(15)));
     BOOST_TEST(follower.view.evacuatedDataCentres.count("z") == 1u);
-    expireEraHold(follower.view, start + Seconds(16));
+    BOOST_TEST(expireEraHold(follower.view, start + Seconds(16)));
     BOOST_TEST(follower.view.evacuatedDataCentres.empty());
     follower.list(4, { evacuation }, start + Seconds(20));
     expireEraHold(follower.view, start + Seconds(40));
