--- a/tests/lint.py
+++ b/tests/lint.py
@@ -68,6 +68,10 @@
     return units
 
 
+def compile_entry(source, folder, flags):
+    return {"directory": str(ROOT), "file": str(source), "command": shlex.join(["c++", *flags, f"-I{folder}", "-c", str(source)])}
+
+
 def write_unit(folder, number, unit):
     """Writes the joined source; returns the entry for the compile commands."""
     path = folder / f"unit{number}.cpp"
@@ -75,8 +79,7 @@
     for source in unit["files"]:
         parts.append(f'#undef BOOST_TEST_MODULE\n#line 1 "{source}"\n{source.read_text()}')
     path.write_text("\n".join(parts))
-    include = f"-I{unit['files'][0].parent}"
-    return {"directory": str(ROOT), "file": str(path), "command": shlex.join(["c++", *unit["flags"], include, "-c", str(path)])}
+    return compile_entry(path, unit["files"][0].parent, unit["flags"])
 
 
 def run_tidy(folder, path):
@@ -85,10 +88,10 @@
     return done.returncode == 0, done.stdout
 
 
-def check_unit(build, folder, path, files):
+def check_unit(folder, path, files):
     is_clean, output = run_tidy(folder, path)
     if not is_clean and COMPILE_ERROR in output and len(files) > 1:
-        results = [run_tidy(build, file) for file in files]
+        results = [run_tidy(folder, file) for file in files]
         return all(clean for clean, _ in results), "".join(text for _, text in results)
     return is_clean, output
 
@@ -102,9 +105,10 @@
     folder.mkdir(exist_ok=True)
     (folder / ".clang-tidy").write_text((ROOT / ".clang-tidy").read_text())
     entries = [write_unit(folder, number, unit) for number, unit in enumerate(units)]
-    (folder / "compile_commands.json").write_text(json.dumps(entries))
+    singles = [compile_entry(file, file.parent, unit["flags"]) for unit in units for file in unit["files"]]
+    (folder / "compile_commands.json").write_text(json.dumps(entries + singles))
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-        work = [pool.submit(check_unit, build, folder, entry["file"], unit["files"]) for entry, unit in zip(entries, units)]
+        work = [pool.submit(check_unit, folder, entry["file"], unit["files"]) for entry, unit in zip(entries, units)]
         results = [result.result() for result in work]
     for is_clean, output in results:
         if not is_clean:
--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -129,7 +129,10 @@
     """Whether a request has met the fault: the back end has died of it, or has used it up."""
     if process.process.poll() is not None:
         return True
-    left = json.loads(call("POST", process.control, "/fault", "{}", {"Content-Type": "application/json"})[2])
+    body = call("POST", process.control, "/fault", "{}", {"Content-Type": "application/json"})[2]
+    if not body:
+        return False  # It has just died, which the next look finds.
+    left = json.loads(body)
     return all(left[name] == 0 for name in fault if name != "work_ms") and "work_ms" not in fault
 
 
