--- a/tests/LoopHttpTest.cpp
+++ b/tests/LoopHttpTest.cpp
@@ -360,7 +360,7 @@
 
 /// A server that answers the first request with a beginning and then the same bytes without end, until the client closes.
 struct EndlessServer {
-    EndlessServer(EventLoop& loop, std::string beginning, std::string repeated)
+    EndlessServer(EventLoop& loop, std::string beginning, const std::string& repeated)
         : acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
         , socket(loop)
         , beginning(std::move(beginning))
