--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -87,8 +87,8 @@
     std::string (*watchPath)(std::string_view prefix, uint64_t afterRevision, Milliseconds wait);
     std::string (*itemPath)(std::string_view key, bool mayBeStale);
     /// Returns the store's era that an answer states, which rises when the store comes back from an older copy; zero if it
-    /// states none or it can't be parsed.
-    uint64_t (*parseEra)(const HttpHeaders&);
+    /// states none. Returns InvalidArgument if it isn't a number.
+    absl::StatusOr<uint64_t> (*parseEra)(const HttpHeaders&);
     absl::StatusOr<StorePage> (*parsePage)(const std::string& body);
     absl::StatusOr<StoreChangeBatch> (*parseChanges)(const std::string& body);
     absl::StatusOr<StoreChange> (*parseItem)(const std::string& body);
--- a/src/StoreWatch.cpp
+++ b/src/StoreWatch.cpp
@@ -91,18 +91,23 @@
         this->retryAfterFailure(std::string(page.status().message()));
         return;
     }
-    uint64_t era = this->adapter.parseEra(result.headers);
+    auto era = this->adapter.parseEra(result.headers);
+    if (!era.ok()) {
+        this->listing.clear();
+        this->retryAfterFailure(std::string(era.status().message()));
+        return;
+    }
     if (this->listing.empty()) {
-        this->listingEra = era;
+        this->listingEra = *era;
         this->listingRevision = page->revision;
     }
-    if (era != this->listingEra || era < this->era) {
+    if (*era != this->listingEra || *era < this->era) {
         this->listing.clear();
-        this->retryAfterFailure(era < this->era ? "a listing of an earlier era" : "the era rose between two pages of a listing");
+        this->retryAfterFailure(*era < this->era ? "a listing of an earlier era" : "the era rose between two pages of a listing");
         return;
     }
     for (auto& item : page->items)
-        item.era = era;
+        item.era = *era;
     bool isLast = !page->hasMore || page->items.empty();
     std::move(page->items.begin(), page->items.end(), std::back_inserter(this->listing));
     if (!isLast) {
@@ -156,16 +161,20 @@
         this->retryAfterFailure(std::string(changes.status().message()));
         return;
     }
+    auto answerEra = this->adapter.parseEra(result.headers);
+    if (!answerEra.ok()) {
+        this->retryAfterFailure(std::string(answerEra.status().message()));
+        return;
+    }
     // After a return from an older copy, the store gives out revisions a second time, so that even changes that seem to
     // continue may not. The items are listed again then, and also when the revision decreases.
-    uint64_t answerEra = this->adapter.parseEra(result.headers);
-    if (answerEra != this->era || changes->revision < this->revision) {
+    if (*answerEra != this->era || changes->revision < this->revision) {
         this->isListed = false;
         this->requestNextPage();
         return;
     }
     for (auto& change : changes->changes)
-        change.era = answerEra;
+        change.era = *answerEra;
     this->consecutiveFailures = 0;
     this->revision = changes->revision;
     this->handlers.onChanges(changes->changes, this->sentAt);
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -119,6 +119,7 @@
     message.sequence = 1;
     message.loads = { { 3, 4 } };
     table.applyMessage("10.0.0.2", message, start);
+    BOOST_TEST(isRecentlyHeard(table.rows["10.0.0.2"], start));
     auto later = start + Seconds(5);
     BOOST_TEST(peersInFlight(table, later)[3] == 0u);
     BOOST_TEST(!isRecentlyHeard(table.rows["10.0.0.2"], later));
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -197,3 +197,13 @@
     BOOST_TEST(!engine.parseManifest(R"({"model":"m","version":0,"digests":[")" + digest + R"("]})").ok());
     BOOST_TEST(!engine.parseManifest(R"({"model":"m","version":2,"digests":[]})").ok());
 }
+
+// The era of the store's answers is a number; an answer without one states none, and other text is a fault.
+BOOST_AUTO_TEST_CASE(erasOfTheStoreAreNumbers)
+{
+    const auto& store = platformAdapter().store;
+    BOOST_TEST(*store.parseEra({ { "Store-Era", "7" } }) == 7u);
+    BOOST_TEST(*store.parseEra({}) == 0u);
+    for (const char* text : { "x", "-1", "1.5", "99999999999999999999999" })
+        BOOST_TEST(!store.parseEra({ { "Store-Era", text } }).ok());
+}
