Take no answer to another request as this one's, nor its word that it hasn't run

Found by looking for what operators of similar systems reported: an attempt skips two answers to earlier requests on its connection; a third one was taken as its own unless it was a success. A late copy of a refusal ("not executed") then let a request that may run once be written to a second endpoint, and a late failure would have gone to the wrong caller. A further test covers the taking back of requests at superseded weights.

--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -169,6 +169,10 @@
 
 AttemptResult ProxiedRequest::resultOfWholeResponse() const
 {
+    // An answer to another request says nothing about this one, not even that it hasn't run.
+    bool isForOtherRequest = !this->endpointReply.requestId.empty() && this->endpointReply.requestId != this->callerRequest.id;
+    if (isForOtherRequest)
+        return AttemptResult::Malformed;
     if (this->endpointReply.isNotExecuted)
         return AttemptResult::NotExecuted;
     if (this->responseHead.status < 300)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -205,6 +205,10 @@
             call.send(200, b"not yours", [("Bilberrybarrow-Request-Id", "other"), ("Bilberrybarrow-Response-Seal", "x")])
         elif fault in ("endless head", "endless body", "endless header"):
             self.send_without_end(call, sealed, fault)
+        elif fault == "foreign refusals":
+            # Late copies of answers to earlier requests, more than a caller would skip.
+            for number in range(4):
+                call.send(503, b"", [("Bilberrybarrow-Request-Id", f"earlier-{number}"), ("Bilberrybarrow-Not-Executed", "1")])
         elif fault == "silent":
             time.sleep(3)
             call.hang_up()
--- a/tests/process_platform_requests.py
+++ b/tests/process_platform_requests.py
@@ -6,6 +6,7 @@
 
 import harness
 import platform_fleet
+import platform_standin
 
 
 def test_what_is_passed_on(fleet, entry):
@@ -33,6 +34,7 @@
     rows = [
         ("/plain/", "refuse", 200, 2), ("/plain/", "hang up", 200, 2), ("/plain/", "fail", 200, 2), ("/plain/", "unsealed", 200, 2), ("/plain/", "silent", 200, 2),
         ("/plain/", "endless head", 200, 2), ("/plain/", "endless header", 200, 2), ("/plain/", "endless body", 200, 2),
+        ("/plain/", "foreign", 200, 2), ("/plain/", "foreign refusals", 200, 2), ("/once/", "foreign", 504, 1), ("/once/", "foreign refusals", 502, 1),
         ("/once/", "endless head", 502, 1), ("/once/", "endless header", 502, 1), ("/once/", "endless body", 502, 1),
         ("/once/", "refuse", 200, 2), ("/once/", "hang up", 502, 1), ("/once/", "fail", 500, 1), ("/once/", "unsealed", 502, 1), ("/once/", "promise", 502, 1), ("/once/", "silent", 502, 1),
     ]
@@ -106,6 +108,29 @@
     assert not fleet.is_ready(entry)
 
 
+def test_superseded_weights(fleet, _):
+    """A request that an engine with superseded weights hasn't begun is taken back before the bound on the switch."""
+    bound = 2.5
+    engine = platform_standin.Endpoint("e1")
+    fleet.stand_ins.append(engine)
+    fleet.add_route("/write/", "writer", "non_idempotent")
+    fleet.services[-1]["engine"] = {"slots": 4, "layers": 4, "chunks": 8, "chunk-bytes": 4096, "models": [{"name": "m", "warmup-s": 0.1}]}
+    fleet.publish()
+    fleet.store.put("servers/e1", {"service": "writer", "address": engine.address, "zone": "dc-a", "version": "v1", "slots": 4, "state": "ready", "cold-remaining-ms": 0, "seq-no": 1,
+                                   "models": [{"name": "m", "version": 1, "adapters": []}], "layers": [{"from": 0, "target": 4, "version": 1}]})
+    entry = fleet.start_entry(2, version_ms=int(1000 * bound))
+    fleet.wait_ready(entry)
+    write = lambda: fleet.call(entry, "/write/", **{"Bilberrybarrow-Model": "m"})[0]
+    harness.wait_until(lambda: write() == 200, 5, "the engine is used")
+    engine.faults = ["silent"]
+    fleet.store.put("op/version/m", {"model": "m", "version": 2})
+    begun = time.monotonic()
+    status = write()
+    elapsed = time.monotonic() - begun
+    assert status == 502 and 1 < elapsed < bound - 0.3, (status, elapsed)
+    entry.stop()
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -127,7 +152,7 @@
         test_what_is_passed_on(fleet, entry)
         fleet.other = fleet.add_endpoint("p2", "plain")
         harness.wait_until(lambda: any(line.get("key") == "servers/p2" for line in entry.events("belief_changed")), 5, "the second endpoint is known")
-        for test in (test_refusals, test_endpoints_that_fail, test_streams, test_callers_who_leave, test_time_budget, test_draining, test_address_used_again, test_stop):
+        for test in (test_refusals, test_endpoints_that_fail, test_streams, test_callers_who_leave, test_time_budget, test_draining, test_address_used_again, test_superseded_weights, test_stop):
             test(fleet, entry)
             print(test.__name__, flush=True)
 
