--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -91,7 +91,7 @@
 {
     auto message = this->composeMessage(PeerMessageScope::Introduction, now);
     message.wantsPeers = false;
-    message.peers = peersForNewcomer(this->state->table, dataCentre, now);
+    message.peers = peersForNewEntry(this->state->table, dataCentre, now);
     this->send(encodePeerMessage(message), ip);
 }
 
--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -12,7 +12,7 @@
 // Age up to which the requests of a digest count.
 static constexpr Milliseconds maxDigestAge { 2500 };
 // Largest number of entries of each other data centre that a new entry is told of.
-static constexpr size_t maxRemotePeersForNewcomer = 3;
+static constexpr size_t maxRemotePeersForNewEntry = 3;
 
 bool isRecentlyHeard(const PeerRow& row, TimePoint now)
 {
@@ -187,14 +187,14 @@
     return all;
 }
 
-std::vector<KnownPeer> peersForNewcomer(const PeerTable& table, const std::string& dataCentre, TimePoint now)
+std::vector<KnownPeer> peersForNewEntry(const PeerTable& table, const std::string& dataCentre, TimePoint now)
 {
     std::vector<KnownPeer> peers;
     std::map<std::string, size_t> remoteCounts;
     for (const auto& [ip, row] : table.rows) {
         if (!isListable(table, row, now))
             continue;
-        if (row.dataCentre == dataCentre || ++remoteCounts[row.dataCentre] <= maxRemotePeersForNewcomer)
+        if (row.dataCentre == dataCentre || ++remoteCounts[row.dataCentre] <= maxRemotePeersForNewEntry)
             peers.push_back({ ip, row.dataCentre });
     }
     return peers;
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -75,6 +75,6 @@
 std::vector<KnownPeer> knownPeers(const PeerTable&, size_t first, size_t maxCount, TimePoint now);
 /// Returns the entries that a newly started one of `dataCentre` needs to know: those of its data centre, and some of each
 /// other one. Thread safe.
-std::vector<KnownPeer> peersForNewcomer(const PeerTable&, const std::string& dataCentre, TimePoint now);
+std::vector<KnownPeer> peersForNewEntry(const PeerTable&, const std::string& dataCentre, TimePoint now);
 
 } // namespace bilberry
--- a/tests/PeerScheduleTest.cpp
+++ b/tests/PeerScheduleTest.cpp
@@ -134,7 +134,7 @@
                 continue;
             auto reply = this->compose(entry, PeerMessageScope::Introduction);
             reply.wantsPeers = false;
-            reply.peers = peersForNewcomer(entry.table, datagram.message.dataCentre, this->now);
+            reply.peers = peersForNewEntry(entry.table, datagram.message.dataCentre, this->now);
             this->send(datagram.to, reply, datagram.from);
         }
     }
