--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 test: packages build
 	python3 tests/known_red.py
-	ctest --test-dir $(BUILD) --output-on-failure -j 3 $$(python3 tests/known_red.py --ctest-arguments)
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS) $$(python3 tests/known_red.py --ctest-arguments)
 
 demo: packages build
 	python3 tests/demo.py --build $(BUILD)
@@ -43,13 +43,13 @@
 
 # The unit tests that need it under the address and undefined-behaviour sanitizers.
 sanitize:
-	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Sanitize
+	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DBILBERRY_JOIN=ON -DCMAKE_BUILD_TYPE=Sanitize -DCMAKE_CXX_FLAGS_SANITIZE="-O0 -g1"
 	cmake --build $(BUILD)-sanitize -j $(JOBS) --target sanitized
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -L sanitized -j $(JOBS) $$(python3 tests/known_red.py --ctest-arguments)
 
 # The whole path under the thread sanitizer: a race in a daemon makes its exit code 66, which the test refuses.
 sanitize-thread:
-	cmake -S . -B $(BUILD)-thread -DBILBERRY_SANITIZE=thread -DCMAKE_BUILD_TYPE=Sanitize
+	cmake -S . -B $(BUILD)-thread -DBILBERRY_SANITIZE=thread -DBILBERRY_JOIN=ON -DCMAKE_BUILD_TYPE=Sanitize
 	cmake --build $(BUILD)-thread -j $(JOBS) --target bilberryd bilberrynode standin
 	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/thread.supp" python3 tests/process_path.py --build $(BUILD)-thread
 	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/thread.supp" python3 tests/process_platform_requests.py --build $(BUILD)-thread
--- a/src/CtlCommands.h
+++ b/src/CtlCommands.h
@@ -2,6 +2,7 @@
 /// output and its errors to standard error. Commands read the global flags; main() calls one of them, once.
 #pragma once
 
+#include "Process.h"
 #include "Types.h"
 
 #include <absl/status/statusor.h>
@@ -15,7 +16,6 @@
 
 namespace bilberry {
 
-constexpr int exitOk = 0;
 constexpr int exitProblemFound = 1; ///< The command found a problem: invalid documents, an unmet plan, a refused request or a burning error budget.
 constexpr int exitUsage = 2;
 constexpr int exitUnreachable = 3; ///< A process could not be reached, so that the answer is missing or partial.
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -70,7 +70,7 @@
 
 static bool servesModel(const VmStatus& status, const std::string& model)
 {
-    return std::any_of(status.servedModels.begin(), status.servedModels.end(), [&](const ServedModel& served) { return served.model == model; });
+    return std::any_of(status.servedModels.begin(), status.servedModels.end(), [&](const ServedVersion& served) { return served.model == model; });
 }
 
 // Checks the configuration and the live list. The state is Available when they don't exclude the endpoint.
--- a/src/Gossip.cpp
+++ b/src/Gossip.cpp
@@ -169,7 +169,7 @@
 
 static bool hasSameServedModels(const VmStatus& first, const VmStatus& second)
 {
-    auto isSame = [](const ServedModel& one, const ServedModel& other) { return one.model == other.model && one.digest == other.digest; };
+    auto isSame = [](const ServedVersion& one, const ServedVersion& other) { return one.model == other.model && one.digest == other.digest; };
     return std::equal(first.servedModels.begin(), first.servedModels.end(), second.servedModels.begin(), second.servedModels.end(), isSame);
 }
 
--- a/src/VmStatus.h
+++ b/src/VmStatus.h
@@ -10,8 +10,8 @@
 
 namespace bilberry {
 
-/// A model that the back end serves, as read back from the back end itself.
-struct ServedModel {
+/// The version of a model that the back end serves, as read back from the back end itself.
+struct ServedVersion {
     std::string model;
     std::string digest; ///< The digest of the version's manifest.
 };
@@ -33,7 +33,7 @@
     bool isConfigurationServiceUnreachable = false; ///< Its reads of the configuration service fail, so that another process should watch the service.
     uint32_t requestsInProgress = 0; ///< Requests running at the back end.
     uint32_t admissionLimit = 0; ///< The limit of concurrent requests now in force.
-    std::vector<ServedModel> servedModels;
+    std::vector<ServedVersion> servedModels;
     std::vector<ChunkHolding> holdings;
 };
 
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -57,7 +57,7 @@
     std::mt19937_64 random(20261203);
     auto performance = makeEnginePerformance();
     auto route = streamRoute();
-    std::vector<EngineModel> engines(engineCount);
+    std::vector<ModelledEngine> engines(engineCount);
     EndpointTable table;
     for (size_t i = 0; i < engineCount; ++i) {
         engines[i].performance = performance;
--- a/tests/EngineModel.cpp
+++ b/tests/EngineModel.cpp
@@ -4,13 +4,13 @@
 
 namespace bilberry {
 
-void EngineModel::addRequest(ModelledRequest& request)
+void ModelledEngine::addRequest(ModelledRequest& request)
 {
     this->waiting.push_back(&request);
 }
 
 // Runs one pass: prefills the prompts of new requests, then writes one event of each running request. Returns its end.
-static double runPass(EngineModel& engine, double begin, std::vector<ModelledRequest*>& ended)
+static double runPass(ModelledEngine& engine, double begin, std::vector<ModelledRequest*>& ended)
 {
     double time = begin;
     while (engine.running.size() < engine.performance.slots && !engine.waiting.empty()) {
@@ -35,7 +35,7 @@
     return time;
 }
 
-std::vector<ModelledRequest*> EngineModel::advanceTo(double now)
+std::vector<ModelledRequest*> ModelledEngine::advanceTo(double now)
 {
     std::vector<ModelledRequest*> ended;
     while (this->busyUntil <= now && !(this->running.empty() && this->waiting.empty()))
--- a/tests/EngineModel.h
+++ b/tests/EngineModel.h
@@ -20,7 +20,7 @@
 };
 
 /// The modelled engine. It is used by one thread at a time.
-struct EngineModel {
+struct ModelledEngine {
     EnginePerformance performance;
     std::deque<ModelledRequest*> waiting;
     std::vector<ModelledRequest*> running;
--- a/tests/check_tree.py
+++ b/tests/check_tree.py
@@ -24,6 +24,18 @@
     return {name for name in names if name not in OWN_WORDS and len(name) > 3}
 
 
+def types_defined_twice():
+    """Types that two headers define in one namespace. Programs that link both would mix up their members."""
+    headers = {}
+    for folder in ("src", "platform", "tests"):
+        for path in sorted((ROOT / folder).glob("*.h")):
+            text = path.read_text()
+            namespace = re.search(r"^namespace ([\w:]+)", text, re.M)
+            for name in re.findall(r"^(?:struct|class|enum class) (\w+)(?!::)\b[^;\n]*\{", text, re.M):
+                headers.setdefault((namespace.group(1) if namespace else "", name), []).append(path.name)
+    return [f"{name} is defined in {' and '.join(paths)}" for (_, name), paths in headers.items() if len(paths) > 1]
+
+
 def main():
     faults = []
     names = platform_names()
@@ -43,6 +55,7 @@
     source_lines = sum(len(path.read_text().splitlines()) for path in (ROOT / "src").glob("*.*"))
     if platform_lines * 10 > source_lines:
         faults.append(f"platform/ has {platform_lines} lines, over a tenth of src/ with {source_lines}")
+    faults += types_defined_twice()
     print("\n".join(faults) or f"tree: clean, platform/ {platform_lines} lines, src/ {source_lines}")
     return 1 if faults else 0
 
--- a/tests/lint.py
+++ b/tests/lint.py
@@ -1,23 +1,20 @@
 #!/usr/bin/env python3
 """Runs clang-tidy over every source file; fails on any finding. Usage: tests/lint.py BUILD_DIR JOBS [FILE...]
 
-Most of the time that clang-tidy needs for one file goes into the headers. So files that are compiled with the same flags and
-define no name twice are joined into one translation unit, with #line directives that keep the locations of findings. A unit
-that doesn't compile is checked file by file instead.
+Files that are compiled with the same flags are joined into units (see joined_units.py), with #line directives that keep the
+locations of findings. A unit that doesn't compile is checked file by file instead.
 """
 
 import concurrent.futures
 import json
 import pathlib
-import re
 import shlex
 import subprocess
 import sys
 
+import joined_units
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-# Most files in one unit; with few large units the last one would leave the other processors idle.
-MAX_FILES = 8
-NAME_PATTERN = re.compile(r"([A-Za-z_]\w*)\s*(?:[({=;\[]|final\b|:(?!:))")
 COMPILE_ERROR = "clang-diagnostic-error"
 
 
@@ -25,17 +22,6 @@
     return [path for folder in ("src", "tests", "platform") for path in sorted((ROOT / folder).glob("*.cpp"))]
 
 
-def defined_names(path):
-    """The names that lines at the first column may define for the whole file; too many only keep files apart."""
-    names = set()
-    for line in path.read_text().splitlines():
-        if not line or line[0] in " #/{}" or re.match(r"(using )?namespace\b", line):
-            continue
-        test_case = re.match(r"BOOST_\w+\((\w+)", line)
-        names |= {test_case.group(1)} if test_case else set(NAME_PATTERN.findall(re.sub(r"\w+::", "", line))[:1] + re.findall(r"^(?:struct|class|enum class|using) (\w+)", line))
-    return names
-
-
 def compile_flags(entry):
     """The words of a compile command without the compiler, the source and the outputs."""
     words = shlex.split(entry["command"])[1:]
@@ -52,34 +38,18 @@
     return tuple(flags)
 
 
-def join_into_units(files, commands):
-    """Divides the files into units, each a list of files; a file goes to the first unit that it fits."""
-    units = []
-    for path in files:
-        names = defined_names(path)
-        flags = compile_flags(commands[path])
-        for unit in units:
-            if unit["flags"] == flags and len(unit["files"]) < MAX_FILES and not unit["names"] & names and unit["files"][0].parent == path.parent:
-                unit["files"].append(path)
-                unit["names"] |= names
-                break
-        else:
-            units.append({"files": [path], "names": names, "flags": flags})
-    return units
-
-
 def compile_entry(source, folder, flags):
     return {"directory": str(ROOT), "file": str(source), "command": shlex.join(["c++", *flags, f"-I{folder}", "-c", str(source)])}
 
 
-def write_unit(folder, number, unit):
+def write_unit(folder, number, files, flags):
     """Writes the joined source; returns the entry for the compile commands."""
     path = folder / f"unit{number}.cpp"
     parts = []
-    for source in unit["files"]:
+    for source in files:
         parts.append(f'#undef BOOST_TEST_MODULE\n#line 1 "{source}"\n{source.read_text()}')
     path.write_text("\n".join(parts))
-    return compile_entry(path, unit["files"][0].parent, unit["flags"])
+    return compile_entry(path, files[0].parent, flags)
 
 
 def run_tidy(folder, path):
@@ -100,15 +70,16 @@
     build, jobs = pathlib.Path(sys.argv[1]).resolve(), int(sys.argv[2])
     commands = {pathlib.Path(entry["file"]): entry for entry in json.loads((build / "compile_commands.json").read_text())}
     files = [ROOT / name for name in sys.argv[3:]] or source_files()
-    units = join_into_units(files, commands)
+    flags = {path: compile_flags(commands[path]) for path in files}
+    units = joined_units.join_into_units(files, flags.get)
     folder = build / "lint"
     folder.mkdir(exist_ok=True)
     (folder / ".clang-tidy").write_text((ROOT / ".clang-tidy").read_text())
-    entries = [write_unit(folder, number, unit) for number, unit in enumerate(units)]
-    singles = [compile_entry(file, file.parent, unit["flags"]) for unit in units for file in unit["files"]]
+    entries = [write_unit(folder, number, unit, flags[unit[0]]) for number, unit in enumerate(units)]
+    singles = [compile_entry(file, file.parent, flags[file]) for file in files]
     (folder / "compile_commands.json").write_text(json.dumps(entries + singles))
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-        work = [pool.submit(check_unit, folder, entry["file"], unit["files"]) for entry, unit in zip(entries, units)]
+        work = [pool.submit(check_unit, folder, entry["file"], unit) for entry, unit in zip(entries, units)]
         results = [result.result() for result in work]
     for is_clean, output in results:
         if not is_clean:
