Fetch no pieces for an engine that has gone, keep each piece's importer while engines come and go

Two faults: 1. An agent whose engine had gone (scale-in) fetched the same pieces again and again: each finished fetch began new ones without looking at the engine's state; 400 failed writes to the stage in 4 s at five agents of two data centres. 2. The importer of a piece was computed from the current list of engines, which 118 changes of the list remade several times while the version was under way, so that pieces left the origin again and entered regions again. Now fetches start only while the engine's report is known, a failed write asks for the report at once, an agent without its engine refuses requests for pieces (peers go on to the next source at once, not after four held answers), and pieces keep the importer of the list with which the distribution began; engines that came later and serve nothing import nothing. startFetches could also read the report of an engine that had gone (an empty optional).

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -25,12 +25,15 @@
 
 void AgentNode::startFetches(TimePoint now)
 {
+    // Without its engine the agent has no place for pieces.
+    if (!this->engineReport || !this->serviceSummary)
+        return;
     // While the manifest of a newer version can't be had, the older one goes on: the origin may be away for long.
     bool isNeeded = this->manifest.version == this->wantedVersion() || this->manifest.version > this->engineReport->loadedLayersVersion;
     if (this->manifest.version == 0 || !isNeeded)
         return;
     auto count = static_cast<uint32_t>(this->manifest.digests.size());
-    auto agents = this->listAgentPeers(this->manifest.version);
+    auto agents = updateAgents(this->agentsAtStart, this->listAgentPeers(this->manifest.version));
     // The pieces that this agent imports into its region are fetched first, because the region's other agents wait for them.
     auto isImportedByThisAgent = [&](uint32_t piece) { return importerOf(piece, this->settings.location.regionByDataCentre[this->settings.location.dataCentre], agents) == this->settings.ownIp; };
     auto isOriginLimitReached = [&] {
@@ -121,6 +124,9 @@
         this->isPieceInProgress[piece] = false;
         this->isPieceStaged[piece] = result.status >= 200 && result.status < 300;
         if (!this->isPieceStaged[piece]) {
+            this->earliestRetryAt[piece] = Clock::now() + pieceRetryDelay;
+            // The engine may have gone; its report tells.
+            this->requestReport();
             this->log.write(LogLevel::Warning, "stage_failed", { { "piece", piece }, { "reason", result.describe() } });
             return;
         }
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -168,6 +168,7 @@
         if (this->engineReport)
             this->log.write(LogLevel::Warning, "engine_lost", { { "reason", std::string(parsed.status().message()) } });
         this->engineReport.reset();
+        this->refusePendingPieceRequests();
     });
 }
 
@@ -296,6 +297,7 @@
     }
     this->manifest = *std::move(parsed);
     this->manifestAttempts = 0;
+    this->agentsAtStart = this->listAgentPeers(this->manifest.version);
     size_t count = this->manifest.digests.size();
     this->isPieceStaged.assign(count, false);
     this->isPieceInProgress.assign(count, false);
--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -28,6 +28,9 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+// Status for a peer that asks for a piece while the engine is gone: unlike after a 404, the peer asks its next source at once.
+static constexpr int statusWithoutEngine = 503;
+
 // Answers a peer's request, or holds it until the piece or manifest has arrived. The paths are:
 // - /pieces/VERSION/PIECE returns a piece to a peer of the same region;
 // - /imports/VERSION/PIECE returns a piece to a peer of another region, which then serves it to the agents of its own region;
@@ -45,7 +48,9 @@
     this->peerRequestedVersion = std::max(this->peerRequestedVersion, isPieceRequest || isManifestRequest ? version : 0);
     bool isVersionToBeFetched = version > this->manifest.version && version <= this->wantedVersion();
     bool isLoadedByEngine = this->engineReport && this->serviceSummary && servesVersion(*this->engineReport, this->serviceSummary->model, version);
-    if (isPieceRequest && isCurrentVersion && piece < this->manifest.digests.size()) {
+    if (isPieceRequest && !this->engineReport) {
+        exchange->sendResponse(statusWithoutEngine, {}, {});
+    } else if (isPieceRequest && isCurrentVersion && piece < this->manifest.digests.size()) {
         this->answerPieceRequest({ exchange, piece, true, isImport });
     } else if (isPieceRequest && isVersionToBeFetched && !isLoadedByEngine) {
         this->pendingPieceRequests.push_back({ { exchange, piece, true, isImport }, version, Clock::now() + maxPieceRequestWait });
@@ -148,6 +153,13 @@
     this->pendingPieceRequests.insert(this->pendingPieceRequests.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
 }
 
+void AgentNode::refusePendingPieceRequests()
+{
+    for (const auto& request : this->pendingPieceRequests)
+        request.pieceRequest.exchange->sendResponse(statusWithoutEngine, {}, {});
+    this->pendingPieceRequests.clear();
+}
+
 // Answers 404 to the requests that have been held for the longest allowed time, and removes them.
 template <typename Held, typename ExchangeOf>
 static void expireRequests(std::vector<Held>& waiting, TimePoint now, ExchangeOf exchangeOf)
--- a/src/PieceSources.cpp
+++ b/src/PieceSources.cpp
@@ -1,6 +1,8 @@
 #include "PieceSources.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace bilberry {
 
@@ -14,11 +16,29 @@
     std::vector<AgentPeer> agents;
     for (const auto& engine : engines) {
         auto region = location.regionByDataCentre.find(engine.dataCentre);
-        agents.push_back({ engine.host, region == location.regionByDataCentre.end() ? std::string() : region->second, engine.version == version });
+        agents.push_back({ engine.host, region == location.regionByDataCentre.end() ? std::string() : region->second, engine.version == version, engine.version != 0 });
     }
     return agents;
 }
 
+std::vector<AgentPeer> updateAgents(std::vector<AgentPeer> atStart, const std::vector<AgentPeer>& current)
+{
+    std::unordered_map<std::string_view, const AgentPeer*> currentByHost;
+    for (const auto& agent : current)
+        currentByHost[agent.host] = &agent;
+    for (auto& agent : atStart) {
+        auto found = currentByHost.find(agent.host);
+        agent.isListed = found != currentByHost.end();
+        agent.isHolder = agent.isListed && found->second->isHolder;
+        currentByHost.erase(agent.host);
+    }
+    for (const auto& agent : current) {
+        if (agent.isHolder && currentByHost.count(agent.host) != 0)
+            atStart.push_back({ agent.host, agent.region, true, false, true });
+    }
+    return atStart;
+}
+
 static std::vector<AgentPeer> agentsInRegion(const std::string& region, const std::vector<AgentPeer>& agents)
 {
     std::vector<AgentPeer> matching;
@@ -26,10 +46,27 @@
     return matching;
 }
 
-std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>& agents)
+// Returns the hosts of a region's agents in the order in which they import the piece, each when those before it have failed. Those
+// whose engines serve a version share the pieces; if there is none, all do.
+static std::vector<std::string> importersInTurn(uint32_t piece, const std::string& region, const std::vector<AgentPeer>& agents)
 {
     auto candidates = agentsInRegion(region, agents);
-    return candidates.empty() ? std::string() : candidates[piece % candidates.size()].host;
+    auto servesNone = [](const AgentPeer& agent) { return !agent.servesAny; };
+    if (!std::all_of(candidates.begin(), candidates.end(), servesNone))
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), servesNone), candidates.end());
+    std::vector<std::string> hosts;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const auto& candidate = candidates[(piece + i) % candidates.size()];
+        if (candidate.isListed)
+            hosts.push_back(candidate.host);
+    }
+    return hosts;
+}
+
+std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>& agents)
+{
+    auto turns = importersInTurn(piece, region, agents);
+    return turns.empty() ? std::string() : turns.front();
 }
 
 // Returns the host of an agent that has all pieces; empty when there is none. Different pieces are spread over the holders.
@@ -53,11 +90,10 @@
     addPeer(chooseHolder(query, regionAgents), true);
     // 2. The agents that import the piece into the region, in turn, up to the agent itself. It takes over when all agents before
     //    it have failed.
-    for (size_t i = 0; i < regionAgents.size(); ++i) {
-        const auto& next = regionAgents[(query.piece + i) % regionAgents.size()].host;
-        if (next == query.ownHost)
+    for (const auto& host : importersInTurn(query.piece, query.ownRegion, agents)) {
+        if (host == query.ownHost)
             break;
-        addPeer(next, true);
+        addPeer(host, true);
     }
     // 3. Sources outside the region: an agent that has all pieces, the importer in the origin's region, the origin.
     addPeer(chooseHolder(query, agents), false);
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -315,6 +315,7 @@
         self.stage = {}
         self.orders = 0
         self.mixed = 0
+        self.is_gone = False  # Whether it closes each connection without an answer.
         self.born = int(time.time() * 1000)
         if version:
             self.stage = {number: origin.piece(version, number) for number in range(origin.chunks)}
@@ -328,6 +329,9 @@
     def answer(self, call):
         path, _, query = call.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query))
+        if self.is_gone:
+            call.hang_up()
+            return
         if path == "/bilberrybarrow/report":
             call.send(200, self.report())
         elif path.startswith("/bilberrybarrow/stage-put/"):
--- a/tests/process_platform_weights.py
+++ b/tests/process_platform_weights.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
 """Weights agents beside engines: named versions are taken whole, from peers before the origin, and spoilt pieces never."""
 
+import time
+
 import harness
 import platform_fleet
 import platform_standin
@@ -76,6 +78,20 @@
         origin.away = set()
         harness.wait_until(lambda: all(engine.version == 5 for engine in engines), 20, "all engines have the newer version")
 
+        # 6. An agent whose engine goes while a version arrives fetches no more; the others take its pieces over.
+        for number, engine in enumerate(engines, 1):
+            list_engine(fleet, f"e{number}", engine, "dc-a" if number % 2 else "dc-b")
+        origin.delay = 0.2
+        origin.served.clear()
+        fleet.store.put("op/version/m", {"model": "m", "version": 6})
+        harness.wait_until(lambda: len(origin.served) >= 4, 10, "some pieces are under way")
+        gone, engines = engines[1], engines[:1] + engines[2:]
+        gone.is_gone = True
+        harness.wait_until(lambda: all(engine.version == 6 for engine in engines), 20, "the other engines have the version")
+        time.sleep(1.5)
+        assert len(origin.served) <= origin.chunks + 4, origin.served
+        assert len(agents[1].events("stage_failed")) <= origin.chunks, len(agents[1].events("stage_failed"))
+
         assert sum(engine.mixed for engine in engines) == 0
         assert all(agent.stop() == 0 for agent in agents)
 
