--- a/src/PieceSources.h
+++ b/src/PieceSources.h
@@ -19,7 +19,7 @@
     std::string host; ///< IP address of its VM.
     std::string region;
     bool isHolder = false; ///< Whether its engine serves the wanted version, so that it has all pieces.
-    bool servesAny = false; ///< Whether its engine serves any version. An engine that doesn't may be new, or about to go.
+    bool servesAny = false; ///< Whether its engine serves any version; a new engine doesn't.
     bool isListed = true; ///< False: its engine has left the service since the list was made.
 };
 
