Lose the held reply for sure in the test of dying processes, let a back end die before it answers the call that sets its fault

Both causes lie in the test. Twice 'no reply was lost: after': the endpoint's process was killed while its reply lay in the stalled link, and once the link went on the bytes still reached the entry, so nothing had to be retried (the entries' counts, printed now, show no retry). The link is cut after the kill, which resets both sides. Once the call that makes a back end crash got no answer, because a request met the fault first; the process's end counts as the answer then.

--- a/tests/process_requests_failures.py
+++ b/tests/process_requests_failures.py
@@ -25,6 +25,12 @@
     return sum(fleet.processes[name].metric(metric) for name in fleet.entries())
 
 
+def retry_counts(fleet):
+    """Each entry's counts of retries and attempts, for a failure's message."""
+    prefixes = ("bilberry_retries_total", "bilberry_attempts_total")
+    return {name: {key: value for key, value in fleet.processes[name].metrics().items() if key.startswith(prefixes)} for name in fleet.entries()}
+
+
 def busiest(fleet):
     """An endpoint with a request at its engine."""
     def find():
@@ -136,6 +142,13 @@
     return all(left[name] == 0 for name in fault if name != "work_ms") and "work_ms" not in fault
 
 
+def set_fault(back_end, fault):
+    """Sets a fault; a back end that has to crash may meet a request, and die of it, before it has answered this call."""
+    status, _, body = call("POST", back_end.control, "/fault", json.dumps(fault), {"Content-Type": "application/json"})
+    may_die = any(name.startswith("crash") for name in fault)
+    assert status == 200 or (may_die and back_end.process.wait(5) is not None), (back_end.name, status, body)
+
+
 def back_end_dies(fleet):
     """A register server dies before, during or after the run of repeatable calls, or loses the reply: they are answered whole."""
     for moment, fault in (("before", {"crash_before_run": 1}), ("during", {"work_ms": 300}), ("after", {"crash_after_run": 1}), ("reply lost", {"drop_reply": 1})):
@@ -146,13 +159,13 @@
         # An entry may use an endpoint that was down only some time after its return.
         started = back_end.counts()["started"]
         harness.wait_until(lambda: back_end.counts()["started"] > started, 5, f"{name} gets requests: {moment}")
-        back_end.fault(**fault)
+        set_fault(back_end, fault)
         if moment == "during":
             harness.wait_until(lambda: back_end.counts()["running"] > 0, 5, "a run")
             back_end.kill()
         harness.wait_until(lambda: is_struck(back_end, fault), 5, f"a request meets the fault: {moment}")
         harness.assert_whole(harness.finish(load), f"back end died: {moment}")
-        assert total(fleet, RETRIED) > before, f"no reply was lost: {moment}"
+        assert total(fleet, RETRIED) > before, f"no reply was lost: back end, {moment}, {retry_counts(fleet)}"
         if moment != "reply lost":
             back_end.process.wait(5)
             fleet.start_back_end(name)
@@ -183,9 +196,14 @@
         if moment == "before":
             time.sleep(0.5)
         fleet.processes[name].kill()
+        if moment == "after":
+            # What the process had already written lies in the link, and would still reach the entry.
+            link.fault(cut=True)
+            time.sleep(0.3)
+            link.fault(cut=False)
         link.fault(stall=False)
         harness.assert_whole(harness.finish(load), f"endpoint's process died: {moment}")
-        assert total(fleet, RETRIED) > before, f"no reply was lost: {moment}"
+        assert total(fleet, RETRIED) > before, f"no reply was lost: endpoint's process, {moment}, {retry_counts(fleet)}"
         address = row["address"]
         fleet.start_daemon(name, port)
         row["address"] = address
