--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -33,7 +33,7 @@
     if (this->manifest.version == 0 || !isNeeded)
         return;
     auto count = static_cast<uint32_t>(this->manifest.digests.size());
-    auto agents = updateAgents(this->agentsAtStart, this->listAgentPeers(this->manifest.version));
+    auto agents = this->listAgentPeers(this->manifest.version);
     // The pieces that this agent imports into its region are fetched first, because the region's other agents wait for them.
     auto isImportedByThisAgent = [&](uint32_t piece) { return importerOf(piece, this->settings.location.regionByDataCentre[this->settings.location.dataCentre], agents) == this->settings.ownIp; };
     auto isOriginLimitReached = [&] {
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -297,7 +297,6 @@
     }
     this->manifest = *std::move(parsed);
     this->manifestAttempts = 0;
-    this->agentsAtStart = this->listAgentPeers(this->manifest.version);
     size_t count = this->manifest.digests.size();
     this->isPieceStaged.assign(count, false);
     this->isPieceInProgress.assign(count, false);
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -149,7 +149,6 @@
 
     // The version that is being fetched.
     PieceManifest manifest;
-    std::vector<AgentPeer> agentsAtStart; ///< The agents of the service when the manifest arrived.
     uint32_t manifestAttempts = 0; ///< Requests for the manifest since the last one arrived; it selects the next source.
     TimePoint manifestRequestedAt {};
     std::vector<bool> isPieceStaged; ///< By piece: whether it is on the engine's stage and its digest was verified.
--- a/src/PieceSources.h
+++ b/src/PieceSources.h
@@ -19,8 +19,6 @@
     std::string host; ///< IP address of its VM.
     std::string region;
     bool isHolder = false; ///< Whether its engine serves the wanted version, so that it has all pieces.
-    bool servesAny = false; ///< Whether its engine serves any version; a new engine doesn't.
-    bool isListed = true; ///< False: its engine has left the service since the list was made.
 };
 
 /// One source of a piece or a manifest: the origin or a peer.
@@ -43,11 +41,6 @@
 /// the same list get the same result. Thread safe.
 std::vector<AgentPeer> listAgents(const std::vector<ServiceEngine>&, uint32_t version, const NodeLocation&);
 
-/// Updates the list with which the distribution of a version began to the current list. Agents keep their places, so that each
-/// piece keeps its importer while engines come and go; those that have left are no longer listed. Agents that have come since
-/// follow as sources if they are holders, but import nothing. Thread safe.
-std::vector<AgentPeer> updateAgents(std::vector<AgentPeer> atStart, const std::vector<AgentPeer>& current);
-
 /// Returns the host of the agent that imports a piece into a region; empty when the region has no agent. Thread safe.
 std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>&);
 
