Let entries pass events about endpoints on to each other in a datagram of their own

What one entry learns of an endpoint from an answer or a crash (a part of a prompt that was in it, that it leaves, that requests reach it late) has to be known to all entries at once. The messages of state can't carry it: an entry of the previous release refuses a message with another number of fields as a whole, and would lose the loads with it. A separate datagram is dropped by such an entry and nothing else changes for it.

The events are passed on as notices and crashes are (PeerReports): once by each entry that learns of one, within its data centre or to the others. Nothing reads them yet. PeerExchange takes its callbacks as a struct, since there are five now.

Tests: PeerMessageTest (events round trip, foreign bytes, the decoders of the previous release refuse the datagram), PeerScheduleTest.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -51,9 +51,7 @@
     , log(log)
     , channels(loop, endpointTimes)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
-    , peers(
-          loop, peerSettings(settings), [this](PeerMessage& message, PeerMessageScope scope) { this->fillPeerMessage(message, scope); }, [this](const PeerMessage& message) { this->applyPeerMessage(message); },
-          [this](const EngineNotice& notice) { this->handleAgentNotice(notice); })
+    , peers(loop, peerSettings(settings), this->makePeerHandlers())
     , callerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRequestNumber++;
         auto request = std::make_shared<ProxiedRequest>(*this, number, exchange);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -92,8 +92,10 @@
     void scheduleTick();
     void tick();
     void dispatchRequestsAwaitingConfiguration(TimePoint now);
+    PeerExchangeHandlers makePeerHandlers();
     void fillPeerMessage(PeerMessage&, PeerMessageScope);
     void applyPeerMessage(const PeerMessage&);
+    void applyEndpointEvents(const EndpointEvents&);
     void handleAgentNotice(const EngineNotice&);
     void applyNotice(const EngineNotice&);
     void applySwitchingEngine(uint32_t endpointHash, TimePoint now);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -38,6 +38,21 @@
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
+PeerExchangeHandlers EntryNode::makePeerHandlers()
+{
+    PeerExchangeHandlers handlers;
+    handlers.fillMessage = [this](PeerMessage& message, PeerMessageScope scope) { this->fillPeerMessage(message, scope); };
+    handlers.takeEndpointEvents = [this](PeerMessageScope scope) {
+        auto events = this->peerReports.takeEndpointEvents(scope);
+        events.dataCentre = this->settings.location.dataCentre;
+        return events;
+    };
+    handlers.onMessage = [this](const PeerMessage& message) { this->applyPeerMessage(message); };
+    handlers.onEndpointEvents = [this](const EndpointEvents& events) { this->applyEndpointEvents(events); };
+    handlers.onNotice = [this](const EngineNotice& notice) { this->handleAgentNotice(notice); };
+    return handlers;
+}
+
 void EntryNode::fillPeerMessage(PeerMessage& message, PeerMessageScope scope)
 {
     auto now = Clock::now();
@@ -81,6 +96,20 @@
     this->updatePeerLoads(now);
 }
 
+// Passes on what a peer tells of endpoints.
+void EntryNode::applyEndpointEvents(const EndpointEvents& events)
+{
+    auto now = Clock::now();
+    bool isNear = events.dataCentre == this->settings.location.dataCentre;
+    auto source = isNear ? ReportSource::SameDataCentre : ReportSource::OtherDataCentre;
+    for (const auto& evidence : events.partEvidence)
+        this->peerReports.addPartEvidence(evidence, source, now);
+    for (uint32_t endpoint : events.leavingEndpoints)
+        this->peerReports.addLeavingEndpoint(endpoint, source, now);
+    for (uint32_t endpoint : events.slowEndpoints)
+        this->peerReports.addSlowEndpoint(endpoint, source, now);
+}
+
 // Handles a notice that comes directly from an agent. It is passed on to the peers, since an agent knows only some entries.
 void EntryNode::handleAgentNotice(const EngineNotice& notice)
 {
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -23,9 +23,7 @@
 
     PeerExchangeSettings settings;
     asio::ip::udp::socket socket;
-    std::function<void(PeerMessage&, PeerMessageScope)> fillMessage;
-    std::function<void(const PeerMessage&)> onMessage;
-    std::function<void(const EngineNotice&)> onNotice;
+    PeerExchangeHandlers handlers;
     PeerTable table;
     PeerSchedule schedule;
     std::array<char, maxPeerMessageBytes> buffer {};
@@ -35,12 +33,10 @@
     uint64_t sentBytes = 0;
 };
 
-PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, std::function<void(PeerMessage&, PeerMessageScope)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice)
+PeerExchange::PeerExchange(EventLoop& loop, const PeerExchangeSettings& settings, PeerExchangeHandlers handlers)
     : state(std::make_shared<State>(loop, settings))
 {
-    this->state->fillMessage = std::move(fillMessage);
-    this->state->onMessage = std::move(onMessage);
-    this->state->onNotice = std::move(onNotice);
+    this->state->handlers = std::move(handlers);
     this->state->incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch()).count());
     for (const auto& seed : settings.seeds)
         this->state->table.add(seed);
@@ -73,7 +69,11 @@
 {
     auto& state = *this->state;
     if (auto notice = decodeNotice(bytes); notice.ok()) {
-        state.onNotice(*notice);
+        state.handlers.onNotice(*notice);
+        return;
+    }
+    if (auto events = decodeEndpointEvents(bytes); events.ok()) {
+        state.handlers.onEndpointEvents(*events);
         return;
     }
     auto message = decodePeerMessage(bytes);
@@ -81,7 +81,7 @@
     auto ip = state.sender.address().to_string();
     if (!message.ok() || !state.table.applyMessage(ip, *message, now))
         return;
-    state.onMessage(*message);
+    state.handlers.onMessage(*message);
     if (message->wantsPeers)
         this->introduceEntries(ip, message->dataCentre, now);
 }
@@ -124,7 +124,7 @@
     PeerMessage message;
     message.incarnation = state.incarnation;
     message.sequence = ++state.sequence;
-    state.fillMessage(message, scope);
+    state.handlers.fillMessage(message, scope);
     addPeerState(message, scope, state.schedule, state.table, now);
     return message;
 }
@@ -158,6 +158,8 @@
     auto messageOfPreviousRelease = message;
     messageOfPreviousRelease.layout = PeerMessageLayout::WithoutDigests;
     auto bytesOfPreviousRelease = encodeWithinLimit(std::move(messageOfPreviousRelease));
+    auto events = state.handlers.takeEndpointEvents(scope);
+    auto eventBytes = isEmpty(events) ? std::string() : encodeEndpointEvents(events);
     size_t stateBytes = 0;
     for (const auto& due : sends) {
         if (due.scope != scope)
@@ -165,6 +167,8 @@
         auto row = state.table.rows.find(due.ip);
         bool isPreviousRelease = row != state.table.rows.end() && row->second.layout == PeerMessageLayout::WithoutDigests;
         this->send(isPreviousRelease ? bytesOfPreviousRelease : bytes, due.ip);
+        if (!eventBytes.empty())
+            this->send(eventBytes, due.ip);
         stateBytes += bytesOfPreviousRelease.size();
     }
     if (scope == PeerMessageScope::Near)
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -3,6 +3,7 @@
 /// doesn't overload it.
 #pragma once
 
+#include "EndpointEvents.h"
 #include "EventLoop.h"
 #include "PeerMessage.h"
 #include "PeerSchedule.h"
@@ -21,13 +22,22 @@
     std::vector<std::string> seeds; ///< IP addresses of some entries, which may no longer exist.
 };
 
+/// What the exchange calls. All members must be set.
+struct PeerExchangeHandlers {
+    /// Fills in the entry's state for a message of the given scope, except for incarnation, sequence, peers and digests.
+    std::function<void(PeerMessage&, PeerMessageScope)> fillMessage;
+    /// Returns the events about endpoints that go along with the messages of the given scope.
+    std::function<EndpointEvents(PeerMessageScope)> takeEndpointEvents;
+    std::function<void(const PeerMessage&)> onMessage; ///< Receives each new message of a peer.
+    std::function<void(const EndpointEvents&)> onEndpointEvents; ///< Receives the events about endpoints of a peer.
+    std::function<void(const EngineNotice&)> onNotice; ///< Receives each notice that comes directly from an agent.
+};
+
 /// Used by the loop's thread only.
 class PeerExchange {
 public:
-    /// `fillMessage` fills in the entry's state for a message of the given scope, except for incarnation, sequence, peers and
-    /// digests. `onMessage` receives each new message of a peer, `onNotice` each notice that comes directly from an agent.
     /// Precondition: the loop outlives the exchange.
-    PeerExchange(EventLoop&, const PeerExchangeSettings&, std::function<void(PeerMessage&, PeerMessageScope)> fillMessage, std::function<void(const PeerMessage&)> onMessage, std::function<void(const EngineNotice&)> onNotice);
+    PeerExchange(EventLoop&, const PeerExchangeSettings&, PeerExchangeHandlers);
     ~PeerExchange();
     PeerExchange(const PeerExchange&) = delete;
     PeerExchange& operator=(const PeerExchange&) = delete;
--- a/src/PeerReports.cpp
+++ b/src/PeerReports.cpp
@@ -8,8 +8,8 @@
 static constexpr int repetitions = 2;
 // Time for which an event is recognized when it comes again from another peer.
 static constexpr Milliseconds recognitionTime { 5000 };
-// Time after which an engine that still refuses requests is passed on again.
-static constexpr Milliseconds switchReportInterval { 1000 };
+// Time after which an endpoint that is still in the same state is passed on again.
+static constexpr Milliseconds stateReportInterval { 1000 };
 
 static bool isPassedOn(ReportSource source, PeerMessageScope scope)
 {
@@ -44,12 +44,37 @@
     return isNew;
 }
 
+// Adds an endpoint's hash unless it is in the list. Returns whether it was added.
+static bool addEndpointHash(std::vector<PeerReports::Row<uint32_t>>& rows, uint32_t endpointHash, ReportSource source, TimePoint now)
+{
+    auto isEndpoint = [&](const PeerReports::Row<uint32_t>& row) { return row.event == endpointHash; };
+    if (std::any_of(rows.begin(), rows.end(), isEndpoint))
+        return false;
+    rows.push_back({ endpointHash, source, now });
+    return true;
+}
+
 bool PeerReports::addSwitchingEngine(uint32_t endpointHash, ReportSource source, TimePoint now)
 {
-    auto isEngine = [&](const Row<uint32_t>& row) { return row.event == endpointHash; };
-    if (std::any_of(this->switchingEngines.begin(), this->switchingEngines.end(), isEngine))
+    return addEndpointHash(this->switchingEngines, endpointHash, source, now);
+}
+
+bool PeerReports::addLeavingEndpoint(uint32_t endpointHash, ReportSource source, TimePoint now)
+{
+    return addEndpointHash(this->leavingEndpoints, endpointHash, source, now);
+}
+
+bool PeerReports::addSlowEndpoint(uint32_t endpointHash, ReportSource source, TimePoint now)
+{
+    return addEndpointHash(this->slowEndpoints, endpointHash, source, now);
+}
+
+bool PeerReports::addPartEvidence(const PartEvidence& evidence, ReportSource source, TimePoint now)
+{
+    auto isSame = [&](const Row<PartEvidence>& row) { return row.event.part == evidence.part && row.event.crashedEndpoint == evidence.crashedEndpoint; };
+    if (std::any_of(this->partEvidence.begin(), this->partEvidence.end(), isSame))
         return false;
-    this->switchingEngines.push_back({ endpointHash, source, now });
+    this->partEvidence.push_back({ evidence, source, now });
     return true;
 }
 
@@ -72,6 +97,15 @@
     takeEvents(this->switchingEngines, scope, message.switchingEngines);
 }
 
+EndpointEvents PeerReports::takeEndpointEvents(PeerMessageScope scope)
+{
+    EndpointEvents events;
+    takeEvents(this->partEvidence, scope, events.partEvidence);
+    takeEvents(this->leavingEndpoints, scope, events.leavingEndpoints);
+    takeEvents(this->slowEndpoints, scope, events.slowEndpoints);
+    return events;
+}
+
 template <typename Event>
 static void removeRows(std::vector<PeerReports::Row<Event>>& rows, Milliseconds keptFor, TimePoint now)
 {
@@ -83,7 +117,10 @@
 {
     removeRows(this->crashes, recognitionTime, now);
     removeRows(this->notices, recognitionTime, now);
-    removeRows(this->switchingEngines, switchReportInterval, now);
+    removeRows(this->switchingEngines, stateReportInterval, now);
+    removeRows(this->partEvidence, recognitionTime, now);
+    removeRows(this->leavingEndpoints, recognitionTime, now);
+    removeRows(this->slowEndpoints, stateReportInterval, now);
 }
 
 } // namespace bilberry
--- a/src/PeerReports.h
+++ b/src/PeerReports.h
@@ -1,8 +1,9 @@
-/// Events that an entry passes on to its peers in a few messages: crashes of endpoints, notices of agents, and engines that
-/// refused a request because of a version switch. Each event is passed on once by each entry that learns of it, within its
+/// Events that an entry passes on to its peers in a few messages: crashes of endpoints, notices of agents, engines that refused
+/// a request because of a version switch, and the events about endpoints of EndpointEvents.h. Each event is passed on once by each entry that learns of it, within its
 /// data centre or to the others, so that it reaches all entries and ends. Holds state only.
 #pragma once
 
+#include "EndpointEvents.h"
 #include "PeerSchedule.h"
 #include "Types.h"
 
@@ -32,6 +33,9 @@
     std::vector<Row<CrashReport>> crashes;
     std::vector<Row<EngineNotice>> notices;
     std::vector<Row<uint32_t>> switchingEngines; ///< Hashes of endpoints' ids.
+    std::vector<Row<PartEvidence>> partEvidence;
+    std::vector<Row<uint32_t>> leavingEndpoints; ///< Hashes of endpoints' ids.
+    std::vector<Row<uint32_t>> slowEndpoints; ///< Hashes of endpoints' ids.
 
     /// Adds a crash that wasn't known before.
     void addCrash(const CrashReport&, ReportSource, TimePoint now);
@@ -39,8 +43,16 @@
     bool addNotice(const EngineNotice&, ReportSource, TimePoint now);
     /// Adds an engine, unless it was added a short time ago. Returns whether it was added.
     bool addSwitchingEngine(uint32_t endpointHash, ReportSource, TimePoint now);
+    /// Adds evidence about a part, unless the same was added a short time ago. Returns whether it was added.
+    bool addPartEvidence(const PartEvidence&, ReportSource, TimePoint now);
+    /// Adds an endpoint that leaves, unless it was added a short time ago. Returns whether it was added.
+    bool addLeavingEndpoint(uint32_t endpointHash, ReportSource, TimePoint now);
+    /// Adds an endpoint that requests reach late, unless it was added a short time ago. Returns whether it was added.
+    bool addSlowEndpoint(uint32_t endpointHash, ReportSource, TimePoint now);
     /// Puts the events that a message of that scope passes on into it.
     void fillMessage(PeerMessage&, PeerMessageScope);
+    /// Returns the events about endpoints that are passed on along with a message of that scope, without the data centre.
+    EndpointEvents takeEndpointEvents(PeerMessageScope);
     /// Removes events that are no longer needed, neither for messages nor to recognize them. Is to be called on each tick.
     void removeExpired(TimePoint now);
 };
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE PeerMessage
 #include <boost/test/unit_test.hpp>
 
+#include "EndpointEvents.h"
 #include "PeerMessage.h"
 #include "PeerTable.h"
 #include "PieceManifest.h"
@@ -66,12 +67,32 @@
         auto changed = *rc::gen::arbitrary<std::string>();
         decodePeerMessage(changed).ok();
         decodeNotice(changed).ok();
+        decodeEndpointEvents(changed).ok();
         decodeStoreDelta(changed).ok();
         decodeManifest(changed).ok();
         decodeServiceSummary(changed).ok();
     }));
 }
 
+BOOST_AUTO_TEST_CASE(endpointEventsRoundTripThroughEncoding)
+{
+    BOOST_TEST(rc::check([] {
+        EndpointEvents sent { "dc-a", {}, *rc::gen::arbitrary<std::vector<uint32_t>>(), *rc::gen::arbitrary<std::vector<uint32_t>>() };
+        for (auto [part, endpoint] : *rc::gen::arbitrary<std::vector<std::pair<uint64_t, uint32_t>>>())
+            sent.partEvidence.push_back({ part, endpoint });
+        auto bytes = encodeEndpointEvents(sent);
+        auto read = decodeEndpointEvents(bytes);
+        RC_ASSERT(read.ok() && read->dataCentre == "dc-a");
+        RC_ASSERT(read->leavingEndpoints == sent.leavingEndpoints && read->slowEndpoints == sent.slowEndpoints);
+        RC_ASSERT(read->partEvidence.size() == sent.partEvidence.size());
+        for (size_t i = 0; i < sent.partEvidence.size(); ++i)
+            RC_ASSERT(read->partEvidence[i].part == sent.partEvidence[i].part && read->partEvidence[i].crashedEndpoint == sent.partEvidence[i].crashedEndpoint);
+        // Entries of the previous release take it neither for a message nor for a notice.
+        RC_ASSERT(!decodePeerMessage(bytes).ok() && !decodeNotice(bytes).ok());
+        RC_ASSERT(!decodeEndpointEvents(bytes.substr(0, bytes.size() - 1)).ok());
+    }));
+}
+
 // The state of an entry that knows 300 busy endpoints fits into one datagram, with room for crashes, notices and refusals.
 BOOST_AUTO_TEST_CASE(largeStateFitsIntoDatagram)
 {
