Count the bound on a version switch from when the version may have been named, not from when it was read

Callers' requests began on superseded weights after the bound (VERSION).

Cause: ClusterView took a version as named when it read it. An entry that stood still, or that the store turned away, reads it seconds late and then allows the older weights seconds too long. Only versions of the first listing were dated back. The class of fault: the age of an event taken as zero when it is read.

A version that the view lacked can't have been named before the last call that confirmed the view was sent, so that time is now taken (earliestNamingTime()). It is at most 1.2 s before the reading while the store answers, and as long as the outage was otherwise. While the store may have lost changes, and without any confirmed view, just the grace period is left, as before for the first listing. Times of naming are on the clock that counts suspensions, as the age of the view is: the bound goes on while a VM is suspended.

ClusterViewTest checks the bound itself; what it checked of the first listing is in the new case. The test of the slow link passed by the earlier end as well, so its delay is 2.8 s now, for 1.8 s: 6.0 s.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -142,7 +142,7 @@
     bool isMissing = std::find(this->isPieceStaged.begin(), this->isPieceStaged.end(), false) != this->isPieceStaged.end();
     if (isMissing)
         return;
-    auto sinceNamed = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->newestNamedAt());
+    auto sinceNamed = std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->newestNamedAt());
     this->log.write(LogLevel::Info, "weights_staged", { { "version", this->manifest.version }, { "since_named_ms", sinceNamed } });
 }
 
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -139,7 +139,7 @@
     }
     this->serviceSummary = newSummary;
     for (const auto& version : newSummary.namedVersions)
-        this->recordNamedVersion(version, now);
+        this->recordNamedVersion(version, BootClock::now());
     if (!this->engineReport)
         return;
     this->fetchManifestIfNeeded(this->wantedVersion());
@@ -211,7 +211,7 @@
 }
 
 // Records when a version was named. Entries may have learned of it at different times; the earliest time is kept.
-void AgentNode::recordNamedVersion(const SummaryVersion& version, TimePoint now)
+void AgentNode::recordNamedVersion(const SummaryVersion& version, BootTimePoint now)
 {
     auto namedAt = now - version.knownFor;
     auto [known, isNew] = this->namedVersions.try_emplace(version.version, namedAt);
@@ -220,9 +220,9 @@
         this->log.write(LogLevel::Info, "weights_named", { { "version", version.version }, { "named_for_ms", version.knownFor }, { "entry", this->summaryWatch.currentEntry() } });
 }
 
-TimePoint AgentNode::newestNamedAt() const
+BootTimePoint AgentNode::newestNamedAt() const
 {
-    return this->namedVersions.empty() ? TimePoint() : this->namedVersions.rbegin()->second;
+    return this->namedVersions.empty() ? BootTimePoint() : this->namedVersions.rbegin()->second;
 }
 
 // Returns the newest version that was named, that a peer has requested, or that this or another engine of the service has
@@ -323,13 +323,13 @@
 
 // Returns whether the time at which this engine switches to the newer version has come. The engines of a data centre switch
 // one after the other (see VersionSwitch.h).
-bool AgentNode::isSwitchDue(TimePoint now) const
+bool AgentNode::isSwitchDue(BootTimePoint now) const
 {
     auto hosts = engineHostsIn(this->serviceSummary->engines, this->settings.location.dataCentre);
     auto switchDelayStart = supersededAt(this->namedVersions, this->engineReport->loadedLayersVersion);
     // The engine must leave an older version at once when an even newer one is to follow.
     bool isFollowed = this->manifest.version < this->wantedVersion();
-    return switchDelayStart == TimePoint::max() || isFollowed || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
+    return switchDelayStart == BootTimePoint::max() || isFollowed || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
 }
 
 void AgentNode::orderLoadWhenReady(TimePoint now)
@@ -343,7 +343,7 @@
     if (isOrdered)
         return;
     bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount;
-    if (!servesNothing && !this->isSwitchDue(now))
+    if (!servesNothing && !this->isSwitchDue(BootClock::now()))
         return;
     // Entries stop sending requests to the engine before the pieces are read back.
     if (!servesNothing)
@@ -373,7 +373,7 @@
     this->orderedVersion = this->manifest.version;
     uint32_t version = this->manifest.version;
     this->idleEngineCaller().sendRequest(this->adapter.engine.makeLoadOrder(this->serviceSummary->model.name, version), engineTimeout, [this, version](const CallResult& result) {
-        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - this->newestNamedAt()) } });
+        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->newestNamedAt()) } });
     });
 }
 
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -85,8 +85,8 @@
     void handleEntriesLost(const std::string& reason);
     void requestReport();
     void handleReport(const EngineReport&, TimePoint now);
-    void recordNamedVersion(const SummaryVersion&, TimePoint now);
-    TimePoint newestNamedAt() const;
+    void recordNamedVersion(const SummaryVersion&, BootTimePoint now);
+    BootTimePoint newestNamedAt() const;
     bool isFinishingOlderVersion() const;
     void fetchManifestIfNeeded(uint32_t version);
     uint32_t wantedVersion() const;
@@ -102,7 +102,7 @@
     void logIfAllStaged();
     void verifyStagedPiece(uint32_t piece);
     void orderLoadWhenReady(TimePoint now);
-    bool isSwitchDue(TimePoint now) const;
+    bool isSwitchDue(BootTimePoint now) const;
     void orderLoad();
     void notifyEntries(uint32_t version);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
--- a/src/ClusterView.cpp
+++ b/src/ClusterView.cpp
@@ -98,7 +98,7 @@
     return view.evacuatedDataCentres.insert(key.name).second ? ClusterViewChange::DataCentreEvacuated : ClusterViewChange::None;
 }
 
-static ClusterViewChange applyVersion(ClusterView& view, const StoreAdapter& adapter, const StoreKey& key, const StoreChange& change, TimePoint now, std::string& error)
+static ClusterViewChange applyVersion(ClusterView& view, const StoreAdapter& adapter, const StoreKey& key, const StoreChange& change, std::string& error)
 {
     if (change.isRemoved)
         return ClusterViewChange::None;
@@ -109,7 +109,7 @@
     bool isNewer = named.empty() || *version > named.rbegin()->first;
     if (!isNewer)
         return ClusterViewChange::None;
-    named[*version] = now - view.namingTimeOffset;
+    named[*version] = view.earliestNamingTime;
     return ClusterViewChange::WeightVersion;
 }
 
@@ -124,7 +124,7 @@
     case StoreKeyKind::DataCentreEvacuation:
         return applyDataCentre(view, key, change);
     case StoreKeyKind::WeightVersion:
-        return applyVersion(view, adapter, key, change, now, error);
+        return applyVersion(view, adapter, key, change, error);
     case StoreKeyKind::Other:
         return ClusterViewChange::None;
     }
@@ -158,6 +158,14 @@
     }
 }
 
+BootTimePoint earliestNamingTime(const ClusterView& view, const NamingBounds& bounds, bool mayHaveBeenLost, BootTimePoint now)
+{
+    auto unknownNamingTime = now - std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
+    if (!view.isConfirmed)
+        return unknownNamingTime;
+    return mayHaveBeenLost ? std::min(view.confirmedAt, unknownNamingTime) : view.confirmedAt;
+}
+
 Milliseconds ageOf(const ClusterView& view, BootTimePoint now)
 {
     if (!view.isConfirmed)
--- a/src/ClusterView.h
+++ b/src/ClusterView.h
@@ -23,9 +23,7 @@
     std::map<std::string, NamedVersions> namedVersions; ///< The versions that operators have named; the key is the model.
     BootTimePoint confirmedAt {}; ///< When the last call that confirmed this view was sent.
     bool isConfirmed = false; ///< Whether any call has confirmed this view.
-    /// How long before this entry reads it a version may have been named; a version is taken as named that long before it
-    /// is read.
-    Milliseconds namingTimeOffset { 0 };
+    BootTimePoint earliestNamingTime {}; ///< The earliest time at which a version that is read now may have been named.
     uint64_t era = 0; ///< The store's era, see StoreEra.h; zero while no answer has stated it.
     TimePoint eraHoldUntil {}; ///< Until when what was known before the store's last loss is held; the default value without one.
     /// When endpoints were removed, or were draining when the store lost changes; the key is the id. Kept for a limited time.
@@ -62,6 +60,17 @@
 /// versions and held evacuations stay. Not thread safe.
 void removeUnlistedItems(ClusterView&, const StoreAdapter&, const std::vector<StoreChange>& listing, TimePoint now);
 
+/// The bounds that earliestNamingTime() depends on.
+struct NamingBounds {
+    Milliseconds maxVersionSwitchTime { 0 }; ///< The time within which all engines must have switched to a named version.
+    Milliseconds recoveryGracePeriod { 0 }; ///< The time for which a process that has just started is excused.
+};
+
+/// Returns the earliest time at which a version that the view doesn't hold yet may have been named. The store didn't have it when
+/// the last call that confirmed the view was sent. With an unconfirmed view, and while the store may have lost changes, the
+/// version may be older; just the grace period is left for the switch then. Thread safe.
+BootTimePoint earliestNamingTime(const ClusterView&, const NamingBounds&, bool mayHaveBeenLost, BootTimePoint now);
+
 /// Returns the age of the view, or Milliseconds::max() when no call has confirmed it. Thread safe.
 Milliseconds ageOf(const ClusterView&, BootTimePoint now);
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -129,6 +129,14 @@
     this->log.write(LogLevel::Warning, "store_lost_changes", { { "era", era }, { "known_era", known } });
 }
 
+// Is to be called before the view is confirmed by the call that brings the changes. `era` is that of the changes.
+void EntryNode::updateEarliestNamingTime(uint64_t era, TimePoint now)
+{
+    const auto& bounds = this->settings.reloadable;
+    bool mayHaveBeenLost = era < this->clusterView.era || now < this->clusterView.eraHoldUntil;
+    this->clusterView.earliestNamingTime = earliestNamingTime(this->clusterView, { bounds.maxVersionSwitchTime, bounds.recoveryGracePeriod }, mayHaveBeenLost, BootClock::now());
+}
+
 void EntryNode::applyChange(const StoreChange& change, bool isListed, TimePoint now)
 {
     bool isOfEarlierEra = change.era < this->clusterView.era;
@@ -167,14 +175,10 @@
 {
     auto now = Clock::now();
     this->noteEra(era, now);
-    // The versions in the first listing may have been named long before. They are taken as named so long ago that just the
-    // recovery grace period is left for the switch.
-    const auto& bounds = this->settings.reloadable;
-    this->clusterView.namingTimeOffset = this->clusterView.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
+    this->updateEarliestNamingTime(era, now);
     this->confirmViewByStore(sentAt);
     for (const auto& item : items)
         this->applyChange(item, true, now);
-    this->clusterView.namingTimeOffset = Milliseconds(0);
     removeUnlistedItems(this->clusterView, this->adapter.store, items, now);
     this->dispatchRequestsAwaitingConfiguration(now);
     this->log.write(LogLevel::Info, "store_listed", { { "items", static_cast<uint64_t>(items.size()) } });
@@ -183,6 +187,7 @@
 void EntryNode::applyChanges(const std::vector<StoreChange>& changes, BootTimePoint sentAt)
 {
     auto now = Clock::now();
+    this->updateEarliestNamingTime(this->clusterView.era, now);
     this->confirmViewByStore(sentAt);
     for (const auto& change : changes)
         this->applyChange(change, false, now);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -86,6 +86,7 @@
     void handleStoreFailure(const std::string& reason, int failures);
     void confirmView(BootTimePoint sentAt);
     void noteEra(uint64_t era, TimePoint now);
+    void updateEarliestNamingTime(uint64_t era, TimePoint now);
     void applyChange(const StoreChange&, bool isListed, TimePoint now);
     void answerReadiness(const std::shared_ptr<ServerExchange>&);
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -221,12 +221,10 @@
     }
     bool isOfLaterEra = delta.version.era > this->clusterView.era;
     this->noteEra(delta.version.era, now);
-    const auto& bounds = this->settings.reloadable;
-    this->clusterView.namingTimeOffset = this->clusterView.isConfirmed ? Milliseconds(0) : std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
+    this->updateEarliestNamingTime(delta.version.era, now);
     this->confirmView(confirmedAt);
     for (const auto& change : delta.changes)
         this->applyChange(change, isOfLaterEra, now);
-    this->clusterView.namingTimeOffset = Milliseconds(0);
     if (!isOfLaterEra)
         return;
     std::vector<StoreChange> listing;
@@ -252,6 +250,7 @@
         this->adoptView(*delta, peer, peerConfirmedAt, now);
     } else {
         // The store's own word is more recent, but it may lack what it has lost.
+        this->updateEarliestNamingTime(0, now);
         for (const auto& change : delta->changes) {
             if (change.era < this->clusterView.era)
                 this->applyChange(change, false, now);
@@ -302,7 +301,7 @@
 
 std::optional<ServiceSummary> EntryNode::makeSummary(const std::string& service, TimePoint now) const
 {
-    auto summary = this->clusterView.isConfirmed ? summarizeService(this->clusterView, service, now) : std::nullopt;
+    auto summary = this->clusterView.isConfirmed ? summarizeService(this->clusterView, service, BootClock::now()) : std::nullopt;
     if (!summary)
         return std::nullopt;
     summary->age = ageOf(this->clusterView, BootClock::now());
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -155,18 +155,18 @@
     return true;
 }
 
-static uint32_t requiredWeightVersion(const EntryNode& node, const std::string& model, TimePoint now)
+static uint32_t requiredWeightVersion(const EntryNode& node, const std::string& model, BootTimePoint now)
 {
     auto found = node.clusterView.namedVersions.find(model);
     return found == node.clusterView.namedVersions.end() ? 0 : oldestAllowedVersion(found->second, node.settings.reloadable.maxVersionSwitchTime, now);
 }
 
 // When a request that is at the endpoint and hasn't begun there must be taken back.
-static TimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
+static BootTimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
 {
     auto found = node.clusterView.namedVersions.find(requirements.model);
     if (!endpoint.record.isModelEngine || found == node.clusterView.namedVersions.end())
-        return TimePoint::max();
+        return BootTimePoint::max();
     auto held = servedVersion(endpoint.record, requirements.model, requirements.modelLayers);
     return mustBeginBy(found->second, held, node.settings.reloadable.maxVersionSwitchTime);
 }
@@ -176,7 +176,7 @@
     this->requirements.entryCount = entryCount(this->node);
     this->requirements.nearEntryCount = nearEntryCount(this->node);
     this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
-    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, now);
+    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, BootClock::now());
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
@@ -362,7 +362,7 @@
     // was sent.
     const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     bool hasBegun = this->responseHead.status != 0;
-    if (!hasBegun && now >= beginDeadline(this->node, endpoint, this->requirements)) {
+    if (!hasBegun && BootClock::now() >= beginDeadline(this->node, endpoint, this->requirements)) {
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
--- a/src/ServiceSummary.cpp
+++ b/src/ServiceSummary.cpp
@@ -37,7 +37,7 @@
     return engines;
 }
 
-std::optional<ServiceSummary> summarizeService(const ClusterView& view, const std::string& service, TimePoint now)
+std::optional<ServiceSummary> summarizeService(const ClusterView& view, const std::string& service, BootTimePoint now)
 {
     const auto* rule = view.routes ? findService(*view.routes, service) : nullptr;
     if (!rule || rule->models.empty())
@@ -50,8 +50,8 @@
     }
     auto found = view.namedVersions.find(summary.model.name);
     if (found != view.namedVersions.end()) {
-        for (const auto& [version, learnedAt] : found->second)
-            summary.namedVersions.push_back({ version, std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - learnedAt)) });
+        for (const auto& [version, namedAt] : found->second)
+            summary.namedVersions.push_back({ version, std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - namedAt)) });
     }
     summary.engines = listEngines(view.endpoints, service, summary.model);
     return summary;
--- a/src/ServiceSummary.h
+++ b/src/ServiceSummary.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Address.h"
+#include "BootClock.h"
 #include "EntryConfiguration.h"
 #include "Types.h"
 
@@ -19,7 +20,7 @@
 /// A named version: a version of the weights that operators have ordered to be served.
 struct SummaryVersion {
     uint32_t version = 0;
-    Milliseconds knownFor { 0 }; ///< The time since the entry learned of it.
+    Milliseconds knownFor { 0 }; ///< The longest time for which it may have been named, as far as the entry knows.
 };
 
 /// An engine of the service.
@@ -42,7 +43,7 @@
 
 /// Summarizes what the cluster view holds on a service, except for `age`, `dataCentre` and `entries`. Returns std::nullopt
 /// for an unknown service and for one without a model. Thread safe.
-std::optional<ServiceSummary> summarizeService(const ClusterView&, const std::string& service, TimePoint now);
+std::optional<ServiceSummary> summarizeService(const ClusterView&, const std::string& service, BootTimePoint now);
 
 /// Returns the newest named version, or zero when there is none. Thread safe.
 uint32_t newestNamedVersion(const ServiceSummary&);
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -11,7 +11,7 @@
 static constexpr double firstSwitchShare = 0.40;
 static constexpr double lastSwitchShare = 0.80;
 // Time before the end of the bound from which no request is sent to an engine with the older version, and from which one that
-// hasn't begun there is taken back. The latter covers the time in which entries learn of a version.
+// hasn't begun there is taken back.
 static constexpr Milliseconds lastSendMargin { 1300 };
 static constexpr Milliseconds takeBackMargin { 600 };
 
@@ -28,29 +28,29 @@
     return scaleDuration(bound, firstSwitchShare + static_cast<double>(std::min(position, hosts.size())) * (lastSwitchShare - firstSwitchShare) / steps);
 }
 
-TimePoint supersededAt(const NamedVersions& named, uint32_t held)
+BootTimePoint supersededAt(const NamedVersions& named, uint32_t held)
 {
     auto next = named.upper_bound(held);
-    return next == named.end() ? TimePoint::max() : next->second;
+    return next == named.end() ? BootTimePoint::max() : next->second;
 }
 
-uint32_t oldestAllowedVersion(const NamedVersions& named, Milliseconds bound, TimePoint now)
+uint32_t oldestAllowedVersion(const NamedVersions& named, Milliseconds bound, BootTimePoint now)
 {
     uint32_t oldest = 0;
     if (bound == Milliseconds(0))
         return oldest;
-    for (const auto& [version, learnedAt] : named) {
-        if (now - learnedAt >= bound - lastSendMargin)
+    for (const auto& [version, namedAt] : named) {
+        if (now - namedAt >= bound - lastSendMargin)
             oldest = version;
     }
     return oldest;
 }
 
-TimePoint mustBeginBy(const NamedVersions& named, uint32_t held, Milliseconds bound)
+BootTimePoint mustBeginBy(const NamedVersions& named, uint32_t held, Milliseconds bound)
 {
     auto supersession = supersededAt(named, held);
-    if (bound == Milliseconds(0) || supersession == TimePoint::max())
-        return TimePoint::max();
+    if (bound == Milliseconds(0) || supersession == BootTimePoint::max())
+        return BootTimePoint::max();
     return supersession + bound - takeBackMargin;
 }
 
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -4,6 +4,7 @@
 /// compute the same times from the published list of endpoints. Pure functions without I/O.
 #pragma once
 
+#include "BootClock.h"
 #include "Types.h"
 
 #include <map>
@@ -15,9 +16,9 @@
 struct ServiceEngine;
 
 /// The named versions of a model's weights, which are those whose number operators have published as the version to load.
-/// The key is the version; the value is the time, on this process's monotonic clock, at which it counts as named: when an entry
-/// first read it from the platform's store, less ClusterView::namingTimeOffset.
-using NamedVersions = std::map<uint32_t, TimePoint>;
+/// The key is the version; the value is the earliest time at which it may have been named (see earliestNamingTime()). The clock
+/// includes the time in which the VM was suspended, since the bound on the switch does.
+using NamedVersions = std::map<uint32_t, BootTimePoint>;
 
 /// Returns the time from the naming of a version until the engine at `host` is ordered to load it. `bound` is the time
 /// within which all engines must have switched; with a bound of zero, which means none, the result is zero. `hosts` are
@@ -26,17 +27,17 @@
 Milliseconds switchDelay(const std::string& host, std::vector<std::string> hosts, Milliseconds bound);
 
 /// Returns the time at which the first version newer than `held` was named; the switch delay of an engine with version `held`
-/// counts from then. Returns TimePoint::max() when there is no newer version. Thread safe.
-TimePoint supersededAt(const NamedVersions&, uint32_t held);
+/// counts from then. Returns BootTimePoint::max() when there is no newer version. Thread safe.
+BootTimePoint supersededAt(const NamedVersions&, uint32_t held);
 
 /// Returns the oldest version on which a request may still begin at `now`; zero means any version. `bound` is that of
 /// switchDelay(); when it is zero, any version is allowed. Thread safe.
-uint32_t oldestAllowedVersion(const NamedVersions&, Milliseconds bound, TimePoint now);
+uint32_t oldestAllowedVersion(const NamedVersions&, Milliseconds bound, BootTimePoint now);
 
 /// Returns the time by which a request that was sent to an engine with version `held` must have begun there; a request that
-/// hasn't may wait at the engine, or on the way to it, past the bound, and must be taken back. TimePoint::max() when no newer
+/// hasn't may wait at the engine, or on the way to it, past the bound, and must be taken back. BootTimePoint::max() when no newer
 /// version is named or `bound` is zero. Thread safe.
-TimePoint mustBeginBy(const NamedVersions&, uint32_t held, Milliseconds bound);
+BootTimePoint mustBeginBy(const NamedVersions&, uint32_t held, Milliseconds bound);
 
 /// Whether an agent goes on with an older version of which it has `staged` of `total` pieces although a newer one was named.
 /// Thread safe.
--- a/tests/ClusterViewTest.cpp
+++ b/tests/ClusterViewTest.cpp
@@ -139,11 +139,25 @@
     BOOST_TEST((applyToView(view, weightVersionChange(1, 3)) == ClusterViewChange::None));
     BOOST_TEST((applyToView(view, weightVersionChange(4, 4), start + Seconds(1)) == ClusterViewChange::WeightVersion));
     BOOST_TEST(view.namedVersions["m"].size() == 2u);
-    // A version that a process reads when it starts may have been named some time before.
-    ClusterView fresh;
-    fresh.namingTimeOffset = Seconds(5);
-    applyToView(fresh, weightVersionChange(2, 1));
-    BOOST_TEST((fresh.namedVersions["m"][2] == start - Seconds(5)));
+}
+
+// A version may have been named at any time since the view was last known to be without it.
+BOOST_AUTO_TEST_CASE(namingTimeOfAVersionThatIsReadLateIsntTakenForRecent)
+{
+    BootTimePoint now { std::chrono::hours(2) };
+    NamingBounds bounds { Milliseconds(8000), Milliseconds(3000) };
+    ClusterView view;
+    BOOST_TEST((earliestNamingTime(view, bounds, false, now) == now - Seconds(5)));
+    BOOST_TEST((earliestNamingTime(view, { Milliseconds(2000), Milliseconds(3000) }, false, now) == now));
+    view.isConfirmed = true;
+    for (Milliseconds age { 0 }; age <= Seconds(20); age += Milliseconds(100)) {
+        view.confirmedAt = now - age;
+        BOOST_TEST((earliestNamingTime(view, bounds, false, now) == now - age));
+        BOOST_TEST((earliestNamingTime(view, bounds, true, now) == now - std::max<Milliseconds>(age, Seconds(5))));
+    }
+    view.earliestNamingTime = now - Seconds(4);
+    applyToView(view, weightVersionChange(2, 1));
+    BOOST_TEST((view.namedVersions["m"][2] == now - Seconds(4)));
 }
 
 BOOST_AUTO_TEST_CASE(ageCountsFromConfirmingCall)
--- a/tests/ServiceSummaryTest.cpp
+++ b/tests/ServiceSummaryTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 const TimePoint start { std::chrono::hours(1) };
+const BootTimePoint bootStart { std::chrono::hours(2) };
 
 EndpointRecord makeEngine(const std::string& id, const std::string& host, uint32_t version)
 {
@@ -39,7 +40,7 @@
     indexEntryConfiguration(*table);
     ClusterView view;
     view.routes = table;
-    view.namedVersions["m"] = { { 2, start - Seconds(5) }, { 3, start - Seconds(1) } };
+    view.namedVersions["m"] = { { 2, bootStart - Seconds(5) }, { 3, bootStart - Seconds(1) } };
     return view;
 }
 
@@ -53,7 +54,7 @@
     auto foreign = makeEngine("c", "10.0.0.3", 3);
     foreign.service = "other";
     view.endpoints.upsert(foreign, start);
-    auto summary = summarizeService(view, "writer", start);
+    auto summary = summarizeService(view, "writer", bootStart);
     BOOST_REQUIRE(summary.has_value());
     BOOST_TEST(summary->model.name == "m");
     BOOST_TEST(summary->origin->host == "10.9.0.1");
@@ -63,9 +64,9 @@
     BOOST_TEST(summary->engines.size() == 2u);
     BOOST_TEST(summary->engines[0].host == "10.0.0.1");
     BOOST_TEST(summary->engines[0].version == 3u);
-    BOOST_TEST(!summarizeService(view, "portal", start).has_value());
-    BOOST_TEST(!summarizeService(view, "unknown", start).has_value());
-    BOOST_TEST(!summarizeService(ClusterView(), "writer", start).has_value());
+    BOOST_TEST(!summarizeService(view, "portal", bootStart).has_value());
+    BOOST_TEST(!summarizeService(view, "unknown", bootStart).has_value());
+    BOOST_TEST(!summarizeService(ClusterView(), "writer", bootStart).has_value());
 }
 
 // A restarted engine is listed for a while along with the record from before the restart. Agents must not rely on the pieces
@@ -75,7 +76,7 @@
     auto view = makeClusterView();
     view.endpoints.upsert(makeEngine("old", "10.0.0.1", 3), start);
     view.endpoints.upsert(makeEngine("new", "10.0.0.1", 0), start);
-    auto summary = summarizeService(view, "writer", start);
+    auto summary = summarizeService(view, "writer", bootStart);
     BOOST_REQUIRE(summary->engines.size() == 1u);
     BOOST_TEST(summary->engines[0].version == 0u);
 }
@@ -84,7 +85,7 @@
 {
     auto view = makeClusterView();
     view.endpoints.upsert(makeEngine("a", "10.0.0.1", 3), start);
-    auto sent = *summarizeService(view, "writer", start);
+    auto sent = *summarizeService(view, "writer", bootStart);
     sent.age = Milliseconds(70);
     sent.dataCentre = "dc-a";
     sent.entries = { "10.1.0.1", "10.1.0.2" };
--- a/tests/VersionSwitchTest.cpp
+++ b/tests/VersionSwitchTest.cpp
@@ -9,7 +9,7 @@
 
 using namespace bilberry;
 
-static const TimePoint start { std::chrono::hours(1) };
+static const BootTimePoint start { std::chrono::hours(1) };
 static constexpr Milliseconds bound { 8000 };
 
 // The engines of a data centre switch one after the other, evenly spread, and all early enough before the bound that requests
@@ -60,8 +60,8 @@
     }
     BOOST_TEST((start + bound - mustBeginBy(named, 1, bound) >= Milliseconds(500)));
     BOOST_TEST((mustBeginBy(named, 2, bound) == mustBeginBy(named, 1, bound) + Seconds(3)));
-    BOOST_TEST((mustBeginBy(named, 3, bound) == TimePoint::max()));
-    BOOST_TEST((mustBeginBy(named, 1, Milliseconds(0)) == TimePoint::max()));
+    BOOST_TEST((mustBeginBy(named, 3, bound) == BootTimePoint::max()));
+    BOOST_TEST((mustBeginBy(named, 1, Milliseconds(0)) == BootTimePoint::max()));
 }
 
 // A second version that is named shortly after the first doesn't extend the bound of the first.
@@ -73,5 +73,5 @@
     BOOST_TEST(oldestAllowedVersion(named, bound, start + Seconds(11)) == 3u);
     BOOST_TEST((supersededAt(named, 1) == start));
     BOOST_TEST((supersededAt(named, 2) == start + Seconds(3)));
-    BOOST_TEST((supersededAt(named, 3) == TimePoint::max()));
+    BOOST_TEST((supersededAt(named, 3) == BootTimePoint::max()));
 }
--- a/tests/process_platform_versions.py
+++ b/tests/process_platform_versions.py
@@ -145,7 +145,7 @@
         fleet.stand_ins.append(link)
         named_at = time.monotonic()
         name_version(fleet, 2)
-        link.delay = 1.8
+        link.delay = 2.8
         callers = Callers(fleet, entry)
         time.sleep(BOUND + 2)
         callers.stop()
