Let an engine refuse a request that needs the newest weights when it serves older ones

An entry sent requests without any bound to an engine that it took to serve the newest named version, from the list of endpoints or a notice. Where the record is wrong (the engine has started again, a switch was undone, the list is of an older copy of the store), requests began on superseded weights after the bound: process_platform_versions, engine that returned to the older weights while the list shows the newer ones, 7.5 s after the naming with a bound of 5 s.

Cause: the entry's record was the only guard; the engine, which alone knows its weights, wasn't asked. Once a version is the newest named one, a request to an engine that is taken to serve it now states it as a condition, and the engine answers 421 if it serves another. While an older version may still begin on the engine nothing is required, so that a switch that the entry doesn't know yet costs no retry.

--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -35,6 +35,7 @@
     std::string account; ///< The name of the client account; empty for anonymous requests.
     std::optional<uint64_t> lastEventId;
     std::optional<int> priority; ///< From 0, the most urgent, to 9.
+    std::optional<uint32_t> weightVersion; ///< An engine with other weights refuses the request.
 };
 
 /// The load of an endpoint, as reported by the endpoint itself: the requests that run and wait, and how many can run
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -171,6 +171,14 @@
     return mustBeginBy(found->second, held, node.settings.reloadable.maxVersionSwitchTime);
 }
 
+std::optional<uint32_t> ProxiedRequest::weightVersionToRequire(const EndpointRow& endpoint) const
+{
+    auto found = this->node.clusterView.namedVersions.find(this->requirements.model);
+    if (!endpoint.record.isModelEngine || found == this->node.clusterView.namedVersions.end())
+        return std::nullopt;
+    return versionToRequire(found->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers));
+}
+
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
     this->requirements.entryCount = entryCount(this->node);
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -54,6 +54,7 @@
     bool hasMissedTarget(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
+    std::optional<uint32_t> weightVersionToRequire(const EndpointRow&) const;
     ResponseDisposition onResponseHead(const ResponseHead&);
     void onBodyChunk(const std::string& chunk);
     void onStreamChunk(const std::string& chunk);
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -40,6 +40,7 @@
     fields.endpointId = endpoint.record.id;
     fields.account = this->account ? this->account->name : std::string();
     fields.lastEventId = this->eventStream.lastEventId;
+    fields.weightVersion = this->weightVersionToRequire(endpoint);
     HttpRequest request;
     request.method = received.method;
     request.path = received.path;
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -54,6 +54,12 @@
     return supersession + bound - takeBackMargin;
 }
 
+std::optional<uint32_t> versionToRequire(const NamedVersions& named, uint32_t held)
+{
+    bool isNewest = !named.empty() && named.rbegin()->first == held;
+    return isNewest ? std::optional<uint32_t>(held) : std::nullopt;
+}
+
 bool shouldFinishVersion(size_t staged, size_t total)
 {
     return total > 0 && 2 * staged >= total;
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -8,6 +8,7 @@
 #include "Types.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
 /// version is named or `bound` is zero. Thread safe.
 BootTimePoint mustBeginBy(const NamedVersions&, uint32_t held, Milliseconds bound);
 
+/// Returns the version that a request to an engine must state as its condition, so that the engine refuses it if it serves older
+/// weights than the record says. Returns std::nullopt while an older version may still begin on the engine. Thread safe.
+std::optional<uint32_t> versionToRequire(const NamedVersions&, uint32_t held);
+
 /// Whether an agent goes on with an older version of which it has `staged` of `total` pieces although a newer one was named.
 /// Thread safe.
 bool shouldFinishVersion(size_t staged, size_t total);
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -67,18 +67,21 @@
     fields.endpointId = "i-1";
     fields.account = "acme";
     fields.lastEventId = 13;
+    fields.weightVersion = 4;
     auto headers = requestAdapter().makeEndpointHeaders(makeCallerRequest().headers, fields);
     const std::vector<std::pair<const char*, const char*>> expected { { "Host", "h.example" }, { "Bilberrybarrow-Request-Id", "abc" }, { "Bilberrybarrow-Deadline-Ms", "5400" },
         { "Authorization", "" }, { "Last-Event-Id", "13" }, { "Bilberrybarrow-Model", "m" }, { "Bilberrybarrow-Token-Usage", "1460,80" }, { "Bilberrybarrow-Prompt-Prefix", "5c1e07a2:800" },
         { "Connection", "" }, { "X-Hop", "" }, { "X-Kept", "2" }, { "Bilberrybarrow-Tenant", "acme" }, { "Bilberrybarrow-Expect-Instance", "i-1" },
-        { "Bilberrybarrow-Request-Priority", "" }, { "Transfer-Encoding", "" } };
+        { "Bilberrybarrow-Request-Priority", "" }, { "Bilberrybarrow-Expect-Version", "4" }, { "Transfer-Encoding", "" } };
     for (const auto& [name, value] : expected)
         BOOST_TEST_CONTEXT(name) { BOOST_TEST(findHeader(headers, name) == value); }
     fields.account.clear();
     fields.lastEventId.reset();
+    fields.weightVersion.reset();
     headers = requestAdapter().makeEndpointHeaders(makeCallerRequest().headers, fields);
     BOOST_TEST(findHeader(headers, "Bilberrybarrow-Tenant").empty());
     BOOST_TEST(findHeader(headers, "Last-Event-Id").empty());
+    BOOST_TEST(findHeader(headers, "Bilberrybarrow-Expect-Version").empty());
 }
 
 BOOST_AUTO_TEST_CASE(endpointReplyHeadersAreParsed)
--- a/tests/VersionSwitchTest.cpp
+++ b/tests/VersionSwitchTest.cpp
@@ -64,6 +64,16 @@
     BOOST_TEST((mustBeginBy(named, 1, Milliseconds(0)) == BootTimePoint::max()));
 }
 
+// An engine that serves older weights than its record says must be able to refuse; one that may still serve them must not.
+BOOST_AUTO_TEST_CASE(onlyTheNewestNamedVersionIsRequired)
+{
+    NamedVersions named { { 2, start }, { 3, start + Seconds(3) } };
+    BOOST_TEST(!versionToRequire({}, 1).has_value());
+    BOOST_TEST(!versionToRequire(named, 1).has_value());
+    BOOST_TEST(!versionToRequire(named, 2).has_value());
+    BOOST_TEST(versionToRequire(named, 3).value_or(0) == 3u);
+}
+
 // A second version that is named shortly after the first doesn't extend the bound of the first.
 BOOST_AUTO_TEST_CASE(eachNamedVersionHasABoundOfItsOwn)
 {
