Bound the pieces on their way to a VM by the rate at which they arrive

Cause: an agent had up to 16 pieces of 32 KiB on their way to its VM at a time, whatever the link carries; at 1 Mbit/s that is 4 s of the link, and the engine's requests arrive behind them. The class of fault: a limit in pieces for what takes time.

The agent now takes the rate from the last arrivals and keeps no more on their way than the link passes in 300 ms, one piece at least (FetchWindow). Arrivals from the origin count only when they are faster, since its own link is shared by all agents.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -40,6 +40,8 @@
         auto isOriginFetch = [](const auto& fetch) { return fetch->isRunning && fetch->isFromOrigin; };
         return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), isOriginFetch)) >= maxConcurrentOriginFetches;
     };
+    size_t allowed = allowedFetches(this->fetchWindow, this->manifest.pieceBytes, this->fetches.size());
+    auto isWindowFull = [&] { return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return fetch->isRunning; })) >= allowed; };
     auto isSourceOrigin = [&](uint32_t piece) { return this->currentSourceFor(piece, agents).isOrigin; };
     auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ownIp) % count);
     for (bool wantsImports : { true, false }) {
@@ -50,6 +52,8 @@
                 continue;
             if (isOriginLimitReached() && isSourceOrigin(piece))
                 continue;
+            if (isWindowFull())
+                return;
             auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
             if (free == this->fetches.end())
                 return;
@@ -84,9 +88,16 @@
     fetch.caller->get(path, pieceTimeout, [this, &fetch](const CallResult& result) { this->finishFetch(fetch, result); });
 }
 
+void AgentNode::recordPieceArrival(const Fetch& fetch, const CallResult& result, TimePoint now)
+{
+    if (result.status == 200)
+        recordArrival(this->fetchWindow, { result.headReceivedAt, now, result.body.size(), fetch.isFromOrigin });
+}
+
 void AgentNode::finishFetch(Fetch& fetch, const CallResult& result)
 {
     fetch.isRunning = false;
+    this->recordPieceArrival(fetch, result, Clock::now());
     // All agents share the connections that the origin accepts, so the connection is closed.
     if (fetch.isFromOrigin)
         fetch.caller->close();
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -63,6 +63,7 @@
 {
     this->reportCaller.setMaxResponseBytes(maxEngineAnswerBytes);
     this->manifestCaller.setMaxResponseBytes(maxManifestBytes);
+    this->fetchWindow.nominalBytesPerSecond = settings.linkMegabitsPerSecond * 1e6 / 8;
     for (size_t i = 0; i < maxConcurrentFetches; ++i)
         this->fetches.push_back(std::make_unique<Fetch>());
 }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -7,6 +7,7 @@
 
 #include "AsyncHttpServer.h"
 #include "EventLog.h"
+#include "FetchWindow.h"
 #include "HttpCall.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
@@ -98,6 +99,7 @@
     PieceSource currentSourceFor(uint32_t piece, const std::vector<AgentPeer>&) const;
     void startFetch(Fetch&, uint32_t piece, const PieceSource&);
     void finishFetch(Fetch&, const CallResult&);
+    void recordPieceArrival(const Fetch&, const CallResult&, TimePoint now);
     void stagePiece(uint32_t piece, std::string bytes);
     void logIfAllStaged();
     void verifyStagedPiece(uint32_t piece);
@@ -132,6 +134,7 @@
     std::vector<std::unique_ptr<HttpCaller>> engineCallers; ///< Callers of the engine, one for each concurrent call.
     NoticeSender noticeSender;
     std::vector<std::unique_ptr<Fetch>> fetches;
+    FetchWindow fetchWindow;
     std::deque<PieceRequest> uploadQueue; ///< Requests for pieces to upload, in the order in which they are answered.
     TimePoint nextUploadAt {};
     std::vector<PendingPieceRequest> pendingPieceRequests; ///< Requests for pieces that are still being fetched.
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -97,6 +97,7 @@
         if (auto self = weakState.lock()) {
             self->result.status = head.status;
             self->result.headers = head.headers;
+            self->result.headReceivedAt = Clock::now();
         }
         return ResponseDisposition::Accept;
     };
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -14,6 +14,7 @@
     ChannelEnd end = ChannelEnd::Lost;
     bool hasTimedOut = false;
     HttpHeaders headers; ///< Empty if no complete response was received.
+    TimePoint headReceivedAt {}; ///< When the head arrived; the default value if none did.
     std::string body;
 
     /// HTTP status or kind of failure, for logs.
