Pace uploads of pieces by the rate at which pieces arrive when that is below the link's nominal rate

Behind links of 1 Mbit/s callers got their first event up to 3.0 s late while a version was distributed, also with few pieces on their way to the VM: agents sent uploads at 0.9 of the nominal 7.6 Mbit/s, five in a row, and the engine's answers and the agent's own requests for pieces left behind them.

Cause: the pace of uploads came from the settings alone. A link over which pieces arrive slowly is now taken to be as slow in the other direction; without arrivals the nominal rate holds.

No test of its own: the pace is one line in the upload queue, its rate is tested by FetchWindowTest.

--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -19,12 +19,14 @@
 // Share of the VM's link that uploads may use.
 static constexpr double uploadLinkShare = 0.9;
 
-// Returns the time that a piece takes at the rate limit of uploads; zero when the link's rate is unknown.
-static Duration uploadDuration(size_t bytes, double linkMegabitsPerSecond)
+// Returns the time that a piece takes at the rate limit of uploads; zero when the link's rate is unknown. A link over which
+// pieces arrive slowly is taken to be as slow in the other direction.
+static Duration uploadDuration(size_t bytes, const FetchWindow& window)
 {
-    if (linkMegabitsPerSecond <= 0)
+    if (window.nominalBytesPerSecond <= 0)
         return Duration(0);
-    double seconds = 8 * static_cast<double>(bytes) / (1e6 * linkMegabitsPerSecond * uploadLinkShare);
+    double rate = std::min(window.nominalBytesPerSecond, arrivalRate(window));
+    double seconds = static_cast<double>(bytes) / (rate * uploadLinkShare);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
@@ -97,7 +99,7 @@
     }
     auto next = std::move(this->uploadQueue.front());
     this->uploadQueue.pop_front();
-    this->nextUploadAt = now + uploadDuration(this->serviceSummary->model.chunkBytes, this->settings.linkMegabitsPerSecond);
+    this->nextUploadAt = now + uploadDuration(this->serviceSummary->model.chunkBytes, this->fetchWindow);
     if (next.shouldVerify)
         this->sendVerifiedPiece(next.exchange, next.piece);
     else
