--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -54,6 +54,17 @@
     return hash;
 }
 
+void recordLostParts(LossRecord& record, const std::vector<uint64_t>& parts, TimePoint now)
+{
+    if (now - record.lastLossAt > lossWindow)
+        record.promptParts.clear();
+    for (uint64_t part : parts) {
+        bool isKnown = std::find(record.promptParts.begin(), record.promptParts.end(), part) != record.promptParts.end();
+        if (!isKnown && record.promptParts.size() < maxLostPromptParts)
+            record.promptParts.push_back(part);
+    }
+}
+
 std::vector<uint64_t> recordLoss(LossRecord& record, uint64_t fingerprint, uint32_t remainingRequestCount, bool isConnectionRefused, TimePoint now)
 {
     if (now - record.lastLossAt > lossWindow)
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -42,13 +42,21 @@
 /// Requests that were lost at one endpoint within a short time.
 struct LossRecord {
     std::vector<uint64_t> fingerprints;
+    std::vector<uint64_t> promptParts; ///< Ids of the shared parts of their prompts, each once; at most maxLostPromptParts.
     TimePoint lastLossAt {};
 };
 
+/// Largest number of parts of prompts in a record.
+constexpr size_t maxLostPromptParts = 32;
+
+/// Adds the shared parts of a lost request's prompt. Is to be called before recordLoss() for the same request. A record is
+/// used by one thread at a time.
+void recordLostParts(LossRecord&, const std::vector<uint64_t>& parts, TimePoint now);
+
 /// Records that an attempt at an endpoint was lost. `remainingRequestCount` is the number of other requests in flight there.
 /// With `isConnectionRefused`, no request was lost, but the endpoint accepted no connection. Once the losses show that the
-/// endpoint crashed, returns the fingerprints of the requests that were lost with it, and clears the record. A record is
-/// used by one thread at a time.
+/// endpoint crashed, returns the fingerprints of the requests that were lost with it, and removes them from the record; the
+/// parts of their prompts are left for the caller to take. A record is used by one thread at a time.
 std::vector<uint64_t> recordLoss(LossRecord&, uint64_t fingerprint, uint32_t remainingRequestCount, bool isConnectionRefused, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -6,6 +6,7 @@
 #include "StoreEra.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace bilberry {
 
@@ -30,6 +31,8 @@
 static constexpr uint32_t assumedEntries = 6;
 // Time after the request to stop for which the load balancer may still send new callers.
 static constexpr Milliseconds loadBalancerUpdateTime { 2600 };
+// Largest number of parts of prompts in one line of the log.
+static constexpr size_t maxLoggedPromptParts = 12;
 // Fraction of the grace period after which active requests are cut off.
 static constexpr double graceFraction = 0.93;
 
@@ -268,16 +271,23 @@
     return node.nearPeers + 1;
 }
 
-void reportCrash(EntryNode& node, const std::vector<uint64_t>& fingerprints, const std::string& endpointId, TimePoint now)
+// Writes the ids of parts of prompts for a line of the log.
+static std::string formatPromptParts(const std::vector<uint64_t>& parts)
 {
-    uint32_t endpoint = endpointHash(endpointId);
-    for (uint64_t fingerprint : fingerprints) {
+    auto count = static_cast<std::ptrdiff_t>(std::min(parts.size(), maxLoggedPromptParts));
+    return fmt::format("{:x}", fmt::join(parts.begin(), parts.begin() + count, ","));
+}
+
+void reportCrash(EntryNode& node, const EndpointCrash& crash, TimePoint now)
+{
+    uint32_t endpoint = endpointHash(crash.endpointId);
+    for (uint64_t fingerprint : crash.fingerprints) {
         CrashReport report { fingerprint, endpoint };
         if (node.crashes.addReport(report, now))
             node.peerReports.addCrash(report, ReportSource::Own, now);
     }
     node.hasChangesForPeers = true;
-    node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", endpointId }, { "requests", static_cast<uint64_t>(fingerprints.size()) } });
+    node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", crash.endpointId }, { "requests", static_cast<uint64_t>(crash.fingerprints.size()) }, { "prompt_parts", formatPromptParts(crash.promptParts) } });
 }
 
 void reportSwitchingEngine(EntryNode& node, EndpointRow& row, TimePoint now)
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -17,6 +17,9 @@
 
 namespace bilberry {
 
+/// Largest number of shared parts of a prompt that are read; later ones are ignored.
+constexpr size_t maxSharedPromptParts = 16;
+
 /// The parameters that a caller sends with its request.
 struct CallerRequest {
     std::string id; ///< Identifies this attempt of the caller; empty when the caller sent no id.
@@ -26,6 +29,9 @@
     std::string model; ///< The requested model; empty for services without models.
     uint32_t promptTokens = 0; ///< Zero when the caller didn't state it.
     uint32_t maxAnswerTokens = 0; ///< Zero when the caller didn't state it.
+    /// IDs of the parts of the prompt that other requests may share, in order and each once: all but the last part, which is
+    /// the request's own. At most maxSharedPromptParts.
+    std::vector<uint64_t> sharedPromptParts;
 };
 
 /// The values that the system sends to the endpoint along with an attempt, which is one sending of a request.
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -6,6 +6,7 @@
 #include "ServerExchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bilberry {
 
@@ -208,9 +209,11 @@
     if (result == AttemptResult::Answered)
         this->node.crashes.removeRequest(this->fingerprint);
     if (result == AttemptResult::Lost || result == AttemptResult::NotSent) {
+        if (result == AttemptResult::Lost)
+            recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
         auto lostRequests = recordLoss(endpoint.losses, this->fingerprint, endpoint.inFlight, result == AttemptResult::NotSent, now);
         if (!lostRequests.empty())
-            reportCrash(this->node, lostRequests, this->endpointId, now);
+            reportCrash(this->node, { this->endpointId, lostRequests, std::exchange(endpoint.losses.promptParts, {}) }, now);
     }
     bool isAddressReused = result == AttemptResult::NotExecuted && !this->endpointReply.endpointId.empty() && this->endpointReply.endpointId != this->endpointId;
     if (isAddressReused) {
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -58,6 +58,32 @@
     }
 }
 
+// All parts but the last one, which is the request's own, are read.
+BOOST_AUTO_TEST_CASE(sharedPartsOfThePromptAreParsed)
+{
+    struct Row {
+        const char* header;
+        std::vector<uint64_t> ids;
+    };
+    const std::vector<Row> rows {
+        { "", {} }, { "5c:800", {} }, { "5c1e07a2:800,91bd3f06:410,e4402b7d:250", { 0x5c1e07a2, 0x91bd3f06 } }, { "a:1, b:2 ,c:3", { 0xa, 0xb } },
+        { "a:1,a:1,b:2", { 0xa } }, { "ffffffffffffffff:1,b:2", { UINT64_MAX } }, { "a:1,,x:1,b,c:,:4,d:-1,10000000000000000:1,e:5,f:6", { 0xa, 0xe } }, { "a:1,broken", { 0xa } }
+    };
+    for (const auto& row : rows) {
+        HttpRequest request;
+        request.headers = { { "Bilberrybarrow-Prompt-Prefix", row.header } };
+        auto ids = requestAdapter().parseCallerRequest(request).sharedPromptParts;
+        BOOST_TEST_CONTEXT(row.header) { BOOST_TEST(ids == row.ids, boost::test_tools::per_element()); }
+    }
+    HttpRequest longRequest;
+    std::string header;
+    for (int part = 0; part < 1000; ++part)
+        header += std::to_string(part) + ":1,";
+    longRequest.headers = { { "Bilberrybarrow-Prompt-Prefix", header + "a:1" } };
+    auto parts = requestAdapter().parseCallerRequest(longRequest).sharedPromptParts;
+    BOOST_TEST(parts.size() == maxSharedPromptParts);
+}
+
 // The API key isn't forwarded to an endpoint, and a caller can't set the headers that only the system may set. All other
 // end-to-end headers are forwarded unchanged.
 BOOST_AUTO_TEST_CASE(endpointHeadersAreMadeFromTheCallersHeaders)
