--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -100,6 +100,11 @@
     def list_endpoint(self, endpoint, service, state="ready"):
         self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq-no": 1})
 
+    def list_again(self, endpoint, service, earlier):
+        """Lists an endpoint that is back under another name."""
+        self.store.remove(f"servers/{earlier}")
+        self.list_endpoint(endpoint, service)
+
     def start_entry(self, number=1, reads_log=True, **more):
         ip = f"127.0.1.{number}"
         flags = {"role": "entry", "vm": f"entry-{number}", "data_centre": "dc-a", "data_centres": "dc-a=north,dc-b=south", "listen": f"{ip}:{free_port()}", "ready_listen": f"{ip}:{free_port()}",
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -50,14 +50,20 @@
     request_queue_size = 256
     open_connections = 0
 
+    def __init__(self, *how):
+        self.sockets = set()
+        super().__init__(*how)
+
     def finish_request(self, *connection):
         with self.owner.lock:
             self.open_connections += 1
+            self.sockets.add(connection[0])
         try:
             super().finish_request(*connection)
         finally:
             with self.owner.lock:
                 self.open_connections -= 1
+                self.sockets.discard(connection[0])
 
     def handle_error(self, *_):
         pass
@@ -68,6 +74,9 @@
 
     def __init__(self, host="127.0.0.1", port=0):
         self.lock = threading.Lock()
+        self.listen(host, port)
+
+    def listen(self, host, port):
         self.server = Server((host, port), Handler)
         self.server.owner = self
         self.address = "%s:%d" % self.server.server_address
@@ -171,11 +180,25 @@
         self.reply(call, 200, body)
 
 
+def shared_parts(headers):
+    """The ids of the parts of a request's prompt but the last one, which is its own."""
+    return [part.split(":")[0] for part in headers.get("Bilberrybarrow-Prompt-Prefix", "").split(",")[:-1]]
+
+
 class Endpoint(StandIn):
-    """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request."""
+    """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request. A request with one
+    of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after its head. After
+    `downtime` seconds it is back under another name, and `on_restart` is called with it and its earlier name."""
 
     def __init__(self, name, events=0, gap=0.0):
+        self.first_name = name
         self.name = name
+        self.crashing_parts = set()
+        self.crash_delay = 0.08
+        self.downtime = 1.0
+        self.on_restart = None
+        self.crashes = []
+        self.is_down = False
         self.events = events
         self.gap = gap
         self.faults = []
@@ -184,11 +207,14 @@
 
     def answer(self, call):
         request_id = call.headers["Bilberrybarrow-Request-Id"]
-        self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers)})
+        self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers), "at": time.monotonic()})
         headers = [("Bilberrybarrow-Request-Id", request_id), ("Bilberrybarrow-Server-Load", "1,0,8"), ("Bilberrybarrow-Instance-Id", self.name)]
         if call.headers.get("Bilberrybarrow-Expect-Instance") != self.name:
             call.send(421, b"", headers)
             return
+        if self.crashing_parts & set(shared_parts(call.headers)):
+            self.begin_and_crash(call, headers)
+            return
         fault = self.faults.pop(0) if self.faults else None
         sealed = [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name)]
         if fault == "refuse":
@@ -218,6 +244,41 @@
             time.sleep(self.gap)
             call.send(200, b"done by " + self.name.encode(), sealed)
 
+    def begin_and_crash(self, call, headers):
+        call.send_response(200)
+        for name, value in [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+            call.send_header(name, value)
+        call.end_headers()
+        time.sleep(self.crash_delay)
+        self.crash()
+        call.close_connection = True
+
+    def crash(self):
+        """Ends all connections at the same moment and refuses new ones, until it is back."""
+        with self.lock:
+            if self.is_down:
+                return
+            self.is_down = True
+            self.crashes.append(time.monotonic())
+            sockets = list(self.server.sockets)
+        self.server.socket.close()
+        for connection in sockets:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        threading.Thread(target=self.restart, daemon=True).start()
+
+    def restart(self):
+        host, port = self.address.rsplit(":", 1)
+        self.stop()
+        time.sleep(self.downtime)
+        earlier, self.name = self.name, f"{self.first_name}-{len(self.crashes)}"
+        self.listen(host, int(port))
+        self.is_down = False
+        if self.on_restart:
+            self.on_restart(self, earlier)
+
     def send_without_end(self, call, headers, fault):
         """Bytes that are no answer, until the caller closes."""
         beginning = {"endless head": b"", "endless header": b"HTTP/1.1 200 OK\r\nX-Long: ", "endless body": b"HTTP/1.1 200 OK\r\n"}[fault]
