Refuse requests with a part of their prompt that crashes endpoint after endpoint

Cause: crashes were counted by the whole request (method, target, account, body). Such requests never met there.

Now each shared part of a request that was lost with an endpoint, before its events had come for 300 ms, becomes a suspect of that endpoint's crash, in all entries (PromptSuspects). An answer to a request with the part, or 1.5 s of events, clears it everywhere: a part that crashes endpoints is never answered, so the order in which crashes and clearances arrive doesn't matter for it. From two crashes that aren't cleared an entry sends requests with the part one at a time, from three it refuses them, those that wait or would be repeated too. A part in a quarter of an entry's requests isn't blamed. A refused part is tried by one request of one entry after a minute, then every ten. An entry that starts is told the refused parts before it knows its peers. A clearance has a random number, so that it is passed on once and doesn't go round.

--- a/src/EndpointEvents.h
+++ b/src/EndpointEvents.h
@@ -15,6 +15,7 @@
     /// Hash of the id of an endpoint that crashed while it ran a request with the part; zero when an answer to a request with
     /// the part was completed, which clears it.
     uint32_t crashedEndpoint = 0;
+    uint32_t clearance = 0; ///< Random number that tells clearances of the same part apart; zero for a crash.
 };
 
 struct EndpointEvents {
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -12,6 +12,7 @@
 #include "NodeSettings.h"
 #include "PeerExchange.h"
 #include "PeerReports.h"
+#include "PromptSuspects.h"
 #include "ProtocolAdapter.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
@@ -41,6 +42,9 @@
     void reload(const ReloadableSettings&);
     /// Stops accepting requests from new callers, finishes the active requests, and then stops the loop.
     void beginStop();
+    /// Applies evidence about a part of a prompt, the own or that of a peer. Returns whether it changes what is known of the
+    /// part.
+    bool applyPartEvidence(const PartEvidence&, TimePoint now);
     /// See hasCurrentConfiguration().
     bool isConfigurationCurrent(TimePoint now) const;
 
@@ -58,6 +62,7 @@
     uint64_t nextRequestNumber = 1;
     std::vector<uint64_t> requestsAwaitingConfiguration; ///< The numbers of requests that wait for the first configuration.
     CrashHistory crashes;
+    PromptSuspects promptSuspects;
     RefusalHistory refusals; ///< The refused requests of all entries.
     RefusalHistory ownRefusals; ///< The refused requests of this entry, which are reported to the peers.
     /// Seeded from the VM's name and the boot clock; used to choose services and endpoints and to spread retry delays.
@@ -154,6 +159,12 @@
 };
 /// Records the requests that were running at an endpoint when it crashed, and reports them to the peers.
 void reportCrash(EntryNode&, const EndpointCrash&, TimePoint now);
+/// Records that requests with these shared parts of their prompts were lost with an endpoint, and reports it to the peers.
+void reportSuspectParts(EntryNode&, const std::vector<uint64_t>& parts, const std::string& endpointId, TimePoint now);
+/// Records that a request with these shared parts of its prompt was answered, and tells the peers when that clears one.
+void reportAnsweredParts(EntryNode&, const std::vector<uint64_t>& parts, TimePoint now);
+/// Whether a request with these shared parts of its prompt, one of which is refused, may be sent as a trial. Records the trial.
+bool tryTakePartTrial(EntryNode&, const std::vector<uint64_t>& parts, TimePoint now);
 /// Records that an engine refused a request because of a version switch, and reports it to the peers.
 void reportSwitchingEngine(EntryNode&, EndpointRow&, TimePoint now);
 /// Returns the number of entries that are assumed to share the fleet's retry budget, the rate of requests to cold endpoints
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -35,6 +35,8 @@
 // Largest number of refused requests in one message.
 static constexpr size_t maxRefusalsPerMessage = 40;
 static constexpr std::string_view storeDeltaPathPrefix = "/store/";
+// Largest number of crashes of refused parts of prompts that an entry tells a new one.
+static constexpr size_t maxEvidenceForNewEntry = 120;
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
@@ -44,6 +46,9 @@
     handlers.fillMessage = [this](PeerMessage& message, PeerMessageScope scope) { this->fillPeerMessage(message, scope); };
     handlers.takeEndpointEvents = [this](PeerMessageScope scope) {
         auto events = this->peerReports.takeEndpointEvents(scope);
+        // An entry that has just started learns at once which parts are refused.
+        if (scope == PeerMessageScope::Introduction)
+            events.partEvidence = evidenceOfRefusedParts(this->promptSuspects, maxEvidenceForNewEntry);
         events.dataCentre = this->settings.location.dataCentre;
         return events;
     };
@@ -96,14 +101,29 @@
     this->updatePeerLoads(now);
 }
 
-// Passes on what a peer tells of endpoints.
+bool EntryNode::applyPartEvidence(const PartEvidence& evidence, TimePoint now)
+{
+    bool isClearance = evidence.crashedEndpoint == 0;
+    bool wasRefused = isRefusedPart(this->promptSuspects, evidence.part);
+    bool hasChanged = isClearance ? clearPart(this->promptSuspects, evidence.part) : addPartCrash(this->promptSuspects, evidence.part, evidence.crashedEndpoint, now);
+    bool isRefused = isRefusedPart(this->promptSuspects, evidence.part);
+    if (isRefused && !wasRefused)
+        this->metrics.addToCounter("bilberry_prompt_parts_refused_total");
+    if (isRefused != wasRefused)
+        this->log.write(LogLevel::Warning, isRefused ? "prompt_part_refused" : "prompt_part_cleared", { { "prompt_part", fmt::format("{:x}", evidence.part) } });
+    return hasChanged;
+}
+
+// Applies what a peer tells of endpoints, and passes it on.
 void EntryNode::applyEndpointEvents(const EndpointEvents& events)
 {
     auto now = Clock::now();
     bool isNear = events.dataCentre == this->settings.location.dataCentre;
     auto source = isNear ? ReportSource::SameDataCentre : ReportSource::OtherDataCentre;
-    for (const auto& evidence : events.partEvidence)
-        this->peerReports.addPartEvidence(evidence, source, now);
+    for (const auto& evidence : events.partEvidence) {
+        if (this->applyPartEvidence(evidence, now))
+            this->peerReports.addPartEvidence(evidence, source, now);
+    }
     for (uint32_t endpoint : events.leavingEndpoints)
         this->peerReports.addLeavingEndpoint(endpoint, source, now);
     for (uint32_t endpoint : events.slowEndpoints)
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -92,6 +92,10 @@
     auto message = this->composeMessage(PeerMessageScope::Introduction, now);
     message.wantsPeers = false;
     message.peers = peersForNewEntry(this->state->table, dataCentre, now);
+    // The events go first: the new entry takes requests once it has the message.
+    auto events = this->state->handlers.takeEndpointEvents(PeerMessageScope::Introduction);
+    if (!isEmpty(events))
+        this->send(encodeEndpointEvents(events), ip);
     this->send(encodePeerMessage(message), ip);
 }
 
--- a/src/PeerReports.cpp
+++ b/src/PeerReports.cpp
@@ -10,6 +10,8 @@
 static constexpr Milliseconds recognitionTime { 5000 };
 // Time after which an endpoint that is still in the same state is passed on again.
 static constexpr Milliseconds stateReportInterval { 1000 };
+// Largest number of pieces of evidence in one datagram.
+static constexpr size_t maxPartEvidence = 200;
 
 static bool isPassedOn(ReportSource source, PeerMessageScope scope)
 {
@@ -71,7 +73,7 @@
 
 bool PeerReports::addPartEvidence(const PartEvidence& evidence, ReportSource source, TimePoint now)
 {
-    auto isSame = [&](const Row<PartEvidence>& row) { return row.event.part == evidence.part && row.event.crashedEndpoint == evidence.crashedEndpoint; };
+    auto isSame = [&](const Row<PartEvidence>& row) { return row.event.part == evidence.part && row.event.crashedEndpoint == evidence.crashedEndpoint && row.event.clearance == evidence.clearance; };
     if (std::any_of(this->partEvidence.begin(), this->partEvidence.end(), isSame))
         return false;
     this->partEvidence.push_back({ evidence, source, now });
@@ -79,11 +81,11 @@
 }
 
 template <typename Event>
-static void takeEvents(std::vector<PeerReports::Row<Event>>& rows, PeerMessageScope scope, std::vector<Event>& events)
+static void takeEvents(std::vector<PeerReports::Row<Event>>& rows, PeerMessageScope scope, std::vector<Event>& events, size_t maxCount = SIZE_MAX)
 {
     for (auto& row : rows) {
         int& count = scope == PeerMessageScope::Near ? row.nearCount : row.remoteCount;
-        if (!isPassedOn(row.source, scope) || count >= repetitions)
+        if (!isPassedOn(row.source, scope) || count >= repetitions || events.size() >= maxCount)
             continue;
         ++count;
         events.push_back(row.event);
@@ -100,7 +102,7 @@
 EndpointEvents PeerReports::takeEndpointEvents(PeerMessageScope scope)
 {
     EndpointEvents events;
-    takeEvents(this->partEvidence, scope, events.partEvidence);
+    takeEvents(this->partEvidence, scope, events.partEvidence, maxPartEvidence);
     takeEvents(this->leavingEndpoints, scope, events.leavingEndpoints);
     takeEvents(this->slowEndpoints, scope, events.slowEndpoints);
     return events;
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -62,6 +62,7 @@
 {
     if (this->isFinished || !this->admitRequest(now))
         return;
+    noteAdmittedParts(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
     countRequest(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, now);
     this->dispatchOrEnqueue(now);
 }
@@ -128,7 +129,9 @@
         return false;
     }
     this->fingerprint = requestFingerprint(request.method, request.path, this->account ? this->account->name : std::string(), request.body);
-    if (isBlockedForCrashes(this->node.crashes, this->fingerprint)) {
+    const auto& parts = this->callerRequest.sharedPromptParts;
+    this->isPartTrial = hasRefusedPart(this->node.promptSuspects, parts) && tryTakePartTrial(this->node, parts, now);
+    if (isBlockedForCrashes(this->node.crashes, this->fingerprint) || this->isRefusedForParts()) {
         this->refuseRequest(503, "crashes_endpoints", crashingRequestRetryAfter);
         return false;
     }
@@ -171,8 +174,25 @@
     return mustBeginBy(found->second, held, node.settings.reloadable.maxVersionSwitchTime);
 }
 
+bool ProxiedRequest::isRefusedForParts() const
+{
+    return !this->isPartTrial && hasRefusedPart(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
+}
+
+// Ends a request that was admitted before a part of its prompt was refused.
+void ProxiedRequest::refuseForParts(TimePoint now)
+{
+    bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
+    if (isFirstAttempt)
+        this->refuseRequest(503, "crashes_endpoints", crashingRequestRetryAfter);
+    else
+        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+}
+
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
+    if (this->isRefusedForParts() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
+        return false;
     this->requirements.entryCount = entryCount(this->node);
     this->requirements.nearEntryCount = nearEntryCount(this->node);
     this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
@@ -264,6 +284,11 @@
 
 void ProxiedRequest::retryRequest(TimePoint now)
 {
+    this->isPartTrial = false;
+    if (this->isRefusedForParts()) {
+        this->refuseForParts(now);
+        return;
+    }
     bool isWithinBudget = tryTakeRetry(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, entryCount(this->node), now);
     this->node.metrics.addToCounter("bilberry_repeats_total", { { "result", isWithinBudget ? "sent" : "over_budget" } });
     if (!isWithinBudget) {
@@ -356,6 +381,11 @@
             this->handleQueueTimeout();
         return;
     }
+    if (this->isWaiting && this->isRefusedForParts() && removeWaitingRequest(this->node.queues[this->requirements.service], this->number)) {
+        this->isWaiting = false;
+        this->refuseForParts(now);
+        return;
+    }
     if (!this->hasActiveAttempt())
         return;
     // The engine must not begin the request on superseded weights. The newer version may have been named after the request
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -50,6 +50,8 @@
 private:
     bool admitRequest(TimePoint now);
     void dispatchOrEnqueue(TimePoint now);
+    bool isRefusedForParts() const;
+    void refuseForParts(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
     bool hasMissedTarget(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
@@ -58,6 +60,8 @@
     void onBodyChunk(const std::string& chunk);
     void onStreamChunk(const std::string& chunk);
     void noteProgress();
+    void noteEvents();
+    void notePartsOfEndedAttempt(AttemptResult, TimePoint now);
     void discardBody();
     void forwardEvents(const std::string& events);
     void onAttemptEnd(ChannelEnd);
@@ -85,6 +89,7 @@
     const ServiceSettings* service = nullptr;
     EndpointRequirements requirements;
     uint64_t fingerprint = 0;
+    bool isPartTrial = false; ///< Whether the request is sent to find out whether a part of its prompt still crashes endpoints.
     int priority = 0;
     TimePoint deadline {};
     TimePoint arrivedAt {};
@@ -97,6 +102,7 @@
     TimePoint attemptStartedAt {};
     TimePoint lastReceivedAt {}; ///< When the attempt last made progress: at its start, with its head, with bytes of a body and
                                  ///< with whole events of a stream.
+    TimePoint firstEventAt {}; ///< When the attempt's first whole event of a stream was received; the default value until then.
     ResponseHead responseHead;
     EndpointReply endpointReply;
     std::string body;
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -25,6 +25,10 @@
 static constexpr int httpStatusMisdirected = 421;
 // Time for which an endpoint gets no new request after it refused one because of its load or state.
 static constexpr Milliseconds refusalBackoff { 60 };
+// Time within which an endpoint crashes after it has begun to answer a request that crashes it.
+static constexpr Milliseconds maxCrashDelay { 300 };
+// Time for which a stream goes on before its request counts as one that crashes no endpoint.
+static constexpr Milliseconds clearingStreamTime { 1500 };
 // Time for which an endpoint gets no new request after a connection to it failed.
 static constexpr Milliseconds connectFailureBackoff { 300 };
 
@@ -63,6 +67,7 @@
     this->endpointId = endpoint.record.id;
     this->attemptStartedAt = now;
     this->lastReceivedAt = now;
+    this->firstEventAt = TimePoint();
     this->responseHead = ResponseHead();
     this->endpointReply = EndpointReply();
     this->discardBody();
@@ -82,6 +87,7 @@
         if (auto self = weak.lock())
             self->onAttemptEnd(end);
     };
+    noteSentParts(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
     this->channel->sendRequest(this->makeEndpointRequest(endpoint, now), std::move(handlers));
 }
 
@@ -125,6 +131,15 @@
     this->node.clusterView.endpoints.rows[this->endpointRow].lastHeardAt = this->lastReceivedAt;
 }
 
+void ProxiedRequest::noteEvents()
+{
+    this->noteProgress();
+    if (this->firstEventAt == TimePoint())
+        this->firstEventAt = this->lastReceivedAt;
+    if (this->lastReceivedAt - this->firstEventAt >= clearingStreamTime)
+        reportAnsweredParts(this->node, this->callerRequest.sharedPromptParts, this->lastReceivedAt);
+}
+
 void ProxiedRequest::discardBody()
 {
     this->node.bufferedResponseBytes -= this->body.size();
@@ -136,7 +151,7 @@
 {
     auto events = takeCompleteEvents(this->eventStream, chunk);
     if (!events.empty())
-        this->noteProgress();
+        this->noteEvents();
     if (!events.empty())
         this->forwardEvents(events);
     else if (this->eventStream.fault == StreamFault::None)
@@ -200,12 +215,37 @@
     this->handleAttemptResult(result);
 }
 
+// Whether the response ends with its connection, so that the end of a complete one looks like a crash.
+static bool endsWithConnection(const ResponseHead& head)
+{
+    return findHeader(head.headers, "Content-Length").empty() && findHeader(head.headers, "Transfer-Encoding").empty();
+}
+
+// Records what the end of the attempt shows of the parts of the prompt: a part that crashes endpoints does so when the answer
+// begins, and no answer to it is complete.
+void ProxiedRequest::notePartsOfEndedAttempt(AttemptResult result, TimePoint now)
+{
+    const auto& parts = this->callerRequest.sharedPromptParts;
+    noteReleasedParts(this->node.promptSuspects, parts);
+    if (parts.empty())
+        return;
+    bool hasEvents = this->firstEventAt != TimePoint();
+    bool hasRunOn = hasEvents && now - this->firstEventAt >= maxCrashDelay;
+    bool isEndUnclear = result == AttemptResult::Answered && endsWithConnection(this->responseHead) && !hasRunOn;
+    bool isStream = this->route->kind == RequestKind::Stream;
+    if ((result == AttemptResult::Lost && !hasRunOn) || (isEndUnclear && isStream && !hasEvents))
+        reportSuspectParts(this->node, parts, this->endpointId, now);
+    else if (result == AttemptResult::Answered && !isEndUnclear && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest))
+        reportAnsweredParts(this->node, parts, now);
+}
+
 // Releases the endpoint's capacity and the connection, and records what the attempt revealed about the endpoint.
 void ProxiedRequest::releaseEndpoint(AttemptResult result, TimePoint now)
 {
     auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     --endpoint.inFlight;
     this->node.hasChangesForPeers = true;
+    this->notePartsOfEndedAttempt(result, now);
     if (result == AttemptResult::Answered)
         this->node.crashes.removeRequest(this->fingerprint);
     if (result == AttemptResult::Lost || result == AttemptResult::NotSent) {
--- a/src/RequestTimeline.cpp
+++ b/src/RequestTimeline.cpp
@@ -25,7 +25,7 @@
     { "revocations_unknown", "the store was not heard for too long, so that the caller's key may have been revoked" },
     { "no_configuration", "the entry had not read a configuration yet" },
     { "stopping", "the entry was being stopped" },
-    { "crashes_endpoints", "it was running at three endpoints when they crashed" },
+    { "crashes_endpoints", "it, or a part of its prompt, was running at three endpoints when they crashed" },
     { "lost", "the connection to its endpoint ended before the answer; it may have run" },
     { "malformed", "its endpoint sent an invalid answer; it may have run" },
     { "server_error", "its endpoint answered with a server error; it may have run" },
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -78,15 +78,15 @@
 {
     BOOST_TEST(rc::check([] {
         EndpointEvents sent { "dc-a", {}, *rc::gen::arbitrary<std::vector<uint32_t>>(), *rc::gen::arbitrary<std::vector<uint32_t>>() };
-        for (auto [part, endpoint] : *rc::gen::arbitrary<std::vector<std::pair<uint64_t, uint32_t>>>())
-            sent.partEvidence.push_back({ part, endpoint });
+        for (auto [part, endpoint, clearance] : *rc::gen::arbitrary<std::vector<std::tuple<uint64_t, uint32_t, uint32_t>>>())
+            sent.partEvidence.push_back({ part, endpoint, clearance });
         auto bytes = encodeEndpointEvents(sent);
         auto read = decodeEndpointEvents(bytes);
         RC_ASSERT(read.ok() && read->dataCentre == "dc-a");
         RC_ASSERT(read->leavingEndpoints == sent.leavingEndpoints && read->slowEndpoints == sent.slowEndpoints);
         RC_ASSERT(read->partEvidence.size() == sent.partEvidence.size());
         for (size_t i = 0; i < sent.partEvidence.size(); ++i)
-            RC_ASSERT(read->partEvidence[i].part == sent.partEvidence[i].part && read->partEvidence[i].crashedEndpoint == sent.partEvidence[i].crashedEndpoint);
+            RC_ASSERT(read->partEvidence[i].part == sent.partEvidence[i].part && read->partEvidence[i].crashedEndpoint == sent.partEvidence[i].crashedEndpoint && read->partEvidence[i].clearance == sent.partEvidence[i].clearance);
         // Entries of the previous release take it neither for a message nor for a notice.
         RC_ASSERT(!decodePeerMessage(bytes).ok() && !decodeNotice(bytes).ok());
         RC_ASSERT(!decodeEndpointEvents(bytes.substr(0, bytes.size() - 1)).ok());
