Let all entries wait ten minutes after a failed trial of a refused part

Only the entry that sent a trial remembered it. When it left, the next one that rendezvous hashing chose sent another trial a minute after the crash of the first. Now a crash that comes a minute or more after the last one of a refused part, which only a trial can bring, counts as a trial at every entry.

PromptSuspectsTest (the entry that sent the trial leaves), before: one trial at 400 s instead of none, none at 700 s instead of one; after: no errors. An entry that starts between two trials doesn't know of the first (not mended).

--- a/src/PromptSuspects.cpp
+++ b/src/PromptSuspects.cpp
@@ -44,6 +44,10 @@
         return false;
     if (row.endpoints.size() >= maxEndpointsPerPart)
         row.endpoints.erase(row.endpoints.begin());
+    // Only a trial can bring a crash so long after the last one.
+    bool isOfTrial = row.endpoints.size() >= crashesToRefuse && now - row.lastCrashAt >= firstTrialDelay;
+    if (isOfTrial)
+        row.lastTrialAt = now;
     row.endpoints.push_back(endpointHash);
     row.lastCrashAt = now;
     return true;
--- a/src/PromptSuspects.h
+++ b/src/PromptSuspects.h
@@ -19,7 +19,7 @@
         std::vector<uint32_t> endpoints; ///< Hashes of the endpoints that crashed since the part was last cleared, each once.
         std::vector<uint32_t> clearedEndpoints; ///< Hashes of those before, the latest ones.
         TimePoint lastCrashAt {}; ///< When the last crash was added.
-        TimePoint lastTrialAt {}; ///< When this entry last let a request through as a trial; the default value if it never did.
+        TimePoint lastTrialAt {}; ///< When this entry last let a request through as a trial or learned of another's; the default value if never.
     };
 
     std::unordered_map<uint64_t, Row> rows; ///< Rows by the part's ID.
--- a/tests/PromptSuspectsTest.cpp
+++ b/tests/PromptSuspectsTest.cpp
@@ -75,7 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(aRefusedPartIsTriedByOneEntryNowAndThen)
 {
-    const std::vector<std::string> ips { "127.0.1.1", "127.0.1.2", "127.0.1.3" };
+    std::vector<std::string> ips { "127.0.1.1", "127.0.1.2", "127.0.1.3" };
     auto countTrials = [&](std::map<std::string, PromptSuspects>& entries, TimePoint now) {
         int trials = 0;
         for (auto& [ip, suspects] : entries) {
@@ -95,9 +95,14 @@
         entries[ip] = suspectsAfterCrashes(7, { 1, 2, 3 });
     BOOST_TEST(countTrials(entries, start + Seconds(50)) == 0);
     BOOST_TEST(countTrials(entries, start + Seconds(70)) == 1);
+    auto tried = std::find_if(entries.begin(), entries.end(), [](const auto& entry) { return entry.second.rows.at(7).lastTrialAt == start + Seconds(70); });
     for (auto& [ip, suspects] : entries)
         addPartCrash(suspects, 7, 4, start + Seconds(71));
     BOOST_TEST(countTrials(entries, start + Seconds(300)) == 0);
+    // The entry that sent the trial leaves.
+    ips.erase(std::find(ips.begin(), ips.end(), tried->first));
+    entries.erase(tried);
+    BOOST_TEST(countTrials(entries, start + Seconds(400)) == 0);
     BOOST_TEST(countTrials(entries, start + Seconds(700)) == 1);
 }
 
