Add a failing test: entries see a crash long after the first event

An endpoint that crashes right after its first event may be seen to end only later, over a slow link.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -187,7 +187,7 @@
 
 class Endpoint(StandIn):
     """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request. A request with one
-    of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after its head. After
+    of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after its head or, with `has_event_before_crash`, after its first event. After
     `downtime` seconds it is back under another name, and `on_restart` is called with it and its earlier name."""
 
     def __init__(self, name, events=0, gap=0.0):
@@ -195,6 +195,7 @@
         self.name = name
         self.crashing_parts = set()
         self.crash_delay = 0.08
+        self.has_event_before_crash = False
         self.downtime = 1.0
         self.on_restart = None
         self.crashes = []
@@ -249,6 +250,10 @@
         for name, value in [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
             call.send_header(name, value)
         call.end_headers()
+        if self.has_event_before_crash:
+            event = b"id: 0\ndata: token\n\n"
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            call.wfile.flush()
         time.sleep(self.crash_delay)
         self.crash()
         call.close_connection = True
--- a/tests/process_platform_parts.py
+++ b/tests/process_platform_parts.py
@@ -15,6 +15,7 @@
 
 COMMON_PART = "c0"
 CRASHING_PART = "bad1"
+OTHER_CRASHING_PART = "bad2"
 SERVICE = "writer"
 PATH = "/write/"
 
@@ -22,15 +23,16 @@
 class Load:
     """Requests at a steady pace through all entries in turn, each in a thread of its own."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, crashing_part=CRASHING_PART):
         self.fleet = fleet
+        self.crashing_part = crashing_part
         self.random = random.Random(seed)
         self.answers = []
         self.threads = []
         self.numbers = itertools.count()
 
     def prefix(self, has_crashing_part):
-        middle = CRASHING_PART if has_crashing_part else f"a{self.random.randrange(12)}"
+        middle = self.crashing_part if has_crashing_part else f"a{self.random.randrange(12)}"
         return f"{COMMON_PART}:400,{middle}:300,{uuid.uuid4().hex[:8]}:100"
 
     def send(self, entry, is_sound):
@@ -67,10 +69,10 @@
     return sorted(at for endpoint in fleet.endpoints for at in endpoint.crashes)
 
 
-def crashing_requests(fleet, since=0.0):
+def crashing_requests(fleet, since=0.0, part=CRASHING_PART):
     """When endpoints received requests with the crashing part."""
     received = [request for endpoint in fleet.endpoints for request in list(endpoint.requests)]
-    return sorted(request["at"] for request in received if request["at"] >= since and CRASHING_PART in platform_standin.shared_parts(request["headers"]))
+    return sorted(request["at"] for request in received if request["at"] >= since and part in platform_standin.shared_parts(request["headers"]))
 
 
 def test_endpoints_that_end_for_other_reasons_block_no_part(fleet, entries):
@@ -92,21 +94,32 @@
         endpoint.crash()
 
 
-def test_a_part_that_crashes_endpoints_is_refused(fleet, entries):
+def check_that_part_is_refused(fleet, entries, part):
     for endpoint in fleet.endpoints:
         endpoint.crashes.clear()
-        endpoint.crashing_parts = {CRASHING_PART}
-    load = Load(fleet, 20261203)
+        endpoint.crashing_parts.add(part)
+    load = Load(fleet, 20261203, part)
     load.run(entries, 10)
     crashes = crash_times(fleet)
     assert len(crashes) >= 3, crashes
-    late = crashing_requests(fleet, crashes[2] + 0.5)
+    late = crashing_requests(fleet, crashes[2] + 0.5, part)
     share, count = load.shares_served(crashes[2] + 1.5)
     print(f"{len(crashes)} crashes, {len(late)} requests with the part later, {share:.2f} of {count} sound ones served", flush=True)
     assert len(late) <= 3, (len(late), len(crashes))
     assert share > 0.9 and count > 50, (share, count)
 
 
+def test_a_part_that_crashes_endpoints_is_refused(fleet, entries):
+    check_that_part_is_refused(fleet, entries, CRASHING_PART)
+
+
+def test_a_crash_that_entries_see_long_after_the_first_event_counts(fleet, entries):
+    for endpoint in fleet.endpoints:
+        endpoint.has_event_before_crash = True
+        endpoint.crash_delay = 0.5
+    check_that_part_is_refused(fleet, entries, OTHER_CRASHING_PART)
+
+
 def test_an_entry_that_starts_knows_the_part(fleet):
     entry = fleet.start_entry(4)
     fleet.wait_ready(entry)
@@ -134,6 +147,7 @@
         test_endpoints_that_end_for_other_reasons_block_no_part(fleet, entries)
         test_a_part_that_crashes_endpoints_is_refused(fleet, entries)
         test_an_entry_that_starts_knows_the_part(fleet)
+        test_a_crash_that_entries_see_long_after_the_first_event_counts(fleet, entries)
 
 
 if __name__ == "__main__":
