Judge by the events alone whether a lost request had run on

Callers saw: an endpoint that crashed right after its first event was seen to end 0.5 s later, and the part that crashed it went on to be sent. Cause: a request counted as no suspect once 300 ms had passed from its first event to the loss. Now the events themselves must have come for 300 ms.

--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -230,7 +230,8 @@
     if (parts.empty())
         return;
     bool hasEvents = this->firstEventAt != TimePoint();
-    bool hasRunOn = hasEvents && now - this->firstEventAt >= maxCrashDelay;
+    // The loss itself may be seen late, so that only events count.
+    bool hasRunOn = hasEvents && this->lastReceivedAt - this->firstEventAt >= maxCrashDelay;
     bool isEndUnclear = result == AttemptResult::Answered && endsWithConnection(this->responseHead) && !hasRunOn;
     bool isStream = this->route->kind == RequestKind::Stream;
     if ((result == AttemptResult::Lost && !hasRunOn) || (isEndUnclear && isStream && !hasEvents))
