Wake the log's writer also when a report of dropped lines goes first

After an entry or agent had dropped lines over its limit of lines a second, its log stayed silent for the rest of its life: the report of the dropped lines was put into the empty queue, the queue then no longer counted as empty, and the writer, which waits for lines, was never woken again. An incident whose first second is busy thereby loses all later lines of that process.

The queue is looked at before the report is added, so that the writer is woken whenever it may wait.

process_platform_logs, test_log_does_not_go_silent_after_dropped_lines: on the code before, no line within 3 s after the dropped ones; with the change it passes.

--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -201,11 +201,11 @@
     }
     auto line = formatLine(shared.process, level, event, fields);
     std::lock_guard<std::mutex> lock(shared.mutex);
+    bool wasEmpty = shared.queuedLines.empty();
     if (shared.droppedLines > shared.reportedDroppedLines) {
         shared.queuedLines.push_back(formatLine(shared.process, LogLevel::Warning, "log_lines_dropped", { { "lines", shared.droppedLines - shared.reportedDroppedLines } }));
         shared.reportedDroppedLines = shared.droppedLines;
     }
-    bool wasEmpty = shared.queuedLines.empty();
     shared.queuedLines.push_back(std::move(line));
     if (wasEmpty)
         shared.wake.notify_one();
--- a/tests/process_platform_logs.py
+++ b/tests/process_platform_logs.py
@@ -52,6 +52,19 @@
     entry.kill()
 
 
+def test_log_does_not_go_silent_after_dropped_lines(fleet):
+    entry = fleet.start_entry(3, log_lines_per_second=20)
+    fleet.wait_ready(entry)
+    harness.wait_until(lambda: fleet.call(entry, "/plain/")[0] == 200, 5, "it serves")
+    for _ in range(60):
+        fleet.call(entry, "/plain/")
+    time.sleep(1.2)
+    assert fleet.call(entry, "/plain/", **{"Bilberrybarrow-Request-Id": "after"})[0] == 200
+    harness.wait_until(lambda: lines_of(entry, "after"), 3, "a line is written after dropped ones")
+    assert entry.events("log_lines_dropped")
+    entry.kill()
+
+
 def test_reload(fleet, entry):
     path = pathlib.Path(fleet.folder) / f"{entry.name}.flags"
     text = path.read_text()
@@ -129,6 +142,7 @@
         fleet.add_endpoint("p1", "plain")
         fleet.stream = fleet.add_endpoint("s1", "stream", events=12)
         test_reader_that_stops(fleet)
+        test_log_does_not_go_silent_after_dropped_lines(fleet)
         entry = fleet.start_entry(2)
         fleet.wait_ready(entry)
         time.sleep(0.5)
