Test answers that end with their connection, for each client

An answer with neither length nor chunks is complete at an orderly end of its connection and at nothing else; a stream that ends inside an event has been broken off.

The stand-in endpoints learn to end answers so, to leave, and to refuse with Retry-After.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -98,7 +98,7 @@
         return endpoint
 
     def list_endpoint(self, endpoint, service, state="ready"):
-        self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq-no": 1})
+        self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq-no": 1, "born": endpoint.born})
 
     def start_entry(self, number=1, reads_log=True, **more):
         ip = f"127.0.1.{number}"
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -172,7 +173,8 @@
 
 
 class Endpoint(StandIn):
-    """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request."""
+    """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request. While it `leaves`, all
+    its answers say so; while `retry_after` is set, it refuses each request with that header."""
 
     def __init__(self, name, events=0, gap=0.0):
         self.name = name
@@ -180,18 +182,29 @@
         self.gap = gap
         self.faults = []
         self.requests = []
+        self.leaves = False
+        self.retry_after = None
+        self.born = int(time.time() * 1000)
         super().__init__()
 
+    def received_between(self, start, end):
+        """The number of requests that it received in that time of time.monotonic()."""
+        return sum(start <= request["at"] < end for request in list(self.requests))
+
     def answer(self, call):
         request_id = call.headers["Bilberrybarrow-Request-Id"]
-        self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers)})
+        self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers), "at": time.monotonic()})
         headers = [("Bilberrybarrow-Request-Id", request_id), ("Bilberrybarrow-Server-Load", "1,0,8"), ("Bilberrybarrow-Instance-Id", self.name)]
+        if self.leaves:
+            headers.append(("Server-Leaving", "1"))
         if call.headers.get("Bilberrybarrow-Expect-Instance") != self.name:
             call.send(421, b"", headers)
             return
         fault = self.faults.pop(0) if self.faults else None
         sealed = [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name)]
-        if fault == "refuse":
+        if self.retry_after is not None:
+            call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1"), ("Retry-After", self.retry_after)])
+        elif fault == "refuse":
             call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1")])
         elif fault == "hang up":
             call.hang_up()
@@ -209,11 +222,17 @@
             # Late copies of answers to earlier requests, more than a caller would skip.
             for number in range(4):
                 call.send(503, b"", [("Bilberrybarrow-Request-Id", f"earlier-{number}"), ("Bilberrybarrow-Not-Executed", "1")])
+        elif fault == "late copy that leaves":
+            late = f"HTTP/1.1 200 OK\r\nBilberrybarrow-Request-Id: earlier\r\nBilberrybarrow-Instance-Id: {self.name}\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+            call.wfile.write(late.encode())
+            call.send(200, b"done by " + self.name.encode(), sealed)
         elif fault == "silent":
             time.sleep(3)
             call.hang_up()
         elif self.events:
             self.stream(call, sealed, fault)
+        elif fault in ("no length", "no length, reset"):
+            self.send_without_length(call, sealed, b"done by " + self.name.encode(), is_reset=fault == "no length, reset")
         else:
             time.sleep(self.gap)
             call.send(200, b"done by " + self.name.encode(), sealed)
@@ -232,7 +251,25 @@
         except OSError:
             self.endless_closed = True
 
+    def send_without_length(self, call, headers, body, is_reset):
+        """An answer that ends with its connection."""
+        call.send_response(200)
+        for name, value in headers:
+            call.send_header(name, value)
+        call.end_headers()
+        call.wfile.write(body)
+        call.close_connection = True
+        if is_reset:
+            time.sleep(0.05)
+            call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            call.connection.close()
+
     def stream(self, call, headers, fault):
+        if fault in ("no length", "no length, reset", "no length, cut"):
+            whole = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(self.events))
+            body = whole[:len(whole) // 2] if fault == "no length, cut" else whole
+            self.send_without_length(call, [*headers, ("Content-Type", "text/event-stream")], body, is_reset=fault == "no length, reset")
+            return
         call.send_response(200)
         for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
             call.send_header(name, value)
