Send nothing more to an endpoint whose answers say that it leaves

What callers saw: an endpoint that said in its answers that it leaves went on to get requests until the store said so, which comes seconds later or, with the store away, not at all. What was on it when it ended was lost.

Cause: no code read the header. An entry now keeps what an endpoint has stated about itself (EndpointStatement) beside its row: each answer counts, also a failure, a refusal and a late copy that is skipped, for the endpoint that the answer names. It is about one run: the record's start time ("born", now read) tells a later run under the same id, which starts clean; a listing of the same or an earlier run changes nothing, and for a minute neither does the removal of the record. The choice of an endpoint reads it in one place. Peers are told the hash of id and start, so that a late datagram can't bar a later run. When all endpoints of a service are set aside, a request is refused at once with Retry-After; it doesn't wait in the queue.

The statement also holds until when an endpoint wants no requests, which no answer sets yet.

--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -57,25 +57,47 @@
     return static_cast<double>(recent + 1) <= rate;
 }
 
-bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+// Whether the endpoint may run such requests, whatever it has stated about itself and however it has answered lately.
+static bool isInService(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
     const auto& record = row.record;
-    bool isInService = row.isListed && now < row.listedUntil && !record.isDraining && record.service == requirements.service;
-    if (!isInService || now < row.avoidUntil || now < row.heldUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
+    bool isListed = row.isListed && now < row.listedUntil && !record.isDraining && record.service == requirements.service;
+    if (!isListed || now < row.heldUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
         return false;
     auto region = regionOfDataCentre(location, record.dataCentre);
     if (!isRegionAllowed(requirements.routeRegions, region) || !isRegionAllowed(requirements.accountRegions, region))
         return false;
-    if (contains(requirements.triedEndpointIds, record.id) || !isWithinColdRate(row, requirements.maxColdRate, now))
-        return false;
     if (!record.isModelEngine)
         return true;
-    if (now < row.weightSwitchUntil)
-        return false;
     uint32_t version = servedVersion(record, requirements.model, requirements.modelLayers);
     return version != 0 && version >= requirements.minWeightVersion;
 }
 
+bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+{
+    if (now < row.avoidUntil || isSetAside(row.statement, now) || (row.record.isModelEngine && now < row.weightSwitchUntil))
+        return false;
+    if (!isInService(row, requirements, location, evacuatedDataCentres, now))
+        return false;
+    return !contains(requirements.triedEndpointIds, row.record.id) && isWithinColdRate(row, requirements.maxColdRate, now);
+}
+
+std::optional<TimePoint> allSetAsideUntil(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& row : table.rows) {
+        if (!isInService(row, requirements, location, evacuatedDataCentres, now))
+            continue;
+        if (isSetAside(row.statement, now)) {
+            auto until = row.statement.isLeaving ? TimePoint::max() : row.statement.noRequestsUntil;
+            earliest = std::min(until, earliest.value_or(TimePoint::max()));
+        } else if (!contains(requirements.triedEndpointIds, row.record.id)) {
+            return std::nullopt;
+        }
+    }
+    return earliest;
+}
+
 // How far an endpoint is; an index of distancePenalties.
 enum Distance : size_t {
     PreferredNear,
@@ -180,7 +202,8 @@
             double limit = concurrencyLimit(row.record);
             double load = estimatedLoad(row, now);
             candidate.score = load / limit + distancePenalties[distance];
-            return load + 1 > limit || !isWithinEntryShare(row, limit, requirements, now);
+            bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
+            return load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now);
         };
         auto& sameDistance = candidates[distance];
         sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -7,6 +7,7 @@
 #include "Types.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,11 @@
 /// Whether the endpoint could run the request if it had free capacity. Thread safe.
 bool isEligible(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
 
+/// Returns when the first endpoint wants requests again if all that could run the request are set aside by their own statement,
+/// TimePoint::max() if they leave, and nothing otherwise. Endpoints that the request has tried count only if they are set aside.
+/// Thread safe.
+std::optional<TimePoint> allSetAsideUntil(const EndpointTable&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
+
 /// Draws two endpoints with free capacity at random for each distance (preferred ones of the same data centre, others there,
 /// same region, other region) and chooses the one with the lowest load plus a penalty for the distance (the power of two
 /// choices). Nearer ones are preferred while their load isn't much higher. Entries learn of loads with a delay: if all of
--- a/src/EndpointEvents.h
+++ b/src/EndpointEvents.h
@@ -20,7 +20,7 @@
 struct EndpointEvents {
     std::string dataCentre; ///< The sender's data centre.
     std::vector<PartEvidence> partEvidence;
-    std::vector<uint32_t> leavingEndpoints; ///< Hashes of the ids of endpoints that have said that they leave.
+    std::vector<uint32_t> leavingEndpoints; ///< Hashes of the runs of endpoints (runHash()) that have stated that they leave.
     std::vector<uint32_t> slowEndpoints; ///< Hashes of the ids of endpoints that requests lately reached late.
 };
 
--- a/src/EndpointRecord.cpp
+++ b/src/EndpointRecord.cpp
@@ -6,7 +6,7 @@
 
 static auto comparedFields(const EndpointRecord& record)
 {
-    return std::tie(record.id, record.address.host, record.address.port, record.service, record.dataCentre, record.slots, record.isDraining, record.loadedLayers, record.loadedLayersVersion);
+    return std::tie(record.id, record.address.host, record.address.port, record.service, record.dataCentre, record.slots, record.isDraining, record.startedAt, record.loadedLayers, record.loadedLayersVersion);
 }
 
 bool differs(const EndpointRecord& first, const EndpointRecord& second)
--- a/src/EndpointRecord.h
+++ b/src/EndpointRecord.h
@@ -22,6 +22,7 @@
     std::string dataCentre;
     uint32_t slots = 1; ///< The number of requests that it runs concurrently.
     bool isDraining = false;
+    WallTime startedAt {}; ///< When the run started; the default value if the record doesn't state it.
     Milliseconds remainingColdTime { 0 }; ///< How long the endpoint stays cold, counted from when the record was read.
     bool isModelEngine = false; ///< Whether the endpoint runs a model engine.
     std::vector<LoadedModel> models;
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -1,6 +1,8 @@
 #include "EndpointTable.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace bilberry {
 
@@ -14,6 +16,8 @@
 static constexpr int minFailuresToAvoid = 2;
 static constexpr Milliseconds shortestAvoidTime { 250 };
 static constexpr Milliseconds longestAvoidTime { 4000 };
+// Time for which the statement of an endpoint without a row is kept.
+static constexpr Seconds unlistedStatementTime { 60 };
 // Time within which entries learn of each other's requests at an endpoint.
 static constexpr Milliseconds peerLoadPropagationTime { 500 };
 
@@ -28,8 +32,16 @@
             this->rows.emplace_back();
         found = this->rowById.emplace(record.id, row).first;
         markPeerLoadUnknown(this->rows[row], now);
+        auto unlisted = this->unlistedStatements.find(record.id);
+        if (unlisted != this->unlistedStatements.end()) {
+            this->rows[row].statement = unlisted->second.statement;
+            this->unlistedStatements.erase(unlisted);
+        }
     }
     auto& row = this->rows[found->second];
+    bool wasLeaving = row.statement.isLeaving;
+    if (noteRun(row.statement, record.startedAt, now))
+        this->setAsideEnds.push_back({ record.id, wasLeaving ? SetAsideReason::Leaving : SetAsideReason::RetryAfter });
     // The version from a notice applies until the record in the store has reached it.
     bool hasSwitched = record.loadedLayersVersion > row.record.loadedLayersVersion;
     if (hasSwitched) {
@@ -61,6 +73,7 @@
         bool isUnused = !row.isListed && row.inFlight == 0 && !row.record.id.empty();
         if (!isUnused)
             continue;
+        this->unlistedStatements[row.record.id] = { row.statement, now + unlistedStatementTime };
         this->rowById.erase(row.record.id);
         freed.push_back(std::move(row.record.id));
         row = EndpointRow();
@@ -68,6 +81,42 @@
     return freed;
 }
 
+EndpointStatement& EndpointTable::statementOf(const std::string& id, TimePoint now)
+{
+    auto found = this->rowById.find(id);
+    if (found != this->rowById.end())
+        return this->rows[found->second].statement;
+    auto& unlisted = this->unlistedStatements[id];
+    unlisted.expiresAt = now + unlistedStatementTime;
+    return unlisted.statement;
+}
+
+// Whether the endpoint's time without requests is over and this hasn't been reported. It counts as reported afterwards.
+static bool takeReturn(EndpointStatement& statement, TimePoint now)
+{
+    bool hasReturned = !statement.isEndReported && now >= statement.noRequestsUntil;
+    statement.isEndReported = statement.isEndReported || hasReturned;
+    return hasReturned;
+}
+
+std::vector<SetAsideEnd> EndpointTable::takeSetAsideEnds(TimePoint now)
+{
+    for (auto& row : this->rows) {
+        if (takeReturn(row.statement, now))
+            this->setAsideEnds.push_back({ row.record.id, SetAsideReason::RetryAfter });
+    }
+    for (auto unlisted = this->unlistedStatements.begin(); unlisted != this->unlistedStatements.end();) {
+        auto& [id, entry] = *unlisted;
+        if (takeReturn(entry.statement, now))
+            this->setAsideEnds.push_back({ id, SetAsideReason::RetryAfter });
+        bool hasExpired = now >= entry.expiresAt;
+        if (hasExpired && (entry.statement.isLeaving || !entry.statement.isEndReported))
+            this->setAsideEnds.push_back({ id, entry.statement.isLeaving ? SetAsideReason::Leaving : SetAsideReason::RetryAfter });
+        unlisted = hasExpired ? this->unlistedStatements.erase(unlisted) : std::next(unlisted);
+    }
+    return std::exchange(this->setAsideEnds, {});
+}
+
 void markPeerLoadUnknown(EndpointRow& row, TimePoint now)
 {
     row.peerLoadUnknownUntil = now + peerLoadPropagationTime;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -4,6 +4,7 @@
 
 #include "CrashHistory.h"
 #include "EndpointRecord.h"
+#include "EndpointStatement.h"
 #include "ProtocolAdapter.h"
 #include "Types.h"
 
@@ -37,14 +38,29 @@
     TimePoint avoidUntil {}; ///< Until when the endpoint is avoided after consecutive failures.
     TimePoint weightSwitchUntil {}; ///< The latest end of a version switch that is in progress at the engine.
     uint64_t noticeSequence = 0; ///< The sequence number of the last notice from the agent on the same VM.
+    EndpointStatement statement; ///< What the endpoint has stated about itself in its answers.
     LossRecord losses;
     std::deque<TimePoint> coldSends; ///< When requests were sent to it in the last second while it was cold, oldest first.
 };
 
+/// The statement of an endpoint without a row. The endpoint may be listed again by an older copy of the store.
+struct UnlistedStatement {
+    EndpointStatement statement;
+    TimePoint expiresAt {};
+};
+
+/// An endpoint that no longer is set aside by its own statement.
+struct SetAsideEnd {
+    std::string endpointId;
+    SetAsideReason reason = SetAsideReason::Leaving;
+};
+
 /// Used by the loop's thread only.
 struct EndpointTable {
     std::vector<EndpointRow> rows; ///< A row whose record has an empty id is free.
     std::unordered_map<std::string, uint32_t> rowById; ///< The index in `rows`; the key is the endpoint's id.
+    std::unordered_map<std::string, UnlistedStatement> unlistedStatements; ///< Kept for a limited time; the key is the endpoint's id.
+    std::vector<SetAsideEnd> setAsideEnds; ///< Those that takeSetAsideEnds() hasn't returned yet.
 
     /// Adds or updates the row of a record; returns the index of the row.
     uint32_t upsert(const EndpointRecord&, TimePoint now);
@@ -53,6 +69,10 @@
     /// Frees the rows of endpoints that are no longer listed and have no request in flight; returns their ids. Is to be
     /// called on each tick.
     std::vector<std::string> removeUnusedRows(TimePoint now);
+    /// Returns the statement of an endpoint, with or without a row. It may be changed until the table changes.
+    EndpointStatement& statementOf(const std::string& id, TimePoint now);
+    /// Returns the endpoints that have ceased to be set aside since the last call. Is to be called on each tick.
+    std::vector<SetAsideEnd> takeSetAsideEnds(TimePoint now);
 };
 
 /// Records that the endpoint has become usable at `now`, so that the other entries' requests at it aren't known for a
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,5 +1,6 @@
 #include "EntryNode.h"
 
+#include "EntryStatements.h"
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
@@ -331,8 +332,12 @@
             continue;
         }
         auto request = active->second;
-        if (request->tryDispatch(now))
+        bool isDispatched = request->tryDispatch(now);
+        bool isHopeless = !isDispatched && request->areAllSetAsideUntil(waitingRequest.expiresAt, now);
+        if (isDispatched || isHopeless)
             removeWaitingRequest(queue->second, waitingRequest.requestNumber);
+        if (isHopeless)
+            request->handleQueueTimeout();
     }
 }
 
@@ -373,6 +378,7 @@
     auto now = Clock::now();
     for (const auto& endpointId : this->clusterView.endpoints.removeUnusedRows(now))
         this->channels.closeIdleChannels(endpointId);
+    logSetAsideEnds(*this, now);
     // Each message updates the loads, so that here only those of peers that have fallen silent need to go.
     if (now - this->peerLoadsUpdatedAt >= peerLoadsInterval)
         this->updatePeerLoads(now);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -3,6 +3,7 @@
 
 #include "EntryNode.h"
 
+#include "EntryStatements.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
 #include "ServiceSummary.h"
@@ -105,7 +106,7 @@
     for (const auto& evidence : events.partEvidence)
         this->peerReports.addPartEvidence(evidence, source, now);
     for (uint32_t endpoint : events.leavingEndpoints)
-        this->peerReports.addLeavingEndpoint(endpoint, source, now);
+        notePeerLeaving(*this, endpoint, source, now);
     for (uint32_t endpoint : events.slowEndpoints)
         this->peerReports.addSlowEndpoint(endpoint, source, now);
 }
--- a/src/PeerReports.cpp
+++ b/src/PeerReports.cpp
@@ -59,9 +59,9 @@
     return addEndpointHash(this->switchingEngines, endpointHash, source, now);
 }
 
-bool PeerReports::addLeavingEndpoint(uint32_t endpointHash, ReportSource source, TimePoint now)
+bool PeerReports::addLeavingEndpoint(uint32_t runHash, ReportSource source, TimePoint now)
 {
-    return addEndpointHash(this->leavingEndpoints, endpointHash, source, now);
+    return addEndpointHash(this->leavingEndpoints, runHash, source, now);
 }
 
 bool PeerReports::addSlowEndpoint(uint32_t endpointHash, ReportSource source, TimePoint now)
--- a/src/PeerReports.h
+++ b/src/PeerReports.h
@@ -34,7 +34,7 @@
     std::vector<Row<EngineNotice>> notices;
     std::vector<Row<uint32_t>> switchingEngines; ///< Hashes of endpoints' ids.
     std::vector<Row<PartEvidence>> partEvidence;
-    std::vector<Row<uint32_t>> leavingEndpoints; ///< Hashes of endpoints' ids.
+    std::vector<Row<uint32_t>> leavingEndpoints; ///< Hashes of endpoints' runs.
     std::vector<Row<uint32_t>> slowEndpoints; ///< Hashes of endpoints' ids.
 
     /// Adds a crash that wasn't known before.
@@ -46,7 +46,7 @@
     /// Adds evidence about a part, unless the same was added a short time ago. Returns whether it was added.
     bool addPartEvidence(const PartEvidence&, ReportSource, TimePoint now);
     /// Adds an endpoint that leaves, unless it was added a short time ago. Returns whether it was added.
-    bool addLeavingEndpoint(uint32_t endpointHash, ReportSource, TimePoint now);
+    bool addLeavingEndpoint(uint32_t runHash, ReportSource, TimePoint now);
     /// Adds an endpoint that requests reach late, unless it was added a short time ago. Returns whether it was added.
     bool addSlowEndpoint(uint32_t endpointHash, ReportSource, TimePoint now);
     /// Puts the events that a message of that scope passes on into it.
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -52,6 +52,7 @@
     bool isNotExecuted = false; ///< Whether the endpoint states that it has not run the request.
     std::optional<LoadReport> load;
     std::string endpointId; ///< The endpoint that answered; empty when the answer doesn't state it.
+    bool isLeaving = false; ///< Whether the endpoint states that it leaves.
 };
 
 /// Translates between HTTP messages and the fields of requests and answers.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -205,6 +205,22 @@
     return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed));
 }
 
+bool ProxiedRequest::areAllSetAsideUntil(TimePoint time, TimePoint now) const
+{
+    const auto& view = this->node.clusterView;
+    auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now);
+    return until && *until >= time;
+}
+
+// When a refused request should be sent again: once an endpoint wants requests again, or after the expected time in the queue.
+Milliseconds ProxiedRequest::refusalDelay(TimePoint now) const
+{
+    const auto& view = this->node.clusterView;
+    if (auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now))
+        return retryAfterSetAside(*until, now, this->node.random());
+    return retryAfterDelay(expectedQueueWait(this->node.queues[this->requirements.service], 2 * this->priority, now), this->node.random());
+}
+
 // Dispatches the request to an endpoint with free capacity, or queues it for as long as it can still meet its target latency,
 // or refuses it.
 void ProxiedRequest::dispatchOrEnqueue(TimePoint now)
@@ -223,6 +239,10 @@
         this->refuseRequest(503, "overloaded", retryAfterDelay(wait, this->node.random()));
         return;
     }
+    if (this->areAllSetAsideUntil(now + allowance, now)) {
+        this->handleQueueTimeout();
+        return;
+    }
     enqueueRequest(queue, { this->number, queuePriority, this->arrivedAt, now + allowance });
     this->isWaiting = true;
 }
@@ -233,8 +253,8 @@
     auto now = Clock::now();
     bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
     if (isFirstAttempt) {
-        auto wait = expectedQueueWait(this->node.queues[this->requirements.service], 2 * this->priority, now);
-        this->refuseRequest(503, "no_free_place", retryAfterDelay(wait, this->node.random()));
+        bool areAllSetAside = this->areAllSetAsideUntil(now, now);
+        this->refuseRequest(503, areAllSetAside ? "endpoints_set_aside" : "no_free_place", this->refusalDelay(now));
         return;
     }
     this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
@@ -297,8 +317,7 @@
         this->exchange->abortResponse();
         this->finishRequest("cut_off", 0, toText(this->lastResult).data());
     } else if (answer == FinalAnswer::NotRun) {
-        auto wait = expectedQueueWait(this->node.queues[this->requirements.service], 2 * this->priority, Clock::now());
-        this->refuseRequest(503, "not_run", retryAfterDelay(wait, this->node.random()));
+        this->refuseRequest(503, "not_run", this->refusalDelay(Clock::now()));
     } else if (answer == FinalAnswer::Deliver && !promisesNotRun) {
         this->deliverResponse();
     } else {
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -44,6 +44,9 @@
     /// Refuses the request, or answers with its last failure, when its time in the queue is over. Precondition: the request
     /// has been removed from its queue.
     void handleQueueTimeout();
+    /// Whether all endpoints that could run the request are set aside by their own statement, until `time` at least. It is then to
+    /// be ended as by handleQueueTimeout().
+    bool areAllSetAsideUntil(TimePoint time, TimePoint now) const;
     /// Enforces the time limits. The node calls it each tick.
     void checkTimeouts(TimePoint now);
 
@@ -51,6 +54,7 @@
     bool admitRequest(TimePoint now);
     void dispatchOrEnqueue(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
+    Milliseconds refusalDelay(TimePoint now) const;
     bool hasMissedTarget(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
@@ -94,6 +98,7 @@
     std::shared_ptr<HttpChannel> channel;
     uint32_t endpointRow = noEndpoint;
     std::string endpointId;
+    WallTime endpointStartedAt {}; ///< Start of the endpoint's run to which the attempt was sent, as in EndpointStatement.
     TimePoint attemptStartedAt {};
     TimePoint lastReceivedAt {}; ///< When the attempt last made progress: at its start, with its head, with bytes of a body and
                                  ///< with whole events of a stream.
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -2,6 +2,7 @@
 /// records what the attempt reveals about the endpoint.
 
 #include "EntryNode.h"
+#include "EntryStatements.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
 
@@ -60,6 +61,7 @@
     recordDispatch(this->node.queues[this->requirements.service], now);
     this->endpointRow = chosenRow;
     this->endpointId = endpoint.record.id;
+    this->endpointStartedAt = endpoint.statement.startedAt;
     this->attemptStartedAt = now;
     this->lastReceivedAt = now;
     this->responseHead = ResponseHead();
@@ -89,6 +91,7 @@
     auto now = Clock::now();
     this->lastReceivedAt = now;
     auto newReply = this->node.adapter.requests.parseReply(received);
+    noteStatement(this->node, newReply, { this->callerRequest.id, this->endpointId, this->endpointStartedAt }, now);
     bool isForOtherRequest = !newReply.requestId.empty() && newReply.requestId != this->callerRequest.id;
     if (isForOtherRequest && ++this->skippedResponses <= maxSkippedResponses)
         return ResponseDisposition::Skip;
--- a/src/RequestTimeline.cpp
+++ b/src/RequestTimeline.cpp
@@ -18,9 +18,10 @@
     std::string_view text;
 };
 
-static constexpr std::array<ReasonText, 17> reasonTexts { {
+static constexpr std::array<ReasonText, 18> reasonTexts { {
     { "overloaded", "so many requests were queued before it that it could not have been answered in time" },
     { "no_free_place", "no endpoint had a free place within its longest queue wait" },
+    { "endpoints_set_aside", "every endpoint had stated that it leaves or wants no requests for some time" },
     { "not_run", "every endpoint that was tried refused it or could not be reached" },
     { "revocations_unknown", "the store was not heard for too long, so that the caller's key may have been revoked" },
     { "no_configuration", "the entry had not read a configuration yet" },
@@ -150,8 +151,8 @@
 {
     auto key = stringField(line.fields, "key");
     auto concernsEndpoint = [&](const std::string& endpoint) { return stringField(line.fields, "endpoint") == endpoint || (key.size() > endpoint.size() && key.compare(key.size() - endpoint.size(), endpoint.size(), endpoint) == 0); };
-    bool isEndpointChange = line.event == "endpoint_crashed" || line.event == "engine_noticed" || line.event == "belief_changed";
-    return isEndpointChange && std::any_of(endpoints.begin(), endpoints.end(), concernsEndpoint);
+    static const std::set<std::string> events { "endpoint_crashed", "engine_noticed", "belief_changed", "endpoint_set_aside", "endpoint_set_aside_ended" };
+    return events.count(line.event) != 0 && std::any_of(endpoints.begin(), endpoints.end(), concernsEndpoint);
 }
 
 // Whether a line that isn't the request's own may explain what happened to it.
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -107,6 +107,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(endpointsThatLeaveAreRecognized)
+{
+    struct Row {
+        int status;
+        HttpHeaders headers;
+        bool isLeaving;
+    };
+    const std::vector<Row> rows {
+        { 200, {}, false },
+        { 200, { { "Server-Leaving", "1" } }, true },
+        { 503, { { "server-leaving", "1" } }, true },
+        { 421, { { "Server-Leaving", "1" } }, true },
+        { 200, { { "Server-Leaving", "0" } }, false },
+        { 200, { { "Server-Leaving", "" } }, false },
+    };
+    for (const auto& row : rows)
+        BOOST_TEST(requestAdapter().parseReply({ row.status, row.headers }).isLeaving == row.isLeaving);
+}
+
 BOOST_AUTO_TEST_CASE(configurationIsParsed)
 {
     auto table = platformAdapter().store.parseRouteTable(R"({"version":7,"routes":[
