Hear the entry on a rebooted VM again after 3 s of silence instead of 60 s

An entry's messages carry the boot clock of its process's start as incarnation, which is lower after a reboot of the VM. The other entries dropped the messages of the lower incarnation until the row expired, 60 s after the last message from before the reboot: meanwhile the entry's requests were not counted at endpoints and its view was not asked for.

A lower incarnation is now accepted once the entry has been silent for 3 s; before that it is a delayed message of an earlier process, and ignored as before.

PeerMessageTest, entryOnRebootedVmIsHeardAgainWithinSeconds: two checks failed without the change, none with it.

--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -9,6 +9,8 @@
 static constexpr Seconds presumedAliveTime { 20 };
 // Time since its last message, or since another entry last listed it, after which an entry is removed.
 static constexpr Seconds removalTime { 60 };
+// Time since an entry's last message after which a message of a lower incarnation means that its VM has rebooted.
+static constexpr Seconds rebootDetectionTime { 3 };
 // Age up to which the requests of a digest count.
 static constexpr Milliseconds maxDigestAge { 2500 };
 // Largest number of entries of each other data centre that a new entry is told of.
@@ -40,6 +42,15 @@
         row.dataCentre = dataCentre;
 }
 
+// Whether a message is newer than the last one from that entry. A lower incarnation is that of an earlier process, whose
+// delayed message must not count, or that of a process that was started after a reboot.
+static bool isNewer(const PeerRow& row, const PeerMessage& message, TimePoint now)
+{
+    if (message.incarnation == row.incarnation)
+        return message.sequence > row.sequence;
+    return message.incarnation > row.incarnation || now - row.heardAt >= rebootDetectionTime;
+}
+
 static void applyDigest(PeerTable& table, const DataCentreDigest& digest, bool isDirect, TimePoint now)
 {
     auto& row = table.digests[digest.dataCentre];
@@ -60,8 +71,7 @@
     if (ip == this->ownIp)
         return false;
     auto& row = this->rows[ip];
-    bool isOlder = message.incarnation < row.incarnation || (message.incarnation == row.incarnation && message.sequence <= row.sequence);
-    if (isOlder)
+    if (!isNewer(row, message, now))
         return false;
     row.layout = message.layout;
     row.incarnation = message.incarnation;
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -49,7 +49,7 @@
     /// Adds an entry that may exist. An empty data centre is unknown.
     void add(const std::string& ip, const std::string& dataCentre = {});
     /// Applies a message. Returns false and changes nothing for this entry's own message and for one that isn't newer than
-    /// the last one from that entry.
+    /// the last one from that entry. A message of a lower incarnation is newer once the entry has been silent for 3 s.
     bool applyMessage(const std::string& ip, const PeerMessage&, TimePoint now);
     /// Removes entries that have been neither heard nor listed for 60 s, except for those in `kept`, and digests of that age.
     void removeSilentPeers(const std::vector<std::string>& kept, TimePoint now);
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -127,6 +127,26 @@
     BOOST_TEST(!table.applyMessage("10.0.0.1", message, start));
 }
 
+// The boot clock, and with it the incarnation, is lower after a reboot.
+BOOST_AUTO_TEST_CASE(entryOnRebootedVmIsHeardAgainWithinSeconds)
+{
+    PeerTable table;
+    table.ownIp = "10.0.0.1";
+    PeerMessage beforeReboot;
+    beforeReboot.incarnation = 900;
+    beforeReboot.sequence = 40;
+    BOOST_TEST(table.applyMessage("10.0.0.2", beforeReboot, start));
+    PeerMessage afterReboot;
+    afterReboot.incarnation = 20;
+    afterReboot.sequence = 1;
+    BOOST_TEST(!table.applyMessage("10.0.0.2", afterReboot, start + Milliseconds(2900)));
+    auto rebootedAt = start + Seconds(5);
+    BOOST_TEST(table.applyMessage("10.0.0.2", afterReboot, rebootedAt));
+    BOOST_TEST(isRecentlyHeard(table.rows["10.0.0.2"], rebootedAt));
+    // A duplicate stays ignored, whatever its age.
+    BOOST_TEST(!table.applyMessage("10.0.0.2", afterReboot, rebootedAt + Seconds(5)));
+}
+
 // The requests of a silent peer stop counting first; the peer itself counts for longer among the entries that share budgets,
 // and is removed last.
 BOOST_AUTO_TEST_CASE(silentPeersExpireInStages)
