Ask for summaries at most about once a second while no entry answers

An agent that no entry answered asked again every 50 ms for as long as that lasted, and tried one avoided entry after the other.

The pause after a failure now lasts until an entry is due that isn't being avoided, between 50 ms and 1 s. The next entry is still asked after 50 ms when another one is known, and an entry that answers again is noticed within about a second.

--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -58,4 +58,11 @@
     return best == directory.rows.end() ? std::string() : best->first;
 }
 
+Duration timeUntilUnavoidedEntry(const EntryDirectory& directory, TimePoint now)
+{
+    auto endsEarlier = [](const auto& first, const auto& second) { return first.second.avoidUntil < second.second.avoidUntil; };
+    auto next = std::min_element(directory.rows.begin(), directory.rows.end(), endsEarlier);
+    return next == directory.rows.end() ? Duration(0) : std::max(Duration(0), next->second.avoidUntil - now);
+}
+
 } // namespace bilberry
--- a/src/EntryDirectory.h
+++ b/src/EntryDirectory.h
@@ -37,4 +37,8 @@
 /// string when no entry is known. Thread safe.
 std::string chooseEntry(const EntryDirectory&, TimePoint now);
 
+/// Returns the time until an entry is known that isn't avoided; zero when there is one now, or when no entry is known. Thread
+/// safe.
+Duration timeUntilUnavoidedEntry(const EntryDirectory&, TimePoint now);
+
 } // namespace bilberry
--- a/src/SummaryWatch.cpp
+++ b/src/SummaryWatch.cpp
@@ -2,15 +2,19 @@
 
 #include "HttpCall.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace bilberry {
 
 // Time within which an answer must arrive, in addition to the time for which the entry may hold it.
 static constexpr Milliseconds answerTimeoutMargin { 800 };
-// Pause between requests while summaries are needed urgently, and the pause after a failure.
+// Pause between requests while summaries are needed urgently.
 static constexpr Milliseconds urgentPause { 500 };
-static constexpr Milliseconds failurePause { 50 };
+// Bounds of the pause after a failure. The longest one is also the longest time for which an entry that answers again isn't
+// noticed.
+static constexpr Milliseconds minFailurePause { 50 };
+static constexpr Milliseconds maxFailurePause { 1000 };
 // Age of an entry's cluster view above which another entry is asked instead.
 static constexpr Milliseconds maxSummaryAge { 3000 };
 
@@ -98,11 +102,13 @@
 
 void SummaryWatch::State::retryAfterFailure(const std::string& ip, const std::string& reason)
 {
-    this->directory.noteFailure(ip, Clock::now());
+    auto now = Clock::now();
+    this->directory.noteFailure(ip, now);
     if (ip == this->currentEntry)
         this->currentEntry.clear();
     this->handlers.onEntryFailure(ip + ": " + reason);
-    this->scheduleRequest(failurePause);
+    auto untilNextEntry = std::chrono::ceil<Milliseconds>(timeUntilUnavoidedEntry(this->directory, now));
+    this->scheduleRequest(std::clamp(untilNextEntry, minFailurePause, maxFailurePause));
 }
 
 SummaryWatch::SummaryWatch(EventLoop& loop, const SummaryWatchSettings& settings, SummaryWatchHandlers handlers)
