--- a/src/EntryConfiguration.h
+++ b/src/EntryConfiguration.h
@@ -96,6 +96,7 @@
     std::vector<ServiceSettings> services;
     std::vector<ClientAccount> accounts;
     ServerLimits limits; ///< Limits of the entry's HTTP server.
+    std::vector<std::string> faults; ///< Settings that are missing or unknown, with the value that is used instead; for logs.
     std::unordered_map<std::string, std::vector<RowIndex>> routesByHost; ///< Rows of each host's routes, longest prefix first.
     std::unordered_map<std::string, RowIndex> accountByKey;
     std::unordered_map<std::string, RowIndex> serviceByName;
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -93,7 +93,7 @@
     absl::StatusOr<StoreChangeBatch> (*parseChanges)(const std::string& body);
     absl::StatusOr<StoreChange> (*parseItem)(const std::string& body);
     /// Parses the configuration. An unknown kind of request is treated as one that must run at most once; absent numbers are
-    /// read as zero.
+    /// read as zero. Of a route, both are listed in EntryConfiguration::faults.
     absl::StatusOr<EntryConfiguration> (*parseRouteTable)(const std::string& value);
     absl::StatusOr<EndpointRecord> (*parseEndpoint)(const std::string& id, const std::string& value);
     absl::StatusOr<uint32_t> (*parseWeightVersion)(const std::string& value);
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -138,6 +138,26 @@
     BOOST_TEST((table->limits.idleTimeout == Milliseconds(15'000)));
 }
 
+// A misspelt kind or number of a route used to change how its requests are handled without any trace.
+BOOST_AUTO_TEST_CASE(unknownKindsAndMissingNumbersOfRoutesAreListed)
+{
+    auto parseFaults = [](const std::string& fields) {
+        auto table = platformAdapter().store.parseRouteTable(R"({"version":1,"routes":[{"name":"r","prefix":"/a/","service":"s",)" + fields + "}]}");
+        BOOST_REQUIRE(table.ok());
+        return table->faults;
+    };
+    const std::string numbers = R"("timeout-ms":600,"target-latency-ms":100,"priority":0)";
+    for (const char* kind : { "idempotent", "non_idempotent", "streaming" })
+        BOOST_TEST(parseFaults(R"("kind":")" + std::string(kind) + "\"," + numbers).empty());
+    auto unknownKind = parseFaults(R"("kind":"idempotentt",)" + numbers);
+    BOOST_REQUIRE(unknownKind.size() == 1u);
+    BOOST_TEST(unknownKind[0] == R"(route r: unknown kind "idempotentt" is taken as non_idempotent)");
+    auto wrongNumber = parseFaults(R"("kind":"idempotent","timeout-ms":"600","target-latency-ms":100,"priority":0)");
+    BOOST_REQUIRE(wrongNumber.size() == 1u);
+    BOOST_TEST(wrongNumber[0] == R"(route r: "timeout-ms" is missing or not a number and is taken as 0)");
+    BOOST_TEST(parseFaults(R"("kind":"idempotent")").size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(endpointRecordIsParsed)
 {
     auto record = platformAdapter().store.parseEndpoint("i-1", R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","cold-remaining-ms":1500,"models":[{"name":"m","version":2,"adapters":[]}],"layers":[{"from":0,"target":9,"version":2},{"from":9,"target":16,"version":2}],"seq-no":4})");
