Ask endpoints that weren't ready again as soon as the others are full

After a pause of all processes callers got queue-full, the refusal of an endpoint whose queue is full, although the other endpoints had nothing to do.

An endpoint that was paused refuses with no-configuration until a peer or the configuration service has answered it, and an entry then avoided it for a second. So the first endpoint that accepted work got all requests that had come during the pause, until its queue was full, and a request that it refused found no other endpoint to go on to.

Endpoints that are avoided only for no-configuration are now candidates as soon as no other one has free capacity. They refuse at once while they aren't ready. What they reported before the pause doesn't show free capacity, so requests may wait longer in their queues, as at any endpoint that isn't known to have some.

--- a/src/EndpointObservation.h
+++ b/src/EndpointObservation.h
@@ -17,6 +17,7 @@
     StatedLoad statedLoad; ///< The load that the latest answer stated.
     /// Until when the endpoint is avoided, after a refusal for a lasting reason or a failed connection.
     TimePoint avoidUntil {};
+    RefusalReason avoidedFor = RefusalReason::None; ///< Why it is avoided.
     TimePoint eligibleSince {}; ///< When the endpoint last came back into the routing table.
 };
 
--- a/src/Router.cpp
+++ b/src/Router.cpp
@@ -122,8 +122,11 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     for (RowIndex other = 0; other < vms.size(); ++other) {
         bool isAffected = other == vm || (reason == RefusalReason::DataCentreOut && vms[other].dataCentre == vms[vm].dataCentre);
-        if (isAffected)
-            this->observationOf(table, other).avoidUntil = until;
+        if (!isAffected)
+            continue;
+        auto& observation = this->observationOf(table, other);
+        observation.avoidUntil = until;
+        observation.avoidedFor = reason;
     }
 }
 
--- a/src/Routing.cpp
+++ b/src/Routing.cpp
@@ -139,6 +139,7 @@
     const std::vector<EndpointObservation>& observations;
     const std::vector<RowIndex>& excluded;
     TimePoint now;
+    bool mayUseUnready = false; ///< Whether endpoints that may be about to accept work are candidates, too.
     bool mayUseAvoided = false;
 };
 
@@ -148,12 +149,23 @@
     return row.observationIndex < selection.observations.size() ? selection.observations[row.observationIndex] : none;
 }
 
+// Whether the endpoint is avoided because its process has just started or was paused. It is ready again soon, often long
+// before it stops being avoided, and refuses at once while it isn't.
+static bool isUnready(const EndpointObservation& observation)
+{
+    return observation.avoidedFor == RefusalReason::NoConfiguration;
+}
+
 static bool isCandidate(const SelectionContext& selection, const RoutingRow& row)
 {
     const auto& excluded = selection.excluded;
     if (std::find(excluded.begin(), excluded.end(), row.vm) != excluded.end())
         return false;
-    return selection.mayUseAvoided || (row.hasFreshReport && observationOf(selection, row).avoidUntil <= selection.now);
+    if (selection.mayUseAvoided)
+        return true;
+    const auto& observation = observationOf(selection, row);
+    bool isAvoided = observation.avoidUntil > selection.now && !(selection.mayUseUnready && isUnready(observation));
+    return row.hasFreshReport && !isAvoided;
 }
 
 // A candidate and its load; the row is null when there is none.
@@ -258,6 +270,13 @@
         return {};
     SelectionContext selection { table, observations, excluded, now };
     auto chosen = chooseFromGroup(selection, *group, target.prefixHash, random);
+    if (chosen.hasCapacity)
+        return chosen;
+    // After a pause of the whole fleet, the first endpoint that accepts work would otherwise get all of it. What the others
+    // reported before the pause doesn't show that they have capacity.
+    selection.mayUseUnready = true;
+    chosen = chooseFromGroup(selection, *group, target.prefixHash, random);
+    chosen.hasCapacity = false;
     if (chosen.vm != noRow || !excluded.empty())
         return chosen;
     selection.mayUseAvoided = true;
--- a/src/Routing.h
+++ b/src/Routing.h
@@ -79,8 +79,9 @@
 
 /// Chooses the less loaded of two random candidates (power of two choices) in the nearest locality that has free
 /// capacity. If the target has a prefix, one of the two is the endpoint preferred for it, which is kept while its load
-/// is within a tolerance of the other's. Without free capacity anywhere, chooses the nearest candidate. Endpoints that
-/// are avoided or have no fresh report come last, and only when nothing was tried yet. `observations` is indexed by
+/// is within a tolerance of the other's. Without free capacity anywhere, chooses the nearest candidate, and then endpoints
+/// that are avoided only because they weren't ready are candidates, too. Other endpoints that are avoided, and those that
+/// have no fresh report, come last, and only when nothing was tried yet. `observations` is indexed by
 /// RoutingRow::observationIndex; `excluded` holds the VMs that were tried. The cost does not grow with the fleet, unless
 /// nearly all endpoints are excluded or avoided. Thread safe.
 RoutingChoice chooseEndpoint(const RoutingTable&, const RoutingTarget&, const std::vector<EndpointObservation>& observations, const std::vector<RowIndex>& excluded, uint64_t random, TimePoint now);
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -194,3 +194,31 @@
         chosen.insert(choose(random));
     BOOST_TEST(chosen.size() > 1U);
 }
+
+// The first endpoints that accept work after a pause of all processes must not get all requests that came meanwhile.
+BOOST_AUTO_TEST_CASE(endpointThatWakesFirstDoesNotGetAllRequests)
+{
+    constexpr uint32_t vmCount = 9;
+    constexpr uint32_t requestCount = 36;
+    auto configuration = makeConfiguration(vmCount);
+    std::vector<FleetRow> reports;
+    std::vector<EndpointObservation> observations(vmCount);
+    for (RowIndex vm = 0; vm < vmCount; ++vm) {
+        configuration->inventory.vms[vm].service = 0;
+        reports.push_back(makeReport(configuration->inventory.vms[vm].name, 0, true));
+        reports.back().status.admissionLimit = 2;
+        if (vm > 0)
+            observations[vm].avoidUntil = now + avoidanceDuration(RefusalReason::NoConfiguration);
+        observations[vm].avoidedFor = vm > 0 ? RefusalReason::NoConfiguration : RefusalReason::None;
+    }
+    auto table = makeRoutingTable(configuration, nullptr, reports, 0, now);
+    for (uint32_t i = 0; i < requestCount; ++i) {
+        auto choice = chooseEndpoint(table, { 0, 0, 0 }, observations, {}, i * 0x9e3779b97f4a7c15, now);
+        BOOST_REQUIRE(choice.vm != noRow);
+        auto& observation = observations[choice.vm];
+        BOOST_TEST((observation.avoidedFor == RefusalReason::None || !choice.hasCapacity));
+        ++observation.inProgress;
+    }
+    auto busiest = std::max_element(observations.begin(), observations.end(), [](const auto& a, const auto& b) { return a.inProgress < b.inProgress; });
+    BOOST_TEST(busiest->inProgress <= requestCount / 3);
+}
