--- a/src/Inventory.h
+++ b/src/Inventory.h
@@ -74,4 +74,7 @@
 /// Whether the two data centres are in the same region. Precondition: both rows exist.
 bool inSameRegion(const Inventory&, RowIndex firstDataCentre, RowIndex secondDataCentre);
 
+/// Whether the path equals the prefix or lies below it. Thread safe.
+bool isPathWithin(std::string_view path, std::string_view prefix);
+
 } // namespace bilberry
