Divide the tests of the loop's HTTP into those of the server and those of the client

The seven tests of HttpChannel, ChannelPool and HttpCaller move unchanged to HttpChannelTest.cpp, the five of the server stay; what both need is in LoopHttpFixture.h.

--- /dev/null
+++ b/tests/HttpChannelTest.cpp
@@ -0,0 +1,311 @@
+#define BOOST_TEST_MODULE HttpChannel
+#include <boost/test/unit_test.hpp>
+
+#include "ChannelPool.h"
+#include "HttpCall.h"
+#include "LoopHttpFixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+
+namespace asio = boost::asio;
+using namespace bilberry;
+
+namespace {
+
+/// A server that writes the next of its fixed answers after each read, and may close the connection after the last.
+struct ScriptedServer {
+    ScriptedServer(EventLoop& loop, std::vector<std::string> answers, bool closes)
+        : acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(loop)
+        , answers(std::move(answers))
+        , closesAfterLast(closes)
+    {
+        this->acceptor.async_accept(this->socket, [this](const boost::system::error_code& error) {
+            // If the server was destroyed, the handler is called with an error, and `this` is invalid.
+            if (!error)
+                this->serveNextRequest();
+        });
+    }
+
+    int port() const { return this->acceptor.local_endpoint().port(); }
+
+    void serveNextRequest()
+    {
+        this->socket.async_read_some(asio::buffer(this->buffer), [this](const boost::system::error_code& error, size_t) {
+            if (error || this->nextAnswer >= this->answers.size())
+                return;
+            asio::write(this->socket, asio::buffer(this->answers[this->nextAnswer++]));
+            if (this->closesAfterLast && this->nextAnswer == this->answers.size())
+                this->socket.close();
+            else
+                this->serveNextRequest();
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::vector<std::string> answers;
+    bool closesAfterLast;
+    size_t nextAnswer = 0;
+    std::array<char, 4096> buffer {};
+};
+
+/// One exchange on a channel and what was received in it.
+struct Exchange {
+    std::optional<ChannelEnd> end;
+    int status = 0;
+    std::string body;
+    int skipsLeft = 0;
+
+    void startExchange(const std::shared_ptr<HttpChannel>& channel, const HttpRequest& request)
+    {
+        ResponseHandlers handlers;
+        handlers.onHead = [this](const ResponseHead& head) {
+            if (this->skipsLeft-- > 0)
+                return ResponseDisposition::Skip;
+            this->status = head.status;
+            return ResponseDisposition::Accept;
+        };
+        handlers.onBodyChunk = [this, channel](const std::string& chunk) {
+            this->body += chunk;
+            channel->resumeReading();
+        };
+        handlers.onEnd = [this](ChannelEnd outcome) { this->end = outcome; };
+        channel->sendRequest(request, std::move(handlers));
+    }
+};
+
+HttpRequest makeGetRequest()
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    request.headers = { { "Host", "h" } };
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(endsOfResponsesByTheirFraming)
+{
+    struct Row {
+        const char* name;
+        std::string bytes;
+        bool closes;
+        ChannelEnd end;
+        bool isReusable;
+    };
+    const std::vector<Row> rows {
+        { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, ChannelEnd::Complete, true },
+        { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false, ChannelEnd::Complete, true },
+        { "until close", "HTTP/1.1 200 OK\r\n\r\nabc", true, ChannelEnd::Complete, false },
+        { "close asked for", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", false, ChannelEnd::Complete, false },
+        { "bytes beyond", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcdef", false, ChannelEnd::Complete, false },
+        { "cut length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true, ChannelEnd::Lost, false },
+        { "cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true, ChannelEnd::Lost, false },
+        { "no answer", "", true, ChannelEnd::Lost, false },
+        { "no HTTP", "what\r\n\r\n", false, ChannelEnd::Malformed, false },
+    };
+    for (const auto& row : rows) {
+        EventLoop loop { 1 };
+        ScriptedServer server(loop, { row.bytes }, row.closes);
+        auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimeouts {});
+        Exchange exchange;
+        exchange.startExchange(channel, makeGetRequest());
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            runUntil(loop, [&] { return exchange.end.has_value(); });
+            BOOST_TEST((*exchange.end == row.end));
+            BOOST_TEST(channel->canReuse() == row.isReusable);
+            if (row.end == ChannelEnd::Complete)
+                BOOST_TEST(exchange.body == "abc");
+        }
+    }
+}
+
+// A late response to an earlier request is skipped; the right one follows on the same connection.
+BOOST_AUTO_TEST_CASE(responsesToEarlierRequestsAreSkipped)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nright" }, false);
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimeouts {});
+    Exchange exchange;
+    exchange.skipsLeft = 1;
+    exchange.startExchange(channel, makeGetRequest());
+    runUntil(loop, [&] { return exchange.end.has_value(); });
+    BOOST_TEST((*exchange.end == ChannelEnd::Complete));
+    BOOST_TEST(exchange.status == 201);
+    BOOST_TEST(exchange.body == "right");
+    BOOST_TEST(!channel->canReuse());
+}
+
+BOOST_AUTO_TEST_CASE(addressesWithoutListenerAreNotSentTo)
+{
+    EventLoop loop { 1 };
+    int port = 0;
+    {
+        ScriptedServer server(loop, {}, false);
+        port = server.port();
+    }
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", port }, ChannelTimeouts {});
+    Exchange exchange;
+    exchange.startExchange(channel, makeGetRequest());
+    runUntil(loop, [&] { return exchange.end.has_value(); });
+    BOOST_TEST((*exchange.end == ChannelEnd::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(keptConnectionsAreUsedAgainAndDroppedWhenTheyEnd)
+{
+    EventLoop loop { 1 };
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n";
+    ScriptedServer server(loop, { answer, answer, "unasked" }, true);
+    ChannelPool pool(loop, ChannelTimeouts {});
+    Address address { "127.0.0.1", server.port() };
+    for (int i = 0; i < 2; ++i) {
+        auto channel = pool.acquireChannel("e", address, Milliseconds(5000));
+        Exchange exchange;
+        exchange.startExchange(channel, makeGetRequest());
+        runUntil(loop, [&] { return exchange.end.has_value(); });
+        BOOST_TEST((channel->keepAliveTime() == Seconds(5)));
+        pool.releaseChannel("e", channel);
+    }
+    BOOST_TEST(pool.createdCount() == 1u);
+    BOOST_TEST(pool.idleCount() == 1u);
+    // A connection that was idle for longer than the request allows isn't reused.
+    auto fresh = pool.acquireChannel("e", address, Milliseconds(0));
+    BOOST_TEST(pool.createdCount() == 2u);
+    pool.closeIdleChannels("e");
+    BOOST_TEST(pool.idleCount() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(callsEndInTime)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, {}, false);
+    HttpCaller caller(loop, { "127.0.0.1", server.port() });
+    std::optional<CallResult> result;
+    caller.get("/", Milliseconds(60), [&](const CallResult& received) { result = received; });
+    BOOST_TEST(caller.isBusy());
+    runUntil(loop, [&] { return result.has_value(); });
+    BOOST_TEST(result->hasTimedOut);
+    BOOST_TEST(result->status == 0);
+    BOOST_TEST(!caller.isBusy());
+}
+
+namespace {
+
+/// A server that answers the first request with a beginning and then the same bytes without end, until the client closes.
+struct EndlessServer {
+    EndlessServer(EventLoop& loop, std::string beginning, const std::string& repeated)
+        : acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(loop)
+        , beginning(std::move(beginning))
+    {
+        while (this->block.size() < blockBytes)
+            this->block += repeated;
+        this->acceptor.async_accept(this->socket, [this](const boost::system::error_code& error) {
+            if (!error)
+                this->socket.async_read_some(asio::buffer(this->buffer), [this](const boost::system::error_code& failure, size_t) { this->writeNext(failure, this->beginning); });
+        });
+    }
+
+    void writeNext(const boost::system::error_code& error, const std::string& bytes)
+    {
+        this->isClosed = static_cast<bool>(error);
+        if (error)
+            return;
+        this->sentBytes += bytes.size();
+        asio::async_write(this->socket, asio::buffer(bytes), [this](const boost::system::error_code& failure, size_t) { this->writeNext(failure, this->block); });
+    }
+
+    static constexpr size_t blockBytes = 16 << 10;
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::string beginning;
+    std::string block;
+    size_t sentBytes = 0;
+    bool isClosed = false;
+    std::array<char, 4096> buffer {};
+};
+
+} // namespace
+
+// Bytes without end, in any part of a response, end the call in time: the connection is closed, no response is reported, and
+// no more is read than the largest response that is accepted (and what fits into the sockets' buffers).
+BOOST_AUTO_TEST_CASE(responsesWithoutEndAreGivenUp)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Row {
+        const char* name;
+        std::string beginning;
+        std::string repeated;
+        bool endsByTimeout;
+    };
+    const std::vector<Row> rows {
+        { "no HTTP", "x", "x", false },
+        { "status line", "HTTP/1.1 200 ", "a", false },
+        { "header line", head + "X-Long: ", "a", false },
+        { "headers", head, "X-Again: 1\r\n", false },
+        { "chunk extension", chunked + "1;", "a", false },
+        { "chunk size", chunked, "0", false },
+        { "trailer", chunked + "1\r\na\r\n0\r\nX-Long: ", "a", false },
+        { "trailers", chunked + "1\r\na\r\n0\r\n", "X-Again: 1\r\n", false },
+        { "chunks", chunked, "4\r\naaaa\r\n", false },
+        { "body without length", head + "\r\n", "a", false },
+        { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", true },
+    };
+    constexpr size_t maxBytes = 1 << 20;
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            EventLoop loop { 1 };
+            EndlessServer server(loop, row.beginning, row.repeated);
+            HttpCaller caller(loop, { "127.0.0.1", server.acceptor.local_endpoint().port() });
+            caller.setMaxResponseBytes(maxBytes);
+            std::optional<CallResult> result;
+            auto timeout = row.endsByTimeout ? Milliseconds(300) : testTimeout / 2;
+            caller.get("/", timeout, [&](const CallResult& received) { result = received; });
+            runUntil(loop, [&] { return result.has_value() && server.isClosed; });
+            BOOST_TEST(result->status == 0);
+            BOOST_TEST(result->hasTimedOut == row.endsByTimeout);
+            BOOST_TEST(result->body.size() <= maxBytes + 2 * EndlessServer::blockBytes);
+            // The system buffers some megabytes of a loopback connection.
+            if (!row.endsByTimeout)
+                BOOST_TEST(server.sentBytes < maxBytes * 4 + (8 << 20));
+        }
+    }
+}
+
+// What is given up while its request is still being written reaches the server as a reset, not as an end after which it could
+// go on with the bytes that it has.
+BOOST_AUTO_TEST_CASE(givenUpExchangesAreReset)
+{
+    EventLoop loop { 1 };
+    asio::ip::tcp::acceptor acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket accepted(loop);
+    bool isAccepted = false;
+    acceptor.async_accept(accepted, [&](const boost::system::error_code& error) { isAccepted = !error; });
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", acceptor.local_endpoint().port() }, ChannelTimeouts());
+    Exchange exchange;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/";
+    request.body = std::string(16 << 20, 'x');
+    exchange.startExchange(channel, request);
+    runUntil(loop, [&] { return isAccepted; });
+    loop.restart();
+    loop.run_for(Milliseconds(50));
+    channel->close();
+    boost::system::error_code error;
+    std::vector<char> buffer(1 << 20);
+    size_t received = 0;
+    while (!error)
+        received += accepted.read_some(asio::buffer(buffer), error);
+    BOOST_TEST((error == asio::error::connection_reset));
+    BOOST_TEST(received < request.body.size());
+}
