Name the records of EntryDirectory recordAnswer() and recordFailure()

They record what happened; "note" said less, and Router, RefusalHistory and AdmissionController say "record" already. Behaviour is unchanged; ServiceSummaryTest and SummaryWatchTest pass.

--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -21,7 +21,7 @@
         row.dataCentre = dataCentreOfEntry;
 }
 
-void EntryDirectory::noteAnswer(const std::string& ip, const std::string& dataCentreOfEntry)
+void EntryDirectory::recordAnswer(const std::string& ip, const std::string& dataCentreOfEntry)
 {
     this->add(ip, dataCentreOfEntry);
     auto found = this->rows.find(ip);
@@ -31,7 +31,7 @@
     found->second.avoidUntil = TimePoint();
 }
 
-void EntryDirectory::noteFailure(const std::string& ip, TimePoint now)
+void EntryDirectory::recordFailure(const std::string& ip, TimePoint now)
 {
     auto found = this->rows.find(ip);
     if (found == this->rows.end())
--- a/src/EntryDirectory.h
+++ b/src/EntryDirectory.h
@@ -26,10 +26,10 @@
     /// Adds an entry that may exist; `dataCentre` is empty while it isn't known. Does nothing when the directory is full.
     void add(const std::string& ip, const std::string& dataCentre);
     /// Records that the entry has answered and is in that data centre.
-    void noteAnswer(const std::string& ip, const std::string& dataCentre);
+    void recordAnswer(const std::string& ip, const std::string& dataCentre);
     /// Records that the entry has not answered; it is avoided for a time that grows with each failure. Does nothing for an
     /// unknown entry.
-    void noteFailure(const std::string& ip, TimePoint now);
+    void recordFailure(const std::string& ip, TimePoint now);
 };
 
 /// Returns the IP address of the entry to send the next request to: preferably one of the own data centre, then one whose
--- a/src/SummaryWatch.cpp
+++ b/src/SummaryWatch.cpp
@@ -88,11 +88,11 @@
 
 void SummaryWatch::State::handleSummary(const std::string& ip, const ServiceSummary& summary)
 {
-    this->directory.noteAnswer(ip, summary.dataCentre);
+    this->directory.recordAnswer(ip, summary.dataCentre);
     for (const auto& other : summary.entries)
         this->directory.add(other, summary.dataCentre);
     if (summary.age > maxSummaryAge)
-        this->directory.noteFailure(ip, Clock::now());
+        this->directory.recordFailure(ip, Clock::now());
     this->currentEntry = ip;
     this->hasSummary = true;
     this->newestKnownVersion = std::max(this->newestKnownVersion, newestNamedVersion(summary));
@@ -103,7 +103,7 @@
 void SummaryWatch::State::retryAfterFailure(const std::string& ip, const std::string& reason)
 {
     auto now = Clock::now();
-    this->directory.noteFailure(ip, now);
+    this->directory.recordFailure(ip, now);
     if (ip == this->currentEntry)
         this->currentEntry.clear();
     this->handlers.onEntryFailure(ip + ": " + reason);
--- a/tests/ServiceSummaryTest.cpp
+++ b/tests/ServiceSummaryTest.cpp
@@ -107,21 +107,21 @@
     directory.dataCentre = "dc-a";
     BOOST_TEST(chooseEntry(directory, start).empty());
     directory.add("10.2.0.1", {});
-    directory.noteAnswer("10.2.0.1", "dc-b");
+    directory.recordAnswer("10.2.0.1", "dc-b");
     BOOST_TEST(chooseEntry(directory, start) == "10.2.0.1");
     // An entry whose data centre isn't known may be in the own one.
     directory.add("10.1.0.1", {});
     BOOST_TEST(chooseEntry(directory, start) == "10.1.0.1");
-    directory.noteAnswer("10.1.0.1", "dc-a");
+    directory.recordAnswer("10.1.0.1", "dc-a");
     directory.add("10.3.0.1", {});
     BOOST_TEST(chooseEntry(directory, start) == "10.1.0.1");
     // An entry that fails is avoided for a while and then chosen again.
-    directory.noteFailure("10.1.0.1", start);
+    directory.recordFailure("10.1.0.1", start);
     BOOST_TEST(chooseEntry(directory, start) == "10.3.0.1");
     BOOST_TEST(chooseEntry(directory, start + Seconds(1)) == "10.1.0.1");
-    directory.noteFailure("10.1.0.1", start);
-    directory.noteFailure("10.2.0.1", start);
-    directory.noteFailure("10.3.0.1", start);
+    directory.recordFailure("10.1.0.1", start);
+    directory.recordFailure("10.2.0.1", start);
+    directory.recordFailure("10.3.0.1", start);
     BOOST_TEST(!chooseEntry(directory, start).empty());
 }
 
