--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -104,16 +104,30 @@
     BOOST_TEST(decodePeerMessage(bytes)->loads[7].inFlight == 255u);
 }
 
-BOOST_AUTO_TEST_CASE(olderMessagesAreIgnored)
+// The table of the entry 10.0.0.1.
+static PeerTable makePeerTable()
 {
     PeerTable table;
     table.ownIp = "10.0.0.1";
     table.ownDataCentre = "dc-a";
+    return table;
+}
+
+// A message of another entry of the same data centre, which has four requests at one endpoint.
+static PeerMessage makePeerMessage(uint64_t incarnation, uint64_t sequence)
+{
     PeerMessage message;
     message.dataCentre = "dc-a";
-    message.incarnation = 5;
-    message.sequence = 7;
+    message.incarnation = incarnation;
+    message.sequence = sequence;
     message.loads = { { 3, 4 } };
+    return message;
+}
+
+BOOST_AUTO_TEST_CASE(olderMessagesAreIgnored)
+{
+    auto table = makePeerTable();
+    auto message = makePeerMessage(5, 7);
     BOOST_TEST(table.applyMessage("10.0.0.2", message, start));
     BOOST_TEST(peersInFlight(table, start)[3] == 4u);
     message.sequence = 6;
@@ -130,15 +144,10 @@
 // The boot clock, and with it the incarnation, is lower after a reboot.
 BOOST_AUTO_TEST_CASE(entryOnRebootedVmIsHeardAgainWithinSeconds)
 {
-    PeerTable table;
-    table.ownIp = "10.0.0.1";
-    PeerMessage beforeReboot;
-    beforeReboot.incarnation = 900;
-    beforeReboot.sequence = 40;
+    auto table = makePeerTable();
+    auto beforeReboot = makePeerMessage(900, 40);
     BOOST_TEST(table.applyMessage("10.0.0.2", beforeReboot, start));
-    PeerMessage afterReboot;
-    afterReboot.incarnation = 20;
-    afterReboot.sequence = 1;
+    auto afterReboot = makePeerMessage(20, 1);
     BOOST_TEST(!table.applyMessage("10.0.0.2", afterReboot, start + Milliseconds(2900)));
     auto rebootedAt = start + Seconds(5);
     BOOST_TEST(table.applyMessage("10.0.0.2", afterReboot, rebootedAt));
@@ -151,14 +160,8 @@
 // and is removed last.
 BOOST_AUTO_TEST_CASE(silentPeersExpireInStages)
 {
-    PeerTable table;
-    table.ownIp = "10.0.0.1";
-    table.ownDataCentre = "dc-a";
-    PeerMessage message;
-    message.dataCentre = "dc-a";
-    message.incarnation = 1;
-    message.sequence = 1;
-    message.loads = { { 3, 4 } };
+    auto table = makePeerTable();
+    auto message = makePeerMessage(1, 1);
     table.applyMessage("10.0.0.2", message, start);
     BOOST_TEST(isRecentlyHeard(table.rows["10.0.0.2"], start));
     auto later = start + Seconds(5);
@@ -176,13 +179,8 @@
 
 BOOST_AUTO_TEST_CASE(freshestPeerHasYoungestView)
 {
-    PeerTable table;
-    table.ownIp = "10.0.0.1";
-    table.ownDataCentre = "dc-a";
-    PeerMessage message;
-    message.dataCentre = "dc-a";
-    message.incarnation = 1;
-    message.sequence = 1;
+    auto table = makePeerTable();
+    auto message = makePeerMessage(1, 1);
     message.viewAge = Milliseconds(900);
     table.applyMessage("10.0.0.2", message, start);
     message.viewAge = Milliseconds(200);
