Log the settings of a route that are unknown or missing, with the value that is used instead

The parser lists them since; nothing told operators. A configuration with a misspelt kind ran its requests at most once and a misspelt number counted as zero without a trace. One warning for each when the configuration comes into force.

process_platform_store, test_misspelt_setting: passes with the change; without it no line is written.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -173,6 +173,8 @@
         auto limits = this->clusterView.routes->limits;
         limits.maxConnections = static_cast<size_t>(this->settings.maxFileDescriptors) / 2;
         this->callerServer.setLimits(limits);
+        for (const auto& fault : this->clusterView.routes->faults)
+            this->log.write(LogLevel::Warning, "configuration_fault", { { "generation", this->clusterView.routes->generation }, { "fault", fault } });
     }
     this->log.write(LogLevel::Info, "belief_changed", { { "what", toText(effect) }, { "key", change.key }, { "revision", change.revision }, { "era", change.era }, { "generation", this->clusterView.routes ? this->clusterView.routes->generation : 0 } });
 }
--- a/tests/process_platform_store.py
+++ b/tests/process_platform_store.py
@@ -20,6 +20,15 @@
     harness.wait_until(lambda: any(line.get("generation") == 101 for line in first.events("belief_changed")), 3, "a readable one follows")
 
 
+def test_misspelt_setting(fleet, first):
+    """It is logged with the value that is used instead."""
+    fleet.routes[0]["kind"] = "idempotentt"
+    fleet.publish()
+    harness.wait_until(lambda: any("idempotentt" in line["fault"] for line in first.events("configuration_fault")), 3, "the unknown kind is logged")
+    fleet.routes[0]["kind"] = "idempotent"
+    fleet.publish()
+
+
 def test_lower_version(fleet, first):
     """A configuration of a lower version changes nothing."""
     routes, fleet.routes, fleet.version = fleet.routes, [], 50
@@ -105,6 +114,7 @@
             fleet.wait_ready(entry)
         test_unreadable_documents(fleet, first)
         test_lower_version(fleet, first)
+        test_misspelt_setting(fleet, first)
         test_turned_away(fleet, first, second)
         first = test_restart_without_store(fleet, first, second)
         test_revocation(fleet, (first, second))
