Refuse a manifest without pieces from a peer

One such message would have ended an agent's process: startFetches() divides by the number of pieces. The parser of the origin's manifests refuses it already. Found by reading.

PeerMessageTest, manifestsRoundTripThroughEncoding: the new check fails without the change, as the decoder accepts the manifest.

--- a/src/PieceManifest.cpp
+++ b/src/PieceManifest.cpp
@@ -27,6 +27,8 @@
             return absl::InvalidArgumentError("a digest in the piece manifest is not a string");
         manifest.digests.push_back(digest.get<std::string>());
     }
+    if (manifest.digests.empty())
+        return absl::InvalidArgumentError("the piece manifest has no digests");
     return manifest;
 }
 
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -205,6 +205,8 @@
     BOOST_TEST(read->pieceBytes == 32768u);
     BOOST_TEST(read->digests == sent.digests, boost::test_tools::per_element());
     BOOST_TEST(!decodeManifest(bytes.substr(0, bytes.size() - 1)).ok());
+    // An agent divides by the number of pieces.
+    BOOST_TEST(!decodeManifest(encodeManifest({ "m", 3, 32768, {} })).ok());
 }
 
 BOOST_AUTO_TEST_CASE(storeDeltasRoundTripThroughEncoding)
