Count the end of an attempt as its response's beginning only if no response has begun

Both the head and the end of an attempt removed a waiting request of that send time from ResponseDelay. Requests that are dispatched together have the same send time, so the end of one that was answered removed another that still waited, and a slow engine seemed faster.

--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -251,7 +251,9 @@
 {
     auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     --endpoint.inFlight;
-    recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
+    bool hasBegun = this->responseHead.status != 0;
+    if (!hasBegun)
+        recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
     this->node.hasChangesForPeers = true;
     this->notePartsOfEndedAttempt(result, now);
     if (result == AttemptResult::Answered)
--- a/src/ResponseDelay.h
+++ b/src/ResponseDelay.h
@@ -25,7 +25,8 @@
 
 /// Records that a request was sent.
 void recordSend(ResponseDelay&, TimePoint now);
-/// Records that the response to a request that was sent at `sentAt` began, or that the request was given up or lost before.
+/// Records that the response to a request that was sent at `sentAt` began, or that the request was given up or lost before. Is to
+/// be called once for each request.
 void recordResponseBegin(ResponseDelay&, TimePoint sentAt, TimePoint now);
 /// Records that a peer has reported the endpoint as slow.
 void recordReportedSlow(ResponseDelay&, TimePoint now);
