Forget the rate of arrivals for uploads two seconds after the last piece

An agent that has all its pieces gets no more arrivals. A piece without bytes counts for nothing; four of them made the rate zero.

FetchWindowTest, sendsDontStaySlowAfterTheLastArrival: with the former expression the rate after 10 s is 32,768 bytes a second instead of the nominal one.

--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -21,11 +21,11 @@
 
 // Returns the time that a piece takes at the rate limit of uploads; zero when the link's rate is unknown. A link over which
 // pieces arrive slowly is taken to be as slow in the other direction.
-static Duration uploadDuration(size_t bytes, const FetchWindow& window)
+static Duration uploadDuration(size_t bytes, const FetchWindow& window, TimePoint now)
 {
-    if (window.nominalBytesPerSecond <= 0)
+    double rate = sendRate(window, now);
+    if (rate <= 0)
         return Duration(0);
-    double rate = std::min(window.nominalBytesPerSecond, arrivalRate(window));
     double seconds = static_cast<double>(bytes) / (rate * uploadLinkShare);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
@@ -99,7 +99,7 @@
     }
     auto next = std::move(this->uploadQueue.front());
     this->uploadQueue.pop_front();
-    this->nextUploadAt = now + uploadDuration(this->serviceSummary->model.chunkBytes, this->fetchWindow);
+    this->nextUploadAt = now + uploadDuration(this->serviceSummary->model.chunkBytes, this->fetchWindow, now);
     if (next.shouldVerify)
         this->sendVerifiedPiece(next.exchange, next.piece);
     else
--- a/src/FetchWindow.cpp
+++ b/src/FetchWindow.cpp
@@ -10,6 +10,8 @@
 static constexpr Milliseconds maxTimeOnLink { 300 };
 // Number of arrivals from which the rate is computed. It is small, so that the rate follows the link soon.
 static constexpr size_t maxArrivals = 4;
+// Age from which the last arrival tells nothing of the link any more for sends.
+static constexpr Milliseconds maxArrivalAge { 2000 };
 // Least time that an arrival counts for. A small piece may arrive in one read, together with its head.
 static constexpr Milliseconds minArrivalTime { 1 };
 
@@ -25,6 +27,8 @@
 
 void recordArrival(FetchWindow& window, const PieceArrival& arrival)
 {
+    if (arrival.bytes == 0)
+        return;
     assert(window.arrivals.empty() || window.arrivals.back().endedAt <= arrival.endedAt);
     if (arrival.isFromOrigin && bytesPerSecond(arrival.bytes, endOf(arrival) - arrival.beganAt) <= arrivalRate(window))
         return;
@@ -50,6 +54,12 @@
     return bytesPerSecond(bytes, busyTime);
 }
 
+double sendRate(const FetchWindow& window, TimePoint now)
+{
+    bool isRecent = !window.arrivals.empty() && now - window.arrivals.back().endedAt < maxArrivalAge;
+    return isRecent ? std::min(window.nominalBytesPerSecond, arrivalRate(window)) : window.nominalBytesPerSecond;
+}
+
 size_t allowedFetches(const FetchWindow& window, size_t pieceBytes, size_t most)
 {
     assert(most > 0);
--- a/src/FetchWindow.h
+++ b/src/FetchWindow.h
@@ -25,8 +25,7 @@
 };
 
 /// Records an arrival. One from the origin counts only if it was faster than the last ones, since it may be slow although this
-/// VM's own link isn't. Precondition: it ended no earlier
-/// than the last one that was recorded.
+/// VM's own link isn't. An empty one doesn't count. Precondition: it ended no earlier than the last one that was recorded.
 void recordArrival(FetchWindow&, const PieceArrival&);
 
 /// Returns the rate at which pieces lately arrived over the VM's own link, in bytes per second: those of the last arrivals
@@ -34,6 +33,10 @@
 /// safe.
 double arrivalRate(const FetchWindow&);
 
+/// Returns the rate at which pieces may be sent to peers, in bytes per second: that of the arrivals if it is below the nominal
+/// rate and recent. Zero if the nominal rate is unknown. Thread safe.
+double sendRate(const FetchWindow&, TimePoint now);
+
 /// Returns how many pieces of that size may be on their way at a time, at least 1 and at most `most`; `most` when
 /// the rate or the size is unknown. Precondition: `most` isn't zero. Thread safe.
 size_t allowedFetches(const FetchWindow&, size_t pieceBytes, size_t most);
--- a/tests/FetchWindowTest.cpp
+++ b/tests/FetchWindowTest.cpp
@@ -78,6 +78,18 @@
     BOOST_TEST(arrivalRate(window) > static_cast<double>(pieceBytes));
 }
 
+// An agent that has all pieces gets no more arrivals, which would show that its link is fast again.
+BOOST_AUTO_TEST_CASE(sendsDontStaySlowAfterTheLastArrival)
+{
+    FetchWindow window { nominalRate, {} };
+    BOOST_TEST(sendRate(window, start) == nominalRate);
+    recordArrival(window, { start, start + Seconds(1), pieceBytes, false });
+    BOOST_TEST(sendRate(window, start + Seconds(1)) == static_cast<double>(pieceBytes));
+    BOOST_TEST(sendRate(window, start + Seconds(11)) == nominalRate);
+    recordArrival(window, { start + Seconds(12), start + Seconds(12), 0, false });
+    BOOST_TEST(arrivalRate(window) == static_cast<double>(pieceBytes));
+}
+
 BOOST_AUTO_TEST_CASE(unknownRatesAndSizesLeaveTheLimitAsItIs)
 {
     BOOST_TEST(allowedFetches({}, pieceBytes, maxFetches) == maxFetches);
