Ask for an engine's delay only while its weights are superseded, name two things

longestDelay() was computed for every endpoint at every choice, for each waiting request and tick, although it counts only during a switch. Names: servesAnySuperseded, anyEarlierEra.

--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -72,7 +72,8 @@
     uint32_t version = servedVersion(record, requirements.model, requirements.modelLayers);
     if (version == 0 || version < requirements.minWeightVersion)
         return false;
-    return !requirements.namedVersions || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
+    bool isSuperseded = requirements.namedVersions && supersededAt(*requirements.namedVersions, version) != BootTimePoint::max();
+    return !isSuperseded || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
 }
 
 bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -125,8 +125,8 @@
             auto named = this->clusterView.namedVersions.find(model.name);
             return named != this->clusterView.namedVersions.end() && supersededAt(named->second, model.version) != BootTimePoint::max();
         };
-        bool isConcerned = std::any_of(row.record.models.begin(), row.record.models.end(), servesSuperseded);
-        if (isConcerned && this->peerReports.addSlowEndpoint(endpointHash(row.record.id), ReportSource::Own, now))
+        bool servesAnySuperseded = std::any_of(row.record.models.begin(), row.record.models.end(), servesSuperseded);
+        if (servesAnySuperseded && this->peerReports.addSlowEndpoint(endpointHash(row.record.id), ReportSource::Own, now))
             this->hasChangesForPeers = true;
     }
 }
@@ -301,8 +301,9 @@
     if (isMoreRecent) {
         this->adoptView(*delta, peer, peerConfirmedAt, now);
     } else {
-        // The store's own word is more recent, but it may lack what it has lost.
-        this->updateEarliestNamingTime(0, now);
+        // The store's own word is more recent, but it may lack what it has lost: only changes of earlier eras are taken over.
+        constexpr uint64_t anyEarlierEra = 0;
+        this->updateEarliestNamingTime(anyEarlierEra, now);
         for (const auto& change : delta->changes) {
             if (change.era < this->clusterView.era)
                 this->applyChange(change, false, now);
