Choose ports for the platform's tests that are free on all addresses

process_platform_versions and process_platform_parts failed three times in some 40 runs with "can't listen: 127.0.1.1:50333: Address already in use" (or the peer port). Entries of tests that run beside each other listen on the same loopback addresses, and a port was looked for on another one, 127.0.0.1, where it was free. Looked for on all addresses, a port that any test holds isn't given.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -19,8 +19,9 @@
 
 
 def free_port():
+    """A port that is free on all addresses: tests that run beside each other use the same addresses for their entries."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind(("", 0))
         return probe.getsockname()[1]
 
 
