Date a version no earlier than the end of the last call that the store held without changes

The store answers a call without changes only after the whole wait, so until the end of that wait there was no newer version (ClusterView::unchangedUntil).

ClusterViewTest: the case of naming times has the new bound, in both directions.

--- a/src/ClusterView.cpp
+++ b/src/ClusterView.cpp
@@ -163,7 +163,8 @@
     auto unknownNamingTime = now - std::max(Milliseconds(0), bounds.maxVersionSwitchTime - bounds.recoveryGracePeriod);
     if (!view.isConfirmed)
         return unknownNamingTime;
-    return mayHaveBeenLost ? std::min(view.confirmedAt, unknownNamingTime) : view.confirmedAt;
+    auto lastKnownWithout = std::max(view.confirmedAt, view.unchangedUntil);
+    return mayHaveBeenLost ? std::min(lastKnownWithout, unknownNamingTime) : lastKnownWithout;
 }
 
 Milliseconds ageOf(const ClusterView& view, BootTimePoint now)
--- a/src/ClusterView.h
+++ b/src/ClusterView.h
@@ -23,6 +23,9 @@
     std::map<std::string, NamedVersions> namedVersions; ///< The versions that operators have named; the key is the model.
     BootTimePoint confirmedAt {}; ///< When the last call that confirmed this view was sent.
     bool isConfirmed = false; ///< Whether any call has confirmed this view.
+    /// Until when the store is known to have had nothing newer than the view: the end of the wait of the last call that the store
+    /// held for its whole wait and answered without changes.
+    BootTimePoint unchangedUntil {};
     BootTimePoint earliestNamingTime {}; ///< The earliest time at which a version that is read now may have been named.
     uint64_t era = 0; ///< The store's era, see StoreEra.h; zero while no answer has stated it.
     TimePoint eraHoldUntil {}; ///< Until when what was known before the store's last loss is held; the default value without one.
@@ -67,7 +70,7 @@
 };
 
 /// Returns the earliest time at which a version that the view doesn't hold yet may have been named. The store didn't have it when
-/// the last call that confirmed the view was sent. With an unconfirmed view, and while the store may have lost changes, the
+/// the last call that confirmed the view was sent, nor until ClusterView::unchangedUntil. With an unconfirmed view, and while the store may have lost changes, the
 /// version may be older; just the grace period is left for the switch then. Thread safe.
 BootTimePoint earliestNamingTime(const ClusterView&, const NamingBounds&, bool mayHaveBeenLost, BootTimePoint now);
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -199,6 +199,9 @@
     this->confirmViewByStore(sentAt);
     for (const auto& change : changes)
         this->applyChange(change, false, now);
+    bool wasHeldToTheEnd = changes.empty() && BootClock::now() - sentAt >= storeLongPollWait;
+    if (wasHeldToTheEnd)
+        this->clusterView.unchangedUntil = sentAt + storeLongPollWait;
     if (!changes.empty())
         this->dispatchRequestsAwaitingConfiguration(now);
 }
--- a/tests/ClusterViewTest.cpp
+++ b/tests/ClusterViewTest.cpp
@@ -155,6 +155,11 @@
         BOOST_TEST((earliestNamingTime(view, bounds, false, now) == now - age));
         BOOST_TEST((earliestNamingTime(view, bounds, true, now) == now - std::max<Milliseconds>(age, Seconds(5))));
     }
+    view.confirmedAt = now - Seconds(20);
+    view.unchangedUntil = now - Seconds(1);
+    BOOST_TEST((earliestNamingTime(view, bounds, false, now) == now - Seconds(1)));
+    view.unchangedUntil = now - Seconds(30);
+    BOOST_TEST((earliestNamingTime(view, bounds, false, now) == now - Seconds(20)));
     view.earliestNamingTime = now - Seconds(4);
     applyToView(view, weightVersionChange(2, 1));
     BOOST_TEST((view.namedVersions["m"][2] == now - Seconds(4)));
