--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # The unit tests that need it under the address and undefined-behaviour sanitizers.
 sanitize:
-	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DBILBERRY_JOIN=ON -DCMAKE_BUILD_TYPE=Sanitize -DCMAKE_CXX_FLAGS_SANITIZE="-O0 -g1"
+	cmake -S . -B $(BUILD)-sanitize -DBILBERRY_SANITIZE=address,undefined -DBILBERRY_JOIN=ON -DCMAKE_BUILD_TYPE=Sanitize -DCMAKE_CXX_FLAGS_SANITIZE="-O1 -g1"
 	cmake --build $(BUILD)-sanitize -j $(JOBS) --target sanitized
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -L sanitized -j $(JOBS) $$(python3 tests/known_red.py --ctest-arguments)
 
