Let memory follow the bytes that arrive, not the length that a peer states

Cause: the library's string body reserves the stated length before a byte of it has arrived. The channel's limit, 2^40, let it pass; the limits of the channel's users counted arrived bytes only.

Now bodies grow with what arrives (ReceivedBody), at clients and servers. The limit on a body is given with each request on a channel, and a head that states more is malformed at once. The library's own check of the stated length gets lost where body bytes follow the head in one read (its loop goes on over the error), so the channel repeats it. An agent accepts no piece beyond 4 MiB, whatever its manifest states.

Evidence: on the former program process_platform_endings ended with RemoteDisconnected (the entry had ended) and process_platform_weights with bad_alloc of an agent; both pass now, as do the new cases of HttpChannelTest, LoopHttpTest and ConnectionEndTest.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -19,6 +19,8 @@
 static constexpr uint32_t maxNotFoundPerSource = 4;
 // Delay before a piece is requested again after a 404 answer of a peer or a failure at the origin.
 static constexpr Milliseconds pieceRetryDelay { 200 };
+// Largest piece that is accepted, whatever the manifest states.
+static constexpr size_t maxPieceBytes = 4 << 20;
 // Limit of concurrent fetches from the origin. All agents share the connections that the origin accepts. One fetch at a time
 // also completes each piece sooner, so that it can be passed on sooner.
 static constexpr size_t maxConcurrentOriginFetches = 1;
@@ -79,7 +81,7 @@
     if (!fetch.caller)
         fetch.caller = std::make_unique<HttpCaller>(this->loop, address);
     fetch.caller->setAddress(address);
-    fetch.caller->setMaxResponseBytes(this->manifest.pieceBytes);
+    fetch.caller->setMaxResponseBytes(std::min(this->manifest.pieceBytes, maxPieceBytes));
     fetch.isRunning = true;
     fetch.piece = piece;
     fetch.version = this->manifest.version;
--- a/src/HttpCall.cpp
+++ b/src/HttpCall.cpp
@@ -87,7 +87,7 @@
         if (self && hasFired(self->timer, error))
             self->finishCall(ChannelEnd::Lost, true);
     });
-    state.channel->sendRequest(outgoingRequest, makeResponseHandlers(state.weak_from_this()));
+    state.channel->sendRequest(outgoingRequest, state.maxResponseBytes, makeResponseHandlers(state.weak_from_this()));
 }
 
 static ResponseHandlers makeResponseHandlers(const std::weak_ptr<HttpCaller::State>& weakState)
@@ -106,10 +106,7 @@
         if (!self)
             return;
         self->result.body += chunk;
-        if (self->result.body.size() > self->maxResponseBytes)
-            self->finishCall(ChannelEnd::Malformed, false);
-        else
-            self->channel->resumeReading();
+        self->channel->resumeReading();
     };
     handlers.onEnd = [weakState](ChannelEnd end) {
         if (auto self = weakState.lock())
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cassert>
 #include <netinet/tcp.h>
 #include <optional>
@@ -23,9 +22,6 @@
 static constexpr size_t readBufferBytes = 16 << 10;
 // Largest head of a response, and largest header of a chunk.
 static constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
-// Largest body of a response. The users of a channel set lower bounds; this one only stands in for the library's "no limit"
-// setting, which isn't reliable.
-static constexpr uint64_t maxResponseBodyBytes = 1ULL << 40;
 
 std::string_view toText(ChannelEnd end)
 {
@@ -56,7 +52,7 @@
     asio::ip::tcp::socket socket;
     LoopTimer timer;
     boost::beast::flat_buffer buffer;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<ReceivedBody>> parser;
     ResponseHandlers handlers;
     std::string outgoingBytes;
     bool isRunning = false;
@@ -67,6 +63,7 @@
     bool isSkipping = false;
     bool isReusable = true;
     bool isHeadRequest = false;
+    uint64_t maxBodyBytes = 0;
     int exchangeCount = 0;
     TimePoint idleSince {};
     Seconds keepAliveTime { 0 };
@@ -79,9 +76,10 @@
 
 HttpChannel::~HttpChannel() = default;
 
-void HttpChannel::sendRequest(const HttpRequest& request, ResponseHandlers responseHandlers)
+void HttpChannel::sendRequest(const HttpRequest& request, uint64_t maxBodyBytes, ResponseHandlers responseHandlers)
 {
     assert(!this->state->isRunning);
+    this->state->maxBodyBytes = maxBodyBytes;
     this->state->handlers = std::move(responseHandlers);
     this->state->isRunning = true;
     this->state->isPaused = false;
@@ -125,7 +123,7 @@
     this->state->parser.emplace();
     this->state->parser->eager(true);
     this->state->parser->header_limit(maxResponseHeaderBytes);
-    this->state->parser->body_limit(maxResponseBodyBytes);
+    this->state->parser->body_limit(this->state->maxBodyBytes);
     this->state->parser->skip(this->state->isHeadRequest);
 }
 
@@ -227,6 +225,10 @@
             this->parseResponse();
             return;
         }
+        if (this->statesTooLongBody()) {
+            this->finishExchange(ChannelEnd::Malformed);
+            return;
+        }
         this->handleHead();
         if (!this->state->isRunning)
             return;
@@ -234,6 +236,14 @@
     this->deliverBody();
 }
 
+// Whether the head states a longer body than is accepted. The library doesn't report it when bytes of the body follow the head at
+// once.
+bool HttpChannel::statesTooLongBody() const
+{
+    auto statedLength = this->state->parser->content_length();
+    return statedLength && *statedLength > this->state->maxBodyBytes && !this->state->isHeadRequest;
+}
+
 void HttpChannel::handleHead()
 {
     this->state->hasHead = true;
--- a/src/HttpChannel.h
+++ b/src/HttpChannel.h
@@ -41,6 +41,9 @@
     std::function<void(ChannelEnd)> onEnd;
 };
 
+/// Limit on the body of a response that is passed on while it arrives and may have any length.
+constexpr uint64_t anyBodyBytes = 1ULL << 62;
+
 /// Timeouts of a channel.
 struct ChannelTimeouts {
     Milliseconds connectTimeout { 1000 };
@@ -58,9 +61,9 @@
     HttpChannel(const HttpChannel&) = delete;
     HttpChannel& operator=(const HttpChannel&) = delete;
 
-    /// Sends a request, and connects first if the channel is new. Preconditions: no exchange is in progress; the channel is
-    /// open or new.
-    void sendRequest(const HttpRequest&, ResponseHandlers);
+    /// Sends a request, and connects first if the channel is new. A response whose body is longer than `maxBodyBytes`, or that
+    /// states such a length, is malformed. Preconditions: no exchange is in progress; the channel is open or new.
+    void sendRequest(const HttpRequest&, uint64_t maxBodyBytes, ResponseHandlers);
     /// Resumes reading after onBodyChunk, which pauses it so that a slow consumer slows the sender down. Precondition:
     /// onBodyChunk was called.
     void resumeReading();
@@ -87,6 +90,7 @@
     void handleRead(const boost::system::error_code&, size_t count);
     void prepareParser();
     void parseResponse();
+    bool statesTooLongBody() const;
     void deliverBody();
     void handleHead();
     void skipResponse();
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -92,7 +92,8 @@
             self->onAttemptEnd(end);
     };
     noteSentParts(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
-    this->channel->sendRequest(this->makeEndpointRequest(endpoint, now), std::move(handlers));
+    bool isStream = this->route->kind == RequestKind::Stream;
+    this->channel->sendRequest(this->makeEndpointRequest(endpoint, now), isStream ? anyBodyBytes : maxBufferedResponseBytes, std::move(handlers));
 }
 
 ResponseDisposition ProxiedRequest::onResponseHead(const ResponseHead& received)
--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -1,6 +1,5 @@
 #include "ServerConnection.h"
 
-#include "HttpWire.h"
 #include "ServerExchange.h"
 
 #include <absl/strings/match.h>
@@ -159,7 +158,7 @@
 
 // Only a single chunked transfer coding is supported. With any other, this server and the caller could disagree about where
 // the body ends.
-static bool hasUnsupportedTransferCoding(const http::request<http::string_body>& request)
+static bool hasUnsupportedTransferCoding(const http::request<ReceivedBody>& request)
 {
     auto range = request.equal_range(http::field::transfer_encoding);
     for (auto position = range.first; position != range.second; ++position) {
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "AsyncHttpServer.h"
+#include "HttpWire.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <optional>
 #include <unordered_set>
@@ -60,7 +60,7 @@
     std::function<void()> onCallerLeft; ///< Callback of the current exchange; may be empty.
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
     void readFromSocket();
     void handleRead(const boost::system::error_code&, size_t count);
--- a/tests/ConnectionEndTest.cpp
+++ b/tests/ConnectionEndTest.cpp
@@ -95,7 +95,7 @@
         channel->resumeReading();
     };
     handlers.onEnd = [&](ChannelEnd outcome) { end = outcome; };
-    channel->sendRequest(getRequest(), std::move(handlers));
+    channel->sendRequest(getRequest(), maxBodyBytes, std::move(handlers));
     runUntil(loop, [&] { return end.has_value(); });
     received.isComplete = *end == ChannelEnd::Complete;
     return received;
@@ -167,6 +167,8 @@
         { "stream, reset", stream + "\r\ndata: a\n\n", ServerEnd::Reset, false },
         { "length missed, orderly", head + "Content-Length: 9\r\n\r\nabc", ServerEnd::Orderly, false },
         { "length missed, reset", head + "Content-Length: 9\r\n\r\nabc", ServerEnd::Reset, false },
+        { "huge length missed, orderly", head + "Content-Length: 999999999999\r\n\r\nabc", ServerEnd::Orderly, false },
+        { "huge length missed, reset", head + "Content-Length: 999999999999\r\n\r\nabc", ServerEnd::Reset, false },
         { "chunks without end, orderly", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", ServerEnd::Orderly, false },
         { "chunks without end, reset", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", ServerEnd::Reset, false },
         { "head without end, orderly", head, ServerEnd::Orderly, false },
--- a/tests/HttpChannelTest.cpp
+++ b/tests/HttpChannelTest.cpp
@@ -59,6 +59,7 @@
     int status = 0;
     std::string body;
     int skipsLeft = 0;
+    uint64_t maxBodyBytes = anyBodyBytes;
 
     void startExchange(const std::shared_ptr<HttpChannel>& channel, const HttpRequest& request)
     {
@@ -74,7 +75,7 @@
             channel->resumeReading();
         };
         handlers.onEnd = [this](ChannelEnd outcome) { this->end = outcome; };
-        channel->sendRequest(request, std::move(handlers));
+        channel->sendRequest(request, this->maxBodyBytes, std::move(handlers));
     }
 };
 
@@ -281,6 +282,49 @@
     }
 }
 
+// A length that a peer states and doesn't send ends its own call only: no memory is reserved for it.
+BOOST_AUTO_TEST_CASE(statedLengthsThatDontFitIntoMemoryEndTheirCallOnly)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\nabc";
+    struct Row {
+        const char* name;
+        uint64_t maxBodyBytes;
+        ChannelEnd end;
+    };
+    const std::vector<Row> rows {
+        { "below the limit", anyBodyBytes, ChannelEnd::Lost },
+        { "beyond the limit", 1 << 20, ChannelEnd::Malformed },
+    };
+    for (const auto& row : rows) {
+        EventLoop loop { 1 };
+        ScriptedServer server(loop, { answer }, true);
+        auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimeouts {});
+        Exchange exchange;
+        exchange.maxBodyBytes = row.maxBodyBytes;
+        exchange.startExchange(channel, makeGetRequest());
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            runUntil(loop, [&] { return exchange.end.has_value(); });
+            BOOST_TEST((*exchange.end == row.end));
+            BOOST_TEST(exchange.body == (row.end == ChannelEnd::Lost ? "abc" : ""));
+        }
+    }
+}
+
+// The client for peers, the origin of weights, the store and engines applies its own limit to what is stated.
+BOOST_AUTO_TEST_CASE(callsWhoseAnswerStatesAHugeLengthFailAtOnce)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, { "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\nabc" }, false);
+    HttpCaller caller(loop, { "127.0.0.1", server.port() });
+    std::optional<CallResult> result;
+    caller.get("/", testTimeout, [&](const CallResult& received) { result = received; });
+    runUntil(loop, [&] { return result.has_value(); });
+    BOOST_TEST((result->end == ChannelEnd::Malformed));
+    BOOST_TEST(!result->hasTimedOut);
+    BOOST_TEST(result->status == 0);
+}
+
 // What is given up while its request is still being written reaches the server as a reset, not as an end after which it could
 // go on with the bytes that it has.
 BOOST_AUTO_TEST_CASE(givenUpExchangesAreReset)
--- a/tests/LoopHttpTest.cpp
+++ b/tests/LoopHttpTest.cpp
@@ -70,6 +70,8 @@
     const std::vector<Row> rows {
         { "header too large", "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n", 431 },
         { "body too large by length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", 413 },
+        { "body too large by length, with bytes of it", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + std::string(900, 'x'), 413 },
+        { "body too large by length, like a header", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\nX: y\r\n", 413 },
         { "body too large in chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n", 413 },
         { "slow header", "GET / HTTP/1.1\r\nHos", 408 },
         { "slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", 408 },
@@ -101,6 +103,21 @@
     }
 }
 
+// A length that a caller states reserves no memory, also where large bodies are allowed.
+BOOST_AUTO_TEST_CASE(aStatedLengthThatDoesntFitIntoMemoryEndsNoServer)
+{
+    ServerFixture fixture;
+    ServerLimits limits;
+    limits.maxBodyBytes = 1ULL << 40;
+    fixture.server.setLimits(limits);
+    RawCaller liar(fixture.loop, fixture.server.port());
+    liar.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999999\r\n\r\nabc");
+    RawCaller caller(fixture.loop, fixture.server.port());
+    caller.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(fixture.loop, [&] { return caller.hasReceived("X-Path: /1\r\n"); });
+    BOOST_TEST(!liar.isClosed);
+}
+
 BOOST_AUTO_TEST_CASE(severalRequestsOnOneConnection)
 {
     ServerFixture fixture;
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -14,6 +14,9 @@
 import urllib.parse
 
 
+HUGE_LENGTH = 999_999_999_999
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
@@ -181,6 +184,16 @@
         self.reply(call, 200, body)
 
 
+def send_with_huge_length(call, headers=()):
+    """An answer that states a length far beyond what it sends."""
+    call.send_response(200)
+    for name, value in [*headers, ("Content-Length", HUGE_LENGTH)]:
+        call.send_header(name, value)
+    call.end_headers()
+    call.wfile.write(b"x" * 100)
+    call.close_connection = True
+
+
 def shared_parts(headers):
     """The ids of the parts of a request's prompt but the last one, which is its own."""
     return [part.split(":")[0] for part in headers.get("Bilberrybarrow-Prompt-Prefix", "").split(",")[:-1]]
@@ -262,6 +275,8 @@
         elif fault == "silent":
             time.sleep(3)
             call.hang_up()
+        elif fault == "huge length":
+            send_with_huge_length(call, sealed)
         elif self.events:
             self.stream(call, sealed, fault)
         elif fault in ("no length", "no length, reset"):
@@ -377,7 +392,7 @@
 
 class Origin(StandIn):
     """Manifest and pieces of each version; spoils the pieces named in `spoilt` once. It has nothing of the versions in `away`,
-    and answers requests for pieces after `delay` seconds."""
+    and answers requests for pieces after `delay` seconds. Its next `huge_lengths` answers state a huge length."""
 
     def __init__(self, model="m", chunks=8, chunk_bytes=4096):
         self.model = model
@@ -386,6 +401,7 @@
         self.spoilt = set()
         self.away = set()
         self.delay = 0.0
+        self.huge_lengths = 0
         self.served = []
         super().__init__()
 
@@ -399,6 +415,10 @@
         if version in self.away:
             call.hang_up()
             return
+        if self.huge_lengths > 0:
+            self.huge_lengths -= 1
+            send_with_huge_length(call)
+            return
         if path.startswith("/bilberrybarrow/manifest/"):
             digests = [hashlib.sha256(self.piece(version, number)).hexdigest() for number in range(self.chunks)]
             call.send(200, {"model": self.model, "version": version, "chunk-bytes": self.chunk_bytes, "layers": 4, "digests": digests})
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Answers of endpoints that end with their connection, through an entry of the platform."""
+"""Answers of endpoints that end with their connection or short of their stated length, through an entry of the platform."""
 
 import http.client
 import uuid
@@ -28,7 +28,7 @@
 
 def test_plain_answers(fleet, entry):
     """By kind of request and ending: the status, and how often endpoints saw the request."""
-    for path, fault, status, sends in (("/plain/", "no length", 200, 1), ("/once/", "no length", 200, 1), ("/plain/", "no length, reset", 200, 2), ("/once/", "no length, reset", 502, 1)):
+    for path, fault, status, sends in (("/plain/", "no length", 200, 1), ("/once/", "no length", 200, 1), ("/plain/", "no length, reset", 200, 2), ("/once/", "no length, reset", 502, 1), ("/plain/", "huge length", 200, 2), ("/once/", "huge length", 502, 1)):
         for endpoint in fleet.plain:
             endpoint.requests.clear()
         fleet.plain[0].faults = fleet.plain[1].faults = [fault]
@@ -41,7 +41,7 @@
 def test_streams(fleet, entry):
     """A whole stream is passed on as whole; one that is broken off is resumed, or looks broken to the caller."""
     whole = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(12))
-    rows = (("/stream/", "no length", True, 1), ("/stream/", "no length, cut", True, 2), ("/stream/", "no length, reset", True, 2), ("/fixed/", "no length", True, 1), ("/fixed/", "no length, cut", False, 1))
+    rows = (("/stream/", "no length", True, 1), ("/stream/", "no length, cut", True, 2), ("/stream/", "no length, reset", True, 2), ("/fixed/", "no length", True, 1), ("/fixed/", "no length, cut", False, 1), ("/stream/", "huge length", True, 2))
     for path, fault, wanted, sends in rows:
         for endpoint in fleet.stream:
             endpoint.requests.clear()
@@ -67,6 +67,7 @@
         harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200 and len([line for line in entry.events("belief_changed") if line["what"] == "endpoint_listed"]) >= 4, 10, "all endpoints are known")
         for test in (test_plain_answers, test_streams):
             test(fleet, entry)
+            assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
             print(test.__name__, flush=True)
 
 
--- a/tests/process_platform_weights.py
+++ b/tests/process_platform_weights.py
@@ -40,10 +40,13 @@
         list_engine(fleet, "e4", engines[3], "dc-b")
 
         # 2. A named version: every engine takes it; the origin sends each piece once, and again where it was spoilt.
+        #    Answers that state a huge length end no agent.
         origin.spoilt = {2, 5}
+        origin.huge_lengths = 3
         fleet.store.put("op/version/m", {"model": "m", "version": 2})
         harness.wait_until(lambda: all(engine.version == 2 for engine in engines), 20, "all engines have turned")
         assert len(origin.served) <= origin.chunks + 2 + 1, origin.served
+        assert origin.huge_lengths == 0 and all(agent.process.poll() is None for agent in agents)
         # Its connections are few, and shared by all agents: none is kept.
         harness.wait_until(lambda: origin.server.open_connections == 0, 2, "no connection to the origin is kept")
 
