--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -155,20 +155,6 @@
 bool knowsRevocations(const EntryNode&, BootTimePoint now);
 /// Dispatches the waiting requests of a service for which an endpoint has free capacity now.
 void dispatchWaitingRequests(EntryNode&, const std::string& service);
-/// What this entry saw of the crash of an endpoint.
-struct EndpointCrash {
-    std::string endpointId;
-    std::vector<uint64_t> fingerprints; ///< The requests that were lost.
-    std::vector<uint64_t> promptParts; ///< The shared parts of their prompts.
-};
-/// Records the requests that were running at an endpoint when it crashed, and reports them to the peers.
-void reportCrash(EntryNode&, const EndpointCrash&, TimePoint now);
-/// Records that requests with these shared parts of their prompts were lost with an endpoint, and reports it to the peers.
-void reportSuspectParts(EntryNode&, const std::vector<uint64_t>& parts, const std::string& endpointId, TimePoint now);
-/// Records that a request with these shared parts of its prompt was answered, and tells the peers when that clears one.
-void reportAnsweredParts(EntryNode&, const std::vector<uint64_t>& parts, TimePoint now);
-/// Whether a request with these shared parts of its prompt, one of which is refused, may be sent as a trial. Records the trial.
-bool tryTakePartTrial(EntryNode&, const std::vector<uint64_t>& parts, TimePoint now);
 /// Records that an engine refused a request because of a version switch, and reports it to the peers.
 void reportSwitchingEngine(EntryNode&, EndpointRow&, TimePoint now);
 /// Returns the number of entries that are assumed to share the fleet's retry budget, the rate of requests to cold endpoints
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -1,5 +1,6 @@
 #include "ProxiedRequest.h"
 
+#include "EntryCrashes.h"
 #include "EntryNode.h"
 #include "ServerExchange.h"
 #include "VersionSwitch.h"
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -1,6 +1,7 @@
 /// The part of ProxiedRequest that handles one attempt at an endpoint: it sends the request, receives the response, and
 /// records what the attempt reveals about the endpoint.
 
+#include "EntryCrashes.h"
 #include "EntryNode.h"
 #include "EntryStatements.h"
 #include "ProxiedRequest.h"
