Verify losses by a connection to their endpoint, and refuse what crashes it

Cause: a loss counted as a crash only if another request was lost at the same endpoint within a second, or if the next request's connection was refused within it. With little traffic neither happens; the log had attempt_failed and no endpoint_crashed.

Now an entry opens a connection to the endpoint after losses. A refusal shows a crash, an accepted connection that there was none; if nothing answers, several losses within a second are a crash as before, and a single one is if the store shows within 10 s that the run ended. Crashes are counted by run, so that endpoints that come back under their ids count again. Refused requests aren't retried and leave the queue, and an entry that starts is told of them.

The case "three losses with no request left are a crash" of lossesThatShowACrash is replaced: the same losses are followed by a probe, and all six pairs of losses and results are checked.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -1,6 +1,7 @@
 #include "CrashHistory.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace bilberry {
@@ -13,7 +14,9 @@
 static constexpr size_t maxRows = 20'000;
 // Losses at one endpoint that follow each other within this time count together.
 static constexpr Milliseconds lossWindow { 1000 };
-// Number of losses, with no request left at the endpoint, that show that the endpoint crashed.
+// Longest time from a loss to the news from the store that the endpoint's run has ended, if the endpoint crashed at the loss.
+static constexpr Seconds maxTimeToRunEnd { 10 };
+// Number of losses that show that the endpoint crashed if its VM doesn't answer a probe.
 static constexpr size_t minLossesForCrash = 2;
 
 bool CrashHistory::addReport(const CrashReport& report, TimePoint now)
@@ -21,10 +24,10 @@
     if (this->rows.size() >= maxRows && this->rows.count(report.fingerprint) == 0)
         return false;
     auto& row = this->rows[report.fingerprint];
-    bool isKnown = std::find(row.endpointHashes.begin(), row.endpointHashes.end(), report.endpointHash) != row.endpointHashes.end();
+    bool isKnown = std::find(row.runHashes.begin(), row.runHashes.end(), report.runHash) != row.runHashes.end();
     if (isKnown)
         return false;
-    row.endpointHashes.push_back(report.endpointHash);
+    row.runHashes.push_back(report.runHash);
     row.lastCrashAt = now;
     return true;
 }
@@ -40,10 +43,23 @@
         row = now - row->second.lastCrashAt > retentionTime ? this->rows.erase(row) : std::next(row);
 }
 
+std::vector<CrashReport> reportsOfBlockedRequests(const CrashHistory& history, size_t maxCount)
+{
+    std::vector<CrashReport> reports;
+    for (const auto& [fingerprint, row] : history.rows) {
+        bool isBlocked = row.runHashes.size() >= crashesToBlock;
+        if (!isBlocked || reports.size() + crashesToBlock > maxCount)
+            continue;
+        for (size_t i = 0; i < crashesToBlock; ++i)
+            reports.push_back({ fingerprint, row.runHashes[i] });
+    }
+    return reports;
+}
+
 bool isBlockedForCrashes(const CrashHistory& history, uint64_t fingerprint)
 {
     auto found = history.rows.find(fingerprint);
-    return found != history.rows.end() && found->second.endpointHashes.size() >= crashesToBlock;
+    return found != history.rows.end() && found->second.runHashes.size() >= crashesToBlock;
 }
 
 uint64_t requestFingerprint(std::string_view method, std::string_view target, std::string_view account, std::string_view body)
@@ -65,20 +81,34 @@
     }
 }
 
-std::vector<uint64_t> recordLoss(LossRecord& record, uint64_t fingerprint, uint32_t remainingRequestCount, bool isConnectionRefused, TimePoint now)
+void recordLoss(LossRecord& record, uint64_t fingerprint, TimePoint now)
 {
     if (now - record.lastLossAt > lossWindow)
         record.fingerprints.clear();
-    if (!isConnectionRefused) {
-        record.fingerprints.push_back(fingerprint);
-        record.lastLossAt = now;
-    }
-    bool hasCrashed = isConnectionRefused || (remainingRequestCount == 0 && record.fingerprints.size() >= minLossesForCrash);
-    if (!hasCrashed)
+    record.fingerprints.push_back(fingerprint);
+    record.lastLossAt = now;
+}
+
+std::vector<uint64_t> takeLossesAfterRefusal(LossRecord& record, TimePoint now)
+{
+    auto lost = std::exchange(record.fingerprints, {});
+    return now - record.lastLossAt <= lossWindow ? lost : std::vector<uint64_t>();
+}
+
+std::vector<uint64_t> takeLossesAfterProbe(LossRecord& record, ProbeResult result)
+{
+    bool isUndecided = result == ProbeResult::Unknown && record.fingerprints.size() < minLossesForCrash;
+    if (isUndecided)
         return {};
-    auto lost = std::move(record.fingerprints);
-    record.fingerprints.clear();
-    return lost;
+    auto lost = std::exchange(record.fingerprints, {});
+    return result == ProbeResult::Accepted ? std::vector<uint64_t>() : lost;
+}
+
+std::vector<uint64_t> takeLossesOfEndedRun(LossRecord& record, TimePoint heardAt, TimePoint now)
+{
+    bool isExplained = now - record.lastLossAt <= maxTimeToRunEnd && heardAt <= record.lastLossAt;
+    auto lost = std::exchange(record.fingerprints, {});
+    return isExplained ? lost : std::vector<uint64_t>();
 }
 
 } // namespace bilberry
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -2,6 +2,7 @@
 /// and is refused. This guards against a request that crashes each endpoint that runs it and that its caller sends again.
 #pragma once
 
+#include "ConnectionProbe.h"
 #include "Types.h"
 
 #include <string_view>
@@ -13,13 +14,13 @@
 /// A request that was lost when an endpoint crashed.
 struct CrashReport {
     uint64_t fingerprint = 0; ///< Result of requestFingerprint().
-    uint32_t endpointHash = 0; ///< Hash of the endpoint's ID.
+    uint32_t runHash = 0; ///< runHash() of the endpoint's run that crashed: an endpoint may come back under its former ID.
 };
 
 /// Used by one thread at a time.
 struct CrashHistory {
     struct Row {
-        std::vector<uint32_t> endpointHashes; ///< Hashes of the endpoints that crashed while they ran the request, each once.
+        std::vector<uint32_t> runHashes; ///< Hashes of the endpoints' runs that crashed while they ran the request, each once.
         TimePoint lastCrashAt {}; ///< When the last of these crashes was reported.
     };
 
@@ -39,9 +40,14 @@
 /// Fingerprint of a request's content and of its client account. Thread safe.
 uint64_t requestFingerprint(std::string_view method, std::string_view target, std::string_view account, std::string_view body);
 
-/// Requests that were lost at one endpoint within a short time.
+/// Returns the reports of requests that must be refused, for an entry that has just started. At most `maxCount`. Thread safe.
+std::vector<CrashReport> reportsOfBlockedRequests(const CrashHistory&, size_t maxCount);
+
+/// Requests that were lost at one run of an endpoint within a short time. A record is used by one thread at a time.
 struct LossRecord {
     std::vector<uint64_t> fingerprints;
+    WallTime runStartedAt {}; ///< Start of the run at which they were lost, as in EndpointStatement.
+    bool isBeingProbed = false; ///< Whether a probe of the endpoint is under way that shows whether it crashed.
     std::vector<uint64_t> promptParts; ///< Ids of the shared parts of their prompts, each once; at most maxLostPromptParts.
     TimePoint lastLossAt {};
 };
@@ -49,14 +55,20 @@
 /// Largest number of parts of prompts in a record.
 constexpr size_t maxLostPromptParts = 32;
 
-/// Adds the shared parts of a lost request's prompt. Is to be called before recordLoss() for the same request. A record is
-/// used by one thread at a time.
+/// Adds the shared parts of a lost request's prompt. Is to be called before recordLoss() for the same request.
 void recordLostParts(LossRecord&, const std::vector<uint64_t>& parts, TimePoint now);
 
-/// Records that an attempt at an endpoint was lost. `remainingRequestCount` is the number of other requests in flight there.
-/// With `isConnectionRefused`, no request was lost, but the endpoint accepted no connection. Once the losses show that the
-/// endpoint crashed, returns the fingerprints of the requests that were lost with it, and removes them from the record; the
-/// parts of their prompts are left for the caller to take. A record is used by one thread at a time.
-std::vector<uint64_t> recordLoss(LossRecord&, uint64_t fingerprint, uint32_t remainingRequestCount, bool isConnectionRefused, TimePoint now);
+/// Records that a request was lost at the endpoint. Whether the endpoint crashed is known only after a probe.
+void recordLoss(LossRecord&, uint64_t fingerprint, TimePoint now);
+/// Returns the fingerprints of the requests that were lost with an endpoint which now accepts no connection for a request, and
+/// removes them from the record. None if the last loss is too long ago. The parts of their prompts are left for the caller.
+std::vector<uint64_t> takeLossesAfterRefusal(LossRecord&, TimePoint now);
+/// Returns the fingerprints of the requests that were lost by a crash that a probe of their endpoint shows, and removes them from
+/// the record, as it does where the endpoint is alive. If the probe shows neither, several losses are a crash; a single one stays
+/// in the record.
+std::vector<uint64_t> takeLossesAfterProbe(LossRecord&, ProbeResult);
+/// Returns the fingerprints of the requests that were lost at a run of which the store now shows that it has ended, and removes
+/// them from the record. None if the losses are too old for that, or if the endpoint has sent anything after them, at `heardAt`.
+std::vector<uint64_t> takeLossesOfEndedRun(LossRecord&, TimePoint heardAt, TimePoint now);
 
 } // namespace bilberry
--- a/src/EndpointEvents.h
+++ b/src/EndpointEvents.h
@@ -12,7 +12,7 @@
 /// What one request showed about a part of its prompt.
 struct PartEvidence {
     uint64_t part = 0; ///< Hash of the part's identifier.
-    /// Hash of the id of an endpoint that crashed while it ran a request with the part; zero when an answer to a request with
+    /// runHash() of an endpoint's run that crashed while it ran a request with the part; zero when an answer to a request with
     /// the part was completed, which clears it.
     uint32_t crashedEndpoint = 0;
     uint32_t clearance = 0; ///< Random number that tells clearances of the same part apart; zero for a crash.
--- a/src/EntryCrashes.cpp
+++ b/src/EntryCrashes.cpp
@@ -1,12 +1,19 @@
 #include "EntryCrashes.h"
 
+#include "ConnectionProbe.h"
 #include "EntryNode.h"
+#include "EntryStatements.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <memory>
+#include <utility>
 
 namespace bilberry {
 
+// Time from a loss to the probe of its endpoint: a process that ends may close its connections a moment before its port.
+static constexpr Milliseconds crashProbeDelay { 60 };
+static constexpr Milliseconds crashProbeTimeout { 600 };
 // Largest number of entries among which the one that sends a trial is chosen.
 static constexpr size_t maxTrialEntries = 256;
 // Largest number of parts of prompts in one line of the log.
@@ -21,9 +28,9 @@
 
 void reportCrash(EntryNode& node, const EndpointCrash& crash, TimePoint now)
 {
-    uint32_t endpoint = endpointHash(crash.endpointId);
+    uint32_t run = runHash(crash.endpointId, crash.startedAt);
     for (uint64_t fingerprint : crash.fingerprints) {
-        CrashReport report { fingerprint, endpoint };
+        CrashReport report { fingerprint, run };
         if (node.crashes.addReport(report, now))
             node.peerReports.addCrash(report, ReportSource::Own, now);
     }
@@ -31,11 +38,56 @@
     node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", crash.endpointId }, { "requests", static_cast<uint64_t>(crash.fingerprints.size()) }, { "prompt_parts", formatPromptParts(crash.promptParts) } });
 }
 
-void reportSuspectParts(EntryNode& node, const std::vector<uint64_t>& parts, const std::string& endpointId, TimePoint now)
+static EndpointRow* findRow(EntryNode& node, const std::string& endpointId)
+{
+    auto& table = node.clusterView.endpoints;
+    auto found = table.rowById.find(endpointId);
+    return found == table.rowById.end() ? nullptr : &table.rows[found->second];
+}
+
+void reportLossesAsCrash(EntryNode& node, EndpointRow& row, std::vector<uint64_t> fingerprints, TimePoint now)
+{
+    if (!fingerprints.empty())
+        reportCrash(node, { row.record.id, row.losses.runStartedAt, std::move(fingerprints), std::exchange(row.losses.promptParts, {}) }, now);
+}
+
+static void applyProbeResult(EntryNode& node, const std::string& endpointId, ProbeResult result)
+{
+    node.metrics.addToCounter("bilberry_crash_probes_total", { { "result", std::string(toText(result)) } });
+    auto* row = findRow(node, endpointId);
+    if (!row)
+        return;
+    row->losses.isBeingProbed = false;
+    reportLossesAsCrash(node, *row, takeLossesAfterProbe(row->losses, result), Clock::now());
+}
+
+void verifyLosses(EntryNode& node, EndpointRow& row)
+{
+    if (row.losses.isBeingProbed)
+        return;
+    row.losses.isBeingProbed = true;
+    auto timer = std::make_shared<LoopTimer>(node.loop, crashProbeDelay);
+    timer->async_wait([&node, timer, id = row.record.id, address = row.record.address](const boost::system::error_code&) {
+        probeConnection(node.loop, address, crashProbeTimeout, [&node, id](ProbeResult result) { applyProbeResult(node, id, result); });
+    });
+}
+
+void noteEndedRun(EntryNode& node, const std::string& endpointId, TimePoint now)
+{
+    auto* row = findRow(node, endpointId);
+    if (!row || row->losses.fingerprints.empty())
+        return;
+    bool isRemoved = row->listedUntil != TimePoint::max();
+    bool hasRestarted = row->statement.startedAt > row->losses.runStartedAt;
+    if (isRemoved || hasRestarted)
+        reportLossesAsCrash(node, *row, takeLossesOfEndedRun(row->losses, row->lastHeardAt, now), now);
+}
+
+void reportSuspectParts(EntryNode& node, const std::vector<uint64_t>& parts, uint32_t run, TimePoint now)
 {
     for (uint64_t part : parts) {
         // The crashes of others beside a common part say nothing about it.
-        PartEvidence evidence { part, endpointHash(endpointId) };
+        PartEvidence evidence { part, run };
         if (isCommonPart(node.promptSuspects, part) || !node.applyPartEvidence(evidence, now))
             continue;
         node.peerReports.addPartEvidence(evidence, ReportSource::Own, now);
--- a/src/EntryCrashes.h
+++ b/src/EntryCrashes.h
@@ -11,18 +11,29 @@
 namespace bilberry {
 
 struct EntryNode;
+struct EndpointRow;
 
 /// What this entry saw of the crash of an endpoint.
 struct EndpointCrash {
     std::string endpointId;
+    WallTime startedAt {}; ///< Start of the run that crashed, as in EndpointStatement.
     std::vector<uint64_t> fingerprints; ///< The requests that were lost.
     std::vector<uint64_t> promptParts; ///< The shared parts of their prompts.
 };
 
 /// Records the requests that were running at an endpoint when it crashed, and reports them to the peers.
 void reportCrash(EntryNode&, const EndpointCrash&, TimePoint now);
-/// Records that requests with these shared parts of their prompts were lost with an endpoint, and reports it to the peers.
-void reportSuspectParts(EntryNode&, const std::vector<uint64_t>& parts, const std::string& endpointId, TimePoint now);
+/// Reports the requests of these fingerprints, taken from the losses of the row, as lost by a crash. Does nothing if there are none.
+void reportLossesAsCrash(EntryNode&, EndpointRow&, std::vector<uint64_t> fingerprints, TimePoint now);
+/// Finds out whether an endpoint at which requests were lost has crashed: by a connection to it and, if nothing answers, by
+/// noteEndedRun(). Precondition: the node outlives the run of its loop.
+void verifyLosses(EntryNode&, EndpointRow&);
+/// Reports the crash of an endpoint with recent losses of which the store shows that the run has ended: it is no longer listed or
+/// has started again. To be called after each change of an endpoint's record.
+void noteEndedRun(EntryNode&, const std::string& endpointId, TimePoint now);
+/// Records that requests with these shared parts of their prompts were lost with an endpoint's run, whose runHash() is given, and
+/// reports it to the peers.
+void reportSuspectParts(EntryNode&, const std::vector<uint64_t>& parts, uint32_t run, TimePoint now);
 /// Records that a request with these shared parts of its prompt was answered, and tells the peers when that clears one.
 void reportAnsweredParts(EntryNode&, const std::vector<uint64_t>& parts, TimePoint now);
 /// Whether a request with these shared parts of its prompt, one of which is refused, may be sent as a trial. Records the trial.
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,5 +1,6 @@
 #include "EntryNode.h"
 
+#include "EntryCrashes.h"
 #include "EntryStatements.h"
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
@@ -158,6 +159,8 @@
         this->storeReplica.noteVersion(change);
     else
         this->storeReplica.put(change, now);
+    if (key.kind == StoreKeyKind::Endpoint)
+        noteEndedRun(*this, key.name, now);
     if (effect == ClusterViewChange::None)
         return;
     if (effect == ClusterViewChange::Unreadable) {
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -40,6 +40,8 @@
 static constexpr std::string_view storeDeltaPathPrefix = "/store/";
 // Largest number of crashes of refused parts of prompts that an entry tells a new one.
 static constexpr size_t maxEvidenceForNewEntry = 120;
+// Largest number of crashes of refused requests that an entry tells a new one.
+static constexpr size_t maxCrashesForNewEntry = 60;
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
@@ -75,6 +77,9 @@
             message.loads.push_back({ endpointHash(row.record.id), row.inFlight });
     }
     this->peerReports.fillMessage(message, scope);
+    // An entry that has just started learns at once which requests are refused.
+    if (scope == PeerMessageScope::Introduction)
+        message.crashes = reportsOfBlockedRequests(this->crashes, maxCrashesForNewEntry);
     if (scope != PeerMessageScope::Near)
         return;
     // Callers come back to entries of the same data centre.
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -72,7 +72,7 @@
     json crashes = json::array();
     for (const auto& crash : message.crashes) {
         crashes.push_back(crash.fingerprint);
-        crashes.push_back(crash.endpointHash);
+        crashes.push_back(crash.runHash);
     }
     json notices = json::array();
     for (const auto& notice : message.notices)
--- a/src/PromptSuspects.cpp
+++ b/src/PromptSuspects.cpp
@@ -13,7 +13,7 @@
 // Number of crashes that aren't cleared from which requests with a part are refused.
 static constexpr size_t crashesToRefuse = 3;
 // Largest number of crashes that are held of one part.
-static constexpr size_t maxEndpointsPerPart = 16;
+static constexpr size_t maxRunsPerPart = 16;
 // Largest number of parts that are held at a time.
 static constexpr size_t maxSuspects = 4'000;
 // Time after the last crash for which a part that isn't refused stays a suspect.
@@ -34,21 +34,21 @@
     return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
 }
 
-bool addPartCrash(PromptSuspects& suspects, uint64_t part, uint32_t endpointHash, TimePoint now)
+bool addPartCrash(PromptSuspects& suspects, uint64_t part, uint32_t run, TimePoint now)
 {
     if (suspects.rows.size() >= maxSuspects && suspects.rows.count(part) == 0)
         return false;
     auto& row = suspects.rows[part];
-    bool isKnown = contains(row.endpoints, endpointHash) || contains(row.clearedEndpoints, endpointHash);
+    bool isKnown = contains(row.runs, run) || contains(row.clearedRuns, run);
     if (isKnown)
         return false;
-    if (row.endpoints.size() >= maxEndpointsPerPart)
-        row.endpoints.erase(row.endpoints.begin());
+    if (row.runs.size() >= maxRunsPerPart)
+        row.runs.erase(row.runs.begin());
     // Only a trial can bring a crash so long after the last one.
-    bool isOfTrial = row.endpoints.size() >= crashesToRefuse && now - row.lastCrashAt >= firstTrialDelay;
+    bool isOfTrial = row.runs.size() >= crashesToRefuse && now - row.lastCrashAt >= firstTrialDelay;
     if (isOfTrial)
         row.lastTrialAt = now;
-    row.endpoints.push_back(endpointHash);
+    row.runs.push_back(run);
     row.lastCrashAt = now;
     return true;
 }
@@ -56,14 +56,14 @@
 bool clearPart(PromptSuspects& suspects, uint64_t part)
 {
     auto found = suspects.rows.find(part);
-    if (found == suspects.rows.end() || found->second.endpoints.empty())
+    if (found == suspects.rows.end() || found->second.runs.empty())
         return false;
     auto& row = found->second;
-    auto& cleared = row.clearedEndpoints;
-    cleared.insert(cleared.end(), row.endpoints.begin(), row.endpoints.end());
-    if (cleared.size() > maxEndpointsPerPart)
-        cleared.erase(cleared.begin(), cleared.end() - maxEndpointsPerPart);
-    row.endpoints.clear();
+    auto& cleared = row.clearedRuns;
+    cleared.insert(cleared.end(), row.runs.begin(), row.runs.end());
+    if (cleared.size() > maxRunsPerPart)
+        cleared.erase(cleared.begin(), cleared.end() - maxRunsPerPart);
+    row.runs.clear();
     row.lastTrialAt = TimePoint();
     return true;
 }
@@ -107,7 +107,7 @@
 void removeExpiredSuspects(PromptSuspects& suspects, TimePoint now)
 {
     for (auto row = suspects.rows.begin(); row != suspects.rows.end();) {
-        Duration keptFor = row->second.endpoints.size() >= crashesToRefuse ? Duration(refusalTime) : Duration(suspicionTime);
+        Duration keptFor = row->second.runs.size() >= crashesToRefuse ? Duration(refusalTime) : Duration(suspicionTime);
         row = now - row->second.lastCrashAt > keptFor ? suspects.rows.erase(row) : std::next(row);
     }
 }
@@ -122,7 +122,7 @@
 static size_t countCrashes(const PromptSuspects& suspects, uint64_t part)
 {
     auto found = suspects.rows.find(part);
-    return found == suspects.rows.end() || isCommonPart(suspects, part) ? 0 : found->second.endpoints.size();
+    return found == suspects.rows.end() || isCommonPart(suspects, part) ? 0 : found->second.runs.size();
 }
 
 bool isRefusedPart(const PromptSuspects& suspects, uint64_t part)
@@ -173,7 +173,7 @@
         if (!isRefusedPart(suspects, part) || evidence.size() + crashesToRefuse > maxCount)
             continue;
         for (size_t i = 0; i < crashesToRefuse; ++i)
-            evidence.push_back({ part, row.endpoints[i] });
+            evidence.push_back({ part, row.runs[i] });
     }
     return evidence;
 }
--- a/src/PromptSuspects.h
+++ b/src/PromptSuspects.h
@@ -16,8 +16,8 @@
 /// Used by one thread at a time.
 struct PromptSuspects {
     struct Row {
-        std::vector<uint32_t> endpoints; ///< Hashes of the endpoints that crashed since the part was last cleared, each once.
-        std::vector<uint32_t> clearedEndpoints; ///< Hashes of those before, the latest ones.
+        std::vector<uint32_t> runs; ///< runHash() of the endpoints' runs that crashed since the part was last cleared, each once.
+        std::vector<uint32_t> clearedRuns; ///< Those before, the latest ones.
         TimePoint lastCrashAt {}; ///< When the last crash was added.
         TimePoint lastTrialAt {}; ///< When this entry last let a request through as a trial or learned of another's; the default value if never.
     };
@@ -29,7 +29,7 @@
 };
 
 /// Adds the crash of an endpoint that ran a request with the part. Returns false when it is known or can't be held.
-bool addPartCrash(PromptSuspects&, uint64_t part, uint32_t endpointHash, TimePoint now);
+bool addPartCrash(PromptSuspects&, uint64_t part, uint32_t run, TimePoint now);
 /// Clears a part that was answered. Returns whether it was a suspect.
 bool clearPart(PromptSuspects&, uint64_t part);
 /// Counts a request that was admitted.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -132,7 +132,7 @@
     this->fingerprint = requestFingerprint(request.method, request.path, this->account ? this->account->name : std::string(), request.body);
     const auto& parts = this->callerRequest.sharedPromptParts;
     this->isPartTrial = hasRefusedPart(this->node.promptSuspects, parts) && tryTakePartTrial(this->node, parts, now);
-    if (isBlockedForCrashes(this->node.crashes, this->fingerprint) || this->isRefusedForParts()) {
+    if (this->isRefusedForCrashes()) {
         this->refuseRequest(503, "crashes_endpoints", crashingRequestRetryAfter);
         return false;
     }
@@ -183,13 +183,15 @@
     return versionToRequire(found->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers));
 }
 
-bool ProxiedRequest::isRefusedForParts() const
+// Whether the request, or a part of its prompt, is known to crash endpoints.
+bool ProxiedRequest::isRefusedForCrashes() const
 {
-    return !this->isPartTrial && hasRefusedPart(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
+    bool hasPart = !this->isPartTrial && hasRefusedPart(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
+    return hasPart || isBlockedForCrashes(this->node.crashes, this->fingerprint);
 }
 
-// Ends a request that was admitted before a part of its prompt was refused.
-void ProxiedRequest::refuseForParts(TimePoint now)
+// Ends a request that was admitted before it, or a part of its prompt, was refused.
+void ProxiedRequest::refuseForCrashes(TimePoint now)
 {
     bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
     if (isFirstAttempt)
@@ -200,7 +202,7 @@
 
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
-    if (this->isRefusedForParts() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
+    if (this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
     this->requirements.entryCount = entryCount(this->node);
     this->requirements.nearEntryCount = nearEntryCount(this->node);
@@ -318,8 +320,8 @@
 void ProxiedRequest::retryRequest(TimePoint now)
 {
     this->isPartTrial = false;
-    if (this->isRefusedForParts()) {
-        this->refuseForParts(now);
+    if (this->isRefusedForCrashes()) {
+        this->refuseForCrashes(now);
         return;
     }
     bool isWithinBudget = tryTakeRetry(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, entryCount(this->node), now);
@@ -413,9 +415,9 @@
             this->handleQueueTimeout();
         return;
     }
-    if (this->isWaiting && this->isRefusedForParts() && removeWaitingRequest(this->node.queues[this->requirements.service], this->number)) {
+    if (this->isWaiting && this->isRefusedForCrashes() && removeWaitingRequest(this->node.queues[this->requirements.service], this->number)) {
         this->isWaiting = false;
-        this->refuseForParts(now);
+        this->refuseForCrashes(now);
         return;
     }
     if (!this->hasActiveAttempt())
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -53,8 +53,8 @@
 private:
     bool admitRequest(TimePoint now);
     void dispatchOrEnqueue(TimePoint now);
-    bool isRefusedForParts() const;
-    void refuseForParts(TimePoint now);
+    bool isRefusedForCrashes() const;
+    void refuseForCrashes(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
     bool hasMissedTarget(TimePoint now) const;
@@ -73,6 +73,7 @@
     AttemptResult attemptResult(ChannelEnd) const;
     AttemptResult resultOfWholeResponse() const;
     void releaseEndpoint(AttemptResult, TimePoint now);
+    void noteLoss(EndpointRow&, AttemptResult, TimePoint now);
     void abandonAttempt(AttemptResult);
     void handleAttemptResult(AttemptResult);
     void retryRequest(TimePoint now);
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -243,11 +243,25 @@
     bool isEndUnclear = result == AttemptResult::Answered && endsWithConnection(this->responseHead) && !hasRunOn;
     bool isStream = this->route->kind == RequestKind::Stream;
     if ((result == AttemptResult::Lost && !hasRunOn) || (isEndUnclear && isStream && !hasEvents))
-        reportSuspectParts(this->node, parts, this->endpointId, now);
+        reportSuspectParts(this->node, parts, runHash(this->endpointId, this->endpointStartedAt), now);
     else if (result == AttemptResult::Answered && !isEndUnclear && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest))
         reportAnsweredParts(this->node, parts, now);
 }
 
+// Records that the attempt was lost or that the endpoint accepted no connection, either of which may show that it crashed.
+void ProxiedRequest::noteLoss(EndpointRow& endpoint, AttemptResult result, TimePoint now)
+{
+    if (result == AttemptResult::NotSent) {
+        reportLossesAsCrash(this->node, endpoint, takeLossesAfterRefusal(endpoint.losses, now), now);
+        return;
+    }
+    recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
+    recordLoss(endpoint.losses, this->fingerprint, now);
+    endpoint.losses.runStartedAt = this->endpointStartedAt;
+    if (endpoint.inFlight == 0)
+        verifyLosses(this->node, endpoint);
+}
+
 // Releases the endpoint's capacity and the connection, and records what the attempt revealed about the endpoint.
 void ProxiedRequest::releaseEndpoint(AttemptResult result, TimePoint now)
 {
@@ -260,13 +274,8 @@
     this->notePartsOfEndedAttempt(result, now);
     if (result == AttemptResult::Answered)
         this->node.crashes.removeRequest(this->fingerprint);
-    if (result == AttemptResult::Lost || result == AttemptResult::NotSent) {
-        if (result == AttemptResult::Lost)
-            recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
-        auto lostRequests = recordLoss(endpoint.losses, this->fingerprint, endpoint.inFlight, result == AttemptResult::NotSent, now);
-        if (!lostRequests.empty())
-            reportCrash(this->node, { this->endpointId, lostRequests, std::exchange(endpoint.losses.promptParts, {}) }, now);
-    }
+    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
+        this->noteLoss(endpoint, result, now);
     bool isAddressReused = result == AttemptResult::NotExecuted && !this->endpointReply.endpointId.empty() && this->endpointReply.endpointId != this->endpointId;
     if (isAddressReused) {
         // Another endpoint now has this address, so the endpoint list is out of date.
--- a/tests/CrashHistoryTest.cpp
+++ b/tests/CrashHistoryTest.cpp
@@ -49,21 +49,88 @@
     BOOST_TEST(requestFingerprint("GET", "/ab", "c", "") != requestFingerprint("GET", "/a", "bc", ""));
 }
 
-// A single lost connection doesn't show a crash. Several losses with no request left at the endpoint, or a refused connection
-// after a loss, do.
+BOOST_AUTO_TEST_CASE(anEntryThatStartsLearnsWhichRequestsAreRefused)
+{
+    CrashHistory history;
+    for (uint32_t run : { 1u, 2u, 3u, 4u })
+        history.addReport({ 7, run }, start);
+    history.addReport({ 8, 1 }, start);
+    CrashHistory ofNewEntry;
+    for (const auto& report : reportsOfBlockedRequests(history, 10))
+        ofNewEntry.addReport(report, start);
+    BOOST_TEST(isBlockedForCrashes(ofNewEntry, 7));
+    BOOST_TEST(!isBlockedForCrashes(ofNewEntry, 8));
+    BOOST_TEST(reportsOfBlockedRequests(history, 2).empty());
+}
+
+// A loss counts as a crash once the store shows that the run has ended, unless the endpoint has sent anything since.
+BOOST_AUTO_TEST_CASE(aSingleLossBeforeTheEndOfARunShowsACrash)
+{
+    struct Row {
+        const char* name;
+        Milliseconds heardAfter;
+        Milliseconds endedAfter;
+        size_t count;
+    };
+    const std::vector<Row> rows {
+        { "silent since", Milliseconds(-10), Milliseconds(3000), 1 },
+        { "heard since", Milliseconds(10), Milliseconds(3000), 0 },
+        { "ended long after", Milliseconds(-10), Milliseconds(60'000), 0 },
+    };
+    for (const auto& row : rows) {
+        LossRecord record;
+        recordLoss(record, 1, start);
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            BOOST_TEST(takeLossesOfEndedRun(record, start + row.heardAfter, start + row.endedAfter).size() == row.count);
+            BOOST_TEST(record.fingerprints.empty());
+        }
+    }
+}
+
+// A lost connection doesn't show a crash: a refused connection after it does, and several losses at a VM that doesn't answer.
 BOOST_AUTO_TEST_CASE(lossesThatShowACrash)
 {
-    LossRecord single;
-    BOOST_TEST(recordLoss(single, 1, 0, false, start).empty());
-    BOOST_TEST(recordLoss(single, 2, 0, true, start + Milliseconds(100)) == std::vector<uint64_t> { 1 }, boost::test_tools::per_element());
+    struct Row {
+        const char* name;
+        size_t losses;
+        ProbeResult probe;
+        size_t reported;
+        size_t left;
+    };
+    const std::vector<Row> rows {
+        { "one, refused", 1, ProbeResult::Refused, 1, 0 },
+        { "one, accepted", 1, ProbeResult::Accepted, 0, 0 },
+        { "one, unknown", 1, ProbeResult::Unknown, 0, 1 },
+        { "three, refused", 3, ProbeResult::Refused, 3, 0 },
+        { "three, accepted", 3, ProbeResult::Accepted, 0, 0 },
+        { "three, unknown", 3, ProbeResult::Unknown, 3, 0 },
+    };
+    for (const auto& row : rows) {
+        LossRecord record;
+        for (uint64_t fingerprint = 1; fingerprint <= row.losses; ++fingerprint)
+            recordLoss(record, fingerprint, start);
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            BOOST_TEST(takeLossesAfterProbe(record, row.probe).size() == row.reported);
+            BOOST_TEST(record.fingerprints.size() == row.left);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lossesCountTogetherForAShortTimeOnly)
+{
+    LossRecord refused;
+    recordLoss(refused, 1, start);
+    BOOST_TEST(takeLossesAfterRefusal(refused, start + Milliseconds(100)) == std::vector<uint64_t> { 1 }, boost::test_tools::per_element());
+    BOOST_TEST(takeLossesAfterRefusal(refused, start + Milliseconds(100)).empty());
 
-    LossRecord several;
-    BOOST_TEST(recordLoss(several, 1, 2, false, start).empty());
-    BOOST_TEST(recordLoss(several, 2, 1, false, start).empty());
-    BOOST_TEST(recordLoss(several, 3, 0, false, start).size() == 3u);
-    BOOST_TEST(recordLoss(several, 4, 0, false, start).empty());
+    LossRecord late;
+    recordLoss(late, 1, start);
+    BOOST_TEST(takeLossesAfterRefusal(late, start + Seconds(5)).empty());
 
     LossRecord spread;
-    BOOST_TEST(recordLoss(spread, 1, 0, false, start).empty());
-    BOOST_TEST(recordLoss(spread, 2, 0, false, start + Seconds(5)).empty());
+    recordLoss(spread, 1, start);
+    recordLoss(spread, 2, start + Seconds(5));
+    BOOST_TEST(takeLossesAfterProbe(spread, ProbeResult::Unknown).empty());
 }
--- a/tests/PromptSuspectsTest.cpp
+++ b/tests/PromptSuspectsTest.cpp
@@ -272,7 +272,7 @@
             return hasRefusedPart(suspects, request.parts) || mustWaitForSuspects(suspects, request.parts);
         return std::any_of(request.parts.begin(), request.parts.end(), [&](uint64_t part) {
             auto row = suspects.rows.find(part);
-            return row != suspects.rows.end() && row->second.endpoints.size() >= 3;
+            return row != suspects.rows.end() && row->second.runs.size() >= 3;
         });
     }
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -102,8 +102,9 @@
         self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq-no": 1, "born": endpoint.born})
 
     def list_again(self, endpoint, service, earlier):
-        """Lists an endpoint that is back under another name."""
-        self.store.remove(f"servers/{earlier}")
+        """Lists an endpoint that is back, under another name or its earlier one."""
+        if endpoint.name != earlier:
+            self.store.remove(f"servers/{earlier}")
         self.list_endpoint(endpoint, service)
 
     def start_entry(self, number=1, reads_log=True, **more):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -203,14 +203,17 @@
     """A plain service or, with `events`, one that answers with a stream. `faults` are taken one a request.
 
     A request with one of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after
-    its head or, with `has_event_before_crash`, after its first event. After `downtime` seconds it is back under another name, and
-    `on_restart` is called with it and its earlier name. While it `leaves`, all its answers say so; while `retry_after` is set, it
+    its head or, with `has_event_before_crash`, after its first event; one with a body of `crashing_bodies` does so before its head.
+    After `downtime` seconds it is back under another name, unless it `keeps_name`, and `on_restart` is called with it and its
+    earlier name. While it `leaves`, all its answers say so; while `retry_after` is set, it
     refuses each request with that header, or only those whose header X-Caller is `refused_caller`. `refusals` counts them."""
 
     def __init__(self, name, events=0, gap=0.0):
         self.first_name = name
         self.name = name
         self.crashing_parts = set()
+        self.crashing_bodies = set()
+        self.keeps_name = False
         self.crash_delay = 0.08
         self.has_event_before_crash = False
         self.downtime = 1.0
@@ -244,6 +247,11 @@
         if self.crashing_parts & set(shared_parts(call.headers)):
             self.begin_and_crash(call, headers)
             return
+        if call.body.decode() in self.crashing_bodies:
+            time.sleep(self.crash_delay)
+            self.crash()
+            call.close_connection = True
+            return
         fault = self.faults.pop(0) if self.faults else None
         sealed = [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name)]
         is_refused = self.retry_after is not None and self.refused_caller in (None, call.headers.get("X-Caller"))
@@ -318,7 +326,10 @@
         host, port = self.address.rsplit(":", 1)
         self.stop()
         time.sleep(self.downtime)
-        earlier, self.name = self.name, f"{self.first_name}-{len(self.crashes)}"
+        earlier = self.name
+        if not self.keeps_name:
+            self.name = f"{self.first_name}-{len(self.crashes)}"
+        self.born = int(time.time() * 1000)
         self.listen(host, int(port))
         self.is_down = False
         if self.on_restart:
