Fetch a manifest anew when pieces contradict it

Cause: an agent took any well-formed manifest and asked for no other as long as it held one of the wanted version. A piece that failed its digest always counted as spoilt itself. Agents hand manifests on before they can be verified, so that all took the wrong one.

Now wrong pieces are evidence against the digest (ManifestTrust): two equal ones, one from a peer, or every fourth. The manifest is then fetched from the next source, and what differs is replaced. Doubts and fetches of a piece that stays wrong become rarer, so that the origin is asked at a bounded rate while it goes on. A manifest with another number or size of pieces than configured is refused, and a doubted older version isn't finished before the newer one.

Evidence: process_platform_manifests on the former program: not within 8 s: all engines are filled.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -106,22 +106,34 @@
     this->metrics.addToCounter("bilberry_piece_bytes_total", { { "source", fetch.isFromOrigin ? "origin" : "peer" } }, static_cast<double>(result.body.size()));
     if (fetch.version != this->manifest.version)
         return;
-    bool hasRightDigest = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[fetch.piece];
-    if (hasRightDigest) {
+    auto digest = result.status == 200 ? sha256Hex(result.body) : std::string();
+    if (digest == this->manifest.digests[fetch.piece])
         this->stagePiece(fetch.piece, result.body);
-    } else {
-        this->isPieceInProgress[fetch.piece] = false;
-        bool mayRetrySource = result.status == 404 && !fetch.isFromOrigin && ++this->notFoundCounts[fetch.piece] < maxNotFoundPerSource;
-        if (!mayRetrySource) {
-            ++this->failedSourceCounts[fetch.piece];
-            this->notFoundCounts[fetch.piece] = 0;
-        }
-        this->earliestRetryAt[fetch.piece] = Clock::now() + (fetch.isFromOrigin || mayRetrySource ? pieceRetryDelay : Milliseconds(0));
-        this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", result.status == 200 ? std::string("the digest of the piece does not match the manifest") : result.describe() } });
-    }
+    else
+        this->noteFailedFetch(fetch, result, digest);
     this->startFetches(Clock::now());
 }
 
+// Goes on to the next source of a piece, and doubts the manifest when pieces contradict it. `digest` is that of the received piece,
+// empty if none was received.
+void AgentNode::noteFailedFetch(const Fetch& fetch, const CallResult& result, const std::string& digest)
+{
+    auto now = Clock::now();
+    this->isPieceInProgress[fetch.piece] = false;
+    bool mayRetrySource = result.status == 404 && !fetch.isFromOrigin && ++this->notFoundCounts[fetch.piece] < maxNotFoundPerSource;
+    if (!mayRetrySource) {
+        ++this->failedSourceCounts[fetch.piece];
+        this->notFoundCounts[fetch.piece] = 0;
+    }
+    if (!digest.empty())
+        noteWrongPiece(this->manifestTrust, { fetch.piece, digest, !fetch.isFromOrigin }, now);
+    bool shouldWait = fetch.isFromOrigin || mayRetrySource || this->manifestTrust.isDoubted;
+    this->earliestRetryAt[fetch.piece] = now + (shouldWait ? retryDelayAfterWrongPieces(this->manifestTrust, fetch.piece, pieceRetryDelay) : Milliseconds(0));
+    this->log.write(LogLevel::Info, "piece_failed", { { "piece", fetch.piece }, { "from", toText(fetch.caller->address()) }, { "reason", digest.empty() ? result.describe() : std::string("the digest of the piece does not match the manifest") } });
+    if (this->manifestTrust.isDoubted)
+        this->fetchManifestIfNeeded(this->wantedVersion());
+}
+
 // Writes a verified piece to the engine's stage, and then answers the peers that wait for it.
 void AgentNode::stagePiece(uint32_t piece, std::string bytes)
 {
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -182,6 +182,7 @@
         this->log.write(LogLevel::Info, "engine_found", { { "layers", newReport.loadedLayers }, { "version", newReport.loadedLayersVersion }, { "orders", newReport.acceptedOrders } });
         this->orderedVersion = 0;
         this->manifest = PieceManifest();
+        this->manifestAttempts = 0;
     }
     bool hasSwitched = this->engineReport && this->engineReport->loadedLayersVersion != newReport.loadedLayersVersion;
     if (hasSwitched)
@@ -239,20 +240,22 @@
 }
 
 // Whether an older version than the wanted one is still brought to the engine, because most of it is there: the engine must
-// leave the version that it serves before the wanted one can arrive.
+// leave the version that it serves before the wanted one can arrive. A version whose manifest is doubted may never be complete.
 bool AgentNode::isFinishingOlderVersion() const
 {
     bool isOlder = this->manifest.version != 0 && this->manifest.version < this->wantedVersion();
     bool isLoaded = this->manifest.version <= this->engineReport->loadedLayersVersion || this->orderedVersion == this->manifest.version;
     auto staged = static_cast<size_t>(std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true));
-    return isOlder && !isLoaded && shouldFinishVersion(staged, this->isPieceStaged.size());
+    return isOlder && !isLoaded && !this->manifestTrust.isDoubted && shouldFinishVersion(staged, this->isPieceStaged.size());
 }
 
-// Requests the manifest of a version, unless the engine serves that version, or it or an older version is being fetched.
+// Requests the manifest of a version, unless the engine serves that version, or an older version is being fetched. One that is
+// held is requested again, from the next source, when its pieces contradict it.
 void AgentNode::fetchManifestIfNeeded(uint32_t version)
 {
     bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version);
-    if (!isServed && this->manifest.version != version && !this->isFinishingOlderVersion())
+    bool isMissing = this->manifest.version != version || this->manifestTrust.isDoubted;
+    if (!isServed && isMissing && !this->isFinishingOlderVersion())
         this->fetchManifest();
 }
 
@@ -275,6 +278,9 @@
         return;
     this->manifestRequestedAt = now;
     uint32_t version = this->wantedVersion();
+    if (version != this->requestedManifestVersion)
+        this->manifestAttempts = 0;
+    this->requestedManifestVersion = version;
     auto sources = manifestSources(this->settings.ownIp, this->originRegion(), this->listAgentPeers(version));
     const auto& source = sources[this->manifestAttempts++ % sources.size()];
     if (source.isOrigin && !this->serviceSummary->origin)
@@ -284,21 +290,49 @@
     this->manifestCaller.get(path, manifestTimeout, [this, isFromPeer = !source.isOrigin](const CallResult& result) { this->handleManifest(result, isFromPeer); });
 }
 
+// Reads an answer to a request for the manifest of the wanted version. A manifest can't be fulfilled if its pieces aren't those of the
+// configured model.
+absl::StatusOr<PieceManifest> AgentNode::readManifest(const CallResult& result, bool isFromPeer) const
+{
+    if (result.status != 200)
+        return absl::UnavailableError(result.describe());
+    auto parsed = isFromPeer ? decodeManifest(result.body) : this->adapter.engine.parseManifest(result.body);
+    if (!parsed.ok())
+        return parsed;
+    const auto& model = this->serviceSummary->model;
+    if (parsed->version != this->wantedVersion() || parsed->model != model.name)
+        return absl::InvalidArgumentError("the manifest is for another version or model");
+    if (model.chunkCount != 0 && parsed->digests.size() != model.chunkCount)
+        return absl::InvalidArgumentError(fmt::format("the manifest has {} digests, and the model {} pieces", parsed->digests.size(), model.chunkCount));
+    if (model.chunkBytes != 0 && parsed->pieceBytes != model.chunkBytes)
+        return absl::InvalidArgumentError(fmt::format("the manifest states pieces of {} bytes, and the model has pieces of {}", parsed->pieceBytes, model.chunkBytes));
+    return parsed;
+}
+
 void AgentNode::handleManifest(const CallResult& result, bool isFromPeer)
 {
     this->manifestCaller.close();
-    auto decode = isFromPeer ? decodeManifest : this->adapter.engine.parseManifest;
-    auto parsed = result.status == 200 ? decode(result.body) : absl::StatusOr<PieceManifest>(absl::UnavailableError(result.describe()));
-    if (!parsed.ok() || parsed->version != this->wantedVersion() || parsed->model != this->serviceSummary->model.name) {
-        this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", parsed.ok() ? std::string("the manifest is for another version or model") : std::string(parsed.status().message()) } });
+    auto received = this->readManifest(result, isFromPeer);
+    if (!received.ok()) {
+        this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", std::string(received.status().message()) } });
         // A peer that answers 404 has no manifest, so the next source is asked without the retry delay.
         if (isFromPeer && result.status == 404)
             this->manifestRequestedAt = TimePoint();
         return;
     }
-    this->manifest = *std::move(parsed);
-    this->manifestAttempts = 0;
+    bool isHeld = this->manifest.version == received->version && this->manifest.digests.size() == received->digests.size();
+    if (isHeld)
+        this->replaceManifest(*std::move(received), isFromPeer);
+    else
+        this->beginManifest(*std::move(received));
+}
+
+// Starts to bring a version to the engine.
+void AgentNode::beginManifest(PieceManifest received)
+{
+    this->manifest = std::move(received);
     size_t count = this->manifest.digests.size();
+    this->manifestTrust = makeManifestTrust(count);
     this->isPieceStaged.assign(count, false);
     this->isPieceInProgress.assign(count, false);
     this->failedSourceCounts.assign(count, 0);
@@ -311,6 +345,29 @@
     this->answerPendingManifestRequests();
 }
 
+// Takes over what another manifest of the version that is being fetched states otherwise. A peer that sends the doubted one again
+// has it from the same source, so the next source is asked; only the origin confirms it.
+void AgentNode::replaceManifest(PieceManifest received, bool isFromPeer)
+{
+    size_t changed = 0;
+    for (uint32_t piece = 0; piece < received.digests.size(); ++piece) {
+        if (received.digests[piece] == this->manifest.digests[piece])
+            continue;
+        ++changed;
+        this->manifest.digests[piece] = received.digests[piece];
+        this->manifestTrust.pieces[piece] = PieceEvidence();
+        this->failedSourceCounts[piece] = 0;
+        this->notFoundCounts[piece] = 0;
+        this->isPieceStaged[piece] = false;
+        this->earliestRetryAt[piece] = TimePoint();
+        if (!this->isPieceInProgress[piece])
+            this->verifyStagedPiece(piece);
+    }
+    this->log.write(LogLevel::Warning, "manifest_fetched_again", { { "version", received.version }, { "changed_digests", static_cast<uint64_t>(changed) }, { "from_peer", isFromPeer } });
+    if (changed > 0 || !isFromPeer)
+        endDoubt(this->manifestTrust);
+}
+
 HttpCaller& AgentNode::idleEngineCaller()
 {
     for (auto& caller : this->engineCallers) {
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -9,6 +9,7 @@
 #include "EventLog.h"
 #include "FetchWindow.h"
 #include "HttpCall.h"
+#include "ManifestTrust.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
 #include "NoticeSender.h"
@@ -93,12 +94,16 @@
     uint32_t wantedVersion() const;
     void fetchManifest();
     void handleManifest(const CallResult&, bool isFromPeer);
+    absl::StatusOr<PieceManifest> readManifest(const CallResult&, bool isFromPeer) const;
+    void beginManifest(PieceManifest);
+    void replaceManifest(PieceManifest, bool isFromPeer);
     void startFetches(TimePoint now);
     std::vector<AgentPeer> listAgentPeers(uint32_t version) const;
     std::string originRegion() const;
     PieceSource currentSourceFor(uint32_t piece, const std::vector<AgentPeer>&) const;
     void startFetch(Fetch&, uint32_t piece, const PieceSource&);
     void finishFetch(Fetch&, const CallResult&);
+    void noteFailedFetch(const Fetch&, const CallResult&, const std::string& digest);
     void recordPieceArrival(const Fetch&, const CallResult&, TimePoint now);
     void stagePiece(uint32_t piece, std::string bytes);
     void logIfAllStaged();
@@ -152,7 +157,9 @@
 
     // The version that is being fetched.
     PieceManifest manifest;
-    uint32_t manifestAttempts = 0; ///< Requests for the manifest since the last one arrived; it selects the next source.
+    ManifestTrust manifestTrust;
+    uint32_t requestedManifestVersion = 0; ///< The version whose manifest was last requested; zero: none.
+    uint32_t manifestAttempts = 0; ///< Requests for that version's manifest; it selects the next source.
     TimePoint manifestRequestedAt {};
     std::vector<bool> isPieceStaged; ///< By piece: whether it is on the engine's stage and its digest was verified.
     std::vector<bool> isPieceInProgress; ///< By piece: whether it is being fetched, written or read back.
