Join only what goes on with a begun stream

Cause: a whole answer below 500 counted as the endpoint's word for the caller, also after a part of the stream had been sent; delivering it wrote the last chunk.

Once a stream has begun, a response joins it only with the status and the content type of the first one. Any other is malformed: another endpoint is asked, or the stream is cut visibly.

Evidence: process_platform_endings, nine kinds of answer to a resumed run.

--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -72,6 +72,7 @@
     void onAttemptEnd(ChannelEnd);
     AttemptResult attemptResult(ChannelEnd) const;
     AttemptResult resultOfWholeResponse() const;
+    bool mayJoinStartedResponse() const;
     void releaseEndpoint(AttemptResult, TimePoint now);
     void noteLoss(EndpointRow&, AttemptResult, TimePoint now);
     void abandonAttempt(AttemptResult);
@@ -120,6 +121,8 @@
     AttemptResult lastResult = AttemptResult::NotSent;
     EventStreamBuffer eventStream;
     bool hasResponseStarted = false; ///< Whether a part of the response has been sent to the caller.
+    int startedStatus = 0; ///< Status of that response.
+    std::string startedContentType; ///< Its Content-Type header.
     bool isWaiting = false;
     bool isFinished = false;
     Milliseconds queueTime { 0 }; ///< Time from the arrival to the first attempt.
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -25,6 +25,7 @@
 static constexpr Milliseconds maxIdleForRepeatable { 3'600'000 };
 // Status of an endpoint that doesn't run requests that are meant for it, because of its identity or its weights.
 static constexpr int httpStatusMisdirected = 421;
+static constexpr std::string_view contentTypeHeader = "Content-Type";
 // Time for which an endpoint gets no new request after it refused one because of its load or state.
 static constexpr Milliseconds refusalBackoff { 60 };
 // Time within which an endpoint crashes after it has begun to answer a request that crashes it.
@@ -120,7 +121,7 @@
 void ProxiedRequest::onBodyChunk(const std::string& chunk)
 {
     bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest);
-    if (isStream) {
+    if (isStream && this->mayJoinStartedResponse()) {
         this->onStreamChunk(chunk);
         return;
     }
@@ -182,10 +183,22 @@
         return;
     }
     this->hasResponseStarted = true;
+    this->startedStatus = this->responseHead.status;
+    this->startedContentType = findHeader(this->responseHead.headers, contentTypeHeader);
     this->timeToFirstByte = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
     this->exchange->startResponse(this->responseHead.status, forwardableHeaders(this->responseHead.headers), events, onSent);
 }
 
+// Whether the attempt's response can be a part of what the caller is sent: once a stream has begun, it goes on only with one of the
+// same status and type.
+bool ProxiedRequest::mayJoinStartedResponse() const
+{
+    if (!this->hasResponseStarted)
+        return true;
+    bool hasSameType = findHeader(this->responseHead.headers, contentTypeHeader) == this->startedContentType;
+    return hasSameType && this->responseHead.status == this->startedStatus;
+}
+
 AttemptResult ProxiedRequest::resultOfWholeResponse() const
 {
     // An answer to another request says nothing about this one, not even that it hasn't run.
@@ -194,6 +207,8 @@
         return AttemptResult::Malformed;
     if (this->endpointReply.isNotExecuted)
         return AttemptResult::NotExecuted;
+    if (!this->mayJoinStartedResponse())
+        return AttemptResult::Malformed;
     if (this->responseHead.status < 300)
         return isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest) ? AttemptResult::Answered : AttemptResult::Malformed;
     bool hasFailed = this->responseHead.status >= 500 || promisesNotExecuted(this->responseHead.status);
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -206,7 +206,8 @@
     its head or, with `has_event_before_crash`, after its first event; one with a body of `crashing_bodies` does so before its head.
     After `downtime` seconds it is back under another name, unless it `keeps_name`, and `on_restart` is called with it and its
     earlier name. While it `leaves`, all its answers say so; while `retry_after` is set, it
-    refuses each request with that header, or only those whose header X-Caller is `refused_caller`. `refusals` counts them."""
+    refuses each request with that header, or only those whose header X-Caller is `refused_caller`. `refusals` counts them. With
+    `resumed_answer`, a status, a content type and a body, it answers so to a request that resumes a stream."""
 
     def __init__(self, name, events=0, gap=0.0):
         self.first_name = name
@@ -228,6 +229,7 @@
         self.retry_after = None
         self.refused_caller = None
         self.refusals = 0
+        self.resumed_answer = None
         self.born = int(time.time() * 1000)
         super().__init__()
 
@@ -258,6 +260,9 @@
         if is_refused:
             self.refusals += 1
             call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1"), ("Retry-After", self.retry_after)])
+        elif self.resumed_answer and call.headers.get("Last-Event-Id"):
+            status, content_type, body = self.resumed_answer
+            call.send(status, body, [*sealed, ("Content-Type", content_type)])
         elif fault == "refuse":
             call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1")])
         elif fault == "hang up":
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -52,6 +52,24 @@
         assert body == whole if wanted else whole.startswith(body) and body.endswith(b"\n\n"), (path, fault, body)
 
 
+def test_begun_streams_are_joined_only_with_what_goes_on_with_them(fleet, entry):
+    """A stream breaks off, and the endpoint that is to resume it answers otherwise: the caller gets whole events and a visible end."""
+    whole = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(12))
+    event = b"id: 6\ndata: other\n\n"
+    rows = ((404, "text/plain", b"no such model"), (404, "text/event-stream", event), (204, "text/event-stream", b""), (400, "text/plain", b""), (500, "text/plain", b"failed"), (503, "text/plain", b""),
+            (200, "text/plain", b""), (200, "application/json", event), (201, "text/event-stream", event))
+    for answer in rows:
+        for endpoint in fleet.stream:
+            endpoint.resumed_answer = answer
+        harness.wait_until(lambda: call(fleet, entry, "/stream/")[2], 5, "whole streams are served")
+        fleet.stream[0].faults = fleet.stream[1].faults = ["cut"]
+        status, body, is_whole = call(fleet, entry, "/stream/")
+        assert status == 200 and not is_whole, (answer, status, is_whole, body)
+        assert whole.startswith(body) and body.endswith(b"\n\n"), (answer, body)
+    for endpoint in fleet.stream:
+        endpoint.resumed_answer = None
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -65,7 +83,7 @@
         entry = fleet.start_entry()
         fleet.wait_ready(entry)
         harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200 and len([line for line in entry.events("belief_changed") if line["what"] == "endpoint_listed"]) >= 4, 10, "all endpoints are known")
-        for test in (test_plain_answers, test_streams):
+        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them):
             test(fleet, entry)
             assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
             print(test.__name__, flush=True)
