Believe only a refusal that bears the request's id

Callers saw: a request that may run once was run at two endpoints, when the first wrote an earlier refusal once more, without an id, on a kept connection (TWICE). Without another endpoint they were told "not run" (REFUSED).

Cause: an answer without an id counted as the one to the request in progress. Endpoints always echo the id, so an answer without one is none of theirs to this request.

Such a refusal is now malformed: the request may have run, and is repeated only if that is harmless. Repeats with the earlier id are skipped as before.

Evidence: process_platform_requests, four new rows.

--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -205,8 +205,9 @@
     bool isForOtherRequest = !this->endpointReply.requestId.empty() && this->endpointReply.requestId != this->callerRequest.id;
     if (isForOtherRequest)
         return AttemptResult::Malformed;
+    // One without an ID may be an earlier answer that was written again.
     if (this->endpointReply.isNotExecuted)
-        return AttemptResult::NotExecuted;
+        return this->endpointReply.requestId.empty() ? AttemptResult::Malformed : AttemptResult::NotExecuted;
     if (!this->mayJoinStartedResponse())
         return AttemptResult::Malformed;
     if (this->responseHead.status < 300)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -273,6 +273,8 @@
             call.send(503, b"ran", sealed)
         elif fault == "unsealed":
             call.send(200, b"not mine", headers)
+        elif fault in ("earlier refusal", "earlier refusal without id"):
+            self.write_refusal_again(call, sealed, has_id=fault == "earlier refusal")
         elif fault == "foreign":
             call.send(200, b"not yours", [("Bilberrybarrow-Request-Id", "other"), ("Bilberrybarrow-Response-Seal", "x")])
         elif fault in ("endless head", "endless body", "endless header"):
@@ -298,6 +300,13 @@
             time.sleep(self.gap)
             call.send(200, b"done by " + self.name.encode(), sealed)
 
+    def write_refusal_again(self, call, headers, has_id):
+        """A refusal that an earlier request on this connection got, then the run and its answer."""
+        request_id = [("Bilberrybarrow-Request-Id", "earlier")] if has_id else []
+        call.send(503, b"", [*request_id, ("Bilberrybarrow-Not-Executed", "1")])
+        time.sleep(self.gap)
+        call.send(200, b"done by " + self.name.encode(), headers)
+
     def begin_and_crash(self, call, headers):
         call.send_response(200)
         for name, value in [*headers, ("Bilberrybarrow-Response-Seal", "seal-" + self.name), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
--- a/tests/process_platform_requests.py
+++ b/tests/process_platform_requests.py
@@ -47,6 +47,7 @@
         ("/plain/", "refuse", 200, 2), ("/plain/", "hang up", 200, 2), ("/plain/", "fail", 200, 2), ("/plain/", "unsealed", 200, 2), ("/plain/", "silent", 200, 2),
         ("/plain/", "endless head", 200, 2), ("/plain/", "endless header", 200, 2), ("/plain/", "endless body", 200, 2),
         ("/plain/", "foreign", 200, 2), ("/plain/", "foreign refusals", 200, 2), ("/once/", "foreign", 504, 1), ("/once/", "foreign refusals", 502, 1),
+        ("/plain/", "earlier refusal", 200, 1), ("/once/", "earlier refusal", 200, 1), ("/plain/", "earlier refusal without id", 200, 2), ("/once/", "earlier refusal without id", 502, 1),
         ("/once/", "endless head", 502, 1), ("/once/", "endless header", 502, 1), ("/once/", "endless body", 502, 1),
         ("/once/", "refuse", 200, 2), ("/once/", "hang up", 502, 1), ("/once/", "fail", 500, 1), ("/once/", "unsealed", 502, 1), ("/once/", "promise", 502, 1), ("/once/", "silent", 502, 1),
     ]
