--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -65,7 +65,7 @@
     , metricsServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeerRequest(exchange); })
     , peerCaller(loop, Address())
-    , storeWatch(loop, adapter.store, { settings.storeAddress, {}, storeLongPollWait, Milliseconds(700), storePause }, { [this](const std::vector<StoreChange>& items, uint64_t era, BootTimePoint sentAt) { this->applyListing(items, era, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->applyChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->handleStoreFailure(reason, failures); } })
+    , storeWatch(loop, adapter.store, { settings.storeAddress, {}, storeLongPollWait, Milliseconds(700), storePause }, { [this](const std::vector<StoreChange>& items, uint64_t era, BootTimePoint sentAt) { this->applyListing(items, era, sentAt); }, [this](const std::vector<StoreChange>& changes, BootTimePoint sentAt) { this->applyChanges(changes, sentAt); }, [this](const std::string& reason, int failures) { this->handleStoreFailure(reason, failures); }, [this](const std::string& fault) { this->noteUnreadableItem({}, 0, fault); } })
     , tickTimer(loop)
 {
 }
@@ -164,8 +164,7 @@
     if (effect == ClusterViewChange::None)
         return;
     if (effect == ClusterViewChange::Unreadable) {
-        this->metrics.addToCounter("bilberry_store_unreadable_total");
-        this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", change.key }, { "revision", change.revision }, { "fault", error } });
+        this->noteUnreadableItem(change.key, change.revision, error);
         return;
     }
     if (effect == ClusterViewChange::Configuration) {
@@ -178,6 +177,13 @@
     this->log.write(LogLevel::Info, "belief_changed", { { "what", toText(effect) }, { "key", change.key }, { "revision", change.revision }, { "era", change.era }, { "generation", this->clusterView.routes ? this->clusterView.routes->generation : 0 } });
 }
 
+// Counts and logs an item of the store that couldn't be read. The key is empty and the revision zero if only the fault tells them.
+void EntryNode::noteUnreadableItem(const std::string& key, uint64_t revision, const std::string& fault)
+{
+    this->metrics.addToCounter("bilberry_store_unreadable_total");
+    this->log.write(LogLevel::Warning, "store_item_unreadable", { { "key", key }, { "revision", revision }, { "fault", fault } });
+}
+
 void EntryNode::applyListing(const std::vector<StoreChange>& items, uint64_t era, BootTimePoint sentAt)
 {
     auto now = Clock::now();
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -88,6 +88,7 @@
 
     void applyListing(const std::vector<StoreChange>&, uint64_t era, BootTimePoint sentAt);
     void applyChanges(const std::vector<StoreChange>&, BootTimePoint sentAt);
+    void noteUnreadableItem(const std::string& key, uint64_t revision, const std::string& fault);
     void handleStoreFailure(const std::string& reason, int failures);
     void confirmView(BootTimePoint sentAt);
     void noteEra(uint64_t era, TimePoint now);
--- a/src/StoreWatch.cpp
+++ b/src/StoreWatch.cpp
@@ -32,6 +32,8 @@
     void requestChanges();
     void handleChanges(const CallResult&);
     void retryAfterFailure(const std::string& reason);
+    void failListing(const std::string& reason);
+    void reportFaults(const std::vector<std::string>& faults);
     void scheduleStep(Milliseconds delay, void (State::*step)());
 
     EventLoop& loop;
@@ -45,6 +47,7 @@
     bool isIdle = false; ///< Whether no call is in flight or scheduled, because of a pause.
     bool isListed = false; ///< Whether a complete listing was received, which watch calls can continue from.
     std::vector<StoreChange> listing; ///< The pages received so far.
+    std::string listingLastKey; ///< The last key of these pages; empty before the first one.
     uint64_t listingEra = 0; ///< The era of the first page; all pages must be of it.
     uint64_t listingRevision = 0; ///< The revision of the first page; later pages may lack changes made since then.
     BootTimePoint listingSentAt {};
@@ -67,53 +70,65 @@
 void StoreWatch::State::requestNextPage()
 {
     ++this->callCount;
-    bool isFirst = this->listing.empty();
+    bool isFirst = this->listingLastKey.empty();
     if (isFirst)
         this->listingSentAt = BootClock::now();
-    auto after = isFirst ? std::string() : this->listing.back().key;
-    auto path = this->adapter.listPath(this->settings.prefix, after, false);
+    auto path = this->adapter.listPath(this->settings.prefix, this->listingLastKey, false);
     this->caller.get(path, listTimeout, [weak = this->weak_from_this()](const CallResult& result) {
         if (auto self = weak.lock())
             self->handlePage(result);
     });
 }
 
-void StoreWatch::State::handlePage(const CallResult& result)
+// Gives up the listing in progress; it begins again after a pause.
+void StoreWatch::State::failListing(const std::string& reason)
 {
-    if (result.status != 200) {
-        this->listing.clear();
-        this->retryAfterFailure(result.describe());
-        return;
-    }
-    auto page = this->adapter.parsePage(result.body);
-    if (!page.ok()) {
-        this->listing.clear();
-        this->retryAfterFailure(std::string(page.status().message()));
-        return;
+    this->listing.clear();
+    this->listingLastKey.clear();
+    this->retryAfterFailure(reason);
+}
+
+void StoreWatch::State::reportFaults(const std::vector<std::string>& faults)
+{
+    for (const auto& fault : faults) {
+        if (this->handlers.onUnreadable)
+            this->handlers.onUnreadable(fault);
     }
-    auto era = this->adapter.parseEra(result.headers);
+}
+
+void StoreWatch::State::handlePage(const CallResult& result)
+{
+    auto page = result.status == 200 ? this->adapter.parsePage(result.body) : absl::StatusOr<StorePage>(absl::UnavailableError(result.describe()));
+    auto era = page.ok() ? this->adapter.parseEra(result.headers) : absl::StatusOr<uint64_t>(page.status());
     if (!era.ok()) {
-        this->listing.clear();
-        this->retryAfterFailure(std::string(era.status().message()));
+        this->failListing(std::string(era.status().message()));
         return;
     }
-    if (this->listing.empty()) {
+    bool isFirst = this->listingLastKey.empty();
+    if (isFirst) {
         this->listingEra = *era;
         this->listingRevision = page->revision;
     }
     if (*era != this->listingEra || *era < this->era) {
-        this->listing.clear();
-        this->retryAfterFailure(*era < this->era ? "a listing of an earlier era" : "the era rose between two pages of a listing");
+        this->failListing(*era < this->era ? "a listing of an earlier era" : "the era rose between two pages of a listing");
         return;
     }
+    this->reportFaults(page->faults);
     for (auto& item : page->items)
         item.era = *era;
-    bool isLast = !page->hasMore || page->items.empty();
+    bool isEmpty = page->items.empty() && page->faults.empty();
+    bool isLast = !page->hasMore || isEmpty;
+    if (!isLast && page->lastKey.empty()) {
+        this->failListing("a page of a listing has no key from which the next one goes on");
+        return;
+    }
     std::move(page->items.begin(), page->items.end(), std::back_inserter(this->listing));
+    this->listingLastKey = page->lastKey;
     if (!isLast) {
         this->requestNextPage();
         return;
     }
+    this->listingLastKey.clear();
     this->consecutiveFailures = 0;
     this->isListed = true;
     this->era = this->listingEra;
@@ -173,6 +188,7 @@
         this->requestNextPage();
         return;
     }
+    this->reportFaults(changes->faults);
     for (auto& change : changes->changes)
         change.era = *answerEra;
     this->consecutiveFailures = 0;
--- a/src/StoreWatch.h
+++ b/src/StoreWatch.h
@@ -22,7 +22,7 @@
     Milliseconds pauseBetweenCalls { 40 }; ///< Lets changes that come close together arrive in one answer.
 };
 
-/// The callbacks of a StoreWatch, which are called on the loop's thread. All must be set.
+/// The callbacks of a StoreWatch, which are called on the loop's thread. All but onUnreadable must be set.
 struct StoreWatchHandlers {
     /// Receives a complete listing of all pages, which are of one era; `sentAt` is when the call for its first page was sent.
     std::function<void(const std::vector<StoreChange>&, uint64_t era, BootTimePoint sentAt)> onListing;
@@ -31,6 +31,8 @@
     std::function<void(const std::vector<StoreChange>&, BootTimePoint sentAt)> onChanges;
     /// Is called when a call has failed, with the reason and the number of consecutive failures.
     std::function<void(const std::string& reason, int failures)> onFailure;
+    /// Is called for each item that couldn't be read and is left out, with what is wrong with it; may be empty.
+    std::function<void(const std::string& fault)> onUnreadable {};
 };
 
 /// Used by the loop's thread only; runs from start() until it is destroyed.
