Name what is reported of a crash once, reserve a list

reportCrash() takes the row of the endpoint, so that the struct between its two callers goes. The list in applyPartEvidence() is reserved, as the linter asks. A constant is named after what it decides.

--- a/src/EntryCrashes.cpp
+++ b/src/EntryCrashes.cpp
@@ -26,16 +26,19 @@
     return fmt::format("{:x}", fmt::join(parts.begin(), parts.begin() + count, ","));
 }
 
-void reportCrash(EntryNode& node, const EndpointCrash& crash, TimePoint now)
+void reportCrash(EntryNode& node, EndpointRow& row, const std::vector<uint64_t>& fingerprints, TimePoint now)
 {
-    uint32_t run = runHash(crash.endpointId, crash.startedAt);
-    for (uint64_t fingerprint : crash.fingerprints) {
+    if (fingerprints.empty())
+        return;
+    uint32_t run = runHash(row.record.id, row.losses.runStartedAt);
+    for (uint64_t fingerprint : fingerprints) {
         CrashReport report { fingerprint, run };
         if (node.crashes.addReport(report, now))
             node.peerReports.addCrash(report, ReportSource::Own, now);
     }
     node.hasChangesForPeers = true;
-    node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", crash.endpointId }, { "requests", static_cast<uint64_t>(crash.fingerprints.size()) }, { "prompt_parts", formatPromptParts(crash.promptParts) } });
+    auto promptParts = std::exchange(row.losses.promptParts, {});
+    node.log.write(LogLevel::Warning, "endpoint_crashed", { { "endpoint", row.record.id }, { "requests", static_cast<uint64_t>(fingerprints.size()) }, { "prompt_parts", formatPromptParts(promptParts) } });
 }
 
 static EndpointRow* findRow(EntryNode& node, const std::string& endpointId)
@@ -45,12 +48,6 @@
     return found == table.rowById.end() ? nullptr : &table.rows[found->second];
 }
 
-void reportLossesAsCrash(EntryNode& node, EndpointRow& row, std::vector<uint64_t> fingerprints, TimePoint now)
-{
-    if (!fingerprints.empty())
-        reportCrash(node, { row.record.id, row.losses.runStartedAt, std::move(fingerprints), std::exchange(row.losses.promptParts, {}) }, now);
-}
-
 static void applyProbeResult(EntryNode& node, const std::string& endpointId, ProbeResult result)
 {
     node.metrics.addToCounter("bilberry_crash_probes_total", { { "result", std::string(toText(result)) } });
@@ -58,7 +55,7 @@
     if (!row)
         return;
     row->losses.isBeingProbed = false;
-    reportLossesAsCrash(node, *row, takeLossesAfterProbe(row->losses, result), Clock::now());
+    reportCrash(node, *row, takeLossesAfterProbe(row->losses, result), Clock::now());
 }
 
 void verifyLosses(EntryNode& node, EndpointRow& row)
@@ -80,7 +77,7 @@
     bool isRemoved = row->listedUntil != TimePoint::max();
     bool hasRestarted = row->statement.startedAt > row->losses.runStartedAt;
     if (isRemoved || hasRestarted)
-        reportLossesAsCrash(node, *row, takeLossesOfEndedRun(row->losses, row->lastHeardAt, now), now);
+        reportCrash(node, *row, takeLossesOfEndedRun(row->losses, row->lastHeardAt, now), now);
 }
 
 void reportSuspectParts(EntryNode& node, const std::vector<uint64_t>& parts, uint32_t run, TimePoint now)
--- a/src/EntryCrashes.h
+++ b/src/EntryCrashes.h
@@ -13,18 +13,9 @@
 struct EntryNode;
 struct EndpointRow;
 
-/// What this entry saw of the crash of an endpoint.
-struct EndpointCrash {
-    std::string endpointId;
-    WallTime startedAt {}; ///< Start of the run that crashed, as in EndpointStatement.
-    std::vector<uint64_t> fingerprints; ///< The requests that were lost.
-    std::vector<uint64_t> promptParts; ///< The shared parts of their prompts.
-};
-
-/// Records the requests that were running at an endpoint when it crashed, and reports them to the peers.
-void reportCrash(EntryNode&, const EndpointCrash&, TimePoint now);
-/// Reports the requests of these fingerprints, taken from the losses of the row, as lost by a crash. Does nothing if there are none.
-void reportLossesAsCrash(EntryNode&, EndpointRow&, std::vector<uint64_t> fingerprints, TimePoint now);
+/// Records that these requests, which were taken from the losses of the row, were lost by a crash of the endpoint, and reports it to
+/// the peers. Does nothing if there are none.
+void reportCrash(EntryNode&, EndpointRow&, const std::vector<uint64_t>& fingerprints, TimePoint now);
 /// Finds out whether an endpoint at which requests were lost has crashed: by a connection to it and, if nothing answers, by
 /// noteEndedRun(). Precondition: the node outlives the run of its loop.
 void verifyLosses(EntryNode&, EndpointRow&);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -144,6 +144,7 @@
     auto affected = accusedBeside(suspects, evidence.part);
     affected.push_back(evidence.part);
     std::vector<bool> wereRefused;
+    wereRefused.reserve(affected.size());
     for (uint64_t part : affected)
         wereRefused.push_back(isRefusedPart(suspects, part));
     bool hasChanged = isClearance ? clearPart(suspects, evidence.part) : addPartCrash(suspects, evidence.part, evidence.crashedEndpoint, now);
--- a/src/PromptSuspects.cpp
+++ b/src/PromptSuspects.cpp
@@ -11,7 +11,7 @@
 // Number of crashes that aren't cleared from which requests with a part are sent one at a time.
 static constexpr size_t crashesToIsolate = 2;
 // Number of crashes that aren't cleared from which a part is accused.
-static constexpr size_t crashesToRefuse = 3;
+static constexpr size_t crashesToAccuse = 3;
 // Number of crashes of a part from which it may explain those of another one.
 static constexpr size_t crashesToExplain = 2;
 // Number of crashes that no other part explains from which a part is taken to be their cause. Endpoints are also lost for
@@ -53,7 +53,7 @@
     if (row.runs.size() >= maxRunsPerPart)
         row.runs.erase(row.runs.begin());
     // Only a trial can bring a crash so long after the last one.
-    bool isOfTrial = row.runs.size() >= crashesToRefuse && now - row.lastCrashAt >= delayToFirstTrial(row);
+    bool isOfTrial = row.runs.size() >= crashesToAccuse && now - row.lastCrashAt >= delayToFirstTrial(row);
     if (isOfTrial)
         row.lastTrialAt = now;
     if (row.runs.empty())
@@ -97,7 +97,7 @@
 void removeExpiredSuspects(PromptSuspects& suspects, TimePoint now)
 {
     for (auto row = suspects.rows.begin(); row != suspects.rows.end();) {
-        Duration keptFor = row->second.runs.size() >= crashesToRefuse ? Duration(refusalTime) : Duration(suspicionTime);
+        Duration keptFor = row->second.runs.size() >= crashesToAccuse ? Duration(refusalTime) : Duration(suspicionTime);
         row = now - row->second.lastCrashAt > keptFor ? suspects.rows.erase(row) : std::next(row);
     }
 }
@@ -111,7 +111,7 @@
 
 static bool isAccused(const PromptSuspects& suspects, uint64_t part)
 {
-    return countCrashes(suspects, part) >= crashesToRefuse;
+    return countCrashes(suspects, part) >= crashesToAccuse;
 }
 
 // Whether nearly all crashes of the part were also crashes of parts with several that aren't among `parts`. Precondition: the part has a
--- a/src/PromptSuspects.h
+++ b/src/PromptSuspects.h
@@ -1,8 +1,8 @@
 /// Parts of prompts that may crash the endpoints that begin to answer requests with them. Each crash makes suspects of the parts
 /// of the requests that were lost with the endpoint; an answer to a request with a part clears it, since a part that crashes
 /// endpoints is never answered. A part with several crashes that aren't cleared is accused. A request with an accused part is
-/// refused, unless other accused parts, which the request lacks, were at all crashes of that part: then such a request, sent
-/// alone, shows which of them is the cause. Holds state only.
+/// refused, unless other parts with several crashes, which the request lacks, were at nearly all crashes of that part: then such a
+/// request, sent alone, shows which of them is the cause. Holds state only.
 #pragma once
 
 #include "EndpointEvents.h"
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -268,7 +268,7 @@
 void ProxiedRequest::noteLoss(EndpointRow& endpoint, AttemptResult result, TimePoint now)
 {
     if (result == AttemptResult::NotSent) {
-        reportLossesAsCrash(this->node, endpoint, takeLossesAfterRefusal(endpoint.losses, now), now);
+        reportCrash(this->node, endpoint, takeLossesAfterRefusal(endpoint.losses, now), now);
         return;
     }
     recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
