--- a/tests/process_platform_requests.py
+++ b/tests/process_platform_requests.py
@@ -69,7 +69,8 @@
         status, _, body = fleet.call(entry, "/stream/")
         events = [line for line in body.decode().splitlines() if line.startswith("id:")]
         assert status == 200 and events == [f"id: {number}" for number in range(12)], (fault, events)
-        assert len(fleet.stream.requests) + len(fleet.second_stream.requests) - before == runs
+        seen = len(fleet.stream.requests) + len(fleet.second_stream.requests) - before
+        assert seen == runs, (fault, seen, entry.events("attempt_failed")[-2:])
 
 
 def test_callers_who_leave(fleet, entry):
