Check again that losses are no crash while other requests are in progress

The condition that an endpoint's losses show a crash only once no other request of the entry is in progress there had no unit check since the probe came: it stood in ProxiedRequest::noteLoss(), where no unit test reaches it. Callers would have seen requests refused as the cause of a crash that didn't happen, had the condition been lost.

It is needsProbe() now. It also holds when the probe ends: where the VM doesn't answer it, several losses are no crash as long as requests that were sent meanwhile are in progress; they stay in the record until the last of these ends or the store shows the end of the run. A refused connection shows a crash and an accepted one shows that there was none, as before.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -95,10 +95,15 @@
     return now - record.lastLossAt <= lossWindow ? lost : std::vector<uint64_t>();
 }
 
-std::vector<uint64_t> takeLossesAfterProbe(LossRecord& record, ProbeResult result)
+bool needsProbe(const LossRecord& record, uint32_t requestsInProgress)
 {
-    bool isUndecided = result == ProbeResult::Unknown && record.fingerprints.size() < minLossesForCrash;
-    if (isUndecided)
+    return requestsInProgress == 0 && !record.fingerprints.empty() && !record.isBeingProbed;
+}
+
+std::vector<uint64_t> takeLossesAfterProbe(LossRecord& record, ProbeResult result, uint32_t requestsInProgress)
+{
+    bool showsCrash = requestsInProgress == 0 && record.fingerprints.size() >= minLossesForCrash;
+    if (result == ProbeResult::Unknown && !showsCrash)
         return {};
     auto lost = std::exchange(record.fingerprints, {});
     return result == ProbeResult::Accepted ? std::vector<uint64_t>() : lost;
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -63,10 +63,13 @@
 /// Returns the fingerprints of the requests that were lost with an endpoint which now accepts no connection for a request, and
 /// removes them from the record. None if the last loss is too long ago. The parts of their prompts are left for the caller.
 std::vector<uint64_t> takeLossesAfterRefusal(LossRecord&, TimePoint now);
+/// Whether the losses call for a probe: not while other requests are in progress at the endpoint, whose ends will tell more, and not
+/// during a probe. Thread safe.
+bool needsProbe(const LossRecord&, uint32_t requestsInProgress);
 /// Returns the fingerprints of the requests that were lost by a crash that a probe of their endpoint shows, and removes them from
-/// the record, as it does where the endpoint is alive. If the probe shows neither, several losses are a crash; a single one stays
-/// in the record.
-std::vector<uint64_t> takeLossesAfterProbe(LossRecord&, ProbeResult);
+/// the record, as it does where the endpoint is alive. If the probe shows neither, several losses are a crash unless other requests
+/// are in progress at the endpoint; else they stay in the record.
+std::vector<uint64_t> takeLossesAfterProbe(LossRecord&, ProbeResult, uint32_t requestsInProgress);
 /// Returns the fingerprints of the requests that were lost at a run of which the store now shows that it has ended, and removes
 /// them from the record. None if the losses are too old for that, or if the endpoint has sent anything after them, at `heardAt`.
 std::vector<uint64_t> takeLossesOfEndedRun(LossRecord&, TimePoint heardAt, TimePoint now);
--- a/src/EntryCrashes.cpp
+++ b/src/EntryCrashes.cpp
@@ -55,13 +55,11 @@
     if (!row)
         return;
     row->losses.isBeingProbed = false;
-    reportCrash(node, *row, takeLossesAfterProbe(row->losses, result), Clock::now());
+    reportCrash(node, *row, takeLossesAfterProbe(row->losses, result, row->inFlight), Clock::now());
 }
 
 void verifyLosses(EntryNode& node, EndpointRow& row)
 {
-    if (row.losses.isBeingProbed)
-        return;
     row.losses.isBeingProbed = true;
     auto timer = std::make_shared<LoopTimer>(node.loop, crashProbeDelay);
     timer->async_wait([&node, timer, id = row.record.id, address = row.record.address](const boost::system::error_code&) {
--- a/src/EntryCrashes.h
+++ b/src/EntryCrashes.h
@@ -17,7 +17,7 @@
 /// the peers. Does nothing if there are none.
 void reportCrash(EntryNode&, EndpointRow&, const std::vector<uint64_t>& fingerprints, TimePoint now);
 /// Finds out whether an endpoint at which requests were lost has crashed: by a connection to it and, if nothing answers, by
-/// noteEndedRun(). Precondition: the node outlives the run of its loop.
+/// noteEndedRun(). Preconditions: needsProbe() holds; the node outlives the run of its loop.
 void verifyLosses(EntryNode&, EndpointRow&);
 /// Reports the crash of an endpoint with recent losses of which the store shows that the run has ended: it is no longer listed or
 /// has started again. To be called after each change of an endpoint's record.
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -274,7 +274,7 @@
     recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
     recordLoss(endpoint.losses, this->fingerprint, now);
     endpoint.losses.runStartedAt = this->endpointStartedAt;
-    if (endpoint.inFlight == 0)
+    if (needsProbe(endpoint.losses, endpoint.inFlight))
         verifyLosses(this->node, endpoint);
 }
 
--- a/tests/CrashHistoryTest.cpp
+++ b/tests/CrashHistoryTest.cpp
@@ -95,16 +95,20 @@
         const char* name;
         size_t losses;
         ProbeResult probe;
+        uint32_t inProgress;
         size_t reported;
         size_t left;
     };
     const std::vector<Row> rows {
-        { "one, refused", 1, ProbeResult::Refused, 1, 0 },
-        { "one, accepted", 1, ProbeResult::Accepted, 0, 0 },
-        { "one, unknown", 1, ProbeResult::Unknown, 0, 1 },
-        { "three, refused", 3, ProbeResult::Refused, 3, 0 },
-        { "three, accepted", 3, ProbeResult::Accepted, 0, 0 },
-        { "three, unknown", 3, ProbeResult::Unknown, 3, 0 },
+        { "one, refused", 1, ProbeResult::Refused, 0, 1, 0 },
+        { "one, accepted", 1, ProbeResult::Accepted, 0, 0, 0 },
+        { "one, unknown", 1, ProbeResult::Unknown, 0, 0, 1 },
+        { "three, refused", 3, ProbeResult::Refused, 0, 3, 0 },
+        { "three, accepted", 3, ProbeResult::Accepted, 0, 0, 0 },
+        { "three, unknown", 3, ProbeResult::Unknown, 0, 3, 0 },
+        { "three, refused, one in progress", 3, ProbeResult::Refused, 1, 3, 0 },
+        { "three, accepted, one in progress", 3, ProbeResult::Accepted, 1, 0, 0 },
+        { "three, unknown, one in progress", 3, ProbeResult::Unknown, 1, 0, 3 },
     };
     for (const auto& row : rows) {
         LossRecord record;
@@ -112,12 +116,31 @@
             recordLoss(record, fingerprint, start);
         BOOST_TEST_CONTEXT(row.name)
         {
-            BOOST_TEST(takeLossesAfterProbe(record, row.probe).size() == row.reported);
+            BOOST_TEST(takeLossesAfterProbe(record, row.probe, row.inProgress).size() == row.reported);
             BOOST_TEST(record.fingerprints.size() == row.left);
         }
     }
 }
 
+BOOST_AUTO_TEST_CASE(lossesAreNoCrashWhileOtherRequestsAreInProgress)
+{
+    LossRecord record;
+    BOOST_TEST(!needsProbe(record, 0));
+    for (uint32_t inProgress : { 2u, 1u }) {
+        recordLoss(record, inProgress, start);
+        BOOST_TEST(!needsProbe(record, inProgress));
+        BOOST_TEST(takeLossesAfterProbe(record, ProbeResult::Unknown, inProgress).empty());
+    }
+    recordLoss(record, 3, start);
+    BOOST_TEST(needsProbe(record, 0));
+    record.isBeingProbed = true;
+    BOOST_TEST(!needsProbe(record, 0));
+    // All of them count once none is left.
+    BOOST_TEST(takeLossesAfterProbe(record, ProbeResult::Unknown, 0).size() == 3u);
+    record.isBeingProbed = false;
+    BOOST_TEST(!needsProbe(record, 0));
+}
+
 BOOST_AUTO_TEST_CASE(lossesCountTogetherForAShortTimeOnly)
 {
     LossRecord refused;
@@ -132,5 +155,5 @@
     LossRecord spread;
     recordLoss(spread, 1, start);
     recordLoss(spread, 2, start + Seconds(5));
-    BOOST_TEST(takeLossesAfterProbe(spread, ProbeResult::Unknown).empty());
+    BOOST_TEST(takeLossesAfterProbe(spread, ProbeResult::Unknown, 0).empty());
 }
