Answer what is left before a stopping entry exits

In a planned stop in calm, requests that the entry had read and passed on, or that waited in its queue, were cut with no answer when the grace period ended; those that may run once could not be sent again. A stream that ends with its connection (HTTP/1.0) was closed in the middle without a reset, so that it looked whole.

Cause: the entry took requests until 2.6 s after SIGTERM whatever time they needed, told endpoints the caller's whole time, sent and repeated requests until the last moment, and ended the process at 0.93 of the grace period with all that was open.

A stop now has a schedule (StopSchedule): until when requests are taken, when the rest is answered, and when the process exits. The time by which answers are due bounds the deadline of each request, what endpoints are told as time left, and the time limit of each attempt. A request whose next attempt can't end by then is not sent: if no endpoint has it, it gets 503 with a short Retry-After, since another entry takes it.

--- a/src/AsyncHttpServer.cpp
+++ b/src/AsyncHttpServer.cpp
@@ -94,6 +94,20 @@
         connection->closeIfIdle();
 }
 
+void AsyncHttpServer::refuseUnreadRequests(int status, const HttpHeaders& headers)
+{
+    std::vector<ServerConnection*> connections(this->state->connections.begin(), this->state->connections.end());
+    for (auto* connection : connections)
+        connection->refuseUnreadRequest(status, headers);
+}
+
+void AsyncHttpServer::closeConnections()
+{
+    std::vector<ServerConnection*> connections(this->state->connections.begin(), this->state->connections.end());
+    for (auto* connection : connections)
+        connection->closeInAnyPhase();
+}
+
 size_t AsyncHttpServer::connectionCount() const
 {
     return this->state->connections.size();
--- a/src/AsyncHttpServer.h
+++ b/src/AsyncHttpServer.h
@@ -48,6 +48,10 @@
     void stopAccepting();
     /// Closes the connections on which no request is being read or handled.
     void closeIdleConnections();
+    /// Refuses the requests that haven't been read completely, and closes their connections when they are refused.
+    void refuseUnreadRequests(int status, const HttpHeaders&);
+    /// Closes all connections; those whose response isn't written completely, so that the caller notices that it is incomplete.
+    void closeConnections();
     /// Number of open connections.
     size_t connectionCount() const;
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -31,10 +31,6 @@
 static constexpr double maxAgeFractionToBeReady = 0.6;
 // Least number of entries that are assumed to share the fleet's budgets, also while fewer have been heard from.
 static constexpr uint32_t assumedEntries = 6;
-// Time after the request to stop for which the load balancer may still send new callers.
-static constexpr Milliseconds loadBalancerUpdateTime { 2600 };
-// Fraction of the grace period after which active requests are cut off.
-static constexpr double graceFraction = 0.93;
 
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
 {
@@ -276,7 +272,7 @@
 
 bool acceptsRequests(const EntryNode& node, TimePoint now)
 {
-    return node.stopRequestedAt == TimePoint::max() || now - node.stopRequestedAt < loadBalancerUpdateTime;
+    return now < node.stopSchedule.takesRequestsUntil;
 }
 
 uint32_t entryCount(const EntryNode& node)
@@ -415,21 +411,24 @@
     if (this->stopRequestedAt != TimePoint::max())
         return;
     this->stopRequestedAt = Clock::now();
+    this->stopSchedule = makeStopSchedule(this->stopRequestedAt, this->settings.reloadable.stopGracePeriod);
     this->callerServer.startDraining();
     this->log.write(LogLevel::Info, "stopping", { { "in_progress", static_cast<uint64_t>(this->activeRequests.size()) } });
 }
 
 void EntryNode::stopWhenDone(TimePoint now)
 {
-    if (this->stopRequestedAt == TimePoint::max() || now - this->stopRequestedAt < loadBalancerUpdateTime)
+    if (now < this->stopSchedule.takesRequestsUntil)
         return;
     this->callerServer.stopAccepting();
     this->callerServer.closeIdleConnections();
-    auto grace = Milliseconds(static_cast<int64_t>(graceFraction * static_cast<double>(this->settings.reloadable.stopGracePeriod.count())));
+    if (now >= this->stopSchedule.answersDueAt)
+        this->callerServer.refuseUnreadRequests(503, retryAfterHeaders(stoppingRetryAfter));
     bool isDone = this->activeRequests.empty() && this->callerServer.connectionCount() == 0;
-    if (!isDone && now - this->stopRequestedAt < grace)
+    if (!isDone && now < this->stopSchedule.exitAt)
         return;
     this->log.write(LogLevel::Info, "stopped", { { "cut_off", static_cast<uint64_t>(this->activeRequests.size()) } });
+    this->callerServer.closeConnections();
     this->loop.stop();
 }
 
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -16,6 +16,7 @@
 #include "ProtocolAdapter.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
+#include "StopSchedule.h"
 #include "StoreReaders.h"
 #include "StoreReplica.h"
 #include "StoreWatch.h"
@@ -40,7 +41,8 @@
     absl::Status start();
     /// Replaces the bounds by reloaded ones.
     void reload(const ReloadableSettings&);
-    /// Stops accepting requests from new callers, finishes the active requests, and then stops the loop.
+    /// Stops accepting requests from new callers, finishes the active requests or, when no time is left, answers that they may have
+    /// run, and then stops the loop.
     void beginStop();
     /// Applies evidence about a part of a prompt, the own or that of a peer. Returns whether it changes what is known of the
     /// part.
@@ -72,6 +74,7 @@
     /// with each change of the load, and lets the next message be sent earlier.
     bool hasChangesForPeers = false;
     TimePoint stopRequestedAt = TimePoint::max(); ///< The maximum while no stop is requested.
+    StopSchedule stopSchedule;
 
     uint32_t nearPeers = 0; ///< The number of recently heard entries of this data centre.
 
--- a/src/HttpMessage.cpp
+++ b/src/HttpMessage.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_replace.h>
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
 
 namespace bilberry {
 
@@ -26,6 +27,13 @@
     return {};
 }
 
+HttpHeaders retryAfterHeaders(Milliseconds delay)
+{
+    if (delay <= Milliseconds(0))
+        return {};
+    return { { "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(delay).count()) } };
+}
+
 void setHeader(HttpHeaders& headers, std::string_view name, std::string value)
 {
     auto hasSameName = [&](const auto& header) { return isSameHeaderName(header.first, name); };
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -55,6 +55,9 @@
 /// length, which the outgoing connection sets itself. Thread safe.
 HttpHeaders forwardableHeaders(const HttpHeaders&);
 
+/// Returns the header `Retry-After` in seconds with three decimals, or no header if the delay isn't positive. Thread safe.
+HttpHeaders retryAfterHeaders(Milliseconds);
+
 /// Returns a response with content type `application/json`.
 HttpResponse makeJsonResponse(int status, std::string body);
 
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -6,7 +6,6 @@
 #include "VersionSwitch.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace bilberry {
 
@@ -20,8 +19,6 @@
 static constexpr int startedResponsePriority = -1;
 // Retry-After delay for a request that is refused because the entry has no configuration.
 static constexpr Milliseconds noConfigurationRetryAfter { 200 };
-// Retry-After delay for a request that reaches a stopping entry. It is short because the retry reaches another entry.
-static constexpr Milliseconds stoppingRetryAfter { 50 };
 // Retry-After delay for a request that is blocked because it crashes endpoints.
 static constexpr Milliseconds crashingRequestRetryAfter { 60'000 };
 
@@ -38,9 +35,15 @@
     this->discardBody();
 }
 
+// When the request must be answered: at its deadline or, if that is earlier, shortly before a stopping entry exits.
+TimePoint ProxiedRequest::answerDueAt() const
+{
+    return std::min(this->deadline, this->node.stopSchedule.answersDueAt);
+}
+
 Milliseconds ProxiedRequest::timeLeft(TimePoint now) const
 {
-    return std::chrono::duration_cast<Milliseconds>(this->deadline - now);
+    return std::chrono::duration_cast<Milliseconds>(this->answerDueAt() - now);
 }
 
 void ProxiedRequest::startProcessing()
@@ -64,7 +67,26 @@
     if (this->isFinished || !this->admitRequest(now))
         return;
     countRequest(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, now);
-    this->dispatchOrEnqueue(now);
+    if (this->canAnswerBeforeExit(now))
+        this->dispatchOrEnqueue(now);
+    else
+        this->endForStop(now);
+}
+
+// Whether a run that starts now can be answered before a stopping entry exits.
+bool ProxiedRequest::canAnswerBeforeExit(TimePoint now) const
+{
+    return canAttemptEnd(this->node.stopSchedule, this->deadline, this->route->targetLatency, now);
+}
+
+// Ends a request whose next attempt couldn't be answered before the entry exits. Another entry takes one that has not run.
+void ProxiedRequest::endForStop(TimePoint now)
+{
+    this->isWaiting = false;
+    if (this->attemptTotals.runs == 0)
+        this->refuseRequest(503, "stopping", stoppingRetryAfter);
+    else
+        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
 }
 
 // Chooses one of the route's services at random in proportion to the weights. Services without endpoints are left out; if no
@@ -201,7 +223,7 @@
 
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
-    if (this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
+    if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
     this->requirements.entryCount = entryCount(this->node);
     this->requirements.nearEntryCount = nearEntryCount(this->node);
@@ -323,6 +345,10 @@
         this->refuseForCrashes(now);
         return;
     }
+    if (!this->canAnswerBeforeExit(now)) {
+        this->endForStop(now);
+        return;
+    }
     bool isWithinBudget = tryTakeRetry(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, entryCount(this->node), now);
     this->node.metrics.addToCounter("bilberry_repeats_total", { { "result", isWithinBudget ? "sent" : "over_budget" } });
     if (!isWithinBudget) {
@@ -360,15 +386,15 @@
     } else if (answer == FinalAnswer::Deliver && !promisesNotRun) {
         this->deliverResponse();
     } else {
-        this->refuseRequest(answer == FinalAnswer::TimedOut ? 504 : 502, toText(this->lastResult).data(), Milliseconds(0));
+        bool isEndedByStop = answer == FinalAnswer::TimedOut && Clock::now() < this->deadline;
+        this->refuseRequest(answer == FinalAnswer::TimedOut ? 504 : 502, isEndedByStop ? "stopping" : toText(this->lastResult).data(), Milliseconds(0));
     }
 }
 
 void ProxiedRequest::refuseRequest(int status, const char* reason, Milliseconds retryAfter)
 {
-    HttpHeaders headers { { "Content-Type", "text/plain" } };
-    if (retryAfter > Milliseconds(0))
-        headers.emplace_back("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
+    auto headers = retryAfterHeaders(retryAfter);
+    headers.emplace_back("Content-Type", "text/plain");
     if (status >= 500 && this->route) {
         auto now = Clock::now();
         this->node.ownRefusals.addRefusal(this->fingerprint, this->firstArrivedAt, now);
@@ -404,7 +430,11 @@
             this->admitAndDispatch(now);
         return;
     }
-    if (now >= this->deadline) {
+    if (this->isWaiting && !this->canAnswerBeforeExit(now) && removeWaitingRequest(this->node.queues[this->requirements.service], this->number)) {
+        this->endForStop(now);
+        return;
+    }
+    if (now >= this->answerDueAt()) {
         auto keepAlive = this->shared_from_this();
         if (this->hasActiveAttempt()) {
             this->abandonAttempt(AttemptResult::TimedOut);
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -52,6 +52,8 @@
 
 private:
     bool admitRequest(TimePoint now);
+    bool canAnswerBeforeExit(TimePoint now) const;
+    void endForStop(TimePoint now);
     void dispatchOrEnqueue(TimePoint now);
     bool isRefusedForCrashes() const;
     void refuseForCrashes(TimePoint now);
@@ -83,6 +85,7 @@
     void refuseRequest(int status, const char* reason, Milliseconds retryAfter);
     void cancelRequest();
     void finishRequest(const char* outcome, int status, const char* reason);
+    TimePoint answerDueAt() const;
     Milliseconds timeLeft(TimePoint now) const;
     bool hasActiveAttempt() const { return this->channel != nullptr; }
 
--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -44,6 +44,17 @@
         this->close(false);
 }
 
+void ServerConnection::refuseUnreadRequest(int status, const HttpHeaders& headers)
+{
+    if (this->phase == Phase::ReadingHeader || this->phase == Phase::ReadingBody)
+        this->refuseRequest(status, headers);
+}
+
+void ServerConnection::closeInAnyPhase()
+{
+    this->close(this->phase == Phase::Responding);
+}
+
 void ServerConnection::close(bool isReset)
 {
     if (!this->socket.is_open())
@@ -209,13 +220,13 @@
 
 // Responds with an error to a request that was not read completely. Further bytes are read and discarded for a while: a close
 // with unread bytes would reset the connection before the caller has read the response.
-void ServerConnection::refuseRequest(int status)
+void ServerConnection::refuseRequest(int status, const HttpHeaders& headers)
 {
     this->keepsAlive = false;
     this->isHeadRequest = false;
     this->phase = Phase::Lingering;
     this->startTimer(lingerTime);
-    this->enqueueWrite(this->makeResponseHead(status, {}, 0), [self = this->shared_from_this()] {
+    this->enqueueWrite(this->makeResponseHead(status, headers, 0), [self = this->shared_from_this()] {
         boost::system::error_code ignored;
         self->socket.shutdown(asio::socket_base::shutdown_send, ignored);
         self->readFromSocket();
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -44,6 +44,10 @@
     void startReading();
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
+    /// Refuses the request that is being read, if one is.
+    void refuseUnreadRequest(int status, const HttpHeaders&);
+    /// Closes the connection; by a TCP reset if a response isn't written completely.
+    void closeInAnyPhase();
     /// Closes the connection; with `isReset` by a TCP reset, so that the peer notices an incomplete response.
     void close(bool isReset);
 
@@ -67,7 +71,7 @@
     void parseRequest();
     void handleHeader();
     void dispatchRequest();
-    void refuseRequest(int status);
+    void refuseRequest(int status, const HttpHeaders& = {});
     void prepareNextRequest();
     void finishResponse();
     void startTimer(Milliseconds);
