Count an answer without a length as whole only if its endpoint lives on

Callers got a stream or a plain answer as whole though its endpoint had been killed on the way: an answer with neither a length nor chunks ends with its connection, and the system ends the connections of a killed process in the same way. After a whole event, or within a plain body, nothing in the bytes tells the two apart.

The end of such an answer now counts only once a probe finds that the endpoint still accepts connections, and that no later start of it is known. Otherwise the attempt is lost: a resumable stream goes on at another endpoint, another one is cut visibly, a plain answer is repeated or answered with 502. A stream without any event isn't whole unless it resumes one. Answers of a process that is paused right after them stay whole.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -49,6 +49,7 @@
     , adapter(adapter)
     , log(log)
     , channels(loop, endpointTimes)
+    , livenessChecks(loop, this->metrics)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
     , peers(loop, peerSettings(settings), this->makePeerHandlers())
     , callerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -8,6 +8,7 @@
 #include "DispatchQueue.h"
 #include "EventLog.h"
 #include "HttpCall.h"
+#include "LivenessChecks.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
 #include "PeerExchange.h"
@@ -57,6 +58,7 @@
     Metrics metrics;
     ClusterView clusterView;
     ChannelPool channels;
+    LivenessChecks livenessChecks;
     DispatchQueues queues; ///< The queue of waiting requests; the key is the service.
     std::unordered_map<std::string, RetryWindow> retryWindows; ///< The key is the service.
     size_t bufferedResponseBytes = 0; ///< The bytes of endpoints' responses that are buffered until they are complete.
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -62,6 +62,7 @@
     bool hasHead = false;
     bool isSkipping = false;
     bool isReusable = true;
+    bool hasEndedWithConnection = false;
     bool isHeadRequest = false;
     uint64_t maxBodyBytes = 0;
     int exchangeCount = 0;
@@ -192,6 +193,7 @@
         boost::system::error_code failure;
         this->state->parser->put_eof(failure);
         this->state->isReusable = false;
+        this->state->hasEndedWithConnection = true;
         this->deliverBody();
         return;
     }
@@ -346,6 +348,11 @@
     return this->isOpen() && !this->state->isRunning && this->state->isReusable;
 }
 
+bool HttpChannel::endedWithConnection() const
+{
+    return this->state->hasEndedWithConnection;
+}
+
 bool HttpChannel::isOpen() const
 {
     return this->state->socket.is_open();
--- a/src/HttpChannel.h
+++ b/src/HttpChannel.h
@@ -73,6 +73,9 @@
     /// unexpected bytes were received.
     bool canReuse() const;
     bool isOpen() const;
+    /// Whether the last response had no length and ended with its connection. The system ends a connection in the same way when it
+    /// ends the peer's process, so that such a response may not be whole.
+    bool endedWithConnection() const;
     /// Time at which the last exchange ended; the default value before the first one.
     TimePoint idleSince() const;
     /// Time for which the peer said it keeps an idle connection; zero if it didn't say.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -459,7 +459,7 @@
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
-    if (!mayRepeat(*this->route))
+    if (!mayRepeat(*this->route) || this->channel->endedWithConnection())
         return;
     bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
     if (now - this->lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->lastReceivedAt }))
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AttemptPolicy.h"
+#include "ConnectionProbe.h"
 #include "EndpointChoice.h"
 #include "EntryConfiguration.h"
 #include "EventStreamBuffer.h"
@@ -72,7 +73,11 @@
     void discardBody();
     void forwardEvents(const std::string& events);
     void onAttemptEnd(ChannelEnd);
+    void verifyEnd(AttemptResult);
+    void onEndVerified(AttemptResult, ProbeResult);
+    void endAttempt(AttemptResult);
     AttemptResult attemptResult(ChannelEnd) const;
+    bool isStreamWithoutEvents() const;
     AttemptResult resultOfWholeResponse() const;
     bool mayJoinStartedResponse() const;
     void releaseEndpoint(AttemptResult, TimePoint now);
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -1,5 +1,5 @@
-/// The part of ProxiedRequest that handles one attempt at an endpoint: it sends the request, receives the response, and
-/// records what the attempt reveals about the endpoint.
+/// The part of ProxiedRequest that handles one attempt at an endpoint until its end: it sends the request and receives the
+/// response.
 
 #include "EntryCrashes.h"
 #include "EntryNode.h"
@@ -23,17 +23,9 @@
 static constexpr Milliseconds maxIdleForUnrepeatable { 1000 };
 // Longest idle time of a connection that is reused for a repeatable request. It is long enough to allow any reuse.
 static constexpr Milliseconds maxIdleForRepeatable { 3'600'000 };
-// Status of an endpoint that doesn't run requests that are meant for it, because of its identity or its weights.
-static constexpr int httpStatusMisdirected = 421;
 static constexpr std::string_view contentTypeHeader = "Content-Type";
-// Time for which an endpoint gets no new request after it refused one because of its load or state.
-static constexpr Milliseconds refusalBackoff { 60 };
-// Time within which an endpoint crashes after it has begun to answer a request that crashes it.
-static constexpr Milliseconds maxCrashDelay { 300 };
 // Time for which a stream goes on before its request counts as one that crashes no endpoint.
 static constexpr Milliseconds clearingStreamTime { 1500 };
-// Time for which an endpoint gets no new request after a connection to it failed.
-static constexpr Milliseconds connectFailureBackoff { 300 };
 
 bool isSuccessForRequest(const ResponseHead& head, const EndpointReply& reply, const CallerRequest& caller)
 {
@@ -199,129 +191,4 @@
     return hasSameType && this->responseHead.status == this->startedStatus;
 }
 
-AttemptResult ProxiedRequest::resultOfWholeResponse() const
-{
-    // An answer to another request says nothing about this one, not even that it hasn't run.
-    bool isForOtherRequest = !this->endpointReply.requestId.empty() && this->endpointReply.requestId != this->callerRequest.id;
-    if (isForOtherRequest)
-        return AttemptResult::Malformed;
-    // One without an ID may be an earlier answer that was written again.
-    if (this->endpointReply.isNotExecuted)
-        return this->endpointReply.requestId.empty() ? AttemptResult::Malformed : AttemptResult::NotExecuted;
-    if (!this->mayJoinStartedResponse())
-        return AttemptResult::Malformed;
-    if (this->responseHead.status < 300)
-        return isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest) ? AttemptResult::Answered : AttemptResult::Malformed;
-    bool hasFailed = this->responseHead.status >= 500 || promisesNotExecuted(this->responseHead.status);
-    return hasFailed ? AttemptResult::ServerError : AttemptResult::Answered;
-}
-
-AttemptResult ProxiedRequest::attemptResult(ChannelEnd end) const
-{
-    switch (end) {
-    case ChannelEnd::NotSent:
-        return AttemptResult::NotSent;
-    case ChannelEnd::Malformed:
-        return AttemptResult::Malformed;
-    case ChannelEnd::Lost:
-        return AttemptResult::Lost;
-    case ChannelEnd::Complete:
-        break;
-    }
-    bool hasPartialEvent = !this->eventStream.partialEvent.empty();
-    return hasPartialEvent ? AttemptResult::Lost : this->resultOfWholeResponse();
-}
-
-void ProxiedRequest::onAttemptEnd(ChannelEnd end)
-{
-    auto result = this->attemptResult(end);
-    this->releaseEndpoint(result, Clock::now());
-    this->handleAttemptResult(result);
-}
-
-// Whether the response ends with its connection, so that the end of a complete one looks like a crash.
-static bool endsWithConnection(const ResponseHead& head)
-{
-    return findHeader(head.headers, "Content-Length").empty() && findHeader(head.headers, "Transfer-Encoding").empty();
-}
-
-// Records what the end of the attempt shows of the parts of the prompt: a part that crashes endpoints does so when the answer
-// begins, and no answer to it is complete.
-void ProxiedRequest::notePartsOfEndedAttempt(AttemptResult result, TimePoint now)
-{
-    const auto& parts = this->callerRequest.sharedPromptParts;
-    noteReleasedParts(this->node.promptSuspects, parts);
-    if (parts.empty())
-        return;
-    bool hasEvents = this->firstEventAt != TimePoint();
-    // The loss itself may be seen late, so that only events count.
-    bool hasRunOn = hasEvents && this->lastReceivedAt - this->firstEventAt >= maxCrashDelay;
-    bool isEndUnclear = result == AttemptResult::Answered && endsWithConnection(this->responseHead) && !hasRunOn;
-    bool isStream = this->route->kind == RequestKind::Stream;
-    if ((result == AttemptResult::Lost && !hasRunOn) || (isEndUnclear && isStream && !hasEvents))
-        reportSuspectParts(this->node, parts, runHash(this->endpointId, this->endpointStartedAt), now);
-    else if (result == AttemptResult::Answered && !isEndUnclear && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest))
-        reportAnsweredParts(this->node, parts, now);
-}
-
-// Records that the attempt was lost or that the endpoint accepted no connection, either of which may show that it crashed.
-void ProxiedRequest::noteLoss(EndpointRow& endpoint, AttemptResult result, TimePoint now)
-{
-    if (result == AttemptResult::NotSent) {
-        reportCrash(this->node, endpoint, takeLossesAfterRefusal(endpoint.losses, now), now);
-        return;
-    }
-    recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
-    recordLoss(endpoint.losses, this->fingerprint, now);
-    endpoint.losses.runStartedAt = this->endpointStartedAt;
-    if (needsProbe(endpoint.losses, endpoint.inFlight))
-        verifyLosses(this->node, endpoint);
-}
-
-// Releases the endpoint's capacity and the connection, and records what the attempt revealed about the endpoint.
-void ProxiedRequest::releaseEndpoint(AttemptResult result, TimePoint now)
-{
-    auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    --endpoint.inFlight;
-    bool hasBegun = this->responseHead.status != 0;
-    if (!hasBegun)
-        recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
-    this->node.hasChangesForPeers = true;
-    this->notePartsOfEndedAttempt(result, now);
-    if (result == AttemptResult::Answered)
-        this->node.crashes.removeRequest(this->fingerprint);
-    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
-        this->noteLoss(endpoint, result, now);
-    bool isAddressReused = result == AttemptResult::NotExecuted && !this->endpointReply.endpointId.empty() && this->endpointReply.endpointId != this->endpointId;
-    if (isAddressReused) {
-        // Another endpoint now has this address, so the endpoint list is out of date.
-        endpoint.listedUntil = now;
-        this->node.channels.closeIdleChannels(this->endpointId);
-    }
-    // An engine that names itself and yet doesn't take a request that is meant for it holds no weights to run it with.
-    bool isSwitching = result == AttemptResult::NotExecuted && !isAddressReused && this->responseHead.status == httpStatusMisdirected && endpoint.record.isModelEngine;
-    if (isSwitching)
-        reportSwitchingEngine(this->node, endpoint, now);
-    if (result == AttemptResult::NotSent)
-        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + connectFailureBackoff);
-    // An endpoint that answers other requests has queued a silent one, or has lost its answer.
-    bool isAliveAndSilent = result == AttemptResult::Silent && endpoint.lastHeardAt > this->lastReceivedAt;
-    if (result == AttemptResult::Answered)
-        noteOutcome(endpoint, true, now);
-    else if (result == AttemptResult::NotExecuted)
-        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + refusalBackoff);
-    else if (result != AttemptResult::TimedOut && !isAliveAndSilent)
-        noteOutcome(endpoint, false, now);
-    this->node.channels.releaseChannel(this->endpointId, std::move(this->channel));
-    this->channel = nullptr;
-    this->endpointRow = noEndpoint;
-}
-
-void ProxiedRequest::abandonAttempt(AttemptResult result)
-{
-    this->channel->close();
-    this->releaseEndpoint(result, Clock::now());
-    this->handleAttemptResult(result);
-}
-
 } // namespace bilberry
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -217,7 +217,7 @@
 
     A request with one of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after
     its head or, with `has_event_before_crash`, after its first event; one with a body of `crashing_bodies` does so before its head.
-    After `downtime` seconds it is back under another name, unless it `keeps_name`, and `on_restart` is called with it and its
+    Its port closes `listener_delay` seconds after its connections. After `downtime` seconds it is back under another name, unless it `keeps_name`, and `on_restart` is called with it and its
     earlier name. While it `leaves`, all its answers say so; while `retry_after` is set, it
     refuses each request with that header, or only those whose header X-Caller is `refused_caller`. `refusals` counts them. With
     `resumed_answer`, a status, a content type and a body, it answers so to a request that resumes a stream."""
@@ -230,6 +230,7 @@
         self.keeps_name = False
         self.crash_delay = 0.08
         self.has_event_before_crash = False
+        self.listener_delay = 0.0
         self.downtime = 1.0
         self.on_restart = None
         self.crashes = []
@@ -305,6 +306,8 @@
             call.hang_up()
         elif fault == "huge length":
             send_with_huge_length(call, sealed)
+        elif isinstance(fault, tuple) and fault[0] == "no length, killed":
+            self.begin_without_length_and_crash(call, sealed, whole_events=fault[1])
         elif self.events:
             self.stream(call, sealed, fault)
         elif fault in ("no length", "no length, reset"):
@@ -333,6 +336,21 @@
         self.crash()
         call.close_connection = True
 
+    def begin_without_length_and_crash(self, call, headers, whole_events):
+        """Begins an answer that ends with its connection, and crashes after that many whole events or, with -1, within a plain body."""
+        call.send_response(200)
+        for name, value in [*headers, ("Content-Type", "text/event-stream" if self.events else "text/plain")]:
+            call.send_header(name, value)
+        call.end_headers()
+        if self.events:
+            for number in range(whole_events):
+                call.wfile.write(b"id: %d\ndata: token\n\n" % number)
+        else:
+            call.wfile.write(b"done")
+        time.sleep(self.crash_delay)
+        self.crash()
+        call.close_connection = True
+
     def crash(self):
         """Ends all connections at the same moment and refuses new ones, until it is back."""
         with self.lock:
@@ -341,12 +359,16 @@
             self.is_down = True
             self.crashes.append(time.monotonic())
             sockets = list(self.server.sockets)
-        self.server.socket.close()
+        if not self.listener_delay:
+            self.server.socket.close()
         for connection in sockets:
             try:
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        if self.listener_delay:
+            time.sleep(self.listener_delay)
+            self.server.socket.close()
         threading.Thread(target=self.restart, daemon=True).start()
 
     def restart(self):
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -2,18 +2,26 @@
 """Answers of endpoints that end with their connection or short of their stated length, through an entry of the platform."""
 
 import http.client
+import json
+import signal
+import subprocess
+import sys
+import time
+import types
 import uuid
 
 import harness
 import platform_fleet
 
+WHOLE = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(12))
+
 
 def call(fleet, entry, path):
-    """One request; gives the status, the body and whether the answer is whole. Status 0 when there was no head."""
+    """One request, unlike any other; gives the status, the body and whether the answer is whole. Status 0 when there was no head."""
     connection = http.client.HTTPConnection(entry.flags["listen"], timeout=10)
     headers = {"Host": platform_fleet.HOST, "Bilberrybarrow-Request-Id": uuid.uuid4().hex, "Bilberrybarrow-Deadline-Ms": "4000", "Authorization": f"Token {platform_fleet.KEY}"}
     try:
-        connection.request("POST", path, "hello", headers)
+        connection.request("POST", path, uuid.uuid4().hex, headers)
         answer = connection.getresponse()
         body = b""
         try:
@@ -70,6 +78,89 @@
         endpoint.resumed_answer = None
 
 
+def check_of_ended(path, events, status, body, is_whole):
+    """An answer of which a part may have been lost with its endpoint is whole only if another run has made it so."""
+    print(path, events, status, body[-20:], is_whole, flush=True)
+    may_run_again = path not in ("/ending-fixed/", "/ending-once/")
+    if status == 200 and events >= 0:
+        assert WHOLE.startswith(body), (path, events, body)
+        assert is_whole == (body == WHOLE and may_run_again), (path, events, is_whole, body)
+    elif status == 200:
+        assert may_run_again and is_whole and body.startswith(b"done by"), (path, is_whole, body)
+    else:
+        assert status == 502 and events <= 0 and not may_run_again, (path, events, status, body)
+
+
+def test_answers_without_length_of_an_endpoint_that_ends_never_look_whole(fleet, entry):
+    """It ends before or after some whole events, or within a plain body: its connections end as those of a whole answer do."""
+    rows = [(path, events, 0) for path in ("/ending-stream/", "/ending-fixed/") for events in (0, 1, 6, 12)] + [("/ending-plain/", -1, 0), ("/ending-once/", -1, 0), ("/ending-fixed/", 6, 0.005), ("/ending-once/", -1, 0.005)]
+    for path, events, listener_delay in rows:
+        endpoints = fleet.ending_stream if events >= 0 else fleet.ending_plain
+        harness.wait_until(lambda: not any(endpoint.is_down for endpoint in endpoints), 10, "the endpoints are back")
+        wait_known(entry, endpoints)
+        faults = [("no length, killed", events)]
+        for endpoint in endpoints:
+            endpoint.listener_delay = listener_delay
+            endpoint.faults = faults
+        status, body, is_whole = call(fleet, entry, path)
+        assert not faults, (path, events)
+        check_of_ended(path, events, status, body, is_whole)
+
+
+def wait_known(entry, endpoints):
+    """Until the entry has been told of all the endpoints, under the names that they have now."""
+    names = {f"servers/{endpoint.name}" for endpoint in endpoints}
+    harness.wait_until(lambda: names <= {line.get("key") for line in entry.events("belief_changed")}, 10, "all endpoints are known")
+
+
+def start_process(fleet, entry, name, service, *flags):
+    """An endpoint that is a process of its own, once the entry knows it."""
+    process = subprocess.Popen([sys.executable, str(harness.ROOT / "tests" / "endpoint_process.py"), "--name", name, *flags], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    endpoint = types.SimpleNamespace(name=name, **json.loads(process.stdout.readline()))
+    fleet.list_endpoint(endpoint, service)
+    wait_known(entry, [endpoint])
+    return process
+
+
+def end_process(fleet, process, name):
+    process.kill()
+    process.wait()
+    process.stdin.close()
+    process.stdout.close()
+    fleet.store.remove(f"servers/{name}")
+
+
+def test_answers_without_length_of_a_killed_process_never_look_whole(fleet, entry):
+    """The only endpoint of its service is a process that is killed, and the system ends its connections."""
+    rows = [("/lone-stream/", events) for events in (0, 1, 6, 12)] + [("/lone-fixed/", events) for events in (0, 1, 6, 12)] + [("/lone-plain/", -1), ("/lone-once/", -1)]
+    for number, (path, events) in enumerate(rows):
+        name = f"killed-{number}"
+        service = "lone-stream" if events >= 0 else "lone-plain"
+        process = start_process(fleet, entry, name, service, "--events", "12" if events >= 0 else "0", "--killed-after", str(events))
+        try:
+            status, body, is_whole = call(fleet, entry, path)
+            assert process.wait(5) == -signal.SIGKILL, (path, events)
+        finally:
+            end_process(fleet, process, name)
+        print(path, events, status, body[-20:], is_whole, flush=True)
+        if events <= 0:
+            assert status == 502, (path, events, status, body)
+        else:
+            assert (status, is_whole) == (200, False) and WHOLE.startswith(body), (path, events, status, is_whole, body)
+
+
+def test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused(fleet, entry):
+    """The process is paused once it has ended the connection; the system accepts connections for it."""
+    for number, (path, events, wanted) in enumerate((("/lone-fixed/", 12, WHOLE), ("/lone-once/", 0, b"done by paused-1"))):
+        name = f"paused-{number}"
+        process = start_process(fleet, entry, name, "lone-stream" if events else "lone-plain", "--events", str(events), "--paused")
+        try:
+            assert call(fleet, entry, path) == (200, wanted, True), path
+        finally:
+            process.send_signal(signal.SIGCONT)
+            end_process(fleet, process, name)
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -77,13 +168,23 @@
         fleet.add_route("/once/", "plain", "non_idempotent")
         fleet.add_route("/stream/", "stream", "streaming")
         fleet.add_route("/fixed/", "stream", "streaming", **{"can-resume": False})
+        for name in ("ending", "lone"):
+            fleet.add_route(f"/{name}-plain/", f"{name}-plain")
+            fleet.add_route(f"/{name}-once/", f"{name}-plain", "non_idempotent")
+            fleet.add_route(f"/{name}-stream/", f"{name}-stream", "streaming")
+            fleet.add_route(f"/{name}-fixed/", f"{name}-stream", "streaming", **{"can-resume": False})
         fleet.publish()
         fleet.plain = [fleet.add_endpoint(f"p{number}", "plain") for number in range(2)]
         fleet.stream = [fleet.add_endpoint(f"s{number}", "stream", events=12) for number in range(2)]
+        fleet.ending_plain = [fleet.add_endpoint(f"ending-p{number}", "ending-plain") for number in range(2)]
+        fleet.ending_stream = [fleet.add_endpoint(f"ending-s{number}", "ending-stream", events=12) for number in range(2)]
+        for endpoint in fleet.ending_plain + fleet.ending_stream:
+            endpoint.on_restart = lambda back, earlier: fleet.list_again(back, "ending-stream" if back.events else "ending-plain", earlier)
         entry = fleet.start_entry()
         fleet.wait_ready(entry)
-        harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200 and len([line for line in entry.events("belief_changed") if line["what"] == "endpoint_listed"]) >= 4, 10, "all endpoints are known")
-        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them):
+        wait_known(entry, fleet.plain + fleet.stream + fleet.ending_plain + fleet.ending_stream)
+        harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200, 10, "requests are served")
+        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused):
             test(fleet, entry)
             assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
             print(test.__name__, flush=True)
