Log the age of the read-backs and the time of the answer with a load order

The log of an agent couldn't tell how old the verification of the pieces was when the engine was ordered to load them, nor how long the engine took to answer, so the hypotheses on layers taken from spoilt pieces couldn't be told apart. `weights_ordered` now has the number of pieces, the age of the oldest read-back when the order was sent, and the time until the answer.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -408,6 +408,7 @@
         this->notifyEntries(0);
     // All pieces are read back and verified right before the load order, because a staged piece may have become corrupt.
     this->isVerifying = true;
+    this->readsSentAt = BootClock::now();
     auto remaining = std::make_shared<size_t>(this->manifest.digests.size());
     uint32_t version = this->manifest.version;
     for (uint32_t piece = 0; piece < this->manifest.digests.size(); ++piece) {
@@ -430,8 +431,13 @@
     this->loadOrderedAt = Clock::now();
     this->orderedVersion = this->manifest.version;
     uint32_t version = this->manifest.version;
-    this->idleEngineCaller().sendRequest(this->adapter.engine.makeLoadOrder(this->serviceSummary->model.name, version), engineTimeout, [this, version](const CallResult& result) {
-        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "since_named_ms", std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->newestNamedAt()) } });
+    size_t pieces = this->manifest.digests.size();
+    auto sentAt = BootClock::now();
+    auto readAge = sentAt - this->readsSentAt;
+    this->idleEngineCaller().sendRequest(this->adapter.engine.makeLoadOrder(this->serviceSummary->model.name, version), engineTimeout, [this, version, pieces, sentAt, readAge](const CallResult& result) {
+        auto now = BootClock::now();
+        auto inMilliseconds = [](BootClock::duration time) { return std::chrono::duration_cast<Milliseconds>(time); };
+        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "pieces", static_cast<uint64_t>(pieces) }, { "oldest_read_ms", inMilliseconds(readAge) }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
     });
 }
 
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -168,6 +168,7 @@
     std::vector<TimePoint> earliestRetryAt; ///< By piece: earliest time of the next request.
     TimePoint loadOrderedAt {};
     uint32_t orderedVersion = 0; ///< The version that the engine was last ordered to load; zero: none.
+    BootTimePoint readsSentAt {}; ///< When the pieces were last asked back before a load order.
     bool isVerifying = false; ///< Whether staged pieces are being read back before the load order.
 };
 
