Bound the time from the read-backs to the answer of a load order

Callers could get tokens from layers that the engine had taken from a piece spoilt for longer than the rule's 3 s. The agent read all pieces back and then ordered the load, but nothing bounded the time from a read to the engine's acceptance: an agent that was paused after the reads sent the order as soon as it ran again. Now the reads of a batch keep the time at which they were sent, by the clock that counts suspension; an order is sent only within 2 s of them and given up 2.8 s after them, else the pieces are read back again. A batch is void when the manifest, a digest, a piece or the engine's run changes, and only one order is in flight, on a channel of its own.

Evidence: process_platform_load_orders pauses the agent for 4.5 s between the reads and the order while a piece becomes corrupt. An order that is given up may still be taken in by the engine; that isn't covered here and is only logged (`load_doubted`).

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -143,6 +143,7 @@
     request.headers.emplace_back("Content-Type", "application/octet-stream");
     request.body = std::move(bytes);
     uint32_t version = this->manifest.version;
+    voidReads(this->loadOrder);
     this->idleEngineCaller().sendRequest(request, engineTimeout, [this, version, piece](const CallResult& result) {
         if (this->manifest.version != version)
             return;
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -28,8 +28,6 @@
 // Largest answer of the engine, which is a report or a piece, and largest manifest.
 static constexpr size_t maxEngineAnswerBytes = 4 << 20;
 static constexpr size_t maxManifestBytes = 4 << 20;
-// Time after which a load order that has had no effect is repeated.
-static constexpr Milliseconds loadOrderRetryInterval { 1500 };
 // The version that engines load when no version was ever named.
 static constexpr uint32_t initialVersion = 1;
 static constexpr std::string_view manifestPathPrefix = "/manifests/";
@@ -59,10 +57,12 @@
     , summaryWatch(loop, makeSummaryWatchSettings(settings), { [this](const ServiceSummary& summary) { this->handleSummary(summary); }, [this](const std::string& reason) { this->handleEntriesLost(reason); } })
     , reportCaller(loop, *settings.engineAddress)
     , manifestCaller(loop, *settings.engineAddress)
+    , orderCaller(loop, *settings.engineAddress)
     , noticeSender(loop, settings.ownIp, settings.peerPort)
 {
     this->reportCaller.setMaxResponseBytes(maxEngineAnswerBytes);
     this->manifestCaller.setMaxResponseBytes(maxManifestBytes);
+    this->orderCaller.setMaxResponseBytes(maxEngineAnswerBytes);
     this->fetchWindow.nominalBytesPerSecond = settings.linkMegabitsPerSecond * 1e6 / 8;
     for (size_t i = 0; i < maxConcurrentFetches; ++i)
         this->fetches.push_back(std::make_unique<Fetch>());
@@ -183,6 +183,7 @@
         this->orderedVersion = 0;
         this->manifest = PieceManifest();
         this->manifestAttempts = 0;
+        this->abandonLoadOrder();
     }
     bool hasSwitched = this->engineReport && this->engineReport->loadedLayersVersion != newReport.loadedLayersVersion;
     if (hasSwitched)
@@ -331,6 +332,7 @@
 void AgentNode::beginManifest(PieceManifest received)
 {
     this->manifest = std::move(received);
+    voidReads(this->loadOrder);
     size_t count = this->manifest.digests.size();
     this->manifestTrust = makeManifestTrust(count);
     this->isPieceStaged.assign(count, false);
@@ -350,6 +352,7 @@
 void AgentNode::replaceManifest(PieceManifest received, bool isFromPeer)
 {
     size_t changed = 0;
+    voidReads(this->loadOrder);
     for (uint32_t piece = 0; piece < received.digests.size(); ++piece) {
         if (received.digests[piece] == this->manifest.digests[piece])
             continue;
@@ -379,66 +382,4 @@
     return *this->engineCallers.back();
 }
 
-// Returns whether the time at which this engine switches to the newer version has come. The engines of a data centre switch
-// one after the other (see VersionSwitch.h).
-bool AgentNode::isSwitchDue(BootTimePoint now) const
-{
-    auto hosts = engineHostsIn(this->serviceSummary->engines, this->settings.location.dataCentre);
-    auto switchDelayStart = supersededAt(this->namedVersions, this->engineReport->loadedLayersVersion);
-    // The engine must leave an older version at once when an even newer one is to follow.
-    bool isFollowed = this->manifest.version < this->wantedVersion();
-    return switchDelayStart == BootTimePoint::max() || isFollowed || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
-}
-
-void AgentNode::orderLoadWhenReady(TimePoint now)
-{
-    if (!this->engineReport || !this->serviceSummary)
-        return;
-    bool isComplete = this->manifest.version != 0 && std::find(this->isPieceStaged.begin(), this->isPieceStaged.end(), false) == this->isPieceStaged.end();
-    if (!isComplete || this->isVerifying || this->engineReport->isBusy || servesVersion(*this->engineReport, this->serviceSummary->model, this->manifest.version))
-        return;
-    bool isOrdered = this->orderedVersion == this->manifest.version && now - this->loadOrderedAt < loadOrderRetryInterval;
-    if (isOrdered)
-        return;
-    bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount;
-    if (!servesNothing && !this->isSwitchDue(BootClock::now()))
-        return;
-    // Entries stop sending requests to the engine before the pieces are read back.
-    if (!servesNothing)
-        this->notifyEntries(0);
-    // All pieces are read back and verified right before the load order, because a staged piece may have become corrupt.
-    this->isVerifying = true;
-    this->readsSentAt = BootClock::now();
-    auto remaining = std::make_shared<size_t>(this->manifest.digests.size());
-    uint32_t version = this->manifest.version;
-    for (uint32_t piece = 0; piece < this->manifest.digests.size(); ++piece) {
-        this->idleEngineCaller().get(this->adapter.engine.stageReadPath(this->serviceSummary->model.name, piece), engineTimeout, [this, remaining, version, piece](const CallResult& result) {
-            bool isCurrent = this->manifest.version == version;
-            if (isCurrent)
-                this->isPieceStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
-            if (--*remaining > 0)
-                return;
-            this->isVerifying = false;
-            bool areAllVerified = isCurrent && std::find(this->isPieceStaged.begin(), this->isPieceStaged.end(), false) == this->isPieceStaged.end();
-            if (areAllVerified)
-                this->orderLoad();
-        });
-    }
-}
-
-void AgentNode::orderLoad()
-{
-    this->loadOrderedAt = Clock::now();
-    this->orderedVersion = this->manifest.version;
-    uint32_t version = this->manifest.version;
-    size_t pieces = this->manifest.digests.size();
-    auto sentAt = BootClock::now();
-    auto readAge = sentAt - this->readsSentAt;
-    this->idleEngineCaller().sendRequest(this->adapter.engine.makeLoadOrder(this->serviceSummary->model.name, version), engineTimeout, [this, version, pieces, sentAt, readAge](const CallResult& result) {
-        auto now = BootClock::now();
-        auto inMilliseconds = [](BootClock::duration time) { return std::chrono::duration_cast<Milliseconds>(time); };
-        this->log.write(LogLevel::Info, "weights_ordered", { { "version", version }, { "answer", result.describe() }, { "pieces", static_cast<uint64_t>(pieces) }, { "oldest_read_ms", inMilliseconds(readAge) }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
-    });
-}
-
 } // namespace bilberry
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -9,6 +9,7 @@
 #include "EventLog.h"
 #include "FetchWindow.h"
 #include "HttpCall.h"
+#include "LoadOrder.h"
 #include "ManifestTrust.h"
 #include "Metrics.h"
 #include "NodeSettings.h"
@@ -110,7 +111,12 @@
     void verifyStagedPiece(uint32_t piece);
     void orderLoadWhenReady(TimePoint now);
     bool isSwitchDue(BootTimePoint now) const;
-    void orderLoad();
+    void readBackPieces();
+    PieceState stateOfReadPiece(uint32_t piece, const CallResult&) const;
+    void finishReads(BatchState);
+    void orderLoad(Milliseconds timeout);
+    void finishLoadOrder(const CallResult&, BootTimePoint sentAt);
+    void abandonLoadOrder();
     void notifyEntries(uint32_t version);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
     void answerPieceRequest(PieceRequest);
@@ -136,6 +142,7 @@
     SummaryWatch summaryWatch;
     HttpCaller reportCaller;
     HttpCaller manifestCaller;
+    HttpCaller orderCaller;
     std::vector<std::unique_ptr<HttpCaller>> engineCallers; ///< Callers of the engine, one for each concurrent call.
     NoticeSender noticeSender;
     std::vector<std::unique_ptr<Fetch>> fetches;
@@ -168,8 +175,7 @@
     std::vector<TimePoint> earliestRetryAt; ///< By piece: earliest time of the next request.
     TimePoint loadOrderedAt {};
     uint32_t orderedVersion = 0; ///< The version that the engine was last ordered to load; zero: none.
-    BootTimePoint readsSentAt {}; ///< When the pieces were last asked back before a load order.
-    bool isVerifying = false; ///< Whether staged pieces are being read back before the load order.
+    LoadOrderState loadOrder;
 };
 
 } // namespace bilberry
