Try a refused part of prompts five seconds after its last crash

Callers saw: where endpoints were lost one by one, for another reason, before any request with a certain part was answered, all requests with that part were refused for a minute, also if all requests have it.

Cause: the first trial of a refused part came after a minute, unless all crashes came within a second. Now it comes after 5 s in all cases.

--- a/src/PromptSuspects.cpp
+++ b/src/PromptSuspects.cpp
@@ -25,23 +25,16 @@
 static constexpr std::chrono::minutes suspicionTime { 2 };
 // Time after the last crash for which a part is refused.
 static constexpr std::chrono::hours refusalTime { 1 };
-// Time from the last crash to the first trial, and from one trial to the next. The first trial comes sooner if all crashes came at
-// once: then the endpoints may have been lost together, for another reason.
-static constexpr std::chrono::minutes firstTrialDelay { 1 };
-static constexpr Seconds firstTrialDelayAfterCrashesAtOnce { 5 };
-static constexpr Seconds longestTimeAtOnce { 1 };
+// Time from the last crash to the first trial, and from one trial to the next. The first one comes soon: the endpoints may have been
+// lost for another reason.
+static constexpr Seconds firstTrialDelay { 5 };
 static constexpr std::chrono::minutes trialInterval { 10 };
+
 static bool contains(const std::vector<uint32_t>& hashes, uint32_t hash)
 {
     return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
 }
 
-static Duration delayToFirstTrial(const PromptSuspects::Row& row)
-{
-    bool areAtOnce = row.lastCrashAt - row.firstCrashAt <= longestTimeAtOnce;
-    return areAtOnce ? Duration(firstTrialDelayAfterCrashesAtOnce) : Duration(firstTrialDelay);
-}
-
 bool addPartCrash(PromptSuspects& suspects, uint64_t part, uint32_t run, TimePoint now)
 {
     if (suspects.rows.size() >= maxSuspects && suspects.rows.count(part) == 0)
@@ -53,11 +46,9 @@
     if (row.runs.size() >= maxRunsPerPart)
         row.runs.erase(row.runs.begin());
     // Only a trial can bring a crash so long after the last one.
-    bool isOfTrial = row.runs.size() >= crashesToAccuse && now - row.lastCrashAt >= delayToFirstTrial(row);
+    bool isOfTrial = row.runs.size() >= crashesToAccuse && now - row.lastCrashAt >= firstTrialDelay;
     if (isOfTrial)
         row.lastTrialAt = now;
-    if (row.runs.empty())
-        row.firstCrashAt = now;
     row.runs.push_back(run);
     row.lastCrashAt = now;
     return true;
@@ -163,7 +154,7 @@
 static bool isTrialDueForPart(const PromptSuspects::Row& row, TimePoint now)
 {
     if (row.lastTrialAt == TimePoint())
-        return now - row.lastCrashAt >= delayToFirstTrial(row);
+        return now - row.lastCrashAt >= firstTrialDelay;
     return now - row.lastTrialAt >= trialInterval;
 }
 
--- a/src/PromptSuspects.h
+++ b/src/PromptSuspects.h
@@ -20,7 +20,6 @@
     struct Row {
         std::vector<uint32_t> runs; ///< runHash() of the endpoints' runs that crashed since the part was last cleared, each once.
         std::vector<uint32_t> clearedRuns; ///< Those before, the latest ones.
-        TimePoint firstCrashAt {}; ///< When the first crash since the part was last cleared was added.
         TimePoint lastCrashAt {}; ///< When the last crash was added.
         TimePoint lastTrialAt {}; ///< When this entry last let a request through as a trial or learned of another's; the default value if never.
     };
