Check the runs of a stream from their first event

Callers could get a stream that began later than at its first event, or that joined runs whose events nobody could tell apart: the first event of a fresh run was taken with any ID, and events without a readable ID weren't checked at all. On the program before the change, runs that begin with event 2, numbered events followed by an unnumbered one, a run that resumes a stream with an unnumbered event, and an unnumbered event followed by numbered ones were passed on as whole; a stream of unnumbered events that broke off was followed by a second run from the start.

A fresh run must now begin with event 0 or 1 and each other one with the event after the last, also where that number would overflow. An event with data and no readable ID ends a numbered run; a stream of such events can be passed on but not be resumed, since nothing tells where a second run goes on. Blocks without data and ID may stand anywhere and don't count as events. A Last-Event-Id that names no one event is refused with 400 before any run, so that what is forwarded is what the run is checked against. attempt_failed names the fault of a stream.

The test missingOrRepeatedEventsEndTheStream began a fresh stream with event 5, which is a fault itself now; it resumes one after event 4 instead and checks the same as before.

--- a/src/EventStreamBuffer.cpp
+++ b/src/EventStreamBuffer.cpp
@@ -5,6 +5,19 @@
 
 namespace bilberry {
 
+std::string_view toText(StreamFault fault)
+{
+    switch (fault) {
+    case StreamFault::None:
+        return "none";
+    case StreamFault::OutOfSequence:
+        return "out_of_sequence";
+    case StreamFault::Oversized:
+        return "oversized";
+    }
+    return "none";
+}
+
 std::optional<uint64_t> parseEventId(std::string_view event)
 {
     while (!event.empty()) {
@@ -22,6 +35,39 @@
     return std::nullopt;
 }
 
+// Largest ID of the first event of a stream: endpoints number from zero or one.
+static constexpr uint64_t maxFirstEventId = 1;
+
+static bool hasData(std::string_view event)
+{
+    return event.substr(0, 5) == "data:" || event.find("\ndata:") != std::string_view::npos;
+}
+
+static bool isDue(const EventStreamBuffer& stream, uint64_t id)
+{
+    if (stream.hasUnnumberedEvents)
+        return false;
+    if (!stream.lastEventId)
+        return id <= maxFirstEventId;
+    return id > 0 && id - 1 == *stream.lastEventId;
+}
+
+// Records a complete event. Returns whether it can be forwarded.
+static bool takeEvent(EventStreamBuffer& stream, std::string_view event)
+{
+    auto id = parseEventId(event);
+    if (id && !isDue(stream, *id))
+        return false;
+    bool isUnnumbered = !id && hasData(event);
+    if (isUnnumbered && stream.lastEventId)
+        return false;
+    stream.hasUnnumberedEvents = stream.hasUnnumberedEvents || isUnnumbered;
+    stream.hasEvents = stream.hasEvents || isUnnumbered || id;
+    if (id)
+        stream.lastEventId = id;
+    return true;
+}
+
 // Position after the empty line that ends the event which begins at or before `from`; zero when the event is not complete.
 // Lines end with LF or CR LF.
 static size_t completeEventEnd(std::string_view text, size_t from)
@@ -46,14 +92,10 @@
     stream.partialEvent += bytes;
     size_t completeSize = 0;
     while (size_t end = completeEventEnd(stream.partialEvent, std::max(completeSize, searchFrom))) {
-        auto id = parseEventId(std::string_view(stream.partialEvent).substr(completeSize, end - completeSize));
-        bool isExpected = !id || !stream.lastEventId || *id == *stream.lastEventId + 1;
-        if (!isExpected) {
+        if (!takeEvent(stream, std::string_view(stream.partialEvent).substr(completeSize, end - completeSize))) {
             stream.fault = StreamFault::OutOfSequence;
             break;
         }
-        if (id)
-            stream.lastEventId = id;
         completeSize = end;
     }
     auto events = stream.partialEvent.substr(0, completeSize);
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -26,6 +26,7 @@
     std::optional<Milliseconds> timeBudget; ///< How long the caller waits, counted from when it sent the request.
     std::string apiKey; ///< Identifies the client account; empty when the caller sent no key.
     std::optional<uint64_t> lastEventId; ///< The event after which the stream is to be resumed.
+    bool hasUnreadableLastEventId = false; ///< Whether the caller named such an event in a way that can't be read.
     std::string model; ///< The requested model; empty for services without models.
     uint32_t promptTokens = 0; ///< Zero when the caller didn't state it.
     uint32_t maxAnswerTokens = 0; ///< Zero when the caller didn't state it.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -140,6 +140,10 @@
         this->refuseRequest(404, "no_route", Milliseconds(0));
         return false;
     }
+    if (this->route->kind == RequestKind::Stream && this->callerRequest.hasUnreadableLastEventId) {
+        this->refuseRequest(400, "unreadable_last_event_id", Milliseconds(0));
+        return false;
+    }
     this->account = findAccount(*this->routes, this->callerRequest.apiKey);
     bool needsAccount = !this->routes->accounts.empty() && !this->route->allowsAnonymous;
     if (needsAccount && !this->account) {
@@ -204,6 +208,12 @@
     return versionToRequire(found->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers));
 }
 
+// Whether a second run does no harm. Another run can't continue a stream whose events have no IDs.
+bool ProxiedRequest::mayRunAgain() const
+{
+    return mayRepeat(*this->route) && !this->eventStream.hasUnnumberedEvents;
+}
+
 // Whether the request, or a part of its prompt, is known to crash endpoints.
 bool ProxiedRequest::isRefusedForCrashes() const
 {
@@ -218,7 +228,7 @@
     if (isFirstAttempt)
         this->refuseRequest(503, "crashes_endpoints", crashingRequestRetryAfter);
     else
-        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
 }
 
 bool ProxiedRequest::tryDispatch(TimePoint now)
@@ -313,7 +323,7 @@
         this->refuseRequest(503, areAllSetAside ? "endpoints_set_aside" : "no_free_place", this->refusalDelay(now));
         return;
     }
-    this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+    this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
 }
 
 void ProxiedRequest::handleAttemptResult(AttemptResult result)
@@ -325,9 +335,9 @@
     this->node.metrics.addToCounter("bilberry_attempts_total", { { "result", std::string(toText(result)) } });
     this->requirements.triedEndpointIds.push_back(this->endpointId);
     if (result != AttemptResult::Answered) {
-        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->responseHead.status }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptStartedAt) } });
+        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptStartedAt) } });
     }
-    RetryContext context { result, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) };
+    RetryContext context { result, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) };
     auto step = decideNextStep(context);
     if (step == NextStep::Deliver)
         this->deliverResponse();
@@ -352,7 +362,7 @@
     bool isWithinBudget = tryTakeRetry(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, entryCount(this->node), now);
     this->node.metrics.addToCounter("bilberry_repeats_total", { { "result", isWithinBudget ? "sent" : "over_budget" } });
     if (!isWithinBudget) {
-        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
         return;
     }
     discardPartialEvent(this->eventStream);
@@ -459,7 +469,7 @@
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
-    if (!mayRepeat(*this->route) || this->channel->endedWithConnection())
+    if (!this->mayRunAgain() || this->channel->endedWithConnection())
         return;
     bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
     if (now - this->lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->lastReceivedAt }))
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -92,6 +92,7 @@
     void finishRequest(const char* outcome, int status, const char* reason);
     TimePoint answerDueAt() const;
     Milliseconds timeLeft(TimePoint now) const;
+    bool mayRunAgain() const;
     bool hasActiveAttempt() const { return this->channel != nullptr; }
 
     EntryNode& node;
--- a/src/ProxiedRequestEnd.cpp
+++ b/src/ProxiedRequestEnd.cpp
@@ -23,7 +23,7 @@
 // Only a stream that is resumed may have no event left.
 bool ProxiedRequest::isStreamWithoutEvents() const
 {
-    bool hasEvents = this->firstEventAt != TimePoint() || this->eventStream.lastEventId;
+    bool hasEvents = this->eventStream.hasEvents || this->callerRequest.lastEventId;
     return this->route->kind == RequestKind::Stream && !hasEvents;
 }
 
--- a/tests/EventStreamBufferTest.cpp
+++ b/tests/EventStreamBufferTest.cpp
@@ -3,6 +3,8 @@
 
 #include "EventStreamBuffer.h"
 
+#include <limits>
+#include <optional>
 #include <rapidcheck.h>
 #include <vector>
 
@@ -66,6 +68,7 @@
 {
     for (uint64_t second : { uint64_t { 7 }, uint64_t { 5 }, uint64_t { 0 } }) {
         EventStreamBuffer stream;
+        stream.lastEventId = 4;
         BOOST_TEST(takeCompleteEvents(stream, makeEvent(5, "a")) == makeEvent(5, "a"));
         BOOST_TEST(takeCompleteEvents(stream, makeEvent(second, "b")).empty());
         BOOST_TEST((stream.fault == StreamFault::OutOfSequence));
@@ -89,3 +92,52 @@
     takeCompleteEvents(stream, "data: " + std::string(maxStreamEventBytes + 1, 'x'));
     BOOST_TEST((stream.fault == StreamFault::Oversized));
 }
+
+BOOST_AUTO_TEST_CASE(aRunThatBeginsLaterThanAtTheEventThatIsDueIsAFault)
+{
+    constexpr auto largest = std::numeric_limits<uint64_t>::max();
+    struct Row {
+        std::optional<uint64_t> resumedAfter;
+        uint64_t first;
+        bool isDue;
+    };
+    for (const auto& row : std::vector<Row> { { {}, 0, true }, { {}, 1, true }, { {}, 2, false }, { {}, 7, false }, { {}, largest, false }, { 5, 6, true }, { 5, 7, false }, { 5, 5, false },
+             { 5, 0, false }, { 5, 1, false }, { 0, 1, true }, { 0, 0, false }, { largest, 0, false }, { largest, largest, false }, { largest - 1, largest, true } }) {
+        EventStreamBuffer stream;
+        stream.lastEventId = row.resumedAfter;
+        auto event = makeEvent(row.first, "a");
+        BOOST_TEST(takeCompleteEvents(stream, event) == (row.isDue ? event : ""));
+        BOOST_TEST((stream.fault == (row.isDue ? StreamFault::None : StreamFault::OutOfSequence)));
+        BOOST_TEST(stream.hasEvents == row.isDue);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(eventsWithoutIdAreNeverMixedWithNumberedOnes)
+{
+    for (const std::string unnumbered : { "data: x\n\n", "id: abc\ndata: x\n\n", "id: -1\ndata: x\n\n", "id:\r\ndata: x\r\n\r\n", "event: token\ndata: x\n\n" }) {
+        EventStreamBuffer numbered;
+        BOOST_TEST(takeCompleteEvents(numbered, makeEvent(1, "a") + unnumbered) == makeEvent(1, "a"));
+        BOOST_TEST((numbered.fault == StreamFault::OutOfSequence));
+        BOOST_TEST(!numbered.hasUnnumberedEvents);
+        EventStreamBuffer resumed;
+        resumed.lastEventId = 3;
+        BOOST_TEST(takeCompleteEvents(resumed, unnumbered).empty());
+        EventStreamBuffer other;
+        BOOST_TEST(takeCompleteEvents(other, unnumbered + unnumbered) == unnumbered + unnumbered);
+        BOOST_TEST(other.hasUnnumberedEvents);
+        BOOST_TEST(takeCompleteEvents(other, makeEvent(1, "a")).empty());
+        BOOST_TEST((other.fault == StreamFault::OutOfSequence));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(blocksWithoutDataAreNoEvents)
+{
+    for (const std::string block : { ": still here\n\n", ":\r\n\r\n", "retry: 100\n\n", ": data: none\n\n" }) {
+        EventStreamBuffer stream;
+        BOOST_TEST(takeCompleteEvents(stream, block) == block);
+        BOOST_TEST(!stream.hasEvents);
+        BOOST_TEST(!stream.hasUnnumberedEvents);
+        BOOST_TEST(takeCompleteEvents(stream, makeEvent(1, "a") + block + makeEvent(2, "b")) == makeEvent(1, "a") + block + makeEvent(2, "b"));
+        BOOST_TEST(stream.hasEvents);
+    }
+}
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -40,6 +40,24 @@
     BOOST_TEST(caller.maxAnswerTokens == 80u);
 }
 
+BOOST_AUTO_TEST_CASE(aLastEventIdThatNamesNoOneEventIsNoticed)
+{
+    struct Row {
+        std::vector<std::string> values;
+        std::optional<uint64_t> id;
+        bool isUnreadable;
+    };
+    for (const auto& row : std::vector<Row> { { {}, {}, false }, { { "" }, {}, false }, { { "0" }, 0, false }, { { "12" }, 12, false }, { { "18446744073709551615" }, 18446744073709551615ULL, false },
+             { { "18446744073709551616" }, {}, true }, { { "-1" }, {}, true }, { { "abc" }, {}, true }, { { "1.5" }, {}, true }, { { "3, 5" }, {}, true }, { { "3", "5" }, {}, true }, { { "3", "3" }, {}, true }, { { "", "3" }, {}, true } }) {
+        HttpRequest request;
+        for (const auto& value : row.values)
+            request.headers.emplace_back("last-event-id", value);
+        auto caller = requestAdapter().parseCallerRequest(request);
+        BOOST_TEST((caller.lastEventId == row.id));
+        BOOST_TEST(caller.hasUnreadableLastEventId == row.isUnreadable);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(missingOrInvalidCallerHeadersAreIgnored)
 {
     auto caller = requestAdapter().parseCallerRequest({});
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -308,6 +308,8 @@
             send_with_huge_length(call, sealed)
         elif isinstance(fault, tuple) and fault[0] == "no length, killed":
             self.begin_without_length_and_crash(call, sealed, whole_events=fault[1])
+        elif isinstance(fault, tuple) and fault[0] == "events":
+            self.send_events(call, sealed, fault[1], is_cut=fault[2])
         elif self.events:
             self.stream(call, sealed, fault)
         elif fault in ("no length", "no length, reset"):
@@ -438,6 +440,18 @@
         call.wfile.write(b"0\r\n\r\n")
 
 
+    def send_events(self, call, headers, text, is_cut):
+        """A stream with this text, which is broken off after it or ends as a whole one."""
+        call.send_response(200)
+        for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+            call.send_header(name, value)
+        call.end_headers()
+        call.wfile.write(b"%x\r\n%s\r\n" % (len(text), text) if text else b"")
+        if is_cut:
+            call.hang_up()
+        else:
+            call.wfile.write(b"0\r\n\r\n")
+
     def drip(self, call):
         """A byte of an event now and then, until the caller closes."""
         call.close_connection = True
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -16,12 +16,20 @@
 WHOLE = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(12))
 
 
-def call(fleet, entry, path):
+def events(*numbers):
+    return b"".join(b"id: %d\ndata: token\n\n" % number for number in numbers)
+
+
+def call(fleet, entry, path, last_event_ids=()):
     """One request, unlike any other; gives the status, the body and whether the answer is whole. Status 0 when there was no head."""
     connection = http.client.HTTPConnection(entry.flags["listen"], timeout=10)
     headers = {"Host": platform_fleet.HOST, "Bilberrybarrow-Request-Id": uuid.uuid4().hex, "Bilberrybarrow-Deadline-Ms": "4000", "Authorization": f"Token {platform_fleet.KEY}"}
     try:
-        connection.request("POST", path, uuid.uuid4().hex, headers)
+        body = uuid.uuid4().hex
+        connection.putrequest("POST", path, skip_host=True)
+        for name, value in [*headers.items(), ("Content-Length", len(body)), *(("Last-Event-Id", value) for value in last_event_ids)]:
+            connection.putheader(name, value)
+        connection.endheaders(body.encode())
         answer = connection.getresponse()
         body = b""
         try:
@@ -113,6 +121,11 @@
     harness.wait_until(lambda: names <= {line.get("key") for line in entry.events("belief_changed")}, 10, "all endpoints are known")
 
 
+def wait_removed(entry, endpoints):
+    names = {f"servers/{endpoint.name}" for endpoint in endpoints}
+    harness.wait_until(lambda: names <= {line.get("key") for line in entry.events("belief_changed") if line["what"] == "endpoint_removed"}, 10, "all endpoints are gone")
+
+
 def start_process(fleet, entry, name, service, *flags):
     """An endpoint that is a process of its own, once the entry knows it."""
     process = subprocess.Popen([sys.executable, str(harness.ROOT / "tests" / "endpoint_process.py"), "--name", name, *flags], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
@@ -130,6 +143,50 @@
     fleet.store.remove(f"servers/{name}")
 
 
+def test_runs_are_checked_from_their_first_event(fleet, entry):
+    """By kind of stream and the texts of its runs: what the caller gets, and whether it looks whole. A text with True is broken off."""
+    unnumbered = b"data: token\n\n"
+    beat = b": still here\n\n"
+    rows = (("stream", [(events(2, 3, 4), False)], 200, WHOLE, True), ("fixed", [(events(2, 3, 4), False)], 502, b"malformed\n", True),
+            ("stream", [(events(0, 1, 3), False)], 200, WHOLE, True), ("fixed", [(events(0, 1, 3), False)], 200, events(0, 1), False),
+            ("stream", [(events(0, 1) + unnumbered, False)], 200, WHOLE, True), ("fixed", [(events(0, 1) + unnumbered, False)], 200, events(0, 1), False),
+            ("stream", [(unnumbered * 3, False)], 200, unnumbered * 3, True), ("stream", [(unnumbered * 3, True)], 200, unnumbered * 3, False),
+            ("stream", [(b"id: x\n" + unnumbered, True)], 200, b"id: x\n" + unnumbered, False), ("stream", [(unnumbered + events(0, 1), False)], 200, unnumbered, False),
+            ("stream", [(events(0, 1), True), (events(3, 4), False)], 200, events(0, 1), False), ("stream", [(events(0, 1), True), (events(0, 1, 2), False)], 200, events(0, 1), False),
+            ("stream", [(events(0, 1), True), (unnumbered, False)], 200, events(0, 1), False), ("stream", [(beat, True)], 200, beat + WHOLE, True),
+            ("stream", [(b"", False)], 200, WHOLE, True), ("fixed", [(b"", False)], 502, b"malformed\n", True), ("fixed", [(beat, False)], 200, beat, False))
+    for number, (kind, texts, status, body, is_whole) in enumerate(rows):
+        endpoints = [fleet.add_endpoint(f"first-{number}-{place}", "first-stream", events=12) for place in range(2)]
+        endpoints[0].faults = endpoints[1].faults = [("events", *text) for text in texts]
+        wait_known(entry, endpoints)
+        got = call(fleet, entry, f"/first-{kind}/")
+        print(kind, texts, got, flush=True)
+        assert got == (status, body, is_whole), (kind, texts, got)
+        for endpoint in endpoints:
+            fleet.store.remove(f"servers/{endpoint.name}")
+        wait_removed(entry, endpoints)
+
+
+def test_streams_that_callers_resume_go_on_at_the_event_that_they_name(fleet, entry):
+    """By the Last-Event-Id headers of the caller: status and body, or a refusal that no endpoint has seen."""
+    endpoint = fleet.add_endpoint("resumed", "resumed-stream", events=12)
+    wait_known(entry, [endpoint])
+    rows = (([], 200, WHOLE), ([""], 200, WHOLE), (["0"], 200, events(*range(1, 12))), (["5"], 200, events(*range(6, 12))), (["11"], 200, b""), (["40"], 200, b""), (["18446744073709551615"], 200, b""),
+            (["18446744073709551616"], 400, None), (["-1"], 400, None), (["abc"], 400, None), (["3", "5"], 400, None), (["3", "3"], 400, None))
+    for path in ("/resumed-stream/", "/resumed-fixed/"):
+        for values, status, body in rows:
+            endpoint.requests.clear()
+            got = call(fleet, entry, path, values)
+            print(path, values, got, flush=True)
+            assert got[0] == status and got[2] and body in (None, got[1]), (path, values, got)
+            assert len(endpoint.requests) == (1 if status == 200 else 0), (path, values, endpoint.requests)
+            sent = endpoint.requests[0]["headers"].get("Last-Event-Id", "") if status == 200 else None
+            assert sent in (None, *values, *([""] if not values else [])), (path, values, sent)
+    endpoint.faults = [("events", WHOLE, False)]
+    assert call(fleet, entry, "/resumed-fixed/", ["5"]) == (502, b"malformed\n", True)
+    assert call(fleet, entry, "/plain/", ["abc"])[0] == 200
+
+
 def test_answers_without_length_of_a_killed_process_never_look_whole(fleet, entry):
     """The only endpoint of its service is a process that is killed, and the system ends its connections."""
     rows = [("/lone-stream/", events) for events in (0, 1, 6, 12)] + [("/lone-fixed/", events) for events in (0, 1, 6, 12)] + [("/lone-plain/", -1), ("/lone-once/", -1)]
@@ -173,6 +230,9 @@
             fleet.add_route(f"/{name}-once/", f"{name}-plain", "non_idempotent")
             fleet.add_route(f"/{name}-stream/", f"{name}-stream", "streaming")
             fleet.add_route(f"/{name}-fixed/", f"{name}-stream", "streaming", **{"can-resume": False})
+        for name in ("first", "resumed"):
+            fleet.add_route(f"/{name}-stream/", f"{name}-stream", "streaming")
+            fleet.add_route(f"/{name}-fixed/", f"{name}-stream", "streaming", **{"can-resume": False})
         fleet.publish()
         fleet.plain = [fleet.add_endpoint(f"p{number}", "plain") for number in range(2)]
         fleet.stream = [fleet.add_endpoint(f"s{number}", "stream", events=12) for number in range(2)]
@@ -184,7 +244,8 @@
         fleet.wait_ready(entry)
         wait_known(entry, fleet.plain + fleet.stream + fleet.ending_plain + fleet.ending_stream)
         harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200, 10, "requests are served")
-        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused):
+        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_runs_are_checked_from_their_first_event, test_streams_that_callers_resume_go_on_at_the_event_that_they_name,
+                     test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused):
             test(fleet, entry)
             assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
             print(test.__name__, flush=True)
