Keep requests away from layers that were taken at an unknown time

Callers got tokens from spoilt layers, request after request, when a load order was given up and the engine took it in later: its bytes wait at an engine that is paused, and a reset doesn't withdraw them. Nothing looked at the pieces after a load, and entries used the engine as soon as the list showed the version. Now an order without a timely answer leaves the engine withheld: the agent tells the entries to send nothing, and repeats it with each report. When the engine's count of accepted orders rises without a timely answer, all pieces are read back and nothing is written meanwhile. If all are sound, they were so at the acceptance, and the engine is used again; if not, or if a piece was written since the order, it gets no request until it has loaded a newer version or started again. The same version isn't ordered again, since an order for what is in effect loads nothing. A notice now outlasts the listing of the loaded version, which used to end it, so an agent that starts sends the version that it finds, and sequences of notices rise from one process of the agent to the next: they were counted from zero, so that entries ignored the first notices of a new process.

Sound orders that were answered late or not at all are used after the read-back. The change of the sequences has no row of its own. An order of an earlier process of the agent is doubted only if the engine is still busy with it; a load that was over when the new process came isn't covered.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -27,8 +27,8 @@
 
 void AgentNode::startFetches(TimePoint now)
 {
-    // Without its engine the agent has no place for pieces.
-    if (!this->engineReport || !this->serviceSummary)
+    // Without its engine the agent has no place for pieces, and doubted layers are judged by what is on the stage.
+    if (!this->engineReport || !this->serviceSummary || this->loadOrder.trust == LoadTrust::Doubted)
         return;
     // While the manifest of a newer version can't be had, the older one goes on: the origin may be away for long.
     bool isNeeded = this->manifest.version == this->wantedVersion() || this->manifest.version > this->engineReport->loadedLayersVersion;
@@ -137,13 +137,17 @@
 // Writes a verified piece to the engine's stage, and then answers the peers that wait for it.
 void AgentNode::stagePiece(uint32_t piece, std::string bytes)
 {
+    if (this->loadOrder.trust == LoadTrust::Doubted) {
+        this->isPieceInProgress[piece] = false;
+        return;
+    }
     HttpRequest request;
     request.method = "PUT";
     request.path = this->adapter.engine.stageWritePath(this->serviceSummary->model.name, piece);
     request.headers.emplace_back("Content-Type", "application/octet-stream");
     request.body = std::move(bytes);
     uint32_t version = this->manifest.version;
-    voidReads(this->loadOrder);
+    notePieceWritten(this->loadOrder);
     this->idleEngineCaller().sendRequest(request, engineTimeout, [this, version, piece](const CallResult& result) {
         if (this->manifest.version != version)
             return;
--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -11,6 +11,9 @@
 // Time after which a load order that has had no effect is repeated.
 static constexpr Milliseconds loadOrderRetryInterval { 1500 };
 
+// Status of the answer to an order that the engine has accepted and that loads something.
+static constexpr int statusOrderBegun = 202;
+
 static Milliseconds inMilliseconds(BootClock::duration time)
 {
     return std::chrono::duration_cast<Milliseconds>(time);
@@ -31,6 +34,10 @@
 {
     if (!this->engineReport || !this->serviceSummary)
         return;
+    if (this->loadOrder.trust == LoadTrust::Doubted) {
+        this->verifyDoubtedLayers();
+        return;
+    }
     bool isComplete = this->manifest.version != 0 && std::find(this->isPieceStaged.begin(), this->isPieceStaged.end(), false) == this->isPieceStaged.end();
     bool isUnderWay = this->loadOrder.isReading || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
     if (!isComplete || isUnderWay || servesVersion(*this->engineReport, this->serviceSummary->model, this->manifest.version))
@@ -38,7 +45,7 @@
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->loadOrderedAt < loadOrderRetryInterval;
     if (isOrdered)
         return;
-    bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount;
+    bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount || this->loadOrder.trust != LoadTrust::Proven;
     if (!servesNothing && !this->isSwitchDue(BootClock::now()))
         return;
     // Entries stop sending requests to the engine before the pieces are read back.
@@ -47,6 +54,41 @@
     this->readBackPieces();
 }
 
+// Reads back the pieces of layers that were taken at an unknown time. Nothing is written to the stage meanwhile, so pieces that are
+// sound now were so then.
+void AgentNode::verifyDoubtedLayers()
+{
+    bool isUnderWay = this->loadOrder.isReading || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
+    if (isUnderWay || this->manifest.version == 0)
+        return;
+    // The stage holds, or is to hold, the pieces of another version.
+    if (this->manifest.version != this->engineReport->loadedLayersVersion)
+        this->finishVerification(BatchState::Spoilt);
+    else
+        this->readBackPieces();
+}
+
+void AgentNode::finishVerification(BatchState state)
+{
+    judgeDoubtedLayers(this->loadOrder, state);
+    auto trust = this->loadOrder.trust;
+    if (trust == LoadTrust::Doubted)
+        return;
+    this->log.write(trust == LoadTrust::Proven ? LogLevel::Info : LogLevel::Warning, trust == LoadTrust::Proven ? "load_verified" : "load_spoilt", { { "version", this->engineReport->loadedLayersVersion } });
+    if (trust == LoadTrust::Proven)
+        this->noticeUntil = Clock::now() + noticeDuration;
+}
+
+// Logs when layers become doubted, and keeps requests away from an engine whose layers may be spoilt.
+void AgentNode::guardLayers(LoadTrust earlier)
+{
+    auto trust = this->loadOrder.trust;
+    if (trust == LoadTrust::Doubted && earlier != LoadTrust::Doubted)
+        this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", "accepted_at_unknown_time" } });
+    if (trust != LoadTrust::Proven)
+        this->notifyEntries(0);
+}
+
 // Reads all pieces back right before the load order, because a staged piece may have become corrupt.
 void AgentNode::readBackPieces()
 {
@@ -76,8 +118,14 @@
 
 void AgentNode::finishReads(BatchState state)
 {
-    bool canOrder = state == BatchState::Sound && this->engineReport;
-    if (!canOrder)
+    bool isOver = state != BatchState::Pending && this->engineReport;
+    if (!isOver)
+        return;
+    if (this->loadOrder.trust == LoadTrust::Doubted) {
+        this->finishVerification(state);
+        return;
+    }
+    if (state != BatchState::Sound)
         return;
     auto now = BootClock::now();
     if (auto timeout = orderTimeout(this->loadOrder, now))
@@ -98,20 +146,25 @@
 void AgentNode::finishLoadOrder(const CallResult& result, BootTimePoint sentAt)
 {
     auto now = BootClock::now();
-    bool isTimely = noteOrderEnd(this->loadOrder, now) && result.status != 0;
+    auto answered = result.status == statusOrderBegun ? OrderEnd::Begun : OrderEnd::NotBegun;
+    noteOrderEnd(this->loadOrder, result.status == 0 ? OrderEnd::Unanswered : answered, now);
     auto pieces = static_cast<uint64_t>(this->manifest.digests.size());
     auto readAge = inMilliseconds(sentAt - this->loadOrder.orderReadsSentAt);
     this->log.write(LogLevel::Info, "weights_ordered", { { "version", this->orderedVersion }, { "answer", result.describe() }, { "pieces", pieces }, { "oldest_read_ms", readAge }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
-    if (!isTimely)
+    if (this->loadOrder.trust == LoadTrust::Proven)
+        return;
+    this->notifyEntries(0);
+    if (answered == OrderEnd::Begun || result.status == 0)
         this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", result.status == 0 ? "no_answer" : "late_answer" } });
 }
 
-// The engine has started again, or may have: the order in flight and the reads say nothing of it.
+// Gives up the reads and the order in flight of an engine that has started again, or that was away.
 void AgentNode::abandonLoadOrder()
 {
     voidReads(this->loadOrder);
     this->orderCaller.close();
-    this->loadOrder.isOrderInFlight = false;
+    if (this->loadOrder.isOrderInFlight)
+        noteOrderEnd(this->loadOrder, OrderEnd::Unanswered, BootClock::now());
 }
 
 } // namespace bilberry
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -16,9 +16,6 @@
 static constexpr Milliseconds tickInterval { 50 };
 // Interval between requests for the engine's report.
 static constexpr Milliseconds reportInterval { 300 };
-// Time after a version switch during which each report received from the engine makes the agent notify entries of the
-// engine's new version.
-static constexpr Milliseconds noticeDuration { 700 };
 // Interval between report requests while the engine carries out a load order and while entries are notified.
 static constexpr Milliseconds busyReportInterval { 100 };
 static constexpr Milliseconds manifestTimeout { 1000 };
@@ -169,6 +166,7 @@
         if (this->engineReport)
             this->log.write(LogLevel::Warning, "engine_lost", { { "reason", std::string(parsed.status().message()) } });
         this->engineReport.reset();
+        this->guardLayers(this->loadOrder.trust);
         this->refusePendingPieceRequests();
     });
 }
@@ -189,9 +187,15 @@
     if (hasSwitched)
         this->log.write(LogLevel::Info, "engine_switched", { { "version", newReport.loadedLayersVersion }, { "layers", newReport.loadedLayers } });
     this->engineReport = newReport;
-    if (hasSwitched && newReport.loadedLayersVersion != 0)
+    // An earlier process of the agent may have told entries to send no requests.
+    bool shouldNotify = (isNew || hasSwitched) && newReport.loadedLayersVersion != 0;
+    if (shouldNotify)
         this->noticeUntil = now + noticeDuration;
-    if (now < this->noticeUntil && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
+    auto earlierTrust = this->loadOrder.trust;
+    noteReport(this->loadOrder, newReport);
+    this->guardLayers(earlierTrust);
+    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight;
+    if (now < this->noticeUntil && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
         this->notifyEntries(newReport.loadedLayersVersion);
 }
 
@@ -200,8 +204,9 @@
 // most, pass the notice on.
 void AgentNode::notifyEntries(uint32_t version)
 {
-    auto startedAt = static_cast<uint64_t>(this->engineReport->startedAtUnixMs.value_or(0));
-    auto bytes = encodeNotice({ toText(*this->settings.engineAddress), version, startedAt + ++this->noticeCount });
+    auto unixTime = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    this->noticeSequence = std::max(this->noticeSequence + 1, static_cast<uint64_t>(unixTime.count()));
+    auto bytes = encodeNotice({ toText(*this->settings.engineAddress), version, this->noticeSequence });
     std::set<std::string> entries;
     for (const auto& seed : this->settings.seedAddresses)
         entries.insert(seed.host);
@@ -254,7 +259,7 @@
 // held is requested again, from the next source, when its pieces contradict it.
 void AgentNode::fetchManifestIfNeeded(uint32_t version)
 {
-    bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version);
+    bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version) && this->loadOrder.trust != LoadTrust::Doubted;
     bool isMissing = this->manifest.version != version || this->manifestTrust.isDoubted;
     if (!isServed && isMissing && !this->isFinishingOlderVersion())
         this->fetchManifest();
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -27,6 +27,9 @@
 
 /// Timeout of a call to the engine on the agent's own VM.
 constexpr Milliseconds engineTimeout { 2000 };
+/// Time after a version switch, or after a load was verified, during which each report received from the engine makes the agent
+/// notify entries of the engine's version.
+constexpr Milliseconds noticeDuration { 700 };
 
 /// Whether the engine has loaded all layers of `version`; false for version 0. Thread safe.
 bool servesVersion(const EngineReport&, const ServedModel&, uint32_t version);
@@ -117,6 +120,9 @@
     void orderLoad(Milliseconds timeout);
     void finishLoadOrder(const CallResult&, BootTimePoint sentAt);
     void abandonLoadOrder();
+    void verifyDoubtedLayers();
+    void finishVerification(BatchState);
+    void guardLayers(LoadTrust earlier);
     void notifyEntries(uint32_t version);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
     void answerPieceRequest(PieceRequest);
@@ -158,7 +164,7 @@
     NamedVersions namedVersions;
     std::optional<EngineReport> engineReport;
     uint32_t peerRequestedVersion = 0; ///< The newest version that a peer has requested; zero: none.
-    uint64_t noticeCount = 0; ///< Notices sent to entries by this process.
+    uint64_t noticeSequence = 0; ///< That of the last notice sent to entries; it rises from one process of the agent to the next.
     TimePoint noticeUntil {}; ///< Entries are notified of the engine's version until then.
     TimePoint reportRequestedAt {}; ///< When the engine was last asked for its report.
 
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -29,8 +29,9 @@
 static constexpr Seconds startCheckTime { 10 };
 // Timeout of a request for a store delta.
 static constexpr Milliseconds storeDeltaTimeout { 1000 };
-// Longest duration of a version switch of an engine; after it the engine is used again as its store record says.
-static constexpr Milliseconds maxWeightSwitchTime { 5000 };
+// Time for which an engine is withheld after the last notice that demands it. Entries pass on a repeated notice every 5 s, within a
+// second.
+static constexpr Milliseconds maxWithheldTime { 7000 };
 // Time for which a refused request is kept in messages, since datagrams may be lost.
 static constexpr Milliseconds refusalRepeatTime { 300 };
 // Largest number of refused requests in one message.
@@ -201,7 +202,8 @@
         if (!isTarget || notice.sequence <= row.noticeSequence)
             continue;
         row.noticeSequence = notice.sequence;
-        row.weightSwitchUntil = notice.version == 0 ? now + maxWeightSwitchTime : TimePoint();
+        row.weightSwitchUntil = TimePoint();
+        row.withheldUntil = notice.version == 0 ? now + maxWithheldTime : TimePoint();
         if (notice.version <= std::max(row.record.loadedLayersVersion, row.record.notifiedVersion))
             continue;
         row.record.notifiedVersion = notice.version;
--- a/src/LoadOrder.cpp
+++ b/src/LoadOrder.cpp
@@ -1,5 +1,7 @@
 #include "LoadOrder.h"
 
+#include "ProtocolAdapter.h"
+
 namespace bilberry {
 
 uint64_t beginReads(LoadOrderState& state, size_t pieces, BootTimePoint now)
@@ -46,10 +48,60 @@
     state.orderReadsSentAt = state.readsSentAt;
 }
 
-bool noteOrderEnd(LoadOrderState& state, BootTimePoint now)
+void noteOrderEnd(LoadOrderState& state, OrderEnd end, BootTimePoint now)
 {
     state.isOrderInFlight = false;
-    return now - state.orderReadsSentAt <= maxReadAgeAtAnswer;
+    if (end == OrderEnd::NotBegun)
+        return;
+    bool isTimely = end == OrderEnd::Begun && now - state.orderReadsSentAt <= maxReadAgeAtAnswer;
+    if (isTimely) {
+        state.trust = LoadTrust::Proven;
+        state.hasWrittenPiece = false;
+        ++state.knownOrders;
+    } else if (state.trust == LoadTrust::Proven) {
+        state.trust = LoadTrust::Unplaced;
+    }
+}
+
+// Starts to judge the orders of another run of the engine.
+static void beginRun(LoadOrderState& state, const EngineReport& report)
+{
+    bool isLoading = report.isBusy && report.acceptedOrders > 0;
+    state.isRunKnown = true;
+    state.engineStartedAtUnixMs = report.startedAtUnixMs;
+    state.knownOrders = report.acceptedOrders;
+    state.hasWrittenPiece = false;
+    state.trust = isLoading ? LoadTrust::Doubted : LoadTrust::Proven;
+}
+
+void noteReport(LoadOrderState& state, const EngineReport& report)
+{
+    bool isOtherRun = !state.isRunKnown || report.startedAtUnixMs != state.engineStartedAtUnixMs || report.acceptedOrders < state.reportedOrders;
+    state.reportedOrders = report.acceptedOrders;
+    if (isOtherRun) {
+        beginRun(state, report);
+        return;
+    }
+    bool isUnknownOrder = !state.isOrderInFlight && report.acceptedOrders > state.knownOrders;
+    if (isUnknownOrder && state.trust != LoadTrust::Spoilt)
+        state.trust = LoadTrust::Doubted;
+}
+
+void notePieceWritten(LoadOrderState& state)
+{
+    voidReads(state);
+    if (state.isOrderInFlight || state.trust != LoadTrust::Proven)
+        state.hasWrittenPiece = true;
+}
+
+void judgeDoubtedLayers(LoadOrderState& state, BatchState batch)
+{
+    bool isSound = batch == BatchState::Sound && !state.hasWrittenPiece;
+    bool isSpoilt = batch == BatchState::Spoilt || state.hasWrittenPiece;
+    if (!isSound && !isSpoilt)
+        return;
+    state.trust = isSound ? LoadTrust::Proven : LoadTrust::Spoilt;
+    state.knownOrders = state.reportedOrders;
 }
 
 } // namespace bilberry
--- a/src/LoadOrder.h
+++ b/src/LoadOrder.h
@@ -13,6 +13,8 @@
 
 namespace bilberry {
 
+struct EngineReport;
+
 /// Age of the oldest read-back from which on an order isn't sent: the pieces are read back again.
 constexpr Milliseconds maxReadAgeAtOrder { 2000 };
 /// Age of the oldest read-back by which an order must be answered. Layers count as spoilt when one of their pieces had been so for
@@ -34,6 +36,21 @@
     Unknown, ///< None is known to be spoilt, and of some nothing is known.
 };
 
+/// How an order ended.
+enum class OrderEnd : uint8_t {
+    Begun, ///< The engine has accepted it.
+    NotBegun, ///< The engine has refused it, or it loads nothing.
+    Unanswered, ///< The engine may have accepted it, or may still do so.
+};
+
+/// What is known of the layers that the engine has or is about to have.
+enum class LoadTrust : uint8_t {
+    Proven, ///< No load is known whose pieces may have been spoilt.
+    Unplaced, ///< An order got no answer in time, and the engine may still accept it.
+    Doubted, ///< The engine has accepted an order at an unknown time; the pieces must be read back.
+    Spoilt, ///< The layers may be spoilt; only another load ends this.
+};
+
 /// The read-backs of all pieces that one load order relies on, and that order. Used by one thread at a time.
 struct LoadOrderState {
     uint64_t batch = 0; ///< Number of the newest batch.
@@ -44,6 +61,14 @@
     BootTimePoint readsSentAt {}; ///< When the reads of the newest batch were sent.
     bool isOrderInFlight = false; ///< Whether an order awaits its answer.
     BootTimePoint orderReadsSentAt {}; ///< When the reads that the newest order relies on were sent.
+
+    // What the engine has accepted.
+    LoadTrust trust = LoadTrust::Proven;
+    bool isRunKnown = false; ///< Whether the engine has reported yet.
+    std::optional<int64_t> engineStartedAtUnixMs;
+    uint64_t reportedOrders = 0; ///< Orders that the engine has accepted, by its last report.
+    uint64_t knownOrders = 0; ///< Those of them whose layers were judged.
+    bool hasWrittenPiece = false; ///< Whether a piece was written since the first order whose acceptance is unknown.
 };
 
 /// Begins a batch of read-backs, which are to be sent now, and returns its number. An earlier batch is void. Precondition: `pieces` > 0.
@@ -56,8 +81,15 @@
 std::optional<Milliseconds> orderTimeout(const LoadOrderState&, BootTimePoint now);
 /// Records that an order is sent that relies on the newest batch. Precondition: no order is in flight.
 void noteOrderSent(LoadOrderState&);
-/// Records that the order was answered or given up. Returns whether the engine can only have accepted it while the read-backs were
-/// recent enough.
-bool noteOrderEnd(LoadOrderState&, BootTimePoint now);
+/// Records how the order ended. One that has begun is proven if the engine can only have accepted it while the read-backs were recent
+/// enough.
+void noteOrderEnd(LoadOrderState&, OrderEnd, BootTimePoint now);
+/// Records the engine's report. An engine that was started anew is trusted, unless it carries out an order of an earlier agent process.
+/// Orders that are unknown are doubted, unless one is in flight, whose answer may tell.
+void noteReport(LoadOrderState&, const EngineReport&);
+/// Records that a piece is written to the stage: a batch in progress is void, and later reads don't tell what the engine took.
+void notePieceWritten(LoadOrderState&);
+/// Judges doubted layers by a batch whose reads were sent since they were doubted. Precondition: the layers are doubted.
+void judgeDoubtedLayers(LoadOrderState&, BatchState);
 
 } // namespace bilberry
--- a/tests/LoadOrderTest.cpp
+++ b/tests/LoadOrderTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "LoadOrder.h"
+#include "ProtocolAdapter.h"
 
 using namespace bilberry;
 
@@ -34,15 +35,123 @@
     BOOST_TEST(!orderTimeout(makeReadState(3), start + longestSpoilt).has_value());
 }
 
-BOOST_AUTO_TEST_CASE(answersThatComeLateDontProveThatTheReadsWereRecent)
+static EngineReport makeReport(uint64_t acceptedOrders, bool isBusy = false)
+{
+    EngineReport report;
+    report.acceptedOrders = acceptedOrders;
+    report.isBusy = isBusy;
+    report.startedAtUnixMs = 1000;
+    return report;
+}
+
+// An order whose answer didn't come in time, and that the engine has accepted at some time.
+static LoadOrderState makeDoubtedState()
+{
+    auto state = makeReadState(3);
+    noteReport(state, makeReport(0));
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::Unanswered, start + longestSpoilt);
+    noteReport(state, makeReport(1));
+    return state;
+}
+
+BOOST_AUTO_TEST_CASE(timelyAnswersProveALoad)
 {
     auto state = makeReadState(3);
+    noteReport(state, makeReport(0));
     noteOrderSent(state);
     BOOST_TEST(state.isOrderInFlight);
-    BOOST_TEST(noteOrderEnd(state, start + Milliseconds(100)));
+    noteReport(state, makeReport(1));
+    noteOrderEnd(state, OrderEnd::Begun, start + Milliseconds(100));
     BOOST_TEST(!state.isOrderInFlight);
+    noteReport(state, makeReport(1));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+}
+
+BOOST_AUTO_TEST_CASE(lateAndLostAnswersProveNothing)
+{
+    for (auto end : { OrderEnd::Begun, OrderEnd::Unanswered }) {
+        auto state = makeReadState(3);
+        noteReport(state, makeReport(0));
+        noteOrderSent(state);
+        noteOrderEnd(state, end, start + longestSpoilt);
+        BOOST_TEST((state.trust == LoadTrust::Unplaced));
+        noteReport(state, makeReport(1));
+        BOOST_TEST((state.trust == LoadTrust::Doubted));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusedOrdersLeaveEarlierDoubts)
+{
+    auto state = makeReadState(3);
     noteOrderSent(state);
-    BOOST_TEST(!noteOrderEnd(state, start + longestSpoilt));
+    noteOrderEnd(state, OrderEnd::Unanswered, start);
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::NotBegun, start);
+    BOOST_TEST((state.trust == LoadTrust::Unplaced));
+}
+
+BOOST_AUTO_TEST_CASE(doubtedLayersAreJudgedByTheirPieces)
+{
+    auto state = makeDoubtedState();
+    judgeDoubtedLayers(state, BatchState::Unknown);
+    BOOST_TEST((state.trust == LoadTrust::Doubted));
+    judgeDoubtedLayers(state, BatchState::Sound);
+    noteReport(state, makeReport(1));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+    state = makeDoubtedState();
+    judgeDoubtedLayers(state, BatchState::Spoilt);
+    noteReport(state, makeReport(1));
+    BOOST_TEST((state.trust == LoadTrust::Spoilt));
+}
+
+// A piece that was spoilt when the engine took it may have been written since.
+BOOST_AUTO_TEST_CASE(piecesWrittenSinceTheOrderDontClearIt)
+{
+    auto state = makeReadState(3);
+    noteReport(state, makeReport(0));
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::Unanswered, start + longestSpoilt);
+    notePieceWritten(state);
+    noteReport(state, makeReport(1));
+    judgeDoubtedLayers(state, BatchState::Sound);
+    BOOST_TEST((state.trust == LoadTrust::Spoilt));
+}
+
+BOOST_AUTO_TEST_CASE(spoiltLayersStaySoUntilAnotherLoad)
+{
+    auto state = makeDoubtedState();
+    judgeDoubtedLayers(state, BatchState::Spoilt);
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::NotBegun, start);
+    BOOST_TEST((state.trust == LoadTrust::Spoilt));
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::Begun, start);
+    noteReport(state, makeReport(2));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+}
+
+BOOST_AUTO_TEST_CASE(anotherRunOfTheEngineIsJudgedAnew)
+{
+    auto state = makeDoubtedState();
+    auto report = makeReport(1);
+    report.startedAtUnixMs = 2000;
+    noteReport(state, report);
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+    state = makeDoubtedState();
+    noteReport(state, makeReport(0));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+}
+
+// The order that a new process of the agent finds in progress is that of an earlier one.
+BOOST_AUTO_TEST_CASE(ordersOfAnEarlierProcessThatAreInProgressAreDoubted)
+{
+    LoadOrderState state;
+    noteReport(state, makeReport(1, true));
+    BOOST_TEST((state.trust == LoadTrust::Doubted));
+    state = LoadOrderState();
+    noteReport(state, makeReport(1, false));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
 }
 
 BOOST_AUTO_TEST_CASE(readsOfTwoBatchesAreNeverTakenTogether)
--- a/tests/process_platform_load_orders.py
+++ b/tests/process_platform_load_orders.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import json
 import signal
+import threading
 import time
 import urllib.parse
 
@@ -19,14 +20,21 @@
     """Knows of each piece since when it doesn't fit, and notes for each order that it accepts the longest such time.
 
     `on_read` is called with the number of each read of the stage before it is answered; `order_delays` are taken one an order, before
-    it is taken in, and `lost_answers` says how many orders get no answer. Orders that load nothing get 200."""
+    it is taken in, and `lost_answers` says how many orders get no answer. Orders that load nothing get 200. While it is frozen, it
+    takes in what has arrived, but does nothing. `tokens` are the answers to requests: the version, and whether a layer was spoilt."""
 
     def __init__(self, *how, **more):
         self.history = {}
         self.accepted = []
         self.reads = 0
         self.on_read = None
-        self.order_delays = []
+        self.on_order = None
+        self.on_load = None
+        self.running = threading.Event()
+        self.running.set()
+        self.is_spoilt = False
+        self.tokens = []
+        self.received_orders = 0
         self.lost_answers = 0
         super().__init__(*how, **more)
         for number, data in list(self.stage.items()):
@@ -55,9 +63,12 @@
         self.born += 1
 
     def answer(self, call):
+        self.running.wait()
         path, _, query = call.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query))
-        if path.startswith("/bilberrybarrow/stage-put/"):
+        if path == "/write/":
+            self.answer_request(call)
+        elif path.startswith("/bilberrybarrow/stage-put/"):
             self.put(int(query["chunk-count"]), call.body)
             call.send(200, {})
         elif path.startswith("/bilberrybarrow/stage-get/"):
@@ -73,17 +84,32 @@
         else:
             super().answer(call)
 
+    def answer_request(self, call):
+        headers = [("Bilberrybarrow-Request-Id", call.headers["Bilberrybarrow-Request-Id"]), ("Bilberrybarrow-Instance-Id", "e1")]
+        expected = call.headers.get("Bilberrybarrow-Expect-Version")
+        if self.version == 0 or (expected and int(expected) != self.version):
+            call.send(421, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1")])
+            return
+        self.tokens.append((self.version, self.is_spoilt))
+        call.send(200, b"tokens", [*headers, ("Bilberrybarrow-Response-Seal", "seal")])
+
     def answer_order(self, call, version):
-        time.sleep(self.order_delays.pop(0) if self.order_delays else 0.0)
+        with self.lock:
+            self.received_orders += 1
+            number = self.received_orders
+        if self.on_order:
+            self.on_order(number)
+        self.running.wait()
         if version == self.version:
             call.send(200, {})
             return
-        now = time.monotonic()
-        spoilt_for = self.spoilt_for(version, now)
+        spoilt_for = self.spoilt_for(version, time.monotonic())
         with self.lock:
             self.orders += 1
             self.version = version
+            self.is_spoilt = spoilt_for > MAX_SPOILT_S
             self.accepted.append(spoilt_for)
+        self.on_load()
         if self.lost_answers > 0:
             self.lost_answers -= 1
             call.hang_up()
@@ -92,79 +118,145 @@
 
 
 class Bed:
-    """One engine that has just started, with version 1 on its stage, its agent and an entry."""
+    """One engine that has just started, with version 1 on its stage, its agent, an entry and callers that send a request each 50 ms."""
 
     def __init__(self, build, pieces=8):
         self.fleet = platform_fleet.Fleet(build)
         self.origin = platform_standin.Origin(chunks=pieces)
         self.engine = WatchedEngine(self.origin, "127.0.2.1", version=1)
         self.engine.crash()
+        self.engine.on_load = self.list_engine
+        self.reads_before_order = 2 * pieces
         self.fleet.stand_ins += [self.origin, self.engine]
-        engine = {"slots": 4, "layers": 4, "chunks": pieces, "chunk-bytes": self.origin.chunk_bytes, "models": [{"name": self.origin.model, "warmup-s": 0.1}]}
-        self.fleet.services.append({"name": "writer", "health-path": "/healthz", "max-connections": 50, "cold-s": 0.0, "cold-per-s": 0.0, "engine": engine})
+        engine = {"slots": 8, "layers": 4, "chunks": pieces, "chunk-bytes": self.origin.chunk_bytes, "models": [{"name": self.origin.model, "warmup-s": 0.1}]}
+        self.fleet.add_route("/write/", "writer", "non_idempotent")
+        self.fleet.services[-1]["engine"] = engine
         self.fleet.services.append({"name": "portal", "origin": self.origin.address, "zone": "dc-a", "link-mbps": 100, "max-connections": 50})
         self.fleet.publish()
         self.list_engine()
         self.entry = self.fleet.start_entry(1)
+        self.agent = None
+        self.is_stopped = False
+        self.callers = threading.Thread(target=self.call, daemon=True)
 
     def list_engine(self):
         report = self.engine.report()
-        self.fleet.store.put("servers/e1", {"service": "writer", "address": self.engine.address, "zone": "dc-a", "version": "v1", "slots": 4, "state": "ready", "cold-remaining-ms": 0,
+        self.fleet.store.put("servers/e1", {"service": "writer", "address": self.engine.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                                             "seq-no": 1, "models": report["models"], "layers": report["layers"], "born": self.engine.born})
 
-    def start_agent(self):
+    def call(self):
+        def send():
+            self.fleet.call(self.entry, "/write/", budget_ms=800, timeout=2.0, **{"Bilberrybarrow-Model": "m"})
+
+        while not self.is_stopped:
+            threading.Thread(target=send, daemon=True).start()
+            time.sleep(0.05)
+
+    def start(self):
+        """Starts the agent once the entry is there for the callers."""
+        harness.wait_until(lambda: harness.call("GET", self.entry.flags["ready_listen"], "/bilberrybarrow/ready")[0], 10, "the entry is up")
         self.agent = self.fleet.start_agent(self.engine, 1)
-        return self.agent
+        self.callers.start()
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        self.is_stopped = True
+        self.engine.running.set()
         self.fleet.__exit__()
 
-    def check_orders(self):
-        harness.wait_until(lambda: self.engine.accepted and self.engine.version == 1, 10, "the engine has its layers")
+    def spoil(self):
+        self.engine.put(3, b"rotten")
+
+    def expect_tokens_of(self, version, seconds=12):
+        harness.wait_until(lambda: (version, False) in self.engine.tokens, seconds, f"tokens of version {version}")
         time.sleep(0.5)
-        longest = max(self.engine.accepted)
-        assert longest <= MAX_SPOILT_S, f"an order was accepted with a piece spoilt for {longest:.2f} s"
+        self.check_tokens()
+
+    def check_tokens(self):
+        spoilt = sum(is_spoilt for _, is_spoilt in self.engine.tokens)
+        assert not spoilt, f"{spoilt} answers with a layer taken from a piece spoilt for {max(self.engine.accepted):.2f} s"
+
+    def expect_use_after_newer_version(self):
+        """An engine with layers that may be spoilt gets no request until a newer version is loaded."""
+        harness.wait_until(lambda: self.engine.accepted, 10, "the order is taken in")
+        time.sleep(6)
+        self.check_tokens()
+        self.fleet.store.put("op/version/m", {"model": "m", "version": 2})
+        self.expect_tokens_of(2)
 
 
 def agent_paused_between_read_and_order(build):
     with Bed(build) as bed:
         def pause(number):
-            if number != 2 * bed.origin.chunks:
-                return
-            bed.agent.process.send_signal(signal.SIGSTOP)
-            bed.engine.put(3, b"rotten")
+            if number == bed.reads_before_order:
+                bed.agent.process.send_signal(signal.SIGSTOP)
+                bed.spoil()
         bed.engine.on_read = pause
-        bed.start_agent()
-        harness.wait_until(lambda: bed.engine.reads >= 2 * bed.origin.chunks, 10, "the pieces are read back")
+        bed.start()
+        harness.wait_until(lambda: bed.engine.reads >= bed.reads_before_order, 10, "the pieces are read back")
         time.sleep(4.5)
         bed.agent.process.send_signal(signal.SIGCONT)
-        bed.check_orders()
-
-
-def lost_answer(build):
-    with Bed(build) as bed:
-        bed.engine.lost_answers = 1
-        bed.start_agent()
-        bed.check_orders()
+        bed.expect_tokens_of(1)
+        assert max(bed.engine.accepted) <= MAX_SPOILT_S, bed.engine.accepted
 
 
 def engine_restarted_between_reads(build):
     with Bed(build) as bed:
         def restart(number):
-            if number != 2 * bed.origin.chunks - 1:
+            if number != bed.reads_before_order - 1:
                 return
-            bed.engine.put(3, b"rotten")
+            bed.spoil()
             bed.engine.crash()
             time.sleep(1.9)
         bed.engine.on_read = restart
-        bed.start_agent()
-        bed.check_orders()
+        bed.start()
+        bed.expect_tokens_of(1)
+
+
+def answer_lost(build):
+    with Bed(build) as bed:
+        bed.engine.lost_answers = 1
+        bed.start()
+        bed.expect_tokens_of(1)
+
+
+def sound_order_taken_in_after_it_was_given_up(build):
+    with Bed(build) as bed:
+        bed.engine.on_order = lambda number: time.sleep(4.5 if number == 1 else 0)
+        bed.start()
+        bed.expect_tokens_of(1)
+
+
+def slow_reads_and_order_taken_in_after_it_was_given_up(build):
+    with Bed(build) as bed:
+        def slow_down(number):
+            if number == bed.reads_before_order:
+                bed.spoil()
+            if bed.origin.chunks < number <= bed.reads_before_order:
+                time.sleep(1.8)
+        bed.engine.on_read = slow_down
+        bed.engine.on_order = lambda number: time.sleep(1.4 if number == 1 else 0)
+        bed.start()
+        bed.expect_use_after_newer_version()
+
+
+def engine_paused_while_an_order_waits(build):
+    with Bed(build) as bed:
+        def pause(number):
+            if number != 1:
+                return
+            bed.spoil()
+            bed.engine.running.clear()
+            threading.Timer(4.5, bed.engine.running.set).start()
+        bed.engine.on_order = pause
+        bed.start()
+        bed.expect_use_after_newer_version()
 
 
-ROWS = [agent_paused_between_read_and_order, lost_answer, engine_restarted_between_reads]
+ROWS = [agent_paused_between_read_and_order, engine_restarted_between_reads, answer_lost, sound_order_taken_in_after_it_was_given_up,
+        slow_reads_and_order_taken_in_after_it_was_given_up, engine_paused_while_an_order_waits]
 
 
 def main():
