Try each byte of an answer's head at which a server may break off

Operators of a system like this one reported servers that stopped in the middle of an answer's head and closed, after which callers got a 200 with an empty or short body that looked whole. It could not be brought about here: an answer is complete only once its head is, in all four clients, and what was received of a broken head is no part of the caller's answer.

No source changed, so that the tests passed at once.

--- a/tests/ConnectionEndTest.cpp
+++ b/tests/ConnectionEndTest.cpp
@@ -25,14 +25,14 @@
 };
 
 // Time after which the server ends the connection, so that its answer has been read.
-constexpr Milliseconds timeToEnd { 30 };
+constexpr Milliseconds timeToReadAnswer { 30 };
 constexpr size_t maxBodyBytes = 1 << 20;
 
 /// Answers one request with fixed bytes and then ends the connection.
 struct OneAnswerServer {
-    OneAnswerServer(std::string answer, ServerEnd serverEnd)
+    OneAnswerServer(std::string answer, ServerEnd serverEnd, Milliseconds timeToEnd = timeToReadAnswer)
         : acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
-        , thread([this, answer = std::move(answer), serverEnd] {
+        , thread([this, answer = std::move(answer), serverEnd, timeToEnd] {
             asio::ip::tcp::socket socket(this->context);
             this->acceptor.accept(socket);
             asio::streambuf request;
@@ -188,3 +188,24 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(anAnswerIsNotCompleteWhereverItsHeadBreaksOff)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Id: 7\r\n";
+    const std::vector<std::string> heads { head + "Content-Length: 9\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n", head + "Connection: close\r\n\r\n", head + "Content-Length: 0\r\n\r\n" };
+    for (const auto& client : clients) {
+        for (const auto& whole : heads) {
+            for (size_t sent = 0; sent < whole.size(); ++sent) {
+                for (auto end : { ServerEnd::Orderly, ServerEnd::Reset }) {
+                    OneAnswerServer server(whole.substr(0, sent), end, Milliseconds(end == ServerEnd::Reset ? 2 : 0));
+                    auto received = client.receive(server.address());
+                    BOOST_TEST_CONTEXT(client.name << ", " << sent << " bytes of " << whole)
+                    {
+                        BOOST_TEST(!received.isComplete);
+                        BOOST_TEST(received.body.empty());
+                    }
+                }
+            }
+        }
+    }
+}
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -11,6 +11,7 @@
 import struct
 import threading
 import time
+import typing
 import urllib.parse
 
 
@@ -207,6 +208,15 @@
     call.close_connection = True
 
 
+class PartOfHead(typing.NamedTuple):
+    """A fault: an answer's head of which that many bytes are sent, all but one at most; `framing` is the header that tells how its
+    body ends."""
+
+    sent_bytes: int
+    framing: tuple
+    is_reset: bool
+
+
 def shared_parts(headers):
     """The ids of the parts of a request's prompt but the last one, which is its own."""
     return [part.split(":")[0] for part in headers.get("Bilberrybarrow-Prompt-Prefix", "").split(",")[:-1]]
@@ -244,6 +254,7 @@
         self.refused_caller = None
         self.refusals = 0
         self.resumed_answer = None
+        self.head_bytes = 200
         self.born = int(time.time() * 1000)
         super().__init__()
 
@@ -277,6 +288,8 @@
         elif self.resumed_answer and call.headers.get("Last-Event-Id"):
             status, content_type, body = self.resumed_answer
             call.send(status, body, [*sealed, ("Content-Type", content_type)])
+        elif isinstance(fault, PartOfHead):
+            self.send_part_of_head(call, sealed, fault)
         elif fault == "refuse":
             call.send(503, b"", [*headers, ("Bilberrybarrow-Not-Executed", "1")])
         elif fault == "hang up":
@@ -318,6 +331,18 @@
             time.sleep(self.gap)
             call.send(200, b"done by " + self.name.encode(), sealed)
 
+    def send_part_of_head(self, call, headers, fault):
+        """The beginning of the head of an answer, then the end of the connection."""
+        lines = [*headers, ("Content-Type", "text/event-stream" if self.events else "text/plain"), fault.framing]
+        head = b"HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in lines).encode() + b"\r\n"
+        self.head_bytes = len(head)
+        call.wfile.write(head[:min(fault.sent_bytes, len(head) - 1)])
+        call.close_connection = True
+        if fault.is_reset:
+            time.sleep(0.002)
+            call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            call.connection.close()
+
     def write_refusal_again(self, call, headers, has_id):
         """A refusal that an earlier request on this connection got, then the run and its answer."""
         request_id = [("Bilberrybarrow-Request-Id", "earlier")] if has_id else []
