Answer requests that are on their way when connections are closed

A server that stopped closed its listening socket and its idle connections at once. Callers whose connection waited to be accepted, whose request was in the socket but not read yet, or who had just opened a connection, got a reset and couldn't tell whether their request had run.

stopAccepting() now accepts what callers have opened by then before it closes the socket, and a connection whose accept had ended when the socket was closed is kept. An idle connection is closed only when nothing can be read from it and 0.5 s have passed since it was accepted or last answered on; what arrives is answered and closes its connection as before.

What remains: a request that is sent on a connection idle for longer at the very moment at which it is closed is still reset.

--- a/src/AsyncHttpServer.cpp
+++ b/src/AsyncHttpServer.cpp
@@ -25,9 +25,17 @@
     this->state->acceptRetryTimer.cancel();
 }
 
+static void startConnection(const std::shared_ptr<AsyncHttpServer::State>& state, asio::ip::tcp::socket socket)
+{
+    if (state->connections.size() < state->limits.maxConnections)
+        std::make_shared<ServerConnection>(state, std::move(socket))->startReading();
+}
+
 static void acceptNextConnection(const std::shared_ptr<AsyncHttpServer::State>& state)
 {
     state->acceptor.async_accept([state](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
+        if (!error)
+            startConnection(state, std::move(socket));
         if (error == asio::error::operation_aborted || !state->acceptor.is_open())
             return;
         if (error) {
@@ -38,8 +46,6 @@
             });
             return;
         }
-        if (state->connections.size() < state->limits.maxConnections)
-            std::make_shared<ServerConnection>(state, std::move(socket))->startReading();
         acceptNextConnection(state);
     });
 }
@@ -83,8 +89,18 @@
 
 void AsyncHttpServer::stopAccepting()
 {
-    boost::system::error_code ignored;
-    this->state->acceptor.close(ignored);
+    auto& acceptor = this->state->acceptor;
+    if (!acceptor.is_open())
+        return;
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(this->state->loop);
+        acceptor.accept(socket, error);
+        if (!error)
+            startConnection(this->state, std::move(socket));
+    }
+    acceptor.close(error);
 }
 
 void AsyncHttpServer::closeIdleConnections()
--- a/src/AsyncHttpServer.h
+++ b/src/AsyncHttpServer.h
@@ -44,9 +44,9 @@
     void setLimits(const ServerLimits&);
     /// From now on, each response closes its connection.
     void startDraining();
-    /// Stops listening; open connections are kept.
+    /// Accepts the connections that callers have opened by now, and stops listening; open connections are kept.
     void stopAccepting();
-    /// Closes the connections on which no request is being read or handled.
+    /// Closes the connections on which no request has been read or handled for a short time and none can be read now.
     void closeIdleConnections();
     /// Refuses the requests that haven't been read completely, and closes their connections when they are refused.
     void refuseUnreadRequests(int status, const HttpHeaders&);
--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -15,6 +15,8 @@
 // Size of one read from the socket, and number of bytes up to which further requests are read while one is handled.
 static constexpr size_t readBufferBytes = 8 << 10;
 static constexpr size_t maxReadAheadBytes = 16 << 10;
+// Time after its begin or its last response for which an idle connection isn't closed, since a request may be on its way.
+static constexpr Milliseconds minIdleTimeToClose { 500 };
 // Time for which a connection lingers after its last response, so that the caller can read it before the socket is closed.
 static constexpr Milliseconds lingerTime { 500 };
 
@@ -40,7 +42,11 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (this->phase == Phase::Idle)
+    if (this->phase != Phase::Idle || !this->socket.is_open())
+        return;
+    boost::system::error_code error;
+    bool hasUnreadBytes = this->socket.available(error) > 0;
+    if (!hasUnreadBytes && Clock::now() - this->idleSince >= minIdleTimeToClose)
         this->close(false);
 }
 
@@ -96,6 +102,7 @@
 void ServerConnection::prepareNextRequest()
 {
     this->phase = Phase::Idle;
+    this->idleSince = Clock::now();
     this->onCallerLeft = nullptr;
     this->parser.emplace();
     this->parser->eager(true);
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -42,7 +42,7 @@
 
     /// Starts to read requests. Precondition: not called before.
     void startReading();
-    /// Closes the connection unless a request is being read or answered.
+    /// Closes the connection if no request has been read or answered for a short time and none can be read now.
     void closeIfIdle();
     /// Refuses the request that is being read, if one is.
     void refuseUnreadRequest(int status, const HttpHeaders&);
@@ -92,6 +92,7 @@
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     Phase phase = Phase::Idle;
+    TimePoint idleSince {}; ///< When the connection was accepted, or the last response was finished.
     bool isReading = false;
     bool isHeadRequest = false;
     bool keepsAlive = true;
--- a/tests/LoopHttpTest.cpp
+++ b/tests/LoopHttpTest.cpp
@@ -177,3 +177,38 @@
         BOOST_TEST(caller.hasReceived("0\r\n\r\n") == !isCut);
     }
 }
+
+BOOST_FIXTURE_TEST_CASE(requestsOnTheirWayWhileAServerStopsAreAnswered, ServerFixture)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    RawCaller accepted(this->loop, this->server.port());
+    RawCaller withoutRequest(this->loop, this->server.port());
+    runUntil(this->loop, [&] { return this->server.connectionCount() == 2; });
+    RawCaller inBacklog(this->loop, this->server.port());
+    accepted.write(request);
+    inBacklog.write(request);
+    this->server.startDraining();
+    this->server.stopAccepting();
+    this->server.closeIdleConnections();
+    runUntil(this->loop, [&] { return accepted.isClosed && inBacklog.isClosed; });
+    withoutRequest.write(request);
+    runUntil(this->loop, [&] { return withoutRequest.isClosed; });
+    BOOST_TEST(accepted.hasReceived("HTTP/1.1 200"));
+    BOOST_TEST(inBacklog.hasReceived("HTTP/1.1 200"));
+    BOOST_TEST(withoutRequest.hasReceived("HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(idleConnectionsOfAStoppingServerAreClosed, ServerFixture)
+{
+    RawCaller caller(this->loop, this->server.port());
+    runUntil(this->loop, [&] { return this->server.connectionCount() == 1; });
+    this->server.startDraining();
+    this->server.stopAccepting();
+    auto startedAt = Clock::now();
+    runUntil(this->loop, [&] {
+        this->server.closeIdleConnections();
+        return caller.isClosed;
+    });
+    BOOST_TEST((Clock::now() - startedAt < Seconds(3)));
+    BOOST_TEST(this->server.connectionCount() == 0U);
+}
