Reset the connection of an open answer without chunks when the entry ends

Callers that speak HTTP/1.0 could take a stream for whole that the entry's own end had cut: their answers have no chunks and end with their connection, and the system closes the connections of a killed process in an orderly way, as it does at the exit after the grace of a SIGTERM.

While such an answer is open, its socket is now set to reset the connection whenever it is closed, which the system does for a killed process too. Only the proper end takes that back, before the connection is shut down.

--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -67,13 +67,21 @@
         return;
     boost::system::error_code ignored;
     if (isReset)
-        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->setResetOnClose(true);
     stopTimer(this->timer);
     this->socket.close(ignored);
     this->onCallerLeft = nullptr;
     this->pendingWrites.clear();
 }
 
+// Whether the system resets the connection when the socket is closed, also when the process is killed. An answer that ends with its
+// connection would look whole otherwise.
+void ServerConnection::setResetOnClose(bool isReset)
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 // Handles a connection that was closed by the caller or failed.
 void ServerConnection::handleDisconnect()
 {
@@ -255,6 +263,9 @@
         head.set(http::field::transfer_encoding, "chunked");
     else
         this->keepsAlive = false;
+    bool endsWithConnection = !bodySize && !this->isChunked;
+    if (endsWithConnection)
+        this->setResetOnClose(true);
     if (!this->keepsAlive)
         head.set(http::field::connection, "close");
     return serializeResponseHead(head);
@@ -286,17 +297,15 @@
 
 void ServerConnection::writeLastChunk()
 {
-    if (!this->isChunked) {
-        this->finishResponse();
-        return;
-    }
-    this->enqueueWrite(encodeLastChunk(), [self = this->shared_from_this()] { self->finishResponse(); });
+    // What still waits for the caller goes before the end.
+    this->enqueueWrite(this->isChunked ? encodeLastChunk() : std::string(), [self = this->shared_from_this()] { self->finishResponse(); });
 }
 
 void ServerConnection::finishResponse()
 {
     this->onCallerLeft = nullptr;
     if (!this->keepsAlive) {
+        this->setResetOnClose(false);
         this->phase = Phase::Lingering;
         this->startTimer(lingerTime);
         boost::system::error_code ignored;
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -74,6 +74,7 @@
     void refuseRequest(int status, const HttpHeaders& = {});
     void prepareNextRequest();
     void finishResponse();
+    void setResetOnClose(bool isReset);
     void startTimer(Milliseconds);
     void enqueueWrite(std::string bytes, std::function<void()> onSent);
     void writeNextBuffer();
