Doubt a load that a killed agent ordered shortly after the engine's start

Callers got tokens from spoilt layers when the agent ended while its order waited at a paused engine: the next process found the engine with its layers, took them for good and read nothing back. A process knows no time of an order by an earlier one. Now it doubts layers that an engine has loaded by order when the engine started less than 30 s ago, which is when an engine is filled, and reads their pieces back; and entries are told to send nothing before each order, also when the engine serves nothing yet, so that they don't begin as soon as the list shows the layers.

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -48,9 +48,9 @@
     bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount || this->loadOrder.trust != LoadTrust::Proven;
     if (!servesNothing && !this->isSwitchDue(BootClock::now()))
         return;
-    // Entries stop sending requests to the engine before the pieces are read back.
-    if (!servesNothing)
-        this->notifyEntries(0);
+    // Entries stop sending requests to the engine before the pieces are read back, and don't begin to before the load is proven, also
+    // if this process ends meanwhile.
+    this->notifyEntries(0);
     this->readBackPieces();
 }
 
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -34,6 +34,11 @@
     return report.loadedLayers >= model.layerCount && report.loadedLayersVersion == version && version != 0;
 }
 
+static Milliseconds unixTime()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 static SummaryWatchSettings makeSummaryWatchSettings(const NodeSettings& settings)
 {
     SummaryWatchSettings watchSettings { settings.ownIp, settings.location.dataCentre, settings.peerPort, {}, settings.service };
@@ -192,7 +197,7 @@
     if (shouldNotify)
         this->noticeUntil = now + noticeDuration;
     auto earlierTrust = this->loadOrder.trust;
-    noteReport(this->loadOrder, newReport);
+    noteReport(this->loadOrder, newReport, unixTime());
     this->guardLayers(earlierTrust);
     bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight;
     if (now < this->noticeUntil && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
@@ -204,8 +209,7 @@
 // most, pass the notice on.
 void AgentNode::notifyEntries(uint32_t version)
 {
-    auto unixTime = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-    this->noticeSequence = std::max(this->noticeSequence + 1, static_cast<uint64_t>(unixTime.count()));
+    this->noticeSequence = std::max(this->noticeSequence + 1, static_cast<uint64_t>(unixTime().count()));
     auto bytes = encodeNotice({ toText(*this->settings.engineAddress), version, this->noticeSequence });
     std::set<std::string> entries;
     for (const auto& seed : this->settings.seedAddresses)
--- a/src/LoadOrder.cpp
+++ b/src/LoadOrder.cpp
@@ -64,22 +64,23 @@
 }
 
 // Starts to judge the orders of another run of the engine.
-static void beginRun(LoadOrderState& state, const EngineReport& report)
+static void beginRun(LoadOrderState& state, const EngineReport& report, Milliseconds unixNow)
 {
-    bool isLoading = report.isBusy && report.acceptedOrders > 0;
+    bool hasJustStarted = report.startedAtUnixMs && unixNow - Milliseconds(*report.startedAtUnixMs) < firstLoadTime;
+    bool isRecent = report.acceptedOrders > 0 && (report.isBusy || hasJustStarted);
     state.isRunKnown = true;
     state.engineStartedAtUnixMs = report.startedAtUnixMs;
     state.knownOrders = report.acceptedOrders;
     state.hasWrittenPiece = false;
-    state.trust = isLoading ? LoadTrust::Doubted : LoadTrust::Proven;
+    state.trust = isRecent ? LoadTrust::Doubted : LoadTrust::Proven;
 }
 
-void noteReport(LoadOrderState& state, const EngineReport& report)
+void noteReport(LoadOrderState& state, const EngineReport& report, Milliseconds unixNow)
 {
     bool isOtherRun = !state.isRunKnown || report.startedAtUnixMs != state.engineStartedAtUnixMs || report.acceptedOrders < state.reportedOrders;
     state.reportedOrders = report.acceptedOrders;
     if (isOtherRun) {
-        beginRun(state, report);
+        beginRun(state, report, unixNow);
         return;
     }
     bool isUnknownOrder = !state.isOrderInFlight && report.acceptedOrders > state.knownOrders;
--- a/src/LoadOrder.h
+++ b/src/LoadOrder.h
@@ -21,6 +21,10 @@
 /// more than 3 s when the engine accepted the order.
 constexpr Milliseconds maxReadAgeAtAnswer { 2800 };
 
+/// Time since the engine's start in which an order of an earlier agent process counts as recent: an engine that has started is filled
+/// at once.
+constexpr Milliseconds firstLoadTime { 30000 };
+
 /// What a read-back showed of one piece.
 enum class PieceState : uint8_t {
     Sound,
@@ -84,9 +88,10 @@
 /// Records how the order ended. One that has begun is proven if the engine can only have accepted it while the read-backs were recent
 /// enough.
 void noteOrderEnd(LoadOrderState&, OrderEnd, BootTimePoint now);
-/// Records the engine's report. An engine that was started anew is trusted, unless it carries out an order of an earlier agent process.
-/// Orders that are unknown are doubted, unless one is in flight, whose answer may tell.
-void noteReport(LoadOrderState&, const EngineReport&);
+/// Records the engine's report; `unixNow` is the time since the Unix epoch. An engine that was started anew is trusted. If it has
+/// accepted orders of an earlier agent process, they are doubted while it carries one out, and for some time after its start. Later
+/// orders that are unknown are doubted, unless one is in flight, whose answer may tell.
+void noteReport(LoadOrderState&, const EngineReport&, Milliseconds unixNow);
 /// Records that a piece is written to the stage: a batch in progress is void, and later reads don't tell what the engine took.
 void notePieceWritten(LoadOrderState&);
 /// Judges doubted layers by a batch whose reads were sent since they were doubted. Precondition: the layers are doubted.
--- a/tests/LoadOrderTest.cpp
+++ b/tests/LoadOrderTest.cpp
@@ -35,12 +35,15 @@
     BOOST_TEST(!orderTimeout(makeReadState(3), start + longestSpoilt).has_value());
 }
 
+static constexpr Milliseconds startOfEngine { 1000 };
+static constexpr Milliseconds longAfterStart = startOfEngine + Seconds(3600);
+
 static EngineReport makeReport(uint64_t acceptedOrders, bool isBusy = false)
 {
     EngineReport report;
     report.acceptedOrders = acceptedOrders;
     report.isBusy = isBusy;
-    report.startedAtUnixMs = 1000;
+    report.startedAtUnixMs = startOfEngine.count();
     return report;
 }
 
@@ -48,23 +51,23 @@
 static LoadOrderState makeDoubtedState()
 {
     auto state = makeReadState(3);
-    noteReport(state, makeReport(0));
+    noteReport(state, makeReport(0), longAfterStart);
     noteOrderSent(state);
     noteOrderEnd(state, OrderEnd::Unanswered, start + longestSpoilt);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     return state;
 }
 
 BOOST_AUTO_TEST_CASE(timelyAnswersProveALoad)
 {
     auto state = makeReadState(3);
-    noteReport(state, makeReport(0));
+    noteReport(state, makeReport(0), longAfterStart);
     noteOrderSent(state);
     BOOST_TEST(state.isOrderInFlight);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     noteOrderEnd(state, OrderEnd::Begun, start + Milliseconds(100));
     BOOST_TEST(!state.isOrderInFlight);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Proven));
 }
 
@@ -72,11 +75,11 @@
 {
     for (auto end : { OrderEnd::Begun, OrderEnd::Unanswered }) {
         auto state = makeReadState(3);
-        noteReport(state, makeReport(0));
+        noteReport(state, makeReport(0), longAfterStart);
         noteOrderSent(state);
         noteOrderEnd(state, end, start + longestSpoilt);
         BOOST_TEST((state.trust == LoadTrust::Unplaced));
-        noteReport(state, makeReport(1));
+        noteReport(state, makeReport(1), longAfterStart);
         BOOST_TEST((state.trust == LoadTrust::Doubted));
     }
 }
@@ -97,11 +100,11 @@
     judgeDoubtedLayers(state, BatchState::Unknown);
     BOOST_TEST((state.trust == LoadTrust::Doubted));
     judgeDoubtedLayers(state, BatchState::Sound);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Proven));
     state = makeDoubtedState();
     judgeDoubtedLayers(state, BatchState::Spoilt);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Spoilt));
 }
 
@@ -109,11 +112,11 @@
 BOOST_AUTO_TEST_CASE(piecesWrittenSinceTheOrderDontClearIt)
 {
     auto state = makeReadState(3);
-    noteReport(state, makeReport(0));
+    noteReport(state, makeReport(0), longAfterStart);
     noteOrderSent(state);
     noteOrderEnd(state, OrderEnd::Unanswered, start + longestSpoilt);
     notePieceWritten(state);
-    noteReport(state, makeReport(1));
+    noteReport(state, makeReport(1), longAfterStart);
     judgeDoubtedLayers(state, BatchState::Sound);
     BOOST_TEST((state.trust == LoadTrust::Spoilt));
 }
@@ -127,7 +130,7 @@
     BOOST_TEST((state.trust == LoadTrust::Spoilt));
     noteOrderSent(state);
     noteOrderEnd(state, OrderEnd::Begun, start);
-    noteReport(state, makeReport(2));
+    noteReport(state, makeReport(2), longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Proven));
 }
 
@@ -136,21 +139,26 @@
     auto state = makeDoubtedState();
     auto report = makeReport(1);
     report.startedAtUnixMs = 2000;
-    noteReport(state, report);
+    noteReport(state, report, longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Proven));
     state = makeDoubtedState();
-    noteReport(state, makeReport(0));
+    noteReport(state, makeReport(0), longAfterStart);
     BOOST_TEST((state.trust == LoadTrust::Proven));
 }
 
-// The order that a new process of the agent finds in progress is that of an earlier one.
-BOOST_AUTO_TEST_CASE(ordersOfAnEarlierProcessThatAreInProgressAreDoubted)
+BOOST_AUTO_TEST_CASE(recentOrdersOfAnEarlierProcessAreDoubted)
 {
     LoadOrderState state;
-    noteReport(state, makeReport(1, true));
+    noteReport(state, makeReport(1, true), longAfterStart);
+    BOOST_TEST((state.trust == LoadTrust::Doubted));
+    state = LoadOrderState();
+    noteReport(state, makeReport(1, false), longAfterStart);
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+    state = LoadOrderState();
+    noteReport(state, makeReport(1, false), startOfEngine + Seconds(5));
     BOOST_TEST((state.trust == LoadTrust::Doubted));
     state = LoadOrderState();
-    noteReport(state, makeReport(1, false));
+    noteReport(state, makeReport(0, false), startOfEngine + Seconds(5));
     BOOST_TEST((state.trust == LoadTrust::Proven));
 }
 
--- a/tests/process_platform_load_orders.py
+++ b/tests/process_platform_load_orders.py
@@ -255,8 +255,43 @@
         bed.expect_use_after_newer_version()
 
 
+def agent_killed_while_its_order_waits(build):
+    with Bed(build) as bed:
+        def pause(number):
+            if number != 1:
+                return
+            bed.spoil()
+            bed.engine.running.clear()
+            bed.agent.kill()
+            threading.Timer(4.5, bed.engine.running.set).start()
+        bed.engine.on_order = pause
+        bed.start()
+        harness.wait_until(lambda: bed.agent.process.poll() is not None, 10, "the agent is killed")
+        bed.agent = bed.fleet.start_agent(bed.engine, 1)
+        bed.expect_use_after_newer_version()
+
+
+def piece_written_late_after_its_read(build):
+    with Bed(build) as bed:
+        def write(number):
+            if number == bed.reads_before_order:
+                bed.engine.put(3, bed.origin.piece(2, 3))
+        bed.engine.on_read = write
+        bed.engine.on_order = lambda number: time.sleep(2.4 if number == 1 else 0)
+        bed.start()
+        bed.expect_tokens_of(1)
+
+
+def stage_read_back_slowly_at_all_times(build):
+    with Bed(build) as bed:
+        bed.engine.on_read = lambda number: time.sleep(1.6)
+        bed.start()
+        bed.expect_tokens_of(1)
+
+
 ROWS = [agent_paused_between_read_and_order, engine_restarted_between_reads, answer_lost, sound_order_taken_in_after_it_was_given_up,
-        slow_reads_and_order_taken_in_after_it_was_given_up, engine_paused_while_an_order_waits]
+        slow_reads_and_order_taken_in_after_it_was_given_up, engine_paused_while_an_order_waits,
+        agent_killed_while_its_order_waits, piece_written_late_after_its_read, stage_read_back_slowly_at_all_times]
 
 
 def main():
