Keep taking callers in short grace periods while the balancer sends them

With a grace period below 5.2 s, a stopping entry closed its listening socket at half of it, although the load balancer may send callers for 2.6 s: they were refused a connection. This came with the schedule of stops, which cut the time for new requests to half of the grace period; that bound isn't needed, since a request that can't end before the exit isn't sent in any case.

Requests are now taken for 2.6 s or until answers are due, whichever is earlier. StopScheduleTest (shortGracePeriodsDontTurnAwayWhatTheLoadBalancerStillSends) failed in both checks before.

--- a/src/StopSchedule.cpp
+++ b/src/StopSchedule.cpp
@@ -7,7 +7,6 @@
 // Time after the request to stop for which the load balancer may still send new callers.
 static constexpr Milliseconds loadBalancerUpdateTime { 2600 };
 // Fractions of the grace period.
-static constexpr double takingFraction = 0.5;
 static constexpr double answerFraction = 0.88;
 static constexpr double exitFraction = 0.93;
 
@@ -19,8 +18,8 @@
 StopSchedule makeStopSchedule(TimePoint requestedAt, Milliseconds gracePeriod)
 {
     StopSchedule schedule;
-    schedule.takesRequestsUntil = requestedAt + std::min(loadBalancerUpdateTime, partOf(gracePeriod, takingFraction));
     schedule.answersDueAt = requestedAt + partOf(gracePeriod, answerFraction);
+    schedule.takesRequestsUntil = std::min(requestedAt + loadBalancerUpdateTime, schedule.answersDueAt);
     schedule.exitAt = requestedAt + partOf(gracePeriod, exitFraction);
     return schedule;
 }
