Doubt a recently named version that a killed agent had ordered

Callers got tokens from spoilt layers when the agent was killed while its order for a newly named version waited at a paused engine that had started long before: the next process found the load done and trusted it. It now reads the pieces back if the version that it finds was named less than 30 s ago, once for each run of the engine. The notice of the version that a new process found is gone again: that process may find the earlier version while the order still waits, and its notice ended the one that withholds the engine. For the same reason no version is sent to entries while pieces are read back.

An engine whose agent is killed in a switch may be unused for up to 7 s.

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -79,6 +79,15 @@
         this->noticeUntil = Clock::now() + noticeDuration;
 }
 
+// Doubts layers that an earlier process of the agent had loaded for a version that was named recently. Precondition: the engine has
+// reported.
+void AgentNode::judgeEarlierOrders()
+{
+    auto named = this->namedVersions.find(this->engineReport->loadedLayersVersion);
+    if (named != this->namedVersions.end())
+        noteVersionNamedFor(this->loadOrder, BootClock::now() - named->second);
+}
+
 // Logs when layers become doubted, and keeps requests away from an engine whose layers may be spoilt.
 void AgentNode::guardLayers(LoadTrust earlier)
 {
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -145,6 +145,9 @@
         this->recordNamedVersion(version, BootClock::now());
     if (!this->engineReport)
         return;
+    auto earlierTrust = this->loadOrder.trust;
+    this->judgeEarlierOrders();
+    this->guardLayers(earlierTrust);
     this->fetchManifestIfNeeded(this->wantedVersion());
     this->startFetches(now);
 }
@@ -192,14 +195,13 @@
     if (hasSwitched)
         this->log.write(LogLevel::Info, "engine_switched", { { "version", newReport.loadedLayersVersion }, { "layers", newReport.loadedLayers } });
     this->engineReport = newReport;
-    // An earlier process of the agent may have told entries to send no requests.
-    bool shouldNotify = (isNew || hasSwitched) && newReport.loadedLayersVersion != 0;
-    if (shouldNotify)
+    if (hasSwitched && newReport.loadedLayersVersion != 0)
         this->noticeUntil = now + noticeDuration;
     auto earlierTrust = this->loadOrder.trust;
     noteReport(this->loadOrder, newReport, unixTime());
+    this->judgeEarlierOrders();
     this->guardLayers(earlierTrust);
-    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight;
+    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight && !this->loadOrder.isReading;
     if (now < this->noticeUntil && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
         this->notifyEntries(newReport.loadedLayersVersion);
 }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -122,6 +122,7 @@
     void abandonLoadOrder();
     void verifyDoubtedLayers();
     void finishVerification(BatchState);
+    void judgeEarlierOrders();
     void guardLayers(LoadTrust earlier);
     void notifyEntries(uint32_t version);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
--- a/src/LoadOrder.cpp
+++ b/src/LoadOrder.cpp
@@ -56,6 +56,7 @@
     bool isTimely = end == OrderEnd::Begun && now - state.orderReadsSentAt <= maxReadAgeAtAnswer;
     if (isTimely) {
         state.trust = LoadTrust::Proven;
+        state.hasEarlierOrders = false;
         state.hasWrittenPiece = false;
         ++state.knownOrders;
     } else if (state.trust == LoadTrust::Proven) {
@@ -66,11 +67,12 @@
 // Starts to judge the orders of another run of the engine.
 static void beginRun(LoadOrderState& state, const EngineReport& report, Milliseconds unixNow)
 {
-    bool hasJustStarted = report.startedAtUnixMs && unixNow - Milliseconds(*report.startedAtUnixMs) < firstLoadTime;
+    bool hasJustStarted = report.startedAtUnixMs && unixNow - Milliseconds(*report.startedAtUnixMs) < recentLoadTime;
     bool isRecent = report.acceptedOrders > 0 && (report.isBusy || hasJustStarted);
     state.isRunKnown = true;
     state.engineStartedAtUnixMs = report.startedAtUnixMs;
     state.knownOrders = report.acceptedOrders;
+    state.hasEarlierOrders = report.acceptedOrders > 0;
     state.hasWrittenPiece = false;
     state.trust = isRecent ? LoadTrust::Doubted : LoadTrust::Proven;
 }
@@ -88,6 +90,14 @@
         state.trust = LoadTrust::Doubted;
 }
 
+void noteVersionNamedFor(LoadOrderState& state, BootClock::duration age)
+{
+    bool isDoubtful = state.hasEarlierOrders && state.trust == LoadTrust::Proven && age < recentLoadTime;
+    state.hasEarlierOrders = false;
+    if (isDoubtful)
+        state.trust = LoadTrust::Doubted;
+}
+
 void notePieceWritten(LoadOrderState& state)
 {
     voidReads(state);
@@ -102,6 +112,7 @@
     if (!isSound && !isSpoilt)
         return;
     state.trust = isSound ? LoadTrust::Proven : LoadTrust::Spoilt;
+    state.hasEarlierOrders = false;
     state.knownOrders = state.reportedOrders;
 }
 
--- a/src/LoadOrder.h
+++ b/src/LoadOrder.h
@@ -21,9 +21,9 @@
 /// more than 3 s when the engine accepted the order.
 constexpr Milliseconds maxReadAgeAtAnswer { 2800 };
 
-/// Time since the engine's start in which an order of an earlier agent process counts as recent: an engine that has started is filled
-/// at once.
-constexpr Milliseconds firstLoadTime { 30000 };
+/// Time since the engine's start, or since its version was named, in which an order of an earlier agent process counts as recent: both
+/// are followed by a load soon.
+constexpr Milliseconds recentLoadTime { 30000 };
 
 /// What a read-back showed of one piece.
 enum class PieceState : uint8_t {
@@ -72,6 +72,7 @@
     std::optional<int64_t> engineStartedAtUnixMs;
     uint64_t reportedOrders = 0; ///< Orders that the engine has accepted, by its last report.
     uint64_t knownOrders = 0; ///< Those of them whose layers were judged.
+    bool hasEarlierOrders = false; ///< Whether orders of an earlier agent process loaded the layers, and that may still be doubted.
     bool hasWrittenPiece = false; ///< Whether a piece was written since the first order whose acceptance is unknown.
 };
 
@@ -92,6 +93,9 @@
 /// accepted orders of an earlier agent process, they are doubted while it carries one out, and for some time after its start. Later
 /// orders that are unknown are doubted, unless one is in flight, whose answer may tell.
 void noteReport(LoadOrderState&, const EngineReport&, Milliseconds unixNow);
+/// Records for how long the version that the engine has loaded has been named: recent orders of an earlier agent process are doubted.
+/// Has an effect once for each run of the engine.
+void noteVersionNamedFor(LoadOrderState&, BootClock::duration);
 /// Records that a piece is written to the stage: a batch in progress is void, and later reads don't tell what the engine took.
 void notePieceWritten(LoadOrderState&);
 /// Judges doubted layers by a batch whose reads were sent since they were doubted. Precondition: the layers are doubted.
--- a/tests/LoadOrderTest.cpp
+++ b/tests/LoadOrderTest.cpp
@@ -193,3 +193,28 @@
     noteRead(state, batch, PieceState::Unknown);
     BOOST_TEST((noteRead(state, batch, PieceState::Spoilt) == BatchState::Spoilt));
 }
+
+BOOST_AUTO_TEST_CASE(ordersOfAnEarlierProcessForARecentlyNamedVersionAreDoubtedOnce)
+{
+    for (bool isRecent : { true, false }) {
+        LoadOrderState state;
+        noteReport(state, makeReport(1), longAfterStart);
+        noteVersionNamedFor(state, isRecent ? Seconds(5) : Seconds(3600));
+        BOOST_TEST(((state.trust == LoadTrust::Doubted) == isRecent));
+        if (isRecent)
+            judgeDoubtedLayers(state, BatchState::Sound);
+        noteVersionNamedFor(state, Seconds(6));
+        BOOST_TEST((state.trust == LoadTrust::Proven));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ordersOfThisProcessAreNotDoubtedForTheirVersion)
+{
+    auto state = makeReadState(3);
+    noteReport(state, makeReport(0), longAfterStart);
+    noteOrderSent(state);
+    noteOrderEnd(state, OrderEnd::Begun, start + Milliseconds(100));
+    noteReport(state, makeReport(1), longAfterStart);
+    noteVersionNamedFor(state, Seconds(5));
+    BOOST_TEST((state.trust == LoadTrust::Proven));
+}
--- a/tests/process_platform_load_orders.py
+++ b/tests/process_platform_load_orders.py
@@ -255,22 +255,45 @@
         bed.expect_use_after_newer_version()
 
 
+def kill_agent_at_order(bed, received):
+    """Once so many orders have been received, the agent is killed; the engine is paused with the last one unread, a piece being spoilt."""
+    def pause(number):
+        if number != received:
+            return
+        bed.spoil()
+        bed.engine.running.clear()
+        bed.agent.kill()
+        threading.Timer(4.5, bed.engine.running.set).start()
+    bed.engine.on_order = pause
+
+
+def start_agent_again(bed):
+    harness.wait_until(lambda: bed.agent.process.poll() is not None, 15, "the agent is killed")
+    bed.agent = bed.fleet.start_agent(bed.engine, 1)
+
+
 def agent_killed_while_its_order_waits(build):
     with Bed(build) as bed:
-        def pause(number):
-            if number != 1:
-                return
-            bed.spoil()
-            bed.engine.running.clear()
-            bed.agent.kill()
-            threading.Timer(4.5, bed.engine.running.set).start()
-        bed.engine.on_order = pause
+        kill_agent_at_order(bed, 1)
         bed.start()
-        harness.wait_until(lambda: bed.agent.process.poll() is not None, 10, "the agent is killed")
-        bed.agent = bed.fleet.start_agent(bed.engine, 1)
+        start_agent_again(bed)
         bed.expect_use_after_newer_version()
 
 
+def agent_killed_while_its_order_for_a_named_version_waits(build):
+    with Bed(build) as bed:
+        bed.engine.born -= 3_600_000
+        bed.list_engine()
+        kill_agent_at_order(bed, 2)
+        bed.start()
+        bed.expect_tokens_of(1)
+        bed.fleet.store.put("op/version/m", {"model": "m", "version": 2})
+        start_agent_again(bed)
+        harness.wait_until(lambda: len(bed.engine.accepted) > 1, 10, "the order is taken in")
+        time.sleep(6)
+        bed.check_tokens()
+
+
 def piece_written_late_after_its_read(build):
     with Bed(build) as bed:
         def write(number):
@@ -291,7 +314,7 @@
 
 ROWS = [agent_paused_between_read_and_order, engine_restarted_between_reads, answer_lost, sound_order_taken_in_after_it_was_given_up,
         slow_reads_and_order_taken_in_after_it_was_given_up, engine_paused_while_an_order_waits,
-        agent_killed_while_its_order_waits, piece_written_late_after_its_read, stage_read_back_slowly_at_all_times]
+        agent_killed_while_its_order_waits, agent_killed_while_its_order_for_a_named_version_waits, piece_written_late_after_its_read, stage_read_back_slowly_at_all_times]
 
 
 def main():
