Take only a refused probe or a later start for the end of an endpoint

Callers of requests whose answers have no length got 502 "lost" for a whole answer when the probe that follows such an answer had no reply, and the endpoint was recorded as crashed, together with the requests and parts of prompts that it ran. The cause is that `onEndVerified` took each result of the probe but "accepted" for the end of the endpoint, although a lost first packet or a full accept queue shows nothing of the kind. Now only a refused connection or a known later start makes the attempt `lost`; bytes that came from the endpoint clearly after the end show that it lived on; otherwise the probe is repeated, twice in all where the request may run again and until its deadline where it may not. An attempt that stays unclear ends as `end_unverified`, a result of its own: it is retried like `lost`, but adds neither a loss nor evidence against parts of its prompt. The decision is the pure function `judgeAnswerEnd`.

The new case of `process_platform_endings` keeps live endpoints out of reach for 0.9 s and 1.8 s after their answers.

--- a/src/AttemptPolicy.cpp
+++ b/src/AttemptPolicy.cpp
@@ -28,6 +28,8 @@
         return "not_sent";
     case AttemptResult::Lost:
         return "lost";
+    case AttemptResult::EndUnverified:
+        return "end_unverified";
     case AttemptResult::Malformed:
         return "malformed";
     case AttemptResult::Silent:
--- a/src/AttemptPolicy.h
+++ b/src/AttemptPolicy.h
@@ -18,6 +18,8 @@
     NotExecuted, ///< The endpoint said that it has not run the request.
     NotSent, ///< No connection was made.
     Lost, ///< No complete response arrived; the request may have run.
+    /// An answer ended with its connection, and whether the endpoint lived on is unknown: it may lack a part; the request may have run.
+    EndUnverified,
     Malformed, ///< What arrived is no valid response to this request, which may have run.
     Silent, ///< No byte arrived for too long on a connection that is still open; the request may run.
     TimedOut, ///< The deadline passed or the caller disconnected; the request may have run.
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -2,6 +2,7 @@
 /// request when endpoints are overloaded, and retries it at another endpoint when one fails.
 #pragma once
 
+#include "AnswerEnd.h"
 #include "AttemptPolicy.h"
 #include "ConnectionProbe.h"
 #include "EndpointChoice.h"
@@ -73,8 +74,8 @@
     void discardBody();
     void forwardEvents(const std::string& events);
     void onAttemptEnd(ChannelEnd);
-    void verifyEnd(AttemptResult);
-    void onEndVerified(AttemptResult, ProbeResult);
+    void verifyEnd();
+    void onEndProbed(ProbeResult);
     void endAttempt(AttemptResult);
     AttemptResult attemptResult(ChannelEnd) const;
     bool isStreamWithoutEvents() const;
@@ -123,6 +124,7 @@
     ResponseHead responseHead;
     EndpointReply endpointReply;
     std::string body;
+    AnswerEnd answerEnd; ///< Of an answer that ended with its connection, while its endpoint is probed.
     int skippedResponses = 0; ///< Number of responses to earlier requests that were skipped on the connection.
 
     // These members are kept across attempts.
--- a/src/ProxiedRequestEnd.cpp
+++ b/src/ProxiedRequestEnd.cpp
@@ -66,34 +66,45 @@
 {
     auto result = this->attemptResult(end);
     bool dependsOnEnd = result != AttemptResult::Lost && result != AttemptResult::NotExecuted;
-    if (dependsOnEnd && this->channel->endedWithConnection())
-        this->verifyEnd(result);
-    else
+    if (!dependsOnEnd || !this->channel->endedWithConnection()) {
         this->endAttempt(result);
+        return;
+    }
+    this->answerEnd = AnswerEnd { result, Clock::now() };
+    this->verifyEnd();
 }
 
-// The system closes the connections of a process that is killed as the process does at the end of an answer without a length, so
-// that such an answer is whole only if its endpoint lives on.
-void ProxiedRequest::verifyEnd(AttemptResult result)
+void ProxiedRequest::verifyEnd()
 {
     const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    this->node.livenessChecks.check(this->endpointId, endpoint.record.address, [weak = this->weak_from_this(), ended = std::weak_ptr<HttpChannel>(this->channel), result](ProbeResult probe) {
+    this->node.livenessChecks.check(this->endpointId, endpoint.record.address, [weak = this->weak_from_this(), ended = std::weak_ptr<HttpChannel>(this->channel)](ProbeResult probe) {
         auto self = weak.lock();
         auto endedChannel = ended.lock();
         if (self && endedChannel && self->channel == endedChannel)
-            self->onEndVerified(result, probe);
+            self->onEndProbed(probe);
     });
 }
 
-void ProxiedRequest::onEndVerified(AttemptResult result, ProbeResult probe)
+static AttemptResult resultOfEndedAnswer(EndVerdict verdict, AttemptResult resultOfWhole)
 {
+    if (verdict == EndVerdict::LivesOn)
+        return resultOfWhole;
+    return verdict == EndVerdict::Ended ? AttemptResult::Lost : AttemptResult::EndUnverified;
+}
+
+void ProxiedRequest::onEndProbed(ProbeResult probe)
+{
+    ++this->answerEnd.probes;
     const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     bool isRunKnown = this->endpointStartedAt != WallTime();
     bool hasRestarted = isRunKnown && endpoint.statement.startedAt > this->endpointStartedAt;
-    bool livesOn = probe == ProbeResult::Accepted && !hasRestarted;
-    if (!livesOn)
-        this->node.log.write(LogLevel::Info, "answer_end_uncertain", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "probe", toText(probe) }, { "restarted", hasRestarted } });
-    this->endAttempt(livesOn ? result : AttemptResult::Lost);
+    auto verdict = judgeAnswerEnd(this->answerEnd, { probe, hasRestarted, endpoint.lastHeardAt, this->mayRunAgain() });
+    if (verdict != EndVerdict::LivesOn)
+        this->node.log.write(LogLevel::Info, "answer_end_uncertain", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "probe", toText(probe) }, { "restarted", hasRestarted }, { "probes", this->answerEnd.probes } });
+    if (verdict == EndVerdict::ProbeAgain)
+        this->verifyEnd();
+    else
+        this->endAttempt(resultOfEndedAnswer(verdict, this->answerEnd.result));
 }
 
 void ProxiedRequest::endAttempt(AttemptResult result)
--- a/src/RequestTimeline.cpp
+++ b/src/RequestTimeline.cpp
@@ -18,7 +18,7 @@
     std::string_view text;
 };
 
-static constexpr std::array<ReasonText, 18> reasonTexts { {
+static constexpr std::array<ReasonText, 19> reasonTexts { {
     { "overloaded", "so many requests were queued before it that it could not have been answered in time" },
     { "no_free_place", "no endpoint had a free place within its longest queue wait" },
     { "endpoints_set_aside", "every endpoint had stated that it leaves or wants no requests for some time" },
@@ -28,6 +28,7 @@
     { "stopping", "the entry was being stopped" },
     { "crashes_endpoints", "it, or a part of its prompt, was running at three endpoints when they crashed" },
     { "lost", "the connection to its endpoint ended before the answer; it may have run" },
+    { "end_unverified", "whether its answer was whole is unknown, since its endpoint could not be reached afterwards; it may have run" },
     { "malformed", "its endpoint sent an invalid answer; it may have run" },
     { "server_error", "its endpoint answered with a server error; it may have run" },
     { "timed_out", "it ran into its timeout; it may have run" },
--- a/tests/AttemptPolicyTest.cpp
+++ b/tests/AttemptPolicyTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 const std::vector<AttemptResult> allResults { AttemptResult::Answered, AttemptResult::ServerError, AttemptResult::NotExecuted,
-    AttemptResult::NotSent, AttemptResult::Lost, AttemptResult::Malformed, AttemptResult::TimedOut };
+    AttemptResult::NotSent, AttemptResult::Lost, AttemptResult::EndUnverified, AttemptResult::Malformed, AttemptResult::TimedOut };
 
 RetryContext makeRetryContext(AttemptResult result, bool isRepeatable, int maxAttempts = 2)
 {
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Answers of endpoints that end with their connection or short of their stated length, through an entry of the platform."""
 
+import concurrent.futures
 import http.client
 import json
 import signal
@@ -12,6 +13,7 @@
 
 import harness
 import platform_fleet
+import unreachable_endpoint
 
 WHOLE = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(12))
 
@@ -218,6 +220,30 @@
             end_process(fleet, process, name)
 
 
+def test_live_endpoints_that_new_connections_do_not_reach_are_not_taken_for_crashed(fleet, entry):
+    """One answer waits until its endpoint is reached; a request that all of three endpoints answer out of reach isn't refused later."""
+    crashes = len(entry.events("endpoint_crashed"))
+    lone = unreachable_endpoint.UnreachableEndpoint("unreached-lone", 1, 0.9)
+    fleet.list_endpoint(lone, "lone-plain")
+    wait_known(entry, [lone])
+    assert call(fleet, entry, "/lone-once/") == (200, b"done by unreached-lone", True)
+    fleet.store.remove(f"servers/{lone.name}")
+    endpoints = [unreachable_endpoint.UnreachableEndpoint(f"unreached-{number}", 2, 1.8) for number in range(3)]
+    for endpoint in endpoints:
+        fleet.list_endpoint(endpoint, "unreached-plain")
+    wait_known(entry, endpoints)
+    with concurrent.futures.ThreadPoolExecutor(6) as callers:
+        firsts = list(callers.map(lambda _: fleet.call(entry, "/unreached-plain/", body="same")[0], range(6)))
+    print("first", firsts, [endpoint.answered for endpoint in endpoints], flush=True)
+    assert all(endpoint.answered >= 2 for endpoint in endpoints), firsts
+    time.sleep(2)
+    with concurrent.futures.ThreadPoolExecutor(6) as callers:
+        laters = list(callers.map(lambda _: fleet.call(entry, "/unreached-plain/", body="same")[::2], range(6)))
+    print("later", laters, flush=True)
+    assert all(status == 200 for status, _ in laters), laters
+    assert len(entry.events("endpoint_crashed")) == crashes
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
@@ -233,6 +259,7 @@
         for name in ("first", "resumed"):
             fleet.add_route(f"/{name}-stream/", f"{name}-stream", "streaming")
             fleet.add_route(f"/{name}-fixed/", f"{name}-stream", "streaming", **{"can-resume": False})
+        fleet.add_route("/unreached-plain/", "unreached-plain")
         fleet.publish()
         fleet.plain = [fleet.add_endpoint(f"p{number}", "plain") for number in range(2)]
         fleet.stream = [fleet.add_endpoint(f"s{number}", "stream", events=12) for number in range(2)]
@@ -245,7 +272,8 @@
         wait_known(entry, fleet.plain + fleet.stream + fleet.ending_plain + fleet.ending_stream)
         harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200, 10, "requests are served")
         for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_runs_are_checked_from_their_first_event, test_streams_that_callers_resume_go_on_at_the_event_that_they_name,
-                     test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused):
+                     test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused,
+                     test_live_endpoints_that_new_connections_do_not_reach_are_not_taken_for_crashed):
             test(fleet, entry)
             assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
             print(test.__name__, flush=True)
