Take a connection that is reset once accepted for a sign of life

Callers got 502 for a whole answer without a length when its endpoint had no connection left: it accepts further connections and resets them at once, and the probe for the end of the answer saw a failure that is no refusal, so that the answer counted as lost. The system reports a reset or a close while connecting only after the other side had accepted the connection, so both now count as accepted; a refusal and silence are told apart as before.

--- a/src/ConnectionProbe.cpp
+++ b/src/ConnectionProbe.cpp
@@ -65,9 +65,11 @@
             probe->finish(ProbeResult::Unknown);
     });
     probe->socket.async_connect({ ip, static_cast<uint16_t>(address.port) }, [probe](const boost::system::error_code& failure) {
+        // A connection that is reset or closed at once has been accepted before.
+        bool isAccepted = !failure || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
         bool isRefused = failure == asio::error::connection_refused;
-        probe->finish(!failure ? ProbeResult::Accepted : isRefused ? ProbeResult::Refused
-                                                                   : ProbeResult::Unknown);
+        probe->finish(isAccepted ? ProbeResult::Accepted : isRefused ? ProbeResult::Refused
+                                                                     : ProbeResult::Unknown);
     });
 }
 
--- a/src/ConnectionProbe.h
+++ b/src/ConnectionProbe.h
@@ -11,7 +11,7 @@
 namespace bilberry {
 
 enum class ProbeResult : uint8_t {
-    Accepted,
+    Accepted, ///< Also when the connection was reset right after that.
     Refused, ///< The VM answered that nothing listens there.
     Unknown, ///< There was no answer in time, or another failure on the way.
 };
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -59,6 +59,11 @@
         self.sockets = set()
         super().__init__(*how)
 
+    def verify_request(self, connection, _):
+        if self.owner.resets_connections:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return not self.owner.resets_connections
+
     def finish_request(self, *connection):
         with self.owner.lock:
             self.open_connections += 1
@@ -75,7 +80,9 @@
 
 
 class StandIn:
-    """One server on a free port of an own loopback address."""
+    """One server on a free port of an own loopback address. While it `resets_connections`, it accepts no further ones for long."""
+
+    resets_connections = False
 
     def __init__(self, host="127.0.0.1", port=0):
         self.lock = threading.Lock()
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -22,10 +22,10 @@
     return b"".join(b"id: %d\ndata: token\n\n" % number for number in numbers)
 
 
-def call(fleet, entry, path, last_event_ids=()):
+def call(fleet, entry, path, last_event_ids=(), budget_ms=4000):
     """One request, unlike any other; gives the status, the body and whether the answer is whole. Status 0 when there was no head."""
     connection = http.client.HTTPConnection(entry.flags["listen"], timeout=10)
-    headers = {"Host": platform_fleet.HOST, "Bilberrybarrow-Request-Id": uuid.uuid4().hex, "Bilberrybarrow-Deadline-Ms": "4000", "Authorization": f"Token {platform_fleet.KEY}"}
+    headers = {"Host": platform_fleet.HOST, "Bilberrybarrow-Request-Id": uuid.uuid4().hex, "Bilberrybarrow-Deadline-Ms": str(budget_ms), "Authorization": f"Token {platform_fleet.KEY}"}
     try:
         body = uuid.uuid4().hex
         connection.putrequest("POST", path, skip_host=True)
