Keep layers that may be spoilt out of use after their agent has ended

Callers got tokens from layers that the agent knew to be spoilt as soon as the agent was started again, because its next process announced the version that it found, and seven seconds after it was killed or paused, because entries then dropped what it had asked for. The notice said the same of a version switch, which ends soon, and of layers that must not be used at all, and what was known of the layers lived in the agent's process only.

A notice now has a third content: layers of up to a version aren't to be used. Entries keep to it without a time limit, until the engine's record shows a newer version or a later start, or until an agent tells that the engine serves. An agent tells so only of layers whose load it has proven or verified itself, not of those that it finds. The version stands in the upper half of the number that entries of the previous release read as version 0, so these withhold the engine for seven seconds as before.

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -75,8 +75,10 @@
     if (trust == LoadTrust::Doubted)
         return;
     this->log.write(trust == LoadTrust::Proven ? LogLevel::Info : LogLevel::Warning, trust == LoadTrust::Proven ? "load_verified" : "load_spoilt", { { "version", this->engineReport->loadedLayersVersion } });
-    if (trust == LoadTrust::Proven)
-        this->noticeUntil = Clock::now() + noticeDuration;
+    if (trust != LoadTrust::Proven)
+        return;
+    this->areLayersFound = false;
+    this->noticeUntil = Clock::now() + noticeDuration;
 }
 
 // Doubts layers that an earlier process of the agent had loaded for a version that was named recently. Precondition: the engine has
@@ -95,7 +97,7 @@
     if (trust == LoadTrust::Doubted && earlier != LoadTrust::Doubted)
         this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", "accepted_at_unknown_time" } });
     if (trust != LoadTrust::Proven)
-        this->notifyEntries(0);
+        this->withholdLayers();
 }
 
 // Reads all pieces back right before the load order, because a staged piece may have become corrupt.
@@ -160,9 +162,11 @@
     auto pieces = static_cast<uint64_t>(this->manifest.digests.size());
     auto readAge = inMilliseconds(sentAt - this->loadOrder.orderReadsSentAt);
     this->log.write(LogLevel::Info, "weights_ordered", { { "version", this->orderedVersion }, { "answer", result.describe() }, { "pieces", pieces }, { "oldest_read_ms", readAge }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
-    if (this->loadOrder.trust == LoadTrust::Proven)
+    if (this->loadOrder.trust == LoadTrust::Proven) {
+        this->areLayersFound = this->areLayersFound && answered != OrderEnd::Begun;
         return;
-    this->notifyEntries(0);
+    }
+    this->withholdLayers();
     if (answered == OrderEnd::Begun || result.status == 0)
         this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", result.status == 0 ? "no_answer" : "late_answer" } });
 }
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -1,7 +1,6 @@
 #include "AgentNode.h"
 
 #include "Digest.h"
-#include "PeerMessage.h"
 #include "PieceManifest.h"
 #include "ProcessMetrics.h"
 #include "ServerExchange.h"
@@ -9,6 +8,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
+#include <utility>
 
 namespace bilberry {
 
@@ -174,7 +174,8 @@
         if (this->engineReport)
             this->log.write(LogLevel::Warning, "engine_lost", { { "reason", std::string(parsed.status().message()) } });
         this->engineReport.reset();
-        this->guardLayers(this->loadOrder.trust);
+        if (this->loadOrder.trust != LoadTrust::Proven)
+            this->notifyEntries(0);
         this->refusePendingPieceRequests();
     });
 }
@@ -195,13 +196,16 @@
     if (hasSwitched)
         this->log.write(LogLevel::Info, "engine_switched", { { "version", newReport.loadedLayersVersion }, { "layers", newReport.loadedLayers } });
     this->engineReport = newReport;
+    // An earlier process of the agent may have told entries not to use the layers.
+    if (isOtherRun(this->loadOrder, newReport))
+        this->areLayersFound = !this->loadOrder.isRunKnown;
     if (hasSwitched && newReport.loadedLayersVersion != 0)
         this->noticeUntil = now + noticeDuration;
     auto earlierTrust = this->loadOrder.trust;
     noteReport(this->loadOrder, newReport, unixTime());
     this->judgeEarlierOrders();
     this->guardLayers(earlierTrust);
-    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight && !this->loadOrder.isReading;
+    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight && !this->loadOrder.isReading && !this->areLayersFound;
     if (now < this->noticeUntil && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
         this->notifyEntries(newReport.loadedLayersVersion);
 }
@@ -210,9 +214,36 @@
 // them to send no more requests to the engine until it has switched. The entries of the own data centre, which use the engine
 // most, pass the notice on.
 void AgentNode::notifyEntries(uint32_t version)
+{
+    EngineNotice notice;
+    notice.version = version;
+    this->sendNotice(std::move(notice));
+}
+
+// Tells entries not to use the layers that the engine has, or may take by an order that got no answer, until it has newer ones, has
+// started again, or a load is proven.
+void AgentNode::withholdLayers()
+{
+    EngineNotice notice;
+    notice.unusableVersion = this->unusableVersion();
+    this->sendNotice(std::move(notice));
+}
+
+uint32_t AgentNode::unusableVersion() const
+{
+    uint32_t loadedVersion = this->engineReport ? this->engineReport->loadedLayersVersion : 0;
+    bool isLoaded = this->loadOrder.trust == LoadTrust::Spoilt && loadedVersion != 0;
+    if (isLoaded)
+        return loadedVersion;
+    return std::max(loadedVersion, this->orderedVersion != 0 ? this->orderedVersion : this->wantedVersion());
+}
+
+void AgentNode::sendNotice(EngineNotice notice)
 {
     this->noticeSequence = std::max(this->noticeSequence + 1, static_cast<uint64_t>(unixTime().count()));
-    auto bytes = encodeNotice({ toText(*this->settings.engineAddress), version, this->noticeSequence });
+    notice.address = toText(*this->settings.engineAddress);
+    notice.sequence = this->noticeSequence;
+    auto bytes = encodeNotice(notice);
     std::set<std::string> entries;
     for (const auto& seed : this->settings.seedAddresses)
         entries.insert(seed.host);
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -14,6 +14,7 @@
 #include "Metrics.h"
 #include "NodeSettings.h"
 #include "NoticeSender.h"
+#include "PeerMessage.h"
 #include "PieceSources.h"
 #include "ProtocolAdapter.h"
 #include "SummaryWatch.h"
@@ -125,6 +126,9 @@
     void judgeEarlierOrders();
     void guardLayers(LoadTrust earlier);
     void notifyEntries(uint32_t version);
+    void withholdLayers();
+    uint32_t unusableVersion() const;
+    void sendNotice(EngineNotice);
     void answerPeerRequest(const std::shared_ptr<ServerExchange>&);
     void answerPieceRequest(PieceRequest);
     void answerPendingManifestRequests();
@@ -183,6 +187,7 @@
     TimePoint loadOrderedAt {};
     uint32_t orderedVersion = 0; ///< The version that the engine was last ordered to load; zero: none.
     LoadOrderState loadOrder;
+    bool areLayersFound = false; ///< Whether the engine may still have layers that an earlier process of the agent ordered.
 };
 
 } // namespace bilberry
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -78,7 +78,7 @@
 
 bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
-    if (now < row.avoidUntil || isSetAside(row.statement, now) || (row.record.isModelEngine && now < std::max(row.weightSwitchUntil, row.withheldUntil)))
+    if (now < row.avoidUntil || isSetAside(row.statement, now) || (row.record.isModelEngine && (now < row.weightSwitchUntil || isWithheld(row.withholding, row.record, now))))
         return false;
     if (!isInService(row, requirements, location, evacuatedDataCentres, now))
         return false;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -8,6 +8,7 @@
 #include "ProtocolAdapter.h"
 #include "ResponseDelay.h"
 #include "Types.h"
+#include "Withholding.h"
 
 #include <deque>
 #include <string>
@@ -38,8 +39,7 @@
     int consecutiveFailures = 0; ///< The number of failed attempts since the last good answer.
     TimePoint avoidUntil {}; ///< Until when the endpoint is avoided after consecutive failures.
     TimePoint weightSwitchUntil {}; ///< The latest end of a version switch that is in progress at the engine, by its own answers.
-    TimePoint withheldUntil {}; ///< Until when the agent on the same VM wants no request sent to the engine; only a notice ends it.
-    uint64_t noticeSequence = 0; ///< The sequence number of the last notice from the agent on the same VM.
+    Withholding withholding; ///< What the agent on the same VM has asked for.
     EndpointStatement statement; ///< What the endpoint has stated about itself in its answers.
     LossRecord losses;
     ResponseDelay responseDelay;
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -29,9 +29,6 @@
 static constexpr Seconds startCheckTime { 10 };
 // Timeout of a request for a store delta.
 static constexpr Milliseconds storeDeltaTimeout { 1000 };
-// Time for which an engine is withheld after the last notice that demands it. Entries pass on a repeated notice every 5 s, within a
-// second.
-static constexpr Milliseconds maxWithheldTime { 7000 };
 // Time for which a refused request is kept in messages, since datagrams may be lost.
 static constexpr Milliseconds refusalRepeatTime { 300 };
 // Largest number of refused requests in one message.
@@ -199,11 +196,9 @@
     auto now = Clock::now();
     for (auto& row : this->clusterView.endpoints.rows) {
         bool isTarget = row.isListed && row.record.isModelEngine && toText(row.record.address) == notice.address;
-        if (!isTarget || notice.sequence <= row.noticeSequence)
+        if (!isTarget || !noteNotice(row.withholding, notice, now))
             continue;
-        row.noticeSequence = notice.sequence;
         row.weightSwitchUntil = TimePoint();
-        row.withheldUntil = notice.version == 0 ? now + maxWithheldTime : TimePoint();
         if (notice.version <= std::max(row.record.loadedLayersVersion, row.record.notifiedVersion))
             continue;
         row.record.notifiedVersion = notice.version;
--- a/src/LoadOrder.cpp
+++ b/src/LoadOrder.cpp
@@ -77,11 +77,16 @@
     state.trust = isRecent ? LoadTrust::Doubted : LoadTrust::Proven;
 }
 
+bool isOtherRun(const LoadOrderState& state, const EngineReport& report)
+{
+    return !state.isRunKnown || report.startedAtUnixMs != state.engineStartedAtUnixMs || report.acceptedOrders < state.reportedOrders;
+}
+
 void noteReport(LoadOrderState& state, const EngineReport& report, Milliseconds unixNow)
 {
-    bool isOtherRun = !state.isRunKnown || report.startedAtUnixMs != state.engineStartedAtUnixMs || report.acceptedOrders < state.reportedOrders;
+    bool isOther = isOtherRun(state, report);
     state.reportedOrders = report.acceptedOrders;
-    if (isOtherRun) {
+    if (isOther) {
         beginRun(state, report, unixNow);
         return;
     }
--- a/src/LoadOrder.h
+++ b/src/LoadOrder.h
@@ -89,6 +89,8 @@
 /// Records how the order ended. One that has begun is proven if the engine can only have accepted it while the read-backs were recent
 /// enough.
 void noteOrderEnd(LoadOrderState&, OrderEnd, BootTimePoint now);
+/// Returns whether a report is of another run of the engine than the last one, or the first. Thread safe.
+bool isOtherRun(const LoadOrderState&, const EngineReport&);
 /// Records the engine's report; `unixNow` is the time since the Unix epoch. An engine that was started anew is trusted. If it has
 /// accepted orders of an earlier agent process, they are doubted while it carries one out, and for some time after its start. Later
 /// orders that are unknown are doubted, unless one is in flight, whose answer may tell.
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -67,6 +67,13 @@
     return digests;
 }
 
+// The version that isn't to be used is in the upper half of the version, which entries of the previous release ignore.
+static json encodeNoticeRow(const EngineNotice& notice)
+{
+    uint64_t versions = (static_cast<uint64_t>(notice.unusableVersion) << 32) | notice.version;
+    return json::array({ notice.address, versions, notice.sequence });
+}
+
 std::string encodePeerMessage(const PeerMessage& message)
 {
     json crashes = json::array();
@@ -76,7 +83,7 @@
     }
     json notices = json::array();
     for (const auto& notice : message.notices)
-        notices.push_back(json::array({ notice.address, notice.version, notice.sequence }));
+        notices.push_back(encodeNoticeRow(notice));
     json refusals = json::array();
     for (const auto& refusal : message.refusals) {
         refusals.push_back(refusal.fingerprint);
@@ -134,12 +141,13 @@
 
 static EngineNotice readNotice(const json& row)
 {
-    return { row[0].get<std::string>(), row[1].get<uint32_t>(), row[2].get<uint64_t>() };
+    auto versions = row[1].get<uint64_t>();
+    return { row[0].get<std::string>(), static_cast<uint32_t>(versions), row[2].get<uint64_t>(), static_cast<uint32_t>(versions >> 32) };
 }
 
 std::string encodeNotice(const EngineNotice& notice)
 {
-    auto bytes = json::to_msgpack(json::array({ noticeLayoutVersion, json::array({ notice.address, notice.version, notice.sequence }) }));
+    auto bytes = json::to_msgpack(json::array({ noticeLayoutVersion, encodeNoticeRow(notice) }));
     return std::string(bytes.begin(), bytes.end());
 }
 
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -20,11 +20,13 @@
     uint32_t inFlight = 0;
 };
 
-/// A notice that an engine begins or has finished a version switch, sent by the agent on the same VM.
+/// A notice on an engine, sent by the agent on the same VM: it serves a version, it accepts no requests because of a version switch
+/// (no version is set), or its layers aren't to be used.
 struct EngineNotice {
     std::string address; ///< The engine's address as IP:port.
-    uint32_t version = 0; ///< The version that it serves now; zero while it accepts no requests because of a version switch.
-    uint64_t sequence = 0; ///< Increases with each notice on one engine.
+    uint32_t version = 0; ///< The version that it serves now; zero while it is to get no requests.
+    uint64_t sequence = 0; ///< Increases with each notice on one engine; the Unix time in milliseconds, or a little more.
+    uint32_t unusableVersion = 0; ///< Layers of up to this version aren't to be used; zero with any other notice.
 };
 
 /// An entry that the sender of a message knows.
--- a/src/PeerReports.cpp
+++ b/src/PeerReports.cpp
@@ -39,8 +39,8 @@
         this->notices.push_back({ notice, source, now });
         return true;
     }
-    // An agent repeats a notice with a higher sequence; only the first one with that version is passed on.
-    bool isNew = notice.sequence > known->event.sequence && notice.version != known->event.version;
+    // An agent repeats a notice with a higher sequence; only the first one with that content is passed on.
+    bool isNew = notice.sequence > known->event.sequence && (notice.version != known->event.version || notice.unusableVersion != known->event.unusableVersion);
     if (isNew)
         *known = { notice, source, now };
     return isNew;
--- a/tests/EndpointChoiceTest.cpp
+++ b/tests/EndpointChoiceTest.cpp
@@ -67,7 +67,7 @@
         { "layers of another version", [](EndpointRow& row, EndpointRequirements&, auto&) { row.record.loadedLayersVersion = 2; } },
         { "older weights", [](EndpointRow&, EndpointRequirements& requirements, auto&) { requirements.minWeightVersion = 2; } },
         { "switching to other weights", [](EndpointRow& row, EndpointRequirements&, auto&) { row.weightSwitchUntil = start + Milliseconds(1); } },
-        { "withheld by the agent on its VM", [](EndpointRow& row, EndpointRequirements&, auto&) { row.withheldUntil = start + Milliseconds(1); } },
+        { "withheld by the agent on its VM", [](EndpointRow& row, EndpointRequirements&, auto&) { row.withholding.switchingUntil = start + Milliseconds(1); } },
         { "full", [](EndpointRow& row, EndpointRequirements&, auto&) { row.inFlight = 4; } },
         { "full with requests of other entries", [](EndpointRow& row, EndpointRequirements&, auto&) { row.inFlight = 1; row.peersInFlight = 3; } },
         { "cold and at its rate limit", [](EndpointRow& row, EndpointRequirements& requirements, auto&) {
--- /dev/null
+++ b/tests/process_platform_withheld_engines.py
@@ -0,0 +1,99 @@
+#!/usr/bin/env python3
+"""An engine whose layers may be spoilt, and whose agent or entry ends: it gets no request until it has other layers."""
+
+import concurrent.futures
+import signal
+import threading
+import time
+
+import harness
+import process_platform_load_orders
+
+Bed = process_platform_load_orders.Bed
+# Longer than entries keep an engine that switches out of use.
+LONG_S = 8.5
+
+
+class SpoiltBed(Bed):
+    """The engine has taken spoilt layers of version 1, and the agent knows it."""
+
+    def __init__(self, build):
+        super().__init__(build)
+        self.engine.on_order = self.pause
+
+    def pause(self, number):
+        if number != 1:
+            return
+        self.spoil()
+        self.engine.running.clear()
+        threading.Timer(4.5, self.engine.running.set).start()
+
+    def start(self):
+        super().start()
+        harness.wait_until(lambda: self.agent.events("load_spoilt"), 15, "the agent knows of the spoilt layers")
+
+    def restart_agent(self):
+        self.agent = self.fleet.start_agent(self.engine, 1)
+
+    def expect_use_of_newer_version(self):
+        self.check_tokens()
+        self.fleet.store.put("op/version/m", {"model": "m", "version": 2})
+        self.expect_tokens_of(2)
+
+
+def agent_stopped_and_started(build):
+    with SpoiltBed(build) as bed:
+        bed.start()
+        bed.agent.stop()
+        bed.restart_agent()
+        time.sleep(4)
+        bed.expect_use_of_newer_version()
+
+
+def agent_killed_for_long(build):
+    with SpoiltBed(build) as bed:
+        bed.start()
+        bed.agent.kill()
+        time.sleep(LONG_S)
+        bed.check_tokens()
+        bed.restart_agent()
+        time.sleep(2)
+        bed.expect_use_of_newer_version()
+
+
+def agent_paused_for_long(build):
+    with SpoiltBed(build) as bed:
+        bed.start()
+        bed.agent.process.send_signal(signal.SIGSTOP)
+        time.sleep(LONG_S)
+        bed.agent.process.send_signal(signal.SIGCONT)
+        bed.expect_use_of_newer_version()
+
+
+def engine_restarted_after_its_agent(build):
+    with SpoiltBed(build) as bed:
+        bed.start()
+        bed.agent.kill()
+        time.sleep(1)
+        bed.engine.crash()
+        bed.engine.born = int(time.time() * 1000)
+        bed.list_engine()
+        bed.restart_agent()
+        bed.expect_tokens_of(1)
+
+
+ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, engine_restarted_after_its_agent]
+
+
+def main():
+    arguments = harness.parse_arguments(__doc__)
+    with concurrent.futures.ThreadPoolExecutor(len(ROWS)) as pool:
+        plays = {row.__name__: pool.submit(row, arguments.build) for row in ROWS}
+    failures = {name: play.exception() for name, play in plays.items() if play.exception()}
+    for name, failure in failures.items():
+        print(f"{name}: {failure!r}")
+    assert not failures, f"{len(failures)} of {len(ROWS)} rows"
+
+
+if __name__ == "__main__":
+    harness.main(main)
