--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -1,5 +1,4 @@
-/// The part of EntryNode that exchanges state with other entries and answers weights agents. While the store doesn't answer,
-/// the entry brings its cluster view up to date from its peers.
+/// The part of EntryNode that exchanges state with other entries and answers weights agents.
 
 #include "EntryNode.h"
 
@@ -7,35 +6,22 @@
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
 #include "ServiceSummary.h"
-#include "StoreEra.h"
 #include "SummaryWatch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <fmt/format.h>
-#include <iterator>
 #include <optional>
 
 namespace bilberry {
 
-// Age of the cluster view from which a peer is asked for a store delta.
-static constexpr Milliseconds minAgeToAskPeer { 2400 };
-// Least difference in age for which a peer is asked.
-static constexpr Milliseconds minAgeGainFromPeer { 300 };
-// Least time between two requests for a store delta.
-static constexpr Milliseconds storeDeltaInterval { 200 };
-// Time after the start within which a peer is asked for what the store may have lost.
-static constexpr Seconds startCheckTime { 10 };
-// Timeout of a request for a store delta.
-static constexpr Milliseconds storeDeltaTimeout { 1000 };
 // Time for which a refused request is kept in messages, since datagrams may be lost.
 static constexpr Milliseconds refusalRepeatTime { 300 };
 // Largest number of refused requests in one message.
 static constexpr size_t maxRefusalsPerMessage = 40;
 // Time between two searches for slow engines.
 static constexpr Milliseconds slowEnginesInterval { 200 };
-static constexpr std::string_view storeDeltaPathPrefix = "/store/";
 // Largest number of crashes of accused parts of prompts that an entry tells a new one.
 static constexpr size_t maxEvidenceForNewEntry = 120;
 // Largest number of crashes of refused requests that an entry tells a new one.
@@ -208,122 +194,6 @@
     }
 }
 
-// Reads the version from the path /store/ERA/REVISION.
-static std::optional<StoreVersion> parseDeltaPath(const std::string& path)
-{
-    StoreVersion version;
-    std::vector<std::string> fields = absl::StrSplit(path, '/', absl::SkipEmpty());
-    bool isDeltaPath = fields.size() == 3 && path.rfind(storeDeltaPathPrefix, 0) == 0 && absl::SimpleAtoi(fields[1], &version.era) && absl::SimpleAtoi(fields[2], &version.revision);
-    return isDeltaPath ? std::optional<StoreVersion>(version) : std::nullopt;
-}
-
-// Answers a peer's request for /store/ERA/REVISION with the changes since that version.
-void EntryNode::answerStoreDelta(const std::shared_ptr<ServerExchange>& exchange)
-{
-    auto version = parseDeltaPath(exchange->request().path);
-    if (!version || !this->clusterView.isConfirmed) {
-        exchange->sendResponse(version ? 503 : 404, {}, {});
-        return;
-    }
-    StoreDelta delta { ageOf(this->clusterView, BootClock::now()), this->storeReplica.version, eraHoldTimeLeft(this->clusterView, Clock::now()), changesAfter(this->storeReplica, *version) };
-    delta.version.era = this->clusterView.era;
-    exchange->sendResponse(200, { { "Content-Type", "application/msgpack" } }, encodeStoreDelta(delta));
-}
-
-// Returns the peer to ask for a store delta: while the store doesn't answer, the one with the most recent cluster view; after
-// the start, any one; and one with a newer configuration, which the store may have lost. Empty when no peer is to be asked.
-std::string EntryNode::peerToAsk(TimePoint now) const
-{
-    const auto& table = this->peers.table();
-    auto age = ageOf(this->clusterView, BootClock::now());
-    if (age > minAgeToAskPeer || (this->isStoreUnreachable && age > minAgeGainFromPeer))
-        return freshestPeer(table, age == Milliseconds::max() ? age : age - minAgeGainFromPeer, this->clusterView.era, now);
-    if (!this->isReadingStore) {
-        StoreVersion ownVersion { this->clusterView.era, this->storeReplica.version.revision };
-        if (auto reader = readerToAsk(table, ownVersion, age, now); !reader.empty())
-            return reader;
-    }
-    bool isStarting = now - this->startedAt < startCheckTime;
-    if (isStarting && !this->hasPeerAnswered)
-        return freshestPeer(table, Milliseconds::max(), this->clusterView.era, now);
-    bool mayLackConfiguration = this->clusterView.routes && (isStarting || now < this->clusterView.eraHoldUntil);
-    return mayLackConfiguration ? peerWithNewerConfiguration(table, this->clusterView.routes->generation, now) : std::string();
-}
-
-// Starts or ends this entry's own calls to the store, depending on which entries read it.
-void EntryNode::chooseStoreReading(TimePoint now)
-{
-    auto age = ageOf(this->clusterView, BootClock::now());
-    bool shouldRead = this->settings.peerPort == 0 || shouldReadStore(this->storeReading, this->peers.table(), age, now);
-    if (shouldRead == this->isReadingStore)
-        return;
-    this->isReadingStore = shouldRead;
-    this->storeWatch.setPaused(!shouldRead, { this->clusterView.era, this->storeReplica.version.revision });
-    this->log.write(LogLevel::Info, shouldRead ? "store_reading_begun" : "store_reading_ended", { { "age_ms", age } });
-}
-
-void EntryNode::requestStoreDelta(TimePoint now)
-{
-    if (now - this->deltaRequestedAt < storeDeltaInterval || this->peerCaller.isBusy())
-        return;
-    auto peer = this->peerToAsk(now);
-    if (peer.empty())
-        return;
-    this->deltaRequestedAt = now;
-    this->peerCaller.setAddress({ peer, this->settings.peerPort });
-    auto sentAt = BootClock::now();
-    const auto& version = this->storeReplica.version;
-    this->peerCaller.get(fmt::format("{}{}/{}", storeDeltaPathPrefix, version.era, version.revision), storeDeltaTimeout, [this, peer, sentAt](const CallResult& result) { this->applyStoreDelta(result, peer, sentAt); });
-}
-
-// Takes over a peer's view if it is more recent than the own one: it is of the same era, or of a later one and then complete.
-void EntryNode::adoptView(const StoreDelta& delta, const std::string& peer, BootTimePoint confirmedAt, TimePoint now)
-{
-    if (this->isReadingStore && !this->isViewFromPeer) {
-        this->isViewFromPeer = true;
-        this->log.write(LogLevel::Info, "took_peers_belief", { { "peer", peer }, { "age_ms", delta.age }, { "changes", static_cast<uint64_t>(delta.changes.size()) } });
-    }
-    bool isOfLaterEra = delta.version.era > this->clusterView.era;
-    this->noteEra(delta.version.era, now);
-    this->updateEarliestNamingTime(delta.version.era, now);
-    this->confirmView(confirmedAt);
-    for (const auto& change : delta.changes)
-        this->applyChange(change, isOfLaterEra, now);
-    if (!isOfLaterEra)
-        return;
-    std::vector<StoreChange> listing;
-    std::copy_if(delta.changes.begin(), delta.changes.end(), std::back_inserter(listing), [&](const StoreChange& change) { return change.era == delta.version.era && !change.isRemoved; });
-    removeUnlistedItems(this->clusterView, this->adapter.store, listing, now);
-}
-
-void EntryNode::applyStoreDelta(const CallResult& result, const std::string& peer, BootTimePoint sentAt)
-{
-    auto delta = result.status == 200 ? decodeStoreDelta(result.body) : absl::StatusOr<StoreDelta>(absl::UnavailableError(result.describe()));
-    if (!delta.ok()) {
-        this->log.write(LogLevel::Info, "peer_call_failed", { { "peer", peer }, { "reason", std::string(delta.status().message()) } });
-        return;
-    }
-    auto now = Clock::now();
-    this->hasPeerAnswered = true;
-    if (delta->version.era == this->clusterView.era)
-        joinEraHold(this->clusterView, delta->holdTimeLeft, now);
-    // The peer measures the age after the request was sent, so its view is at least as recent as this.
-    auto peerConfirmedAt = sentAt - delta->age;
-    bool isMoreRecent = delta->version.era >= this->clusterView.era && (!this->clusterView.isConfirmed || peerConfirmedAt > this->clusterView.confirmedAt);
-    if (isMoreRecent) {
-        this->adoptView(*delta, peer, peerConfirmedAt, now);
-    } else {
-        // The store's own word is more recent, but it may lack what it has lost: only changes of earlier eras are taken over.
-        constexpr uint64_t anyEarlierEra = 0;
-        this->updateEarliestNamingTime(anyEarlierEra, now);
-        for (const auto& change : delta->changes) {
-            if (change.era < this->clusterView.era)
-                this->applyChange(change, false, now);
-        }
-    }
-    this->dispatchRequestsAwaitingConfiguration(now);
-}
-
 // Copies the loads that the peers report into the table of endpoints.
 void EntryNode::updatePeerLoads(TimePoint now)
 {
