Repeat that an engine serves for as long as entries may withhold it

An entry that missed the notices of the 700 ms after a version switch sent no request to the engine for up to seven seconds, and to one whose layers had been withheld as unusable, never again for that version: only a notice ends either, no longer the listing.

The agent now tells with each report of the engine that it serves, until the last notice of a switch can no longer apply, and after layers were withheld as long as its process lives. It tells nothing while pieces are read back for an order, while an order awaits its answer, and while the ordered version isn't there yet, so a switch is never ended early.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -4,6 +4,7 @@
 #include "PieceManifest.h"
 #include "ProcessMetrics.h"
 #include "ServerExchange.h"
+#include "Withholding.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -107,8 +108,7 @@
 void AgentNode::tick()
 {
     auto now = Clock::now();
-    bool isSwitching = this->orderedVersion != 0 && this->engineReport && !servesVersion(*this->engineReport, this->serviceSummary->model, this->orderedVersion);
-    if (now - this->reportRequestedAt >= (isSwitching || now < this->noticeUntil ? busyReportInterval : reportInterval))
+    if (now - this->reportRequestedAt >= (this->isSwitching() || now < this->noticeUntil ? busyReportInterval : reportInterval))
         this->requestReport();
     if (this->serviceSummary && this->engineReport) {
         this->fetchManifestIfNeeded(this->wantedVersion());
@@ -122,6 +122,12 @@
     this->scheduleTick();
 }
 
+// Whether the version that the engine was last ordered to load isn't there yet.
+bool AgentNode::isSwitching() const
+{
+    return this->orderedVersion != 0 && this->engineReport && !servesVersion(*this->engineReport, this->serviceSummary->model, this->orderedVersion);
+}
+
 void AgentNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
 {
     updateProcessMetrics(this->metrics);
@@ -205,8 +211,10 @@
     noteReport(this->loadOrder, newReport, unixTime());
     this->judgeEarlierOrders();
     this->guardLayers(earlierTrust);
-    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !this->loadOrder.isOrderInFlight && !this->loadOrder.isReading && !this->areLayersFound;
-    if (now < this->noticeUntil && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
+    bool isNoticeDue = now < this->noticeUntil || (now < this->repeatNoticeUntil && !this->isSwitching());
+    bool isUnderWay = this->loadOrder.isReading || this->loadOrder.isOrderInFlight;
+    bool mayBeUsed = this->loadOrder.trust == LoadTrust::Proven && !isUnderWay && !this->areLayersFound;
+    if (isNoticeDue && mayBeUsed && this->serviceSummary && servesVersion(newReport, this->serviceSummary->model, newReport.loadedLayersVersion))
         this->notifyEntries(newReport.loadedLayersVersion);
 }
 
@@ -240,6 +248,11 @@
 
 void AgentNode::sendNotice(EngineNotice notice)
 {
+    // Entries may miss the notice that ends this one.
+    if (notice.unusableVersion != 0)
+        this->repeatNoticeUntil = TimePoint::max();
+    else if (notice.version == 0)
+        this->repeatNoticeUntil = std::max(this->repeatNoticeUntil, Clock::now() + maxWithheldTime);
     this->noticeSequence = std::max(this->noticeSequence + 1, static_cast<uint64_t>(unixTime().count()));
     notice.address = toText(*this->settings.engineAddress);
     notice.sequence = this->noticeSequence;
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -87,6 +87,7 @@
 
     void scheduleTick();
     void tick();
+    bool isSwitching() const;
     void answerMetrics(const std::shared_ptr<ServerExchange>&);
     void handleSummary(const ServiceSummary&);
     void handleEntriesLost(const std::string& reason);
@@ -171,6 +172,7 @@
     uint32_t peerRequestedVersion = 0; ///< The newest version that a peer has requested; zero: none.
     uint64_t noticeSequence = 0; ///< That of the last notice sent to entries; it rises from one process of the agent to the next.
     TimePoint noticeUntil {}; ///< Entries are notified of the engine's version until then.
+    TimePoint repeatNoticeUntil {}; ///< Until when entries may still withhold the engine; they are notified with each report.
     TimePoint reportRequestedAt {}; ///< When the engine was last asked for its report.
 
     // The version that is being fetched.
--- a/tests/process_platform_load_orders.py
+++ b/tests/process_platform_load_orders.py
@@ -152,10 +152,10 @@
             threading.Thread(target=send, daemon=True).start()
             time.sleep(0.05)
 
-    def start(self):
+    def start(self, **more):
         """Starts the agent once the entry is there for the callers."""
         harness.wait_until(lambda: harness.call("GET", self.entry.flags["ready_listen"], "/bilberrybarrow/ready")[0], 10, "the entry is up")
-        self.agent = self.fleet.start_agent(self.engine, 1)
+        self.agent = self.fleet.start_agent(self.engine, 1, **more)
         self.callers.start()
 
     def __enter__(self):
--- a/tests/process_platform_withheld_engines.py
+++ b/tests/process_platform_withheld_engines.py
@@ -2,7 +2,10 @@
 """An engine whose layers may be spoilt, and whose agent or entry ends: it gets no request until it has other layers."""
 
 import concurrent.futures
+import contextlib
+import itertools
 import signal
+import socket
 import threading
 import time
 
@@ -12,6 +15,10 @@
 Bed = process_platform_load_orders.Bed
 # Longer than entries keep an engine that switches out of use.
 LONG_S = 8.5
+# Time for which entries keep an engine that switches out of use.
+SWITCH_S = 7
+# Where the lowest byte of the version is in a notice: nine bytes with the sequence number follow.
+VERSION_AT = -10
 
 
 class SpoiltBed(Bed):
@@ -70,6 +77,24 @@
         bed.expect_use_of_newer_version()
 
 
+def end_of_a_switch_missed_for_a_second(build):
+    """The notices to a second entry are read: as long as one of a switch applies, those of its end come each second."""
+    with Bed(build) as bed, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as entry:
+        entry.bind(("127.0.1.9", bed.fleet.peer_port))
+        entry.settimeout(0.1)
+        bed.start(seeds="127.0.1.1:1,127.0.1.9:1")
+        bed.expect_tokens_of(1)
+        bed.fleet.store.put("op/version/m", {"model": "m", "version": 2})
+        began, ends = None, []
+        while began is None or time.monotonic() - began < SWITCH_S:
+            with contextlib.suppress(TimeoutError):
+                version = entry.recv(2000)[VERSION_AT]
+                began, ends = (time.monotonic(), []) if version == 0 else (began, [*ends, time.monotonic()])
+        assert ends, "no notice of the end"
+        gaps = [later - earlier for earlier, later in itertools.pairwise([*ends, time.monotonic()])]
+        assert max(gaps) < 1, f"{max(gaps):.1f} s without a notice"
+
+
 def engine_restarted_after_its_agent(build):
     with SpoiltBed(build) as bed:
         bed.start()
@@ -82,7 +107,7 @@
         bed.expect_tokens_of(1)
 
 
-ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, engine_restarted_after_its_agent]
+ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, end_of_a_switch_missed_for_a_second, engine_restarted_after_its_agent]
 
 
 def main():
