Take a load order without a connection for one that the engine hasn't got

An agent that got no connection for a load order kept all requests away from its engine until another order was answered, also when the layers there were sound. It treated every order without an answer alike, as one that the engine may still take, though of this one no byte was sent. Such an order now counts as not begun and is repeated as before; an order that was sent and got no answer still counts as one that may be taken.

The new row order_without_a_connection_taken_for_one_that_may_be_taken closes the engine's port between the read-backs and the order: on the former program the order that ended with "connection not-sent" was logged as load_doubted; now there is no such line, the order is repeated, and the engine is used.

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -154,21 +154,30 @@
     this->orderCaller.sendRequest(order, timeout, [this, sentAt = BootClock::now()](const CallResult& result) { this->finishLoadOrder(result, sentAt); });
 }
 
+// An order for which there was no connection can't be taken later.
+static OrderEnd orderEndOf(const CallResult& result)
+{
+    if (result.status == statusOrderBegun)
+        return OrderEnd::Begun;
+    bool mayBeTaken = result.status == 0 && result.end != ChannelEnd::NotSent;
+    return mayBeTaken ? OrderEnd::Unanswered : OrderEnd::NotBegun;
+}
+
 void AgentNode::finishLoadOrder(const CallResult& result, BootTimePoint sentAt)
 {
     auto now = BootClock::now();
-    auto answered = result.status == statusOrderBegun ? OrderEnd::Begun : OrderEnd::NotBegun;
-    noteOrderEnd(this->loadOrder, result.status == 0 ? OrderEnd::Unanswered : answered, now);
+    auto end = orderEndOf(result);
+    noteOrderEnd(this->loadOrder, end, now);
     auto pieces = static_cast<uint64_t>(this->manifest.digests.size());
     auto readAge = inMilliseconds(sentAt - this->loadOrder.orderReadsSentAt);
     this->log.write(LogLevel::Info, "weights_ordered", { { "version", this->orderedVersion }, { "answer", result.describe() }, { "pieces", pieces }, { "oldest_read_ms", readAge }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
     if (this->loadOrder.trust == LoadTrust::Proven) {
-        this->areLayersFound = this->areLayersFound && answered != OrderEnd::Begun;
+        this->areLayersFound = this->areLayersFound && end != OrderEnd::Begun;
         return;
     }
     this->withholdLayers();
-    if (answered == OrderEnd::Begun || result.status == 0)
-        this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", result.status == 0 ? "no_answer" : "late_answer" } });
+    if (end != OrderEnd::NotBegun)
+        this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", end == OrderEnd::Unanswered ? "no_answer" : "late_answer" } });
 }
 
 // Gives up the reads and the order in flight of an engine that has started again, or that was away.
--- a/tests/process_platform_withheld_engines.py
+++ b/tests/process_platform_withheld_engines.py
@@ -95,6 +95,22 @@
         assert max(gaps) < 1, f"{max(gaps):.1f} s without a notice"
 
 
+def order_without_a_connection_taken_for_one_that_may_be_taken(build):
+    with Bed(build) as bed:
+        def refuse_connections(number):
+            if number != bed.reads_before_order:
+                return
+            host, port = bed.engine.address.split(":")
+            bed.engine.stop()
+            threading.Timer(1.0, bed.engine.listen, [host, int(port)]).start()
+        bed.engine.on_read = refuse_connections
+        bed.start()
+        bed.expect_tokens_of(1)
+        answers = [line["answer"] for line in bed.agent.events("weights_ordered")]
+        assert len(answers) > 1, f"the first order was sent: {answers}"
+        assert not bed.agent.events("load_doubted"), f"an order that ended with {answers[0]} is doubted"
+
+
 def engine_restarted_after_its_agent(build):
     with SpoiltBed(build) as bed:
         bed.start()
@@ -107,7 +123,8 @@
         bed.expect_tokens_of(1)
 
 
-ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, end_of_a_switch_missed_for_a_second, engine_restarted_after_its_agent]
+ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, end_of_a_switch_missed_for_a_second,
+        order_without_a_connection_taken_for_one_that_may_be_taken, engine_restarted_after_its_agent]
 
 
 def main():
