Take a framed answer without events for whole

Callers of a route of streams got 502 "malformed", or a further run, where an endpoint ended a stream without events by its chunks or its length, and for each HEAD request. The cause is that the rule against streams that lose all events with their connection was applied to answers that state where they end, too. It now holds only for answers that end with their connection, since these alone can end early without a sign of it.

--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -78,7 +78,7 @@
     void onEndProbed(ProbeResult);
     void endAttempt(AttemptResult);
     AttemptResult attemptResult(ChannelEnd) const;
-    bool isStreamWithoutEvents() const;
+    bool mayHaveLostAllEvents() const;
     AttemptResult resultOfWholeResponse() const;
     bool mayJoinStartedResponse() const;
     void releaseEndpoint(AttemptResult, TimePoint now);
--- a/src/ProxiedRequestEnd.cpp
+++ b/src/ProxiedRequestEnd.cpp
@@ -20,11 +20,12 @@
 // Time for which an endpoint gets no new request after a connection to it failed.
 static constexpr Milliseconds connectFailureBackoff { 300 };
 
-// Only a stream that is resumed may have no event left.
-bool ProxiedRequest::isStreamWithoutEvents() const
+// An end of the connection before the first event may be a loss. A stream that is resumed may have no event left, and an answer that
+// states where it ends may have none at all.
+bool ProxiedRequest::mayHaveLostAllEvents() const
 {
     bool hasEvents = this->eventStream.hasEvents || this->callerRequest.lastEventId;
-    return this->route->kind == RequestKind::Stream && !hasEvents;
+    return this->route->kind == RequestKind::Stream && !hasEvents && this->channel->endedWithConnection();
 }
 
 AttemptResult ProxiedRequest::resultOfWholeResponse() const
@@ -39,7 +40,7 @@
     if (!this->mayJoinStartedResponse())
         return AttemptResult::Malformed;
     if (this->responseHead.status < 300) {
-        bool isSuccess = isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest) && !this->isStreamWithoutEvents();
+        bool isSuccess = isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest) && !this->mayHaveLostAllEvents();
         return isSuccess ? AttemptResult::Answered : AttemptResult::Malformed;
     }
     bool hasFailed = this->responseHead.status >= 500 || promisesNotExecuted(this->responseHead.status);
