Probe waiting losses at every end of a request

Losses at an endpoint at which other requests were in progress were never examined when the last of these was answered, silent or out of time, so that a request that crashes endpoints could be sent on to further ones. The cause is that the need for a probe was checked only after a further loss. It is now checked whenever a request leaves the endpoint; an endpoint that has been heard clearly after the losses has lived on and isn't probed, so that an old loss isn't counted at a later planned end of it.

The new test of `process_platform_endings` loses one request while another runs into its deadline: on the former program no probe followed within 3 s. `CrashHistoryTest` has the rule for endpoints that were heard later; its other calls only name the new argument.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -16,6 +16,8 @@
 static constexpr Milliseconds lossWindow { 1000 };
 // Longest time from a loss to the news from the store that the endpoint's run has ended, if the endpoint crashed at the loss.
 static constexpr Seconds maxTimeToRunEnd { 10 };
+// Bytes that an endpoint sent before it ended arrive within this time after a loss.
+static constexpr Milliseconds maxArrivalAfterLoss { 60 };
 // Number of losses that show that the endpoint crashed if its VM doesn't answer a probe.
 static constexpr size_t minLossesForCrash = 2;
 
@@ -95,9 +97,10 @@
     return now - record.lastLossAt <= lossWindow ? lost : std::vector<uint64_t>();
 }
 
-bool needsProbe(const LossRecord& record, uint32_t requestsInProgress)
+bool needsProbe(const LossRecord& record, uint32_t requestsInProgress, TimePoint heardAt)
 {
-    return requestsInProgress == 0 && !record.fingerprints.empty() && !record.isBeingProbed;
+    bool hasLivedOn = heardAt - record.lastLossAt > maxArrivalAfterLoss;
+    return requestsInProgress == 0 && !record.fingerprints.empty() && !record.isBeingProbed && !hasLivedOn;
 }
 
 std::vector<uint64_t> takeLossesAfterProbe(LossRecord& record, ProbeResult result, uint32_t requestsInProgress)
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -63,9 +63,9 @@
 /// Returns the fingerprints of the requests that were lost with an endpoint which now accepts no connection for a request, and
 /// removes them from the record. None if the last loss is too long ago. The parts of their prompts are left for the caller.
 std::vector<uint64_t> takeLossesAfterRefusal(LossRecord&, TimePoint now);
-/// Whether the losses call for a probe: not while other requests are in progress at the endpoint, whose ends will tell more, and not
-/// during a probe. Thread safe.
-bool needsProbe(const LossRecord&, uint32_t requestsInProgress);
+/// Whether the losses call for a probe: not while other requests are in progress at the endpoint, whose ends will tell more, not
+/// during a probe, and not if the endpoint, last heard at `heardAt`, has lived on after them. Thread safe.
+bool needsProbe(const LossRecord&, uint32_t requestsInProgress, TimePoint heardAt);
 /// Returns the fingerprints of the requests that were lost by a crash that a probe of their endpoint shows, and removes them from
 /// the record, as it does where the endpoint is alive. If the probe shows neither, several losses are a crash unless other requests
 /// are in progress at the endpoint; else they stay in the record.
--- a/src/ProxiedRequestEnd.cpp
+++ b/src/ProxiedRequestEnd.cpp
@@ -143,8 +143,6 @@
     recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
     recordLoss(endpoint.losses, this->fingerprint, now);
     endpoint.losses.runStartedAt = this->endpointStartedAt;
-    if (needsProbe(endpoint.losses, endpoint.inFlight))
-        verifyLosses(this->node, endpoint);
 }
 
 // Releases the endpoint's capacity and the connection, and records what the attempt revealed about the endpoint.
@@ -161,6 +159,8 @@
         this->node.crashes.removeRequest(this->fingerprint);
     if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
         this->noteLoss(endpoint, result, now);
+    if (needsProbe(endpoint.losses, endpoint.inFlight, endpoint.lastHeardAt))
+        verifyLosses(this->node, endpoint);
     bool isAddressReused = result == AttemptResult::NotExecuted && !this->endpointReply.endpointId.empty() && this->endpointReply.endpointId != this->endpointId;
     if (isAddressReused) {
         // Another endpoint now has this address, so the endpoint list is out of date.
--- a/tests/CrashHistoryTest.cpp
+++ b/tests/CrashHistoryTest.cpp
@@ -125,20 +125,29 @@
 BOOST_AUTO_TEST_CASE(lossesAreNoCrashWhileOtherRequestsAreInProgress)
 {
     LossRecord record;
-    BOOST_TEST(!needsProbe(record, 0));
+    BOOST_TEST(!needsProbe(record, 0, TimePoint()));
     for (uint32_t inProgress : { 2u, 1u }) {
         recordLoss(record, inProgress, start);
-        BOOST_TEST(!needsProbe(record, inProgress));
+        BOOST_TEST(!needsProbe(record, inProgress, TimePoint()));
         BOOST_TEST(takeLossesAfterProbe(record, ProbeResult::Unknown, inProgress).empty());
     }
     recordLoss(record, 3, start);
-    BOOST_TEST(needsProbe(record, 0));
+    BOOST_TEST(needsProbe(record, 0, TimePoint()));
     record.isBeingProbed = true;
-    BOOST_TEST(!needsProbe(record, 0));
+    BOOST_TEST(!needsProbe(record, 0, TimePoint()));
     // All of them count once none is left.
     BOOST_TEST(takeLossesAfterProbe(record, ProbeResult::Unknown, 0).size() == 3u);
     record.isBeingProbed = false;
-    BOOST_TEST(!needsProbe(record, 0));
+    BOOST_TEST(!needsProbe(record, 0, TimePoint()));
+}
+
+BOOST_AUTO_TEST_CASE(lossesAreProbedUnlessTheirEndpointWasHeardLongAfterThem)
+{
+    LossRecord record;
+    recordLoss(record, 1, start);
+    BOOST_TEST(needsProbe(record, 0, start - Milliseconds(1)));
+    BOOST_TEST(needsProbe(record, 0, start + Milliseconds(1)));
+    BOOST_TEST(!needsProbe(record, 0, start + Seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(lossesCountTogetherForAShortTimeOnly)
--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -178,6 +178,24 @@
     assert len(endpoint.requests) == 2, endpoint.requests
 
 
+def test_losses_are_probed_when_the_last_other_request_at_the_endpoint_gets_no_answer(fleet, entry):
+    """A request is lost while another is in progress, which then reaches its deadline."""
+    def probes():
+        return sum(float(line.rsplit(" ", 1)[1]) for line in fleet.metrics(entry).splitlines() if line.startswith("bilberry_crash_probes_total"))
+    endpoint = fleet.add_endpoint("waited", "lone-plain")
+    wait_known(entry, [endpoint])
+    before = probes()
+    endpoint.faults = ["silent", "hang up"]
+    with concurrent.futures.ThreadPoolExecutor(1) as callers:
+        slow = callers.submit(fleet.call, entry, "/lone-once/", budget_ms=1200)
+        harness.wait_until(lambda: len(endpoint.requests) == 1, 1, "the first request is in progress")
+        assert fleet.call(entry, "/lone-once/", body="lost")[0] == 502
+        assert probes() == before
+        assert slow.result()[0] == 504
+    harness.wait_until(lambda: probes() == before + 1, 3, "the endpoint is probed")
+    fleet.store.remove("servers/waited")
+
+
 def test_streams_that_callers_resume_go_on_at_the_event_that_they_name(fleet, entry):
     """By the Last-Event-Id headers of the caller: status and body, or a refusal that no endpoint has seen."""
     endpoint = fleet.add_endpoint("resumed", "resumed-stream", events=12)
@@ -280,7 +298,7 @@
         fleet.wait_ready(entry)
         wait_known(entry, fleet.plain + fleet.stream + fleet.ending_plain + fleet.ending_stream)
         harness.wait_until(lambda: fleet.call(entry, "/stream/")[0] == 200, 10, "requests are served")
-        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_runs_are_checked_from_their_first_event, test_answers_to_head_on_routes_of_streams_are_not_malformed_for_want_of_events, test_streams_that_callers_resume_go_on_at_the_event_that_they_name,
+        for test in (test_plain_answers, test_streams, test_begun_streams_are_joined_only_with_what_goes_on_with_them, test_runs_are_checked_from_their_first_event, test_answers_to_head_on_routes_of_streams_are_not_malformed_for_want_of_events, test_losses_are_probed_when_the_last_other_request_at_the_endpoint_gets_no_answer, test_streams_that_callers_resume_go_on_at_the_event_that_they_name,
                      test_answers_without_length_of_an_endpoint_that_ends_never_look_whole, test_answers_without_length_of_a_killed_process_never_look_whole, test_whole_answers_without_length_stay_whole_while_their_endpoint_is_paused,
                      test_live_endpoints_that_new_connections_do_not_reach_are_not_taken_for_crashed):
             test(fleet, entry)
