Test the promises of a planned stop by what callers get

The test of a planned stop took 503 for each request, and the second test of StopSchedule repeated the formula of the code, so that both would have passed with an entry that sends nothing. Requests that are sent up to 2.3 s after SIGTERM and have time to be answered must now get 200. The schedule's test states the promise: an attempt that is sent has its target latency or its whole deadline before answers are due, and one that has neither isn't sent. A new test pauses the entry from before its answers are due until after its exit is due: its callers still get whole answers.

--- a/tests/StopScheduleTest.cpp
+++ b/tests/StopScheduleTest.cpp
@@ -37,9 +37,14 @@
         auto now = requestedAt + Milliseconds(*rc::gen::inRange(0, 20'000));
         auto deadline = now + Milliseconds(*rc::gen::inRange(1, 30'000));
         Milliseconds targetLatency { *rc::gen::inRange(1, 30'000) };
-        bool canEnd = canAttemptEnd(schedule, deadline, targetLatency, now);
-        bool hasTime = deadline <= schedule.answersDueAt || now + targetLatency <= schedule.answersDueAt;
-        RC_ASSERT(canEnd == (hasTime && now < schedule.answersDueAt));
+        auto timeToAnswer = schedule.answersDueAt - now;
+        bool isSent = canAttemptEnd(schedule, deadline, targetLatency, now);
+        bool hasTargetLatency = timeToAnswer >= targetLatency;
+        bool hasWholeDeadline = timeToAnswer >= deadline - now;
+        if (isSent)
+            RC_ASSERT(timeToAnswer > Milliseconds(0) && (hasTargetLatency || hasWholeDeadline));
+        else
+            RC_ASSERT(timeToAnswer <= Milliseconds(0) || (!hasTargetLatency && !hasWholeDeadline));
     }));
 }
 
--- a/tests/process_platform_planned_stop.py
+++ b/tests/process_platform_planned_stop.py
@@ -11,6 +11,7 @@
 import platform_fleet
 
 GRACE_S = 8.0
+TAKEN_S = 2.3
 RUN_S = 60.0
 BUDGET_MS = 20_000
 NEVER = 1000.0
@@ -101,6 +102,8 @@
         faults.append("not run was said of a request that was sent")
     if caller.status == 503 and caller.ended_at > stopped_at and not (0 < float(caller.headers["Retry-After"]) <= 0.5 and caller.headers.get("Connection") == "close"):
         faults.append("a refusal of a stopping entry keeps its caller")
+    if caller.path == "/quick/" and caller.delay <= TAKEN_S and caller.upload == 0 and caller.status != 200:
+        faults.append("a request that has time to be answered was refused")
     if caller.path in ("/once/", "/queued/") and len(requests) > 1:
         faults.append("a request that may run once was sent again")
     for request in requests:
@@ -139,12 +142,32 @@
     print(f"ended {ended_after:.2f} s after SIGTERM")
 
 
+def test_answers_are_written_by_an_entry_that_is_paused_while_they_become_due(fleet, entry):
+    """The entry is stopped by SIGSTOP from before its answers are due until after it would exit, within its grace period."""
+    harness.wait_until(lambda: fleet.call(entry, "/quick/")[0] == 200, 5, "requests are served")
+    callers = [Caller(entry, "/once/") for _ in range(3)]
+    time.sleep(0.5)
+    entry.process.send_signal(harness.signal.SIGTERM)
+    time.sleep(0.8 * GRACE_S)
+    entry.process.send_signal(harness.signal.SIGSTOP)
+    time.sleep(0.15 * GRACE_S)
+    entry.process.send_signal(harness.signal.SIGCONT)
+    assert entry.process.wait(5) == 0
+    for caller in callers:
+        caller.thread.join(5)
+        assert caller.is_whole and caller.status == 504, caller
+
+
 def main():
     arguments = harness.parse_arguments(__doc__)
     with platform_fleet.Fleet(arguments.build) as fleet:
         entry = start_fleet(fleet)
         test_requests_are_answered_before_the_exit(fleet, entry)
         print("test_requests_are_answered_before_the_exit", flush=True)
+        late_entry = fleet.start_entry(2, stop_grace_s=GRACE_S)
+        fleet.wait_ready(late_entry)
+        test_answers_are_written_by_an_entry_that_is_paused_while_they_become_due(fleet, late_entry)
+        print("test_answers_are_written_by_an_entry_that_is_paused_while_they_become_due", flush=True)
 
 
 if __name__ == "__main__":
