Let endpoints out of reach answer any number of requests

The test of endpoints that new connections don't reach failed in one of five runs, beside three other tests, and in one trial: its endpoints waited for exactly two requests each, while the entry may send three to one and one to another. They now answer what comes within 0.3 s, and twelve requests are sent, so that each endpoint still gets at least two; what is asserted stays the same.

--- a/tests/process_platform_endings.py
+++ b/tests/process_platform_endings.py
@@ -255,12 +255,12 @@
     wait_known(entry, [lone])
     assert call(fleet, entry, "/lone-once/") == (200, b"done by unreached-lone", True)
     fleet.store.remove(f"servers/{lone.name}")
-    endpoints = [unreachable_endpoint.UnreachableEndpoint(f"unreached-{number}", 2, 1.8) for number in range(3)]
+    endpoints = [unreachable_endpoint.UnreachableEndpoint(f"unreached-{number}", 12, 1.8) for number in range(3)]
     for endpoint in endpoints:
         fleet.list_endpoint(endpoint, "unreached-plain")
     wait_known(entry, endpoints)
-    with concurrent.futures.ThreadPoolExecutor(6) as callers:
-        firsts = list(callers.map(lambda _: fleet.call(entry, "/unreached-plain/", body="same")[0], range(6)))
+    with concurrent.futures.ThreadPoolExecutor(12) as callers:
+        firsts = list(callers.map(lambda _: fleet.call(entry, "/unreached-plain/", body="same")[0], range(12)))
     print("first", firsts, [endpoint.answered for endpoint in endpoints], flush=True)
     assert all(endpoint.answered >= 2 for endpoint in endpoints), firsts
     time.sleep(2)
--- a/tests/unreachable_endpoint.py
+++ b/tests/unreachable_endpoint.py
@@ -6,7 +6,7 @@
 
 
 class UnreachableEndpoint:
-    """Takes `count` requests, gives each at once a whole answer without a length, and leaves new connections without an answer for
+    """Takes requests, up to `count` that come within 0.3 s of each other, gives each at once a whole answer without a length, and leaves new connections without an answer for
     `silent_for` seconds; afterwards it answers each request when it comes."""
 
     def __init__(self, name, count, silent_for):
@@ -18,9 +18,13 @@
         threading.Thread(target=self.run, daemon=True).start()
 
     def run(self):
-        calls = []
-        while len(calls) < self.count:
-            calls += self.read_call()
+        calls = self.read_call()
+        self.listener.settimeout(0.3)
+        try:
+            while len(calls) < self.count:
+                calls += self.read_call()
+        except socket.timeout:
+            pass
         fillers = self.fill_queue()
         for connection, request_id in calls:
             self.answer(connection, request_id)
