Leave the stage of spoilt layers as it is while they are loaded

Callers got tokens from spoilt layers after a restart of the agent: the agent that knew them to be spoilt fetched the spoilt piece again, although the same version isn't ordered a second time, so that the next process read a sound stage back, took the layers for sound and told the entries to use the engine. What is on the stage is the only evidence that outlives an agent's process.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -25,10 +25,18 @@
 // also completes each piece sooner, so that it can be passed on sooner.
 static constexpr size_t maxConcurrentOriginFetches = 1;
 
+// Whether the stage shows what the engine's layers were taken from. Doubted layers are judged by it; that of spoilt layers is left
+// for a later process of the agent, which doubts them again. Precondition: the engine has reported.
+bool AgentNode::isStageEvidence() const
+{
+    bool isOfSpoiltLayers = this->loadOrder.trust == LoadTrust::Spoilt && this->manifest.version == this->engineReport->loadedLayersVersion;
+    return this->loadOrder.trust == LoadTrust::Doubted || isOfSpoiltLayers;
+}
+
 void AgentNode::startFetches(TimePoint now)
 {
-    // Without its engine the agent has no place for pieces, and doubted layers are judged by what is on the stage.
-    if (!this->engineReport || !this->serviceSummary || this->loadOrder.trust == LoadTrust::Doubted)
+    // Without its engine the agent has no place for pieces.
+    if (!this->engineReport || !this->serviceSummary || this->isStageEvidence())
         return;
     // While the manifest of a newer version can't be had, the older one goes on: the origin may be away for long.
     bool isNeeded = this->manifest.version == this->wantedVersion() || this->manifest.version > this->engineReport->loadedLayersVersion;
@@ -137,7 +145,7 @@
 // Writes a verified piece to the engine's stage, and then answers the peers that wait for it.
 void AgentNode::stagePiece(uint32_t piece, std::string bytes)
 {
-    if (this->loadOrder.trust == LoadTrust::Doubted) {
+    if (this->isStageEvidence()) {
         this->isPieceInProgress[piece] = false;
         return;
     }
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -103,6 +103,7 @@
     absl::StatusOr<PieceManifest> readManifest(const CallResult&, bool isFromPeer) const;
     void beginManifest(PieceManifest);
     void replaceManifest(PieceManifest, bool isFromPeer);
+    bool isStageEvidence() const;
     void startFetches(TimePoint now);
     std::vector<AgentPeer> listAgentPeers(uint32_t version) const;
     std::string originRegion() const;
