Tell an entry that starts which layers aren't to be used

Callers of an entry that had just started got tokens from layers that the other entries kept out of use, as long as the agent of that engine was away. An entry passes on what an agent told it for five seconds only, and forgot it when the engine left the list.

An entry now keeps the last notice on the layers of each engine by its address, applies it to the engine whenever it is listed, and sends those of unusable layers in the message that introduces it to an entry that starts. So the notice may come before the engine's record, and a newer notice always wins by its sequence number.

--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -51,6 +51,8 @@
     uint32_t pendingVersion = row.record.loadedLayersVersion < row.record.notifiedVersion && record.loadedLayersVersion < row.record.notifiedVersion ? row.record.notifiedVersion : 0;
     row.record = record;
     row.record.notifiedVersion = pendingVersion;
+    if (auto notice = this->layerNotices.find(toText(record.address)); record.isModelEngine && notice != this->layerNotices.end())
+        noteNotice(row.withholding, notice->second, now);
     row.isListed = true;
     row.listedUntil = TimePoint::max();
     row.coldUntil = now + record.remainingColdTime;
@@ -117,6 +119,26 @@
     return std::exchange(this->setAsideEnds, {});
 }
 
+void keepLayerNotice(EndpointTable& table, const EngineNotice& notice)
+{
+    bool isOfSwitch = notice.version == 0 && notice.unusableVersion == 0;
+    if (isOfSwitch)
+        return;
+    auto& kept = table.layerNotices[notice.address];
+    if (notice.sequence > kept.sequence)
+        kept = notice;
+}
+
+std::vector<EngineNotice> noticesOfUnusableLayers(const EndpointTable& table, size_t maxCount)
+{
+    std::vector<EngineNotice> notices;
+    for (const auto& [address, notice] : table.layerNotices) {
+        if (notice.unusableVersion != 0 && notices.size() < maxCount)
+            notices.push_back(notice);
+    }
+    return notices;
+}
+
 void markPeerLoadUnknown(EndpointRow& row, TimePoint now)
 {
     row.peerLoadUnknownUntil = now + peerLoadPropagationTime;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -5,6 +5,7 @@
 #include "CrashHistory.h"
 #include "EndpointRecord.h"
 #include "EndpointStatement.h"
+#include "PeerMessage.h"
 #include "ProtocolAdapter.h"
 #include "ResponseDelay.h"
 #include "Types.h"
@@ -63,6 +64,8 @@
     std::vector<EndpointRow> rows; ///< A row whose record has an empty id is free.
     std::unordered_map<std::string, uint32_t> rowById; ///< The index in `rows`; the key is the endpoint's id.
     std::unordered_map<std::string, UnlistedStatement> unlistedStatements; ///< Kept for a limited time; the key is the endpoint's id.
+    /// By address, the last notice on each engine whether its layers may be used. It outlives the row, and may come before it.
+    std::unordered_map<std::string, EngineNotice> layerNotices;
     std::vector<SetAsideEnd> setAsideEnds; ///< Those that takeSetAsideEnds() hasn't returned yet.
 
     /// Adds or updates the row of a record; returns the index of the row.
@@ -78,6 +81,10 @@
     std::vector<SetAsideEnd> takeSetAsideEnds(TimePoint now);
 };
 
+/// Records a notice for rows that are listed later. One of a version switch isn't kept.
+void keepLayerNotice(EndpointTable&, const EngineNotice&);
+/// Returns some of the notices that layers aren't to be used. Thread safe.
+std::vector<EngineNotice> noticesOfUnusableLayers(const EndpointTable&, size_t maxCount);
 /// Records that the endpoint has become usable at `now`, so that the other entries' requests at it aren't known for a
 /// while.
 void markPeerLoadUnknown(EndpointRow&, TimePoint now);
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -26,6 +26,8 @@
 static constexpr size_t maxEvidenceForNewEntry = 120;
 // Largest number of crashes of refused requests that an entry tells a new one.
 static constexpr size_t maxCrashesForNewEntry = 60;
+// Largest number of engines with unusable layers that an entry tells a new one.
+static constexpr size_t maxNoticesForNewEntry = 40;
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
@@ -61,9 +63,11 @@
             message.loads.push_back({ endpointHash(row.record.id), row.inFlight });
     }
     this->peerReports.fillMessage(message, scope);
-    // An entry that has just started learns at once which requests are refused.
-    if (scope == PeerMessageScope::Introduction)
+    // An entry that has just started learns at once which requests are refused, and which layers aren't to be used.
+    if (scope == PeerMessageScope::Introduction) {
         message.crashes = reportsOfBlockedRequests(this->crashes, maxCrashesForNewEntry);
+        message.notices = noticesOfUnusableLayers(this->clusterView.endpoints, maxNoticesForNewEntry);
+    }
     if (scope != PeerMessageScope::Near)
         return;
     // Callers come back to entries of the same data centre.
@@ -180,6 +184,7 @@
 void EntryNode::applyNotice(const EngineNotice& notice)
 {
     auto now = Clock::now();
+    keepLayerNotice(this->clusterView.endpoints, notice);
     for (auto& row : this->clusterView.endpoints.rows) {
         bool isTarget = row.isListed && row.record.isModelEngine && toText(row.record.address) == notice.address;
         if (!isTarget || !noteNotice(row.withholding, notice, now))
--- a/tests/process_platform_withheld_engines.py
+++ b/tests/process_platform_withheld_engines.py
@@ -15,6 +15,8 @@
 Bed = process_platform_load_orders.Bed
 # Longer than entries keep an engine that switches out of use.
 LONG_S = 8.5
+# Time after which entries no longer pass on what an agent told them.
+PASSED_ON_S = 6
 # Time for which entries keep an engine that switches out of use.
 SWITCH_S = 7
 # Where the lowest byte of the version is in a notice: nine bytes with the sequence number follow.
@@ -77,6 +79,18 @@
         bed.expect_use_of_newer_version()
 
 
+def entry_started_while_the_agent_is_away(build):
+    with SpoiltBed(build) as bed:
+        bed.start()
+        bed.agent.kill()
+        time.sleep(PASSED_ON_S)
+        bed.entry = bed.fleet.start_entry(2)
+        bed.fleet.wait_ready(bed.entry)
+        time.sleep(2)
+        bed.restart_agent()
+        bed.expect_use_of_newer_version()
+
+
 def end_of_a_switch_missed_for_a_second(build):
     """The notices to a second entry are read: as long as one of a switch applies, those of its end come each second."""
     with Bed(build) as bed, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as entry:
@@ -123,8 +137,8 @@
         bed.expect_tokens_of(1)
 
 
-ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, end_of_a_switch_missed_for_a_second,
-        order_without_a_connection_taken_for_one_that_may_be_taken, engine_restarted_after_its_agent]
+ROWS = [agent_stopped_and_started, agent_killed_for_long, agent_paused_for_long, entry_started_while_the_agent_is_away,
+        end_of_a_switch_missed_for_a_second, order_without_a_connection_taken_for_one_that_may_be_taken, engine_restarted_after_its_agent]
 
 
 def main():
