--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -394,7 +394,7 @@
             self.crashes.append(time.monotonic())
             sockets = list(self.server.sockets)
         if not self.listener_delay:
-            self.server.socket.close()
+            self.refuse_connections()
         for connection in sockets:
             try:
                 connection.shutdown(socket.SHUT_RDWR)
@@ -402,9 +402,14 @@
                 pass
         if self.listener_delay:
             time.sleep(self.listener_delay)
-            self.server.socket.close()
+            self.refuse_connections()
         threading.Thread(target=self.restart, daemon=True).start()
 
+    def refuse_connections(self):
+        """At once: a socket that is closed while another thread waits on it still accepts until that thread wakes up."""
+        self.server.socket.shutdown(socket.SHUT_RDWR)
+        self.server.socket.close()
+
     def restart(self):
         host, port = self.address.rsplit(":", 1)
         self.stop()
