Make the state that decides on a request's end in one function

Five places made the same RetryContext out of the request's members, one of them in an older form that told whether the route may repeat a request rather than whether this one may run again. ProxiedRequest::retryContext() makes it now.

--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -86,7 +86,7 @@
     if (this->attemptTotals.runs == 0)
         this->refuseRequest(503, "stopping", stoppingRetryAfter);
     else
-        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, mayRepeat(*this->route), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+        this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
 // Chooses one of the route's services at random in proportion to the weights. Services without endpoints are left out; if no
@@ -214,6 +214,11 @@
     return mayRepeat(*this->route) && !this->eventStream.hasUnnumberedEvents;
 }
 
+RetryContext ProxiedRequest::retryContext(TimePoint now) const
+{
+    return { this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) };
+}
+
 // Whether the request, or a part of its prompt, is known to crash endpoints.
 bool ProxiedRequest::isRefusedForCrashes() const
 {
@@ -228,7 +233,7 @@
     if (isFirstAttempt)
         this->refuseRequest(503, "crashes_endpoints", crashingRequestRetryAfter);
     else
-        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+        this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
 bool ProxiedRequest::tryDispatch(TimePoint now)
@@ -323,7 +328,7 @@
         this->refuseRequest(503, areAllSetAside ? "endpoints_set_aside" : "no_free_place", this->refusalDelay(now));
         return;
     }
-    this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+    this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
 void ProxiedRequest::handleAttemptResult(AttemptResult result)
@@ -337,7 +342,7 @@
     if (result != AttemptResult::Answered) {
         this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptStartedAt) } });
     }
-    RetryContext context { result, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) };
+    auto context = this->retryContext(now);
     auto step = decideNextStep(context);
     if (step == NextStep::Deliver)
         this->deliverResponse();
@@ -362,7 +367,7 @@
     bool isWithinBudget = tryTakeRetry(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, entryCount(this->node), now);
     this->node.metrics.addToCounter("bilberry_repeats_total", { { "result", isWithinBudget ? "sent" : "over_budget" } });
     if (!isWithinBudget) {
-        this->sendFinalAnswer(decideFinalAnswer({ this->lastResult, this->mayRunAgain(), this->hasResponseStarted, this->attemptTotals, this->route->maxRuns, this->timeLeft(now) }));
+        this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
         return;
     }
     discardPartialEvent(this->eventStream);
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -94,6 +94,7 @@
     TimePoint answerDueAt() const;
     Milliseconds timeLeft(TimePoint now) const;
     bool mayRunAgain() const;
+    RetryContext retryContext(TimePoint now) const;
     bool hasActiveAttempt() const { return this->channel != nullptr; }
 
     EntryNode& node;
