Pause before a stage is read back again, and log why

Operators saw nothing of an engine that gave no answer to the read-backs before a load order: the agent read the whole stage again at its next tick, 50 ms later, with a notice to all entries each time, and without a line in the log; where the reads took too long it did the same, with a line each time. The next batch now begins half a second later, and load_postponed tells the reason, no_answer or slow_reads. LoadOrderTest checks the pause (piecesAreNotReadBackWithoutAPause).

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -39,14 +39,14 @@
         return;
     }
     bool isComplete = this->manifest.version != 0 && std::find(this->isPieceStaged.begin(), this->isPieceStaged.end(), false) == this->isPieceStaged.end();
-    bool isUnderWay = this->loadOrder.isReading || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
+    bool isUnderWay = !areReadsDue(this->loadOrder, BootClock::now()) || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
     if (!isComplete || isUnderWay || servesVersion(*this->engineReport, this->serviceSummary->model, this->manifest.version))
         return;
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->loadOrderedAt < loadOrderRetryInterval;
     if (isOrdered)
         return;
-    bool servesNothing = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount || this->loadOrder.trust != LoadTrust::Proven;
-    if (!servesNothing && !this->isSwitchDue(BootClock::now()))
+    bool isUnused = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount || this->loadOrder.trust != LoadTrust::Proven;
+    if (!isUnused && !this->isSwitchDue(BootClock::now()))
         return;
     // Entries stop sending requests to the engine before the pieces are read back, and don't begin to before the load is proven, also
     // if this process ends meanwhile.
@@ -58,7 +58,7 @@
 // sound now were so then.
 void AgentNode::verifyDoubtedLayers()
 {
-    bool isUnderWay = this->loadOrder.isReading || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
+    bool isUnderWay = !areReadsDue(this->loadOrder, BootClock::now()) || this->loadOrder.isOrderInFlight || this->engineReport->isBusy;
     if (isUnderWay || this->manifest.version == 0)
         return;
     // The stage holds, or is to hold, the pieces of another version.
@@ -132,17 +132,25 @@
     bool isOver = state != BatchState::Pending && this->engineReport;
     if (!isOver)
         return;
+    if (state == BatchState::Unknown)
+        this->postponeReads("no_answer");
     if (this->loadOrder.trust == LoadTrust::Doubted) {
         this->finishVerification(state);
         return;
     }
     if (state != BatchState::Sound)
         return;
-    auto now = BootClock::now();
-    if (auto timeout = orderTimeout(this->loadOrder, now))
+    if (auto timeout = orderTimeout(this->loadOrder, BootClock::now()))
         this->orderLoad(*timeout);
     else
-        this->log.write(LogLevel::Warning, "load_postponed", { { "version", this->manifest.version }, { "oldest_read_ms", inMilliseconds(now - this->loadOrder.readsSentAt) } });
+        this->postponeReads("slow_reads");
+}
+
+void AgentNode::postponeReads(const char* reason)
+{
+    auto now = BootClock::now();
+    delayReads(this->loadOrder, now);
+    this->log.write(LogLevel::Warning, "load_postponed", { { "version", this->manifest.version }, { "reason", reason }, { "oldest_read_ms", inMilliseconds(now - this->loadOrder.readsSentAt) } });
 }
 
 void AgentNode::orderLoad(Milliseconds timeout)
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -120,6 +120,7 @@
     void readBackPieces();
     PieceState stateOfReadPiece(uint32_t piece, const CallResult&) const;
     void finishReads(BatchState);
+    void postponeReads(const char* reason);
     void orderLoad(Milliseconds timeout);
     void finishLoadOrder(const CallResult&, BootTimePoint sentAt);
     void abandonLoadOrder();
--- a/src/LoadOrder.cpp
+++ b/src/LoadOrder.cpp
@@ -4,6 +4,9 @@
 
 namespace bilberry {
 
+// Time from a batch that led to nothing to the next one.
+static constexpr Milliseconds readRetryInterval { 500 };
+
 uint64_t beginReads(LoadOrderState& state, size_t pieces, BootTimePoint now)
 {
     state.isReading = true;
@@ -14,6 +17,16 @@
     return ++state.batch;
 }
 
+bool areReadsDue(const LoadOrderState& state, BootTimePoint now)
+{
+    return !state.isReading && now >= state.readsDueAt;
+}
+
+void delayReads(LoadOrderState& state, BootTimePoint now)
+{
+    state.readsDueAt = now + readRetryInterval;
+}
+
 void voidReads(LoadOrderState& state)
 {
     state.isReading = false;
--- a/src/LoadOrder.h
+++ b/src/LoadOrder.h
@@ -63,6 +63,7 @@
     bool hasSpoiltPiece = false;
     bool hasUnknownPiece = false;
     BootTimePoint readsSentAt {}; ///< When the reads of the newest batch were sent.
+    BootTimePoint readsDueAt {}; ///< No batch is to begin before then.
     bool isOrderInFlight = false; ///< Whether an order awaits its answer.
     BootTimePoint orderReadsSentAt {}; ///< When the reads that the newest order relies on were sent.
 
@@ -78,6 +79,10 @@
 
 /// Begins a batch of read-backs, which are to be sent now, and returns its number. An earlier batch is void. Precondition: `pieces` > 0.
 uint64_t beginReads(LoadOrderState&, size_t pieces, BootTimePoint now);
+/// Whether another batch may begin: none is in progress, and the pause after one that led to nothing is over. Thread safe.
+bool areReadsDue(const LoadOrderState&, BootTimePoint now);
+/// Delays the next batch for a moment, after one that the engine answered too slowly or not at all.
+void delayReads(LoadOrderState&, BootTimePoint now);
 /// Makes the batch in progress void, since pieces, their digests or the engine's run have changed.
 void voidReads(LoadOrderState&);
 /// Records the answer to one read-back of a batch. A void batch stays pending.
--- a/tests/LoadOrderTest.cpp
+++ b/tests/LoadOrderTest.cpp
@@ -58,6 +58,17 @@
     return state;
 }
 
+BOOST_AUTO_TEST_CASE(piecesAreNotReadBackWithoutAPause)
+{
+    auto state = makeReadState(3);
+    BOOST_TEST(areReadsDue(state, start));
+    delayReads(state, start);
+    BOOST_TEST(!areReadsDue(state, start + Milliseconds(50)));
+    BOOST_TEST(areReadsDue(state, start + Seconds(1)));
+    beginReads(state, 3, start + Seconds(1));
+    BOOST_TEST(!areReadsDue(state, start + Seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(timelyAnswersProveALoad)
 {
     auto state = makeReadState(3);
