Keep found layers in use while a new agent verifies them

Callers of a large fleet were served less after many agents had been started together, shortly after a version was named: each new process doubted the layers that it found, and told the entries to send its engine nothing until all pieces were read back, so that all engines were out of use at the same moment.

A new process still verifies what it finds, but asks entries for nothing while it does. An own order without a timely answer withholds the engine as before. process_platform_load_orders and process_platform_withheld_engines, with agents that are killed and stopped while their layers are spoilt, pass.

--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -90,13 +90,15 @@
         noteVersionNamedFor(this->loadOrder, BootClock::now() - named->second);
 }
 
-// Logs when layers become doubted, and keeps requests away from an engine whose layers may be spoilt.
+// Logs when layers become doubted, and keeps requests away from an engine whose layers may be spoilt. Layers that an earlier process of
+// the agent had loaded stay in use while they are verified, unless that process has withheld them: many agents may start at once.
 void AgentNode::guardLayers(LoadTrust earlier)
 {
     auto trust = this->loadOrder.trust;
     if (trust == LoadTrust::Doubted && earlier != LoadTrust::Doubted)
         this->log.write(LogLevel::Warning, "load_doubted", { { "version", this->orderedVersion }, { "reason", "accepted_at_unknown_time" } });
-    if (trust != LoadTrust::Proven)
+    bool areOnlyFound = trust == LoadTrust::Doubted && this->areLayersFound;
+    if (trust != LoadTrust::Proven && !areOnlyFound)
         this->withholdLayers();
 }
 
@@ -176,6 +178,7 @@
     auto now = BootClock::now();
     auto end = orderEndOf(result);
     noteOrderEnd(this->loadOrder, end, now);
+    this->areLayersFound = this->areLayersFound && end != OrderEnd::Unanswered;
     auto pieces = static_cast<uint64_t>(this->manifest.digests.size());
     auto readAge = inMilliseconds(sentAt - this->loadOrder.orderReadsSentAt);
     this->log.write(LogLevel::Info, "weights_ordered", { { "version", this->orderedVersion }, { "answer", result.describe() }, { "pieces", pieces }, { "oldest_read_ms", readAge }, { "answer_ms", inMilliseconds(now - sentAt) }, { "since_named_ms", inMilliseconds(now - this->newestNamedAt()) } });
