Order requests by the account's rank and then the route's, and make room for reports on demand

Cause: where accounts have priorities, the account's replaced the route's, so batch and urgent requests of most accounts stood in one queue by arrival. A configuration tells which services are shared by routes of different priority. DemandReport is the datagram by which entries will tell each other of the load on services; nothing fills it yet.

--- a/src/DispatchQueue.cpp
+++ b/src/DispatchQueue.cpp
@@ -19,7 +19,7 @@
 
 static bool isServedBefore(const WaitingRequest& first, const WaitingRequest& second)
 {
-    return first.priority != second.priority ? first.priority < second.priority : first.arrivedAt < second.arrivedAt;
+    return first.rank == second.rank ? first.arrivedAt < second.arrivedAt : first.rank < second.rank;
 }
 
 void enqueueRequest(ServiceQueue& queue, const WaitingRequest& request)
@@ -62,18 +62,18 @@
     return static_cast<double>(recent) / std::chrono::duration<double>(dispatchRateWindow).count();
 }
 
-size_t countAhead(const ServiceQueue& queue, int priority)
+size_t countAhead(const ServiceQueue& queue, const RequestRank& rank)
 {
-    auto isAhead = [&](const WaitingRequest& request) { return request.priority <= priority; };
+    auto isAhead = [&](const WaitingRequest& request) { return !(rank < request.rank); };
     return static_cast<size_t>(std::count_if(queue.waiting.begin(), queue.waiting.end(), isAhead));
 }
 
-Milliseconds expectedQueueWait(const ServiceQueue& queue, int priority, TimePoint now)
+Milliseconds expectedQueueWait(const ServiceQueue& queue, const RequestRank& rank, TimePoint now)
 {
     double rate = dispatchRate(queue, now);
     if (rate <= 0)
         return Milliseconds::max();
-    double seconds = static_cast<double>(countAhead(queue, priority) + 1) / rate;
+    double seconds = static_cast<double>(countAhead(queue, rank) + 1) / rate;
     return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
 }
 
--- a/src/DispatchQueue.h
+++ b/src/DispatchQueue.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "EntryConfiguration.h"
+#include "RequestRank.h"
 #include "Types.h"
 
 #include <cstdint>
@@ -19,21 +20,21 @@
 /// A request that waits for an endpoint.
 struct WaitingRequest {
     uint64_t requestNumber = 0; ///< Number of the request at this entry.
-    int priority = 0; ///< Requests with lower values are dispatched first. The scale differs from that of RouteRule::priority.
+    RequestRank rank;
     TimePoint arrivedAt {}; ///< When the request arrived at the entry.
     TimePoint expiresAt {}; ///< The request is taken from the queue if it has not been dispatched by then.
 };
 
 /// Waiting requests of one service, and the times of recent dispatches to its endpoints.
 struct ServiceQueue {
-    std::vector<WaitingRequest> waiting; ///< Requests sorted by priority, then by arrival.
+    std::vector<WaitingRequest> waiting; ///< Requests sorted by rank, then by arrival.
     std::deque<TimePoint> recentDispatches; ///< Times of the dispatches to endpoints in the last 1.5 s, oldest first.
 };
 
 /// Queues by the name of the service.
 using DispatchQueues = std::unordered_map<std::string, ServiceQueue>;
 
-/// Inserts a request by priority, then by arrival.
+/// Inserts a request by rank, then by arrival.
 void enqueueRequest(ServiceQueue&, const WaitingRequest&);
 /// Removes a request. Returns false when it isn't in the queue.
 bool removeWaitingRequest(ServiceQueue&, uint64_t number);
@@ -46,12 +47,12 @@
 /// change.
 double dispatchRate(const ServiceQueue&, TimePoint now);
 
-/// Number of waiting requests that would be dispatched before a new one of that priority. Thread safe while the queue does
+/// Number of waiting requests that would be dispatched before a new one of that rank. Thread safe while the queue does
 /// not change.
-size_t countAhead(const ServiceQueue&, int priority);
-/// Expected time until a new request of that priority is dispatched; Milliseconds::max() when no requests were
+size_t countAhead(const ServiceQueue&, const RequestRank&);
+/// Expected time until a new request of that rank is dispatched; Milliseconds::max() when no requests were
 /// recently dispatched to the service. Thread safe while the queue does not change.
-Milliseconds expectedQueueWait(const ServiceQueue&, int priority, TimePoint now);
+Milliseconds expectedQueueWait(const ServiceQueue&, const RequestRank&, TimePoint now);
 
 /// Expected time to the first event of a request that is sent to an engine of which all other slots are in use. Thread safe.
 Milliseconds expectedTimeToFirstEvent(const EnginePerformance&, uint32_t promptTokens);
--- a/src/EntryConfiguration.cpp
+++ b/src/EntryConfiguration.cpp
@@ -5,6 +5,20 @@
 
 namespace bilberry {
 
+static bool hasRankedRoutes(const EntryConfiguration& table, const std::string& service)
+{
+    std::optional<int> priority;
+    for (const auto& route : table.routes) {
+        bool isShared = std::any_of(route.services.begin(), route.services.end(), [&](const ServiceShare& share) { return share.service == service; });
+        if (!isShared)
+            continue;
+        if (route.priority != priority.value_or(route.priority))
+            return true;
+        priority = route.priority;
+    }
+    return false;
+}
+
 void indexEntryConfiguration(EntryConfiguration& table)
 {
     table.routesByHost.clear();
@@ -23,6 +37,8 @@
     }
     for (RowIndex row = 0; row < table.services.size(); ++row)
         table.serviceByName[table.services[row].name] = row;
+    for (auto& service : table.services)
+        service.hasRankedRoutes = hasRankedRoutes(table, service.name);
 }
 
 const RouteRule* findRoute(const EntryConfiguration& table, std::string_view host, std::string_view target)
--- a/src/EntryConfiguration.h
+++ b/src/EntryConfiguration.h
@@ -80,6 +80,9 @@
     std::vector<ServedModel> models;
     std::optional<Address> origin; ///< Address from which weights are fetched. A service that has an origin runs no requests.
     std::string originDataCentre;
+    /// Whether routes of different priority share the service. Requests of higher priority then go first when there isn't room for
+    /// all. Set by indexEntryConfiguration().
+    bool hasRankedRoutes = false;
 };
 
 struct ClientAccount {
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -43,6 +43,8 @@
         events.dataCentre = this->settings.location.dataCentre;
         return events;
     };
+    handlers.takeDemandReport = [](PeerMessageScope) { return DemandReport(); };
+    handlers.onDemandReport = [](const std::string&, const DemandReport&) {};
     handlers.onMessage = [this](const PeerMessage& message) { this->applyPeerMessage(message); };
     handlers.onEndpointEvents = [this](const EndpointEvents& events) { this->applyEndpointEvents(events); };
     handlers.onNotice = [this](const EngineNotice& notice) { this->handleAgentNotice(notice); };
--- a/src/PeerExchange.cpp
+++ b/src/PeerExchange.cpp
@@ -76,9 +76,13 @@
         state.handlers.onEndpointEvents(*events);
         return;
     }
-    auto message = decodePeerMessage(bytes);
     auto now = Clock::now();
     auto ip = state.sender.address().to_string();
+    if (auto report = decodeDemandReport(bytes); report.ok()) {
+        state.handlers.onDemandReport(ip, *report);
+        return;
+    }
+    auto message = decodePeerMessage(bytes);
     if (!message.ok() || !state.table.applyMessage(ip, *message, now))
         return;
     state.handlers.onMessage(*message);
@@ -164,6 +168,8 @@
     auto bytesOfPreviousRelease = encodeWithinLimit(std::move(messageOfPreviousRelease));
     auto events = state.handlers.takeEndpointEvents(scope);
     auto eventBytes = isEmpty(events) ? std::string() : encodeEndpointEvents(events);
+    auto report = state.handlers.takeDemandReport(scope);
+    auto reportBytes = isEmpty(report) ? std::string() : encodeDemandReport(report);
     size_t stateBytes = 0;
     for (const auto& due : sends) {
         if (due.scope != scope)
@@ -173,6 +179,8 @@
         this->send(isPreviousRelease ? bytesOfPreviousRelease : bytes, due.ip);
         if (!eventBytes.empty())
             this->send(eventBytes, due.ip);
+        if (!reportBytes.empty())
+            this->send(reportBytes, due.ip);
         stateBytes += bytesOfPreviousRelease.size();
     }
     if (scope == PeerMessageScope::Near)
--- a/src/PeerExchange.h
+++ b/src/PeerExchange.h
@@ -3,6 +3,7 @@
 /// doesn't overload it.
 #pragma once
 
+#include "DemandReport.h"
 #include "EndpointEvents.h"
 #include "EventLoop.h"
 #include "PeerMessage.h"
@@ -28,8 +29,11 @@
     std::function<void(PeerMessage&, PeerMessageScope)> fillMessage;
     /// Returns the events about endpoints that go along with the messages of the given scope.
     std::function<EndpointEvents(PeerMessageScope)> takeEndpointEvents;
+    /// Returns the report on demand that goes along with the messages of the given scope.
+    std::function<DemandReport(PeerMessageScope)> takeDemandReport;
     std::function<void(const PeerMessage&)> onMessage; ///< Receives each new message of a peer.
     std::function<void(const EndpointEvents&)> onEndpointEvents; ///< Receives the events about endpoints of a peer.
+    std::function<void(const std::string& ip, const DemandReport&)> onDemandReport; ///< Receives each report of a peer with its address.
     std::function<void(const EngineNotice&)> onNotice; ///< Receives each notice that comes directly from an agent.
 };
 
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -15,8 +15,6 @@
 static constexpr Milliseconds maxConfigurationWait { 500 };
 // Longest time that a request which has already missed its target latency waits in the queue.
 static constexpr Milliseconds maxLateQueueWait { 400 };
-// Queue priority of a request whose response has already started. Such a request is dispatched before all others.
-static constexpr int startedResponsePriority = -1;
 // Retry-After delay for a request that is refused because the entry has no configuration.
 static constexpr Milliseconds noConfigurationRetryAfter { 200 };
 // Retry-After delay for a request that is blocked because it crashes endpoints.
@@ -166,7 +164,7 @@
     auto budget = std::min(this->callerRequest.timeBudget.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + budget;
     // 4. Collect what the request requires of an endpoint.
-    this->priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    this->rank = rankOf(*this->route, this->account);
     double random = std::uniform_real_distribution<double>(0, 1)(this->node.random);
     this->requirements.service = chooseService(*this->route, this->node.clusterView.endpoints, random);
     this->service = findService(*this->routes, this->requirements.service);
@@ -265,6 +263,16 @@
     return now - this->firstArrivedAt >= this->route->targetLatency;
 }
 
+// A request whose response has started goes first, so that its caller doesn't wait between events.
+RequestRank ProxiedRequest::currentRank(TimePoint now) const
+{
+    if (this->hasResponseStarted)
+        return firstRank;
+    auto current = this->rank;
+    current.isLate = this->hasMissedTarget(now);
+    return current;
+}
+
 // A request that can still meet its target latency waits only as long as it can still meet it. One that has missed it waits
 // for maxLateQueueWait at most.
 Milliseconds ProxiedRequest::allowedQueueWait(TimePoint now) const
@@ -289,7 +297,7 @@
     const auto& view = this->node.clusterView;
     if (auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now))
         return retryAfterSetAside(*until, now, this->node.random());
-    return retryAfterDelay(expectedQueueWait(this->node.queues[this->requirements.service], 2 * this->priority, now), this->node.random());
+    return retryAfterDelay(expectedQueueWait(this->node.queues[this->requirements.service], this->currentRank(now), now), this->node.random());
 }
 
 // Dispatches the request to an endpoint with free capacity, or queues it for as long as it can still meet its target latency,
@@ -298,14 +306,14 @@
 {
     auto& queue = this->node.queues[this->requirements.service];
     bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
-    int queuePriority = this->hasResponseStarted ? startedResponsePriority : 2 * this->priority + (this->hasMissedTarget(now) ? 1 : 0);
-    // 1. Requests that already wait with the same or a more urgent priority go first.
-    if (countAhead(queue, queuePriority) == 0 && this->tryDispatch(now))
+    auto currentRank = this->currentRank(now);
+    // 1. Requests that already wait with the same or a higher rank go first.
+    if (countAhead(queue, currentRank) == 0 && this->tryDispatch(now))
         return;
     // 2. Refuse a new request that can't be dispatched in time; queue all others.
     auto allowance = isFirstAttempt ? this->allowedQueueWait(now) : std::min(maxRetryQueueWait, this->timeLeft(now));
-    auto wait = expectedQueueWait(queue, queuePriority, now);
-    bool isWaitTooLong = countAhead(queue, queuePriority) > 0 && wait != Milliseconds::max() && wait > allowance;
+    auto wait = expectedQueueWait(queue, currentRank, now);
+    bool isWaitTooLong = countAhead(queue, currentRank) > 0 && wait != Milliseconds::max() && wait > allowance;
     if (isFirstAttempt && (isWaitTooLong || allowance <= Milliseconds(0))) {
         this->refuseRequest(503, "overloaded", retryAfterDelay(wait, this->node.random()));
         return;
@@ -314,7 +322,7 @@
         this->handleQueueTimeout();
         return;
     }
-    enqueueRequest(queue, { this->number, queuePriority, this->arrivedAt, now + allowance });
+    enqueueRequest(queue, { this->number, currentRank, this->arrivedAt, now + allowance });
     this->isWaiting = true;
 }
 
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -10,6 +10,7 @@
 #include "EventStreamBuffer.h"
 #include "HttpChannel.h"
 #include "ProtocolAdapter.h"
+#include "RequestRank.h"
 #include "Types.h"
 
 #include <memory>
@@ -62,6 +63,7 @@
     Milliseconds allowedQueueWait(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
     bool hasMissedTarget(TimePoint now) const;
+    RequestRank currentRank(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
     std::optional<uint32_t> weightVersionToRequire(const EndpointRow&) const;
@@ -108,7 +110,7 @@
     EndpointRequirements requirements;
     uint64_t fingerprint = 0;
     bool isPartTrial = false; ///< Whether the request is sent to find out whether a part of its prompt still crashes endpoints.
-    int priority = 0;
+    RequestRank rank; ///< Rank of the request as long as it is on time.
     TimePoint deadline {};
     TimePoint arrivedAt {};
     TimePoint firstArrivedAt {}; ///< Arrival of the first try if the request was refused before; otherwise arrivedAt.
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -100,16 +100,16 @@
             engineOf.push_back(0);
             auto allowance = maxQueueWait(route, &performance, requests.back()->promptTokens, route.timeout);
             auto choice = chooseEndpoint(table, requirements, location, {}, random(), timeAt(now));
-            auto wait = expectedQueueWait(queue, 0, timeAt(now));
+            auto wait = expectedQueueWait(queue, {}, timeAt(now));
             if (!usesDispatchQueue) {
                 auto least = std::min_element(table.rows.begin(), table.rows.end(), [](const EndpointRow& a, const EndpointRow& b) { return a.inFlight < b.inFlight; });
                 send(requests.size() - 1, static_cast<uint32_t>(least - table.rows.begin()), now);
-            } else if (choice.row != noEndpoint && countAhead(queue, 0) == 0) {
+            } else if (choice.row != noEndpoint && countAhead(queue, {}) == 0) {
                 send(requests.size() - 1, choice.row, now);
-            } else if (countAhead(queue, 0) > 0 && wait != Milliseconds::max() && wait > allowance) {
+            } else if (countAhead(queue, {}) > 0 && wait != Milliseconds::max() && wait > allowance) {
                 ++result.refusedCount;
             } else {
-                enqueueRequest(queue, { requests.size() - 1, 0, timeAt(now), timeAt(now) + allowance });
+                enqueueRequest(queue, { requests.size() - 1, {}, timeAt(now), timeAt(now) + allowance });
             }
         }
         for (const auto& expired : takeExpiredRequests(queue, timeAt(now))) {
@@ -141,16 +141,16 @@
 BOOST_AUTO_TEST_CASE(urgentRequestsGoFirstThenTheOldest)
 {
     ServiceQueue queue;
-    enqueueRequest(queue, { 1, 1, start, start + Seconds(1) });
-    enqueueRequest(queue, { 2, 0, start + Milliseconds(1), start + Seconds(1) });
-    enqueueRequest(queue, { 3, 1, start + Milliseconds(2), start + Seconds(1) });
-    enqueueRequest(queue, { 4, 0, start + Milliseconds(3), start + Seconds(1) });
+    enqueueRequest(queue, { 1, RequestRank { 1, 1 }, start, start + Seconds(1) });
+    enqueueRequest(queue, { 2, {}, start + Milliseconds(1), start + Seconds(1) });
+    enqueueRequest(queue, { 3, RequestRank { 1, 1 }, start + Milliseconds(2), start + Seconds(1) });
+    enqueueRequest(queue, { 4, {}, start + Milliseconds(3), start + Seconds(1) });
     std::vector<uint64_t> order;
     for (const auto& request : queue.waiting)
         order.push_back(request.requestNumber);
     BOOST_TEST(order == (std::vector<uint64_t> { 2, 4, 1, 3 }), boost::test_tools::per_element());
-    BOOST_TEST(countAhead(queue, 0) == 2u);
-    BOOST_TEST(countAhead(queue, 1) == 4u);
+    BOOST_TEST(countAhead(queue, {}) == 2u);
+    BOOST_TEST(countAhead(queue, RequestRank { 1, 1 }) == 4u);
     BOOST_TEST(removeWaitingRequest(queue, 4));
     BOOST_TEST(!removeWaitingRequest(queue, 4));
 }
@@ -158,8 +158,8 @@
 BOOST_AUTO_TEST_CASE(expiredRequestsLeaveTheQueue)
 {
     ServiceQueue queue;
-    enqueueRequest(queue, { 1, 0, start, start + Milliseconds(50) });
-    enqueueRequest(queue, { 2, 0, start, start + Milliseconds(150) });
+    enqueueRequest(queue, { 1, {}, start, start + Milliseconds(50) });
+    enqueueRequest(queue, { 2, {}, start, start + Milliseconds(150) });
     BOOST_TEST(takeExpiredRequests(queue, start + Milliseconds(49)).empty());
     auto expired = takeExpiredRequests(queue, start + Milliseconds(50));
     BOOST_TEST(expired.size() == 1u);
@@ -170,14 +170,14 @@
 BOOST_AUTO_TEST_CASE(expectedWaitFollowsFromTheDispatchRate)
 {
     ServiceQueue queue;
-    BOOST_TEST((expectedQueueWait(queue, 0, start) == Milliseconds::max()));
+    BOOST_TEST((expectedQueueWait(queue, {}, start) == Milliseconds::max()));
     for (int i = 0; i < 15; ++i)
         recordDispatch(queue, start + Milliseconds(100 * i));
     auto now = start + Milliseconds(1400);
     BOOST_TEST(dispatchRate(queue, now) == 10);
-    BOOST_TEST((expectedQueueWait(queue, 0, now) == Milliseconds(100)));
-    enqueueRequest(queue, { 1, 0, now, now + Seconds(1) });
-    BOOST_TEST((expectedQueueWait(queue, 0, now) == Milliseconds(200)));
+    BOOST_TEST((expectedQueueWait(queue, {}, now) == Milliseconds(100)));
+    enqueueRequest(queue, { 1, {}, now, now + Seconds(1) });
+    BOOST_TEST((expectedQueueWait(queue, {}, now) == Milliseconds(200)));
 }
 
 BOOST_AUTO_TEST_CASE(noWaitBeyondTheTimeBudget)
