--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -15,6 +15,7 @@
 #include "PeerReports.h"
 #include "PromptSuspects.h"
 #include "ProtocolAdapter.h"
+#include "RankDemand.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
 #include "StopSchedule.h"
@@ -60,6 +61,7 @@
     ChannelPool channels;
     LivenessChecks livenessChecks;
     DispatchQueues queues; ///< The queue of waiting requests; the key is the service.
+    std::unordered_map<std::string, RankDemand> rankDemands; ///< Only of services with ranked routes; the key is the service.
     std::unordered_map<std::string, RetryWindow> retryWindows; ///< The key is the service.
     size_t bufferedResponseBytes = 0; ///< The bytes of endpoints' responses that are buffered until they are complete.
     std::unordered_map<uint64_t, std::shared_ptr<ProxiedRequest>> activeRequests; ///< Requests that aren't answered yet; the key is their number.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -65,6 +65,8 @@
     if (this->isFinished || !this->admitRequest(now))
         return;
     countRequest(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, now);
+    if (this->isRanked())
+        countArrival(this->node.rankDemands[this->requirements.service], this->rank, now);
     if (this->canAnswerBeforeExit(now))
         this->dispatchOrEnqueue(now);
     else
@@ -270,6 +272,10 @@
         return firstRank;
     auto current = this->rank;
     current.isLate = this->hasMissedTarget(now);
+    if (!this->isRanked())
+        return current;
+    current.isNew = !this->isReturning();
+    current.isOrdinary = !isStarved(this->node.rankDemands[this->requirements.service], this->rank, now);
     return current;
 }
 
@@ -297,7 +303,19 @@
     const auto& view = this->node.clusterView;
     if (auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now))
         return retryAfterSetAside(*until, now, this->node.random());
-    return retryAfterDelay(expectedQueueWait(this->node.queues[this->requirements.service], this->currentRank(now), now), this->node.random());
+    return retryAfterDelay(this->expectedWait(this->currentRank(now), now), this->node.random());
+}
+
+// Whether requests of different priority compete for the service.
+bool ProxiedRequest::isRanked() const
+{
+    return this->service && this->service->hasRankedRoutes;
+}
+
+Milliseconds ProxiedRequest::expectedWait(const RequestRank& current, TimePoint now) const
+{
+    const auto& queue = this->node.queues[this->requirements.service];
+    return this->isRanked() ? expectedRankedWait(queue, this->node.rankDemands[this->requirements.service], current, now) : expectedQueueWait(queue, current, now);
 }
 
 // Dispatches the request to an endpoint with free capacity, or queues it for as long as it can still meet its target latency,
@@ -312,8 +330,10 @@
         return;
     // 2. Refuse a new request that can't be dispatched in time; queue all others.
     auto allowance = isFirstAttempt ? this->allowedQueueWait(now) : std::min(maxRetryQueueWait, this->timeLeft(now));
-    auto wait = expectedQueueWait(queue, currentRank, now);
-    bool isWaitTooLong = countAhead(queue, currentRank) > 0 && wait != Milliseconds::max() && wait > allowance;
+    auto wait = this->expectedWait(currentRank, now);
+    // Where requests of higher rank take all places as they come, even the first of the queue may wait in vain.
+    bool isQueued = countAhead(queue, currentRank) > 0 || this->isRanked();
+    bool isWaitTooLong = isQueued && wait != Milliseconds::max() && wait > allowance;
     if (isFirstAttempt && (isWaitTooLong || allowance <= Milliseconds(0))) {
         this->refuseRequest(503, "overloaded", retryAfterDelay(wait, this->node.random()));
         return;
@@ -424,6 +444,8 @@
         this->node.refusals.addRefusal(this->fingerprint, this->firstArrivedAt, now);
         this->node.hasChangesForPeers = true;
     }
+    if (this->route && this->isRanked() && this->isReturning())
+        this->node.metrics.addToCounter("bilberry_returns_refused_total", { { "priority", std::to_string(this->rank.route) } });
     this->exchange->sendResponse(status, headers, std::string(reason) + "\n");
     this->finishRequest("refused", status, reason);
 }
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -62,6 +62,9 @@
     void refuseForCrashes(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
+    Milliseconds expectedWait(const RequestRank&, TimePoint now) const;
+    bool isRanked() const;
+    bool isReturning() const { return this->firstArrivedAt < this->arrivedAt; }
     bool hasMissedTarget(TimePoint now) const;
     RequestRank currentRank(TimePoint now) const;
     void startAttempt(uint32_t row, TimePoint now);
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -60,6 +60,9 @@
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
         endpoint.coldSends.pop_front();
     recordDispatch(this->node.queues[this->requirements.service], now);
+    bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
+    if (isFirstAttempt && this->isRanked())
+        countRankDispatch(this->node.rankDemands[this->requirements.service], this->rank, now);
     this->endpointRow = chosenRow;
     this->endpointId = endpoint.record.id;
     this->endpointStartedAt = endpoint.statement.startedAt;
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -37,6 +37,14 @@
     return route;
 }
 
+RequestRank rankOfPriority(int priority)
+{
+    RequestRank rank;
+    rank.account = priority;
+    rank.route = priority;
+    return rank;
+}
+
 TimePoint timeAt(double milliseconds)
 {
     return start + std::chrono::duration_cast<Duration>(FractionalMilliseconds(milliseconds));
@@ -141,16 +149,16 @@
 BOOST_AUTO_TEST_CASE(urgentRequestsGoFirstThenTheOldest)
 {
     ServiceQueue queue;
-    enqueueRequest(queue, { 1, RequestRank { 1, 1 }, start, start + Seconds(1) });
+    enqueueRequest(queue, { 1, rankOfPriority(1), start, start + Seconds(1) });
     enqueueRequest(queue, { 2, {}, start + Milliseconds(1), start + Seconds(1) });
-    enqueueRequest(queue, { 3, RequestRank { 1, 1 }, start + Milliseconds(2), start + Seconds(1) });
+    enqueueRequest(queue, { 3, rankOfPriority(1), start + Milliseconds(2), start + Seconds(1) });
     enqueueRequest(queue, { 4, {}, start + Milliseconds(3), start + Seconds(1) });
     std::vector<uint64_t> order;
     for (const auto& request : queue.waiting)
         order.push_back(request.requestNumber);
     BOOST_TEST(order == (std::vector<uint64_t> { 2, 4, 1, 3 }), boost::test_tools::per_element());
     BOOST_TEST(countAhead(queue, {}) == 2u);
-    BOOST_TEST(countAhead(queue, RequestRank { 1, 1 }) == 4u);
+    BOOST_TEST(countAhead(queue, rankOfPriority(1)) == 4u);
     BOOST_TEST(removeWaitingRequest(queue, 4));
     BOOST_TEST(!removeWaitingRequest(queue, 4));
 }
--- a/tests/RequestRankTest.cpp
+++ b/tests/RequestRankTest.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(withinARankLateRequestsAndThoseBeyondAShareGoLast)
+BOOST_AUTO_TEST_CASE(withinARankTheOnesThatCanStillBeOnTimeGoFirst)
 {
     auto rank = rankOf(routeOf(1), nullptr);
     auto late = rank;
@@ -63,6 +63,14 @@
     BOOST_TEST((late < beyond));
     BOOST_TEST((beyond < rankOf(routeOf(2), nullptr)));
     BOOST_TEST((firstRank < rankOf(routeOf(0), nullptr)));
+    auto returning = rank;
+    returning.isNew = false;
+    BOOST_TEST((returning < rank));
+    BOOST_TEST((rankOf(routeOf(0), nullptr) < returning));
+    auto starved = rankOf(routeOf(2), nullptr);
+    starved.isOrdinary = false;
+    BOOST_TEST((starved < rankOf(routeOf(0), nullptr)));
+    BOOST_TEST((firstRank < starved));
 }
 
 BOOST_AUTO_TEST_CASE(aServiceIsRankedIfItsRoutesDifferInPriority)
