--- a/src/RankDemand.cpp
+++ b/src/RankDemand.cpp
@@ -69,17 +69,14 @@
     return totals;
 }
 
-// Number of recent dispatches that the requests of a route priority have a right to.
-static double minDispatches(const RankDemand& demand, const DemandTotals& ofPriority, TimePoint now)
-{
-    auto all = totalsOf(demand, std::nullopt, now);
-    return all.arrivals <= 0 ? 0 : minPartOfSharedRate * ofPriority.arrivals * std::min(1.0, all.dispatches / all.arrivals);
-}
-
 bool isStarved(const RankDemand& demand, const RequestRank& rank, TimePoint now)
 {
     auto ofPriority = totalsOf(demand, rank.route, now);
-    return ofPriority.arrivals >= minArrivalsToJudge && ofPriority.dispatches < minDispatches(demand, ofPriority, now);
+    if (ofPriority.arrivals < minArrivalsToJudge)
+        return false;
+    auto all = totalsOf(demand, std::nullopt, now);
+    double dispatchedShare = std::min(1.0, all.dispatches / all.arrivals);
+    return ofPriority.dispatches < minPartOfSharedRate * dispatchedShare * ofPriority.arrivals;
 }
 
 Milliseconds expectedRankedWait(const ServiceQueue& queue, const RankDemand& demand, const RequestRank& rank, TimePoint now)
@@ -87,9 +84,8 @@
     double rate = dispatchRate(queue, now);
     if (rate <= 0)
         return Milliseconds::max();
-    auto ofPriority = totalsOf(demand, rank.route, now);
-    double guaranteedRate = minDispatches(demand, ofPriority, now) / std::chrono::duration<double>(countingTime).count();
-    double remainingRate = std::max({ rate - arrivalRateAbove(demand, rank, now), guaranteedRate, minDispatchRate });
+    double rateAbove = rank.isOrdinary ? arrivalRateAbove(demand, rank, now) : 0;
+    double remainingRate = std::max(rate - rateAbove, minDispatchRate);
     double seconds = static_cast<double>(countAhead(queue, rank) + 1) / remainingRate;
     return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
 }
