--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -7,6 +7,7 @@
 #include "ClusterView.h"
 #include "DispatchQueue.h"
 #include "EventLog.h"
+#include "HedgePolicy.h"
 #include "HttpCall.h"
 #include "LivenessChecks.h"
 #include "Metrics.h"
@@ -63,6 +64,9 @@
     DispatchQueues queues; ///< The queue of waiting requests; the key is the service.
     std::unordered_map<std::string, RankDemand> rankDemands; ///< Only of services with ranked routes; the key is the service.
     std::unordered_map<std::string, RetryWindow> retryWindows; ///< The key is the service.
+    std::unordered_map<std::string, RetryWindow> hedgeWindows; ///< Hedged requests; the key is the service.
+    std::unordered_map<std::string, AnswerDelays> answerDelays; ///< Only while requests may be hedged; the key is the route.
+    uint32_t hedgesInProgress = 0; ///< Requests that have two attempts in progress.
     size_t bufferedResponseBytes = 0; ///< The bytes of endpoints' responses that are buffered until they are complete.
     std::unordered_map<uint64_t, std::shared_ptr<ProxiedRequest>> activeRequests; ///< Requests that aren't answered yet; the key is their number.
     uint64_t nextRequestNumber = 1;
--- a/src/NodeSettings.cpp
+++ b/src/NodeSettings.cpp
@@ -28,6 +28,8 @@
 DEFINE_double(repeat_ratio, 0.2, "retries allowed per request of a service, for all entries together");
 DEFINE_double(repeat_extra, 0, "retries allowed beyond repeat_ratio in one window, for all entries together");
 DEFINE_double(repeat_window_s, 10, "length in seconds of the window in which retries are counted");
+DEFINE_double(hedge_share, 0, "share of a service's requests that may also be sent to a second endpoint while their answer is late; 0: none");
+DEFINE_uint32(hedge_max_at_once, 8, "largest number of such requests that an entry has in progress at a time");
 DEFINE_double(cold_factor, 1, "multiple of a cold endpoint's rate that all entries together may send it in one second");
 DEFINE_double(cold_slack, 0, "requests allowed in one second beyond cold_factor, for all entries together");
 DEFINE_double(version_ms, 0, "time in ms in which all engines switch to a newly named version; 0: no limit");
@@ -112,6 +114,8 @@
     settings.retryLimits.ratio = readNumberInRange("repeat_ratio", FLAGS_repeat_ratio, 0, 10, faults);
     settings.retryLimits.fixedRetries = readNumberInRange("repeat_extra", FLAGS_repeat_extra, 0, 1e6, faults);
     settings.retryLimits.window = Milliseconds(static_cast<int64_t>(1000 * readNumberInRange("repeat_window_s", FLAGS_repeat_window_s, 0.1, 3600, faults)));
+    settings.hedgeLimits.share = readNumberInRange("hedge_share", FLAGS_hedge_share, 0, 1, faults);
+    settings.hedgeLimits.maxAtOnce = FLAGS_hedge_max_at_once;
     settings.coldRateFactor = readNumberInRange("cold_factor", FLAGS_cold_factor, 0, 1000, faults);
     settings.coldRateAllowance = readNumberInRange("cold_slack", FLAGS_cold_slack, 0, 1e6, faults);
     settings.maxVersionSwitchTime = readMilliseconds("version_ms", FLAGS_version_ms, hour, faults);
--- a/src/NodeSettings.h
+++ b/src/NodeSettings.h
@@ -5,6 +5,7 @@
 #include "Address.h"
 #include "EndpointChoice.h"
 #include "Flags.h"
+#include "HedgePolicy.h"
 #include "RetryWindow.h"
 #include "Types.h"
 
@@ -27,6 +28,7 @@
     Milliseconds maxRevocationDelay { 5000 }; ///< Time after which a revoked key must no longer be accepted.
     bool failsClosed = true; ///< Whether requests with a key are refused while revocations can't be known.
     RetryWindowLimits retryLimits;
+    HedgeLimits hedgeLimits; ///< Off by default.
     double coldRateFactor = 1; ///< Multiple of a cold endpoint's rate that all entries together may send it in one second.
     double coldRateAllowance = 0; ///< Requests allowed in one second beyond coldRateFactor, for all entries together.
     Milliseconds maxVersionSwitchTime { 0 }; ///< Time in which all engines switch to a newly named version; zero: no limit.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -65,6 +65,7 @@
     if (this->isFinished || !this->admitRequest(now))
         return;
     countRequest(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, now);
+    this->countForHedges(now);
     if (this->isRanked())
         countArrival(this->node.rankDemands[this->requirements.service], this->rank, now);
     if (this->canAnswerBeforeExit(now))
@@ -190,8 +191,7 @@
     return found == node.clusterView.namedVersions.end() ? 0 : oldestAllowedVersion(found->second, node.settings.reloadable.maxVersionSwitchTime, now);
 }
 
-// When a request that is at the endpoint and hasn't begun there must be taken back.
-static BootTimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
+BootTimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
 {
     auto found = node.clusterView.namedVersions.find(requirements.model);
     if (!endpoint.record.isModelEngine || found == node.clusterView.namedVersions.end())
@@ -240,25 +240,38 @@
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
-    this->requirements.entryCount = entryCount(this->node);
-    this->requirements.nearEntryCount = nearEntryCount(this->node);
-    this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
-    this->requirements.bootNow = BootClock::now();
-    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
-    auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
-    this->requirements.namedVersions = named == this->node.clusterView.namedVersions.end() ? nullptr : &named->second;
-    this->requirements.maxVersionSwitchTime = this->node.settings.reloadable.maxVersionSwitchTime;
+    this->updateRequirements();
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
     this->isWaiting = false;
     if (this->attemptTotals.runs + this->attemptTotals.notRun == 0)
-        this->queueTime = std::chrono::duration_cast<Milliseconds>(now - this->arrivedAt);
+        this->noteFirstDispatch(now);
     this->endpointLoadEstimate = estimatedLoad(this->node.clusterView.endpoints.rows[choice.row], now);
     this->startAttempt(choice.row, now);
     return true;
 }
 
+void ProxiedRequest::noteFirstDispatch(TimePoint now)
+{
+    this->queueTime = std::chrono::duration_cast<Milliseconds>(now - this->arrivedAt);
+    if (this->isRanked())
+        countRankDispatch(this->node.rankDemands[this->requirements.service], this->rank, now);
+}
+
+// Brings what the request requires of an endpoint up to date with what the entry knows.
+void ProxiedRequest::updateRequirements()
+{
+    this->requirements.entryCount = entryCount(this->node);
+    this->requirements.nearEntryCount = nearEntryCount(this->node);
+    this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
+    this->requirements.bootNow = BootClock::now();
+    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
+    auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
+    this->requirements.namedVersions = named == this->node.clusterView.namedVersions.end() ? nullptr : &named->second;
+    this->requirements.maxVersionSwitchTime = this->node.settings.reloadable.maxVersionSwitchTime;
+}
+
 // Whether the request can no longer be answered within its target latency.
 bool ProxiedRequest::hasMissedTarget(TimePoint now) const
 {
@@ -366,10 +379,12 @@
     this->lastResult = result;
     countAttempt(this->attemptTotals, result);
     this->node.metrics.addToCounter("bilberry_attempts_total", { { "result", std::string(toText(result)) } });
-    this->requirements.triedEndpointIds.push_back(this->endpointId);
+    this->requirements.triedEndpointIds.push_back(this->attempt.endpointId);
     if (result != AttemptResult::Answered) {
-        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptStartedAt) } });
+        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->attempt.endpointId }, { "result", toText(result) }, { "status", this->attempt.responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attempt.startedAt) } });
     }
+    if (this->adoptSecondAttempt(result))
+        return;
     auto context = this->retryContext(now);
     auto step = decideNextStep(context);
     if (step == NextStep::Deliver)
@@ -404,23 +419,23 @@
 
 void ProxiedRequest::deliverResponse()
 {
-    auto headers = forwardableHeaders(this->responseHead.headers);
+    auto headers = forwardableHeaders(this->attempt.responseHead.headers);
     if (this->hasResponseStarted) {
         this->exchange->finishResponse();
-    } else if (this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest)) {
-        this->exchange->startResponse(this->responseHead.status, headers, {}, nullptr);
+    } else if (this->route->kind == RequestKind::Stream && isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest)) {
+        this->exchange->startResponse(this->attempt.responseHead.status, headers, {}, nullptr);
         this->exchange->finishResponse();
     } else {
         this->timeToFirstByte = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
-        this->exchange->sendResponse(this->responseHead.status, headers, this->body);
+        this->exchange->sendResponse(this->attempt.responseHead.status, headers, this->attempt.body);
     }
-    this->finishRequest("answered", this->responseHead.status, "");
+    this->finishRequest("answered", this->attempt.responseHead.status, "");
 }
 
 void ProxiedRequest::sendFinalAnswer(FinalAnswer answer)
 {
     // A status that promises that the request has not run isn't forwarded, because the request may have run.
-    bool promisesNotRun = answer == FinalAnswer::Deliver && promisesNotExecuted(this->responseHead.status);
+    bool promisesNotRun = answer == FinalAnswer::Deliver && promisesNotExecuted(this->attempt.responseHead.status);
     if (answer == FinalAnswer::CutOff) {
         this->exchange->abortResponse();
         this->finishRequest("cut_off", 0, toText(this->lastResult).data());
@@ -457,7 +472,7 @@
         return;
     auto keepAlive = this->shared_from_this();
     if (this->hasActiveAttempt()) {
-        this->channel->close();
+        this->attempt.channel->close();
         this->releaseEndpoint(AttemptResult::TimedOut, Clock::now());
     }
     if (this->isWaiting)
@@ -498,16 +513,17 @@
         return;
     // The engine must not begin the request on superseded weights. The newer version may have been named after the request
     // was sent.
-    const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    bool hasBegun = this->responseHead.status != 0;
+    const auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
+    bool hasBegun = this->attempt.responseHead.status != 0;
     if (!hasBegun && BootClock::now() >= beginDeadline(this->node, endpoint, this->requirements)) {
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
-    if (!this->mayRunAgain() || this->channel->endedWithConnection())
+    if (!this->mayRunAgain() || this->attempt.channel->endedWithConnection())
         return;
+    this->hedgeIfLate(now);
     bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
-    if (now - this->lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->lastReceivedAt }))
+    if (now - this->attempt.lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->attempt.lastReceivedAt }))
         this->abandonAttempt(AttemptResult::Silent);
 }
 
@@ -516,11 +532,12 @@
     if (this->isFinished)
         return;
     this->isFinished = true;
+    this->cancelSecondAttempt();
     auto total = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
     this->node.log.write(LogLevel::Info, "request",
         { { "request", this->callerRequest.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
-            { "endpoint", this->endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
-            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->reportedLoad ? static_cast<int>(this->reportedLoad->running + this->reportedLoad->waiting) : -1 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
+            { "endpoint", this->attempt.endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
+            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->attempt.reportedLoad ? static_cast<int>(this->attempt.reportedLoad->running + this->attempt.reportedLoad->waiting) : -1 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
             { "generation", this->routes ? this->routes->generation : 0 } });
     auto& metrics = this->node.metrics;
     metrics.addToCounter("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -2,15 +2,16 @@
 /// request when endpoints are overloaded, and retries it at another endpoint when one fails.
 #pragma once
 
-#include "AnswerEnd.h"
 #include "AttemptPolicy.h"
 #include "ConnectionProbe.h"
 #include "EndpointChoice.h"
 #include "EntryConfiguration.h"
 #include "EventStreamBuffer.h"
-#include "HttpChannel.h"
+#include "HedgePolicy.h"
 #include "ProtocolAdapter.h"
+#include "RequestAttempt.h"
 #include "RequestRank.h"
+#include "RetryWindow.h"
 #include "Types.h"
 
 #include <memory>
@@ -25,6 +26,9 @@
 /// presence is checked), and has this request's ID. Thread safe.
 bool isSuccessForRequest(const ResponseHead&, const EndpointReply&, const CallerRequest&);
 
+/// Returns when a request that is at the endpoint and hasn't begun there must be taken back. Thread safe.
+BootTimePoint beginDeadline(const EntryNode&, const EndpointRow&, const EndpointRequirements&);
+
 /// Handles one request. It is used by the event loop's thread only, and the node's table of requests in progress holds it
 /// until it finishes.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
@@ -67,7 +71,10 @@
     bool isReturning() const { return this->firstArrivedAt < this->arrivedAt; }
     bool hasMissedTarget(TimePoint now) const;
     RequestRank currentRank(TimePoint now) const;
+    void updateRequirements();
+    void noteFirstDispatch(TimePoint now);
     void startAttempt(uint32_t row, TimePoint now);
+    ResponseHandlers makeHandlers();
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
     std::optional<uint32_t> weightVersionToRequire(const EndpointRow&) const;
     ResponseDisposition onResponseHead(const ResponseHead&);
@@ -100,7 +107,22 @@
     Milliseconds timeLeft(TimePoint now) const;
     bool mayRunAgain() const;
     RetryContext retryContext(TimePoint now) const;
-    bool hasActiveAttempt() const { return this->channel != nullptr; }
+    bool isSecondAttempt(const std::weak_ptr<HttpChannel>&) const;
+    RetryWindowLimits hedgeWindowLimits() const;
+    void countForHedges(TimePoint now);
+    void noteAnswerDelay(TimePoint now);
+    void hedgeIfLate(TimePoint now);
+    HedgeContext hedgeContext(TimePoint now) const;
+    uint32_t chooseSecondEndpoint(TimePoint now);
+    bool takeHedge(TimePoint now);
+    void startSecondAttempt(uint32_t row, TimePoint now);
+    ResponseDisposition onFirstHead(const ResponseHead&);
+    ResponseDisposition onSecondHead(const ResponseHead&);
+    void onSecondEnd(ChannelEnd);
+    void endSecondAttempt(AttemptResult);
+    void cancelSecondAttempt();
+    bool adoptSecondAttempt(AttemptResult resultOfFirst);
+    bool hasActiveAttempt() const { return this->attempt.channel != nullptr; }
 
     EntryNode& node;
     uint64_t number;
@@ -118,20 +140,8 @@
     TimePoint arrivedAt {};
     TimePoint firstArrivedAt {}; ///< Arrival of the first try if the request was refused before; otherwise arrivedAt.
 
-    // These members describe the current attempt.
-    std::shared_ptr<HttpChannel> channel;
-    uint32_t endpointRow = noEndpoint;
-    std::string endpointId;
-    WallTime endpointStartedAt {}; ///< Start of the endpoint's run to which the attempt was sent, as in EndpointStatement.
-    TimePoint attemptStartedAt {};
-    TimePoint lastReceivedAt {}; ///< When the attempt last made progress: at its start, with its head, with bytes of a body and
-                                 ///< with whole events of a stream.
-    TimePoint firstEventAt {}; ///< When the attempt's first whole event of a stream was received; the default value until then.
-    ResponseHead responseHead;
-    EndpointReply endpointReply;
-    std::string body;
-    AnswerEnd answerEnd; ///< Of an answer that ended with its connection, while its endpoint is probed.
-    int skippedResponses = 0; ///< Number of responses to earlier requests that were skipped on the connection.
+    RequestAttempt attempt; ///< The current attempt, or the last one.
+    std::optional<RequestAttempt> secondAttempt; ///< A hedged request's other attempt, until one of the two is answered or ends.
 
     // These members are kept across attempts.
     AttemptTotals attemptTotals;
@@ -145,7 +155,6 @@
     Milliseconds queueTime { 0 }; ///< Time from the arrival to the first attempt.
     Milliseconds timeToFirstByte { 0 }; ///< Time from the arrival to the first part of the response; zero until then.
     double endpointLoadEstimate = 0; ///< Estimated number of requests at the endpoint when the last attempt was sent to it.
-    std::optional<LoadReport> reportedLoad; ///< Load that the endpoint of the current attempt reported with its response.
 };
 
 } // namespace bilberry
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -60,94 +60,108 @@
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
         endpoint.coldSends.pop_front();
     recordDispatch(this->node.queues[this->requirements.service], now);
-    bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
-    if (isFirstAttempt && this->isRanked())
-        countRankDispatch(this->node.rankDemands[this->requirements.service], this->rank, now);
-    this->endpointRow = chosenRow;
-    this->endpointId = endpoint.record.id;
-    this->endpointStartedAt = endpoint.statement.startedAt;
-    this->attemptStartedAt = now;
-    this->lastReceivedAt = now;
-    this->firstEventAt = TimePoint();
-    this->responseHead = ResponseHead();
-    this->endpointReply = EndpointReply();
     this->discardBody();
-    this->skippedResponses = 0;
-    this->channel = this->node.channels.acquireChannel(endpoint.record.id, endpoint.record.address, mayRepeat(*this->route) ? maxIdleForRepeatable : maxIdleForUnrepeatable);
+    this->attempt = RequestAttempt();
+    this->attempt.endpointRow = chosenRow;
+    this->attempt.endpointId = endpoint.record.id;
+    this->attempt.endpointStartedAt = endpoint.statement.startedAt;
+    this->attempt.startedAt = now;
+    this->attempt.lastReceivedAt = now;
+    this->attempt.channel = this->node.channels.acquireChannel(endpoint.record.id, endpoint.record.address, mayRepeat(*this->route) ? maxIdleForRepeatable : maxIdleForUnrepeatable);
+    noteSentParts(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
+    bool isStream = this->route->kind == RequestKind::Stream;
+    this->attempt.channel->sendRequest(this->makeEndpointRequest(endpoint, now), isStream ? anyBodyBytes : maxBufferedResponseBytes, this->makeHandlers());
+}
+
+// What the channel of the current attempt calls. There may be another attempt, and the one that is answered first goes on.
+ResponseHandlers ProxiedRequest::makeHandlers()
+{
     ResponseHandlers handlers;
     auto weak = this->weak_from_this();
-    handlers.onHead = [weak](const ResponseHead& received) {
+    auto sender = std::weak_ptr<HttpChannel>(this->attempt.channel);
+    handlers.onHead = [weak, sender](const ResponseHead& received) {
         auto self = weak.lock();
-        return self ? self->onResponseHead(received) : ResponseDisposition::Accept;
+        if (!self)
+            return ResponseDisposition::Accept;
+        return self->isSecondAttempt(sender) ? self->onSecondHead(received) : self->onFirstHead(received);
     };
-    handlers.onBodyChunk = [weak](const std::string& chunk) {
-        if (auto self = weak.lock())
+    handlers.onBodyChunk = [weak, sender](const std::string& chunk) {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        if (self->isSecondAttempt(sender))
+            sender.lock()->resumeReading();
+        else
             self->onBodyChunk(chunk);
     };
-    handlers.onEnd = [weak](ChannelEnd end) {
-        if (auto self = weak.lock())
+    handlers.onEnd = [weak, sender](ChannelEnd end) {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        if (self->isSecondAttempt(sender))
+            self->onSecondEnd(end);
+        else
             self->onAttemptEnd(end);
     };
-    noteSentParts(this->node.promptSuspects, this->callerRequest.sharedPromptParts);
-    bool isStream = this->route->kind == RequestKind::Stream;
-    this->channel->sendRequest(this->makeEndpointRequest(endpoint, now), isStream ? anyBodyBytes : maxBufferedResponseBytes, std::move(handlers));
+    return handlers;
 }
 
 ResponseDisposition ProxiedRequest::onResponseHead(const ResponseHead& received)
 {
     auto now = Clock::now();
-    this->lastReceivedAt = now;
+    this->attempt.lastReceivedAt = now;
     auto newReply = this->node.adapter.requests.parseReply(received);
-    noteStatement(this->node, newReply, { this->callerRequest.id, this->endpointId, this->endpointStartedAt }, now);
+    noteStatement(this->node, newReply, { this->callerRequest.id, this->attempt.endpointId, this->attempt.endpointStartedAt }, now);
     bool isForOtherRequest = !newReply.requestId.empty() && newReply.requestId != this->callerRequest.id;
-    if (isForOtherRequest && ++this->skippedResponses <= maxSkippedResponses)
+    if (isForOtherRequest && ++this->attempt.skippedResponses <= maxSkippedResponses)
         return ResponseDisposition::Skip;
-    this->responseHead = received;
-    this->endpointReply = std::move(newReply);
-    this->reportedLoad = this->endpointReply.load;
-    auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
+    this->attempt.responseHead = received;
+    this->attempt.endpointReply = std::move(newReply);
+    this->attempt.reportedLoad = this->attempt.endpointReply.load;
+    auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
     endpoint.lastHeardAt = now;
-    recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
-    if (this->endpointReply.load)
-        noteLoadReport(endpoint, *this->endpointReply.load, now);
+    recordResponseBegin(endpoint.responseDelay, this->attempt.startedAt, now);
+    this->noteAnswerDelay(now);
+    if (this->attempt.endpointReply.load)
+        noteLoadReport(endpoint, *this->attempt.endpointReply.load, now);
     return ResponseDisposition::Accept;
 }
 
 void ProxiedRequest::onBodyChunk(const std::string& chunk)
 {
-    bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest);
+    bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest);
     if (isStream && this->mayJoinStartedResponse()) {
         this->onStreamChunk(chunk);
         return;
     }
     this->noteProgress();
-    this->body += chunk;
+    this->attempt.body += chunk;
     this->node.bufferedResponseBytes += chunk.size();
-    if (this->body.size() > maxBufferedResponseBytes || this->node.bufferedResponseBytes > maxBufferedBytesOfAll)
+    if (this->attempt.body.size() > maxBufferedResponseBytes || this->node.bufferedResponseBytes > maxBufferedBytesOfAll)
         this->abandonAttempt(AttemptResult::Malformed);
     else
-        this->channel->resumeReading();
+        this->attempt.channel->resumeReading();
 }
 
 void ProxiedRequest::noteProgress()
 {
-    this->lastReceivedAt = Clock::now();
-    this->node.clusterView.endpoints.rows[this->endpointRow].lastHeardAt = this->lastReceivedAt;
+    this->attempt.lastReceivedAt = Clock::now();
+    this->node.clusterView.endpoints.rows[this->attempt.endpointRow].lastHeardAt = this->attempt.lastReceivedAt;
 }
 
 void ProxiedRequest::noteEvents()
 {
     this->noteProgress();
-    if (this->firstEventAt == TimePoint())
-        this->firstEventAt = this->lastReceivedAt;
-    if (this->lastReceivedAt - this->firstEventAt >= clearingStreamTime)
-        reportAnsweredParts(this->node, this->callerRequest.sharedPromptParts, this->lastReceivedAt);
+    if (this->attempt.firstEventAt == TimePoint())
+        this->attempt.firstEventAt = this->attempt.lastReceivedAt;
+    if (this->attempt.lastReceivedAt - this->attempt.firstEventAt >= clearingStreamTime)
+        reportAnsweredParts(this->node, this->callerRequest.sharedPromptParts, this->attempt.lastReceivedAt);
 }
 
 void ProxiedRequest::discardBody()
 {
-    this->node.bufferedResponseBytes -= this->body.size();
-    this->body.clear();
+    this->node.bufferedResponseBytes -= this->attempt.body.size();
+    this->attempt.body.clear();
 }
 
 // Only whole events are progress of a stream: a stalled endpoint may still send a byte now and then.
@@ -159,7 +173,7 @@
     if (!events.empty())
         this->forwardEvents(events);
     else if (this->eventStream.fault == StreamFault::None)
-        this->channel->resumeReading();
+        this->attempt.channel->resumeReading();
     if (this->eventStream.fault != StreamFault::None && this->hasActiveAttempt())
         this->abandonAttempt(AttemptResult::Malformed);
 }
@@ -167,10 +181,10 @@
 // Forwards events to the caller. The next ones are read only after the caller's connection has taken these (backpressure).
 void ProxiedRequest::forwardEvents(const std::string& events)
 {
-    auto onSent = [weak = this->weak_from_this(), sender = std::weak_ptr<HttpChannel>(this->channel)] {
+    auto onSent = [weak = this->weak_from_this(), sender = std::weak_ptr<HttpChannel>(this->attempt.channel)] {
         auto self = weak.lock();
         auto openChannel = sender.lock();
-        if (self && openChannel && self->channel == openChannel)
+        if (self && openChannel && self->attempt.channel == openChannel)
             openChannel->resumeReading();
     };
     if (this->hasResponseStarted) {
@@ -178,10 +192,10 @@
         return;
     }
     this->hasResponseStarted = true;
-    this->startedStatus = this->responseHead.status;
-    this->startedContentType = findHeader(this->responseHead.headers, contentTypeHeader);
+    this->startedStatus = this->attempt.responseHead.status;
+    this->startedContentType = findHeader(this->attempt.responseHead.headers, contentTypeHeader);
     this->timeToFirstByte = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
-    this->exchange->startResponse(this->responseHead.status, forwardableHeaders(this->responseHead.headers), events, onSent);
+    this->exchange->startResponse(this->attempt.responseHead.status, forwardableHeaders(this->attempt.responseHead.headers), events, onSent);
 }
 
 // Whether the attempt's response can be a part of what the caller is sent: once a stream has begun, it goes on only with one of the
@@ -190,8 +204,8 @@
 {
     if (!this->hasResponseStarted)
         return true;
-    bool hasSameType = findHeader(this->responseHead.headers, contentTypeHeader) == this->startedContentType;
-    return hasSameType && this->responseHead.status == this->startedStatus;
+    bool hasSameType = findHeader(this->attempt.responseHead.headers, contentTypeHeader) == this->startedContentType;
+    return hasSameType && this->attempt.responseHead.status == this->startedStatus;
 }
 
 } // namespace bilberry
--- a/src/ProxiedRequestEnd.cpp
+++ b/src/ProxiedRequestEnd.cpp
@@ -25,25 +25,25 @@
 bool ProxiedRequest::mayHaveLostAllEvents() const
 {
     bool hasEvents = this->eventStream.hasEvents || this->callerRequest.lastEventId;
-    return this->route->kind == RequestKind::Stream && !hasEvents && this->channel->endedWithConnection();
+    return this->route->kind == RequestKind::Stream && !hasEvents && this->attempt.channel->endedWithConnection();
 }
 
 AttemptResult ProxiedRequest::resultOfWholeResponse() const
 {
     // An answer to another request says nothing about this one, not even that it hasn't run.
-    bool isForOtherRequest = !this->endpointReply.requestId.empty() && this->endpointReply.requestId != this->callerRequest.id;
+    bool isForOtherRequest = !this->attempt.endpointReply.requestId.empty() && this->attempt.endpointReply.requestId != this->callerRequest.id;
     if (isForOtherRequest)
         return AttemptResult::Malformed;
     // One without an ID may be an earlier answer that was written again.
-    if (this->endpointReply.isNotExecuted)
-        return this->endpointReply.requestId.empty() ? AttemptResult::Malformed : AttemptResult::NotExecuted;
+    if (this->attempt.endpointReply.isNotExecuted)
+        return this->attempt.endpointReply.requestId.empty() ? AttemptResult::Malformed : AttemptResult::NotExecuted;
     if (!this->mayJoinStartedResponse())
         return AttemptResult::Malformed;
-    if (this->responseHead.status < 300) {
-        bool isSuccess = isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest) && !this->mayHaveLostAllEvents();
+    if (this->attempt.responseHead.status < 300) {
+        bool isSuccess = isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest) && !this->mayHaveLostAllEvents();
         return isSuccess ? AttemptResult::Answered : AttemptResult::Malformed;
     }
-    bool hasFailed = this->responseHead.status >= 500 || promisesNotExecuted(this->responseHead.status);
+    bool hasFailed = this->attempt.responseHead.status >= 500 || promisesNotExecuted(this->attempt.responseHead.status);
     return hasFailed ? AttemptResult::ServerError : AttemptResult::Answered;
 }
 
@@ -67,21 +67,21 @@
 {
     auto result = this->attemptResult(end);
     bool dependsOnEnd = result != AttemptResult::Lost && result != AttemptResult::NotExecuted;
-    if (!dependsOnEnd || !this->channel->endedWithConnection()) {
+    if (!dependsOnEnd || !this->attempt.channel->endedWithConnection()) {
         this->endAttempt(result);
         return;
     }
-    this->answerEnd = AnswerEnd { result, Clock::now() };
+    this->attempt.answerEnd = AnswerEnd { result, Clock::now() };
     this->verifyEnd();
 }
 
 void ProxiedRequest::verifyEnd()
 {
-    const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    this->node.livenessChecks.check(this->endpointId, endpoint.record.address, [weak = this->weak_from_this(), ended = std::weak_ptr<HttpChannel>(this->channel)](ProbeResult probe) {
+    const auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
+    this->node.livenessChecks.check(this->attempt.endpointId, endpoint.record.address, [weak = this->weak_from_this(), ended = std::weak_ptr<HttpChannel>(this->attempt.channel)](ProbeResult probe) {
         auto self = weak.lock();
         auto endedChannel = ended.lock();
-        if (self && endedChannel && self->channel == endedChannel)
+        if (self && endedChannel && self->attempt.channel == endedChannel)
             self->onEndProbed(probe);
     });
 }
@@ -95,17 +95,17 @@
 
 void ProxiedRequest::onEndProbed(ProbeResult probe)
 {
-    ++this->answerEnd.probes;
-    const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    bool isRunKnown = this->endpointStartedAt != WallTime();
-    bool hasRestarted = isRunKnown && endpoint.statement.startedAt > this->endpointStartedAt;
-    auto verdict = judgeAnswerEnd(this->answerEnd, { probe, hasRestarted, endpoint.lastHeardAt, this->mayRunAgain() });
+    ++this->attempt.answerEnd.probes;
+    const auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
+    bool isRunKnown = this->attempt.endpointStartedAt != WallTime();
+    bool hasRestarted = isRunKnown && endpoint.statement.startedAt > this->attempt.endpointStartedAt;
+    auto verdict = judgeAnswerEnd(this->attempt.answerEnd, { probe, hasRestarted, endpoint.lastHeardAt, this->mayRunAgain() });
     if (verdict != EndVerdict::LivesOn)
-        this->node.log.write(LogLevel::Info, "answer_end_uncertain", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "probe", toText(probe) }, { "restarted", hasRestarted }, { "probes", this->answerEnd.probes } });
+        this->node.log.write(LogLevel::Info, "answer_end_uncertain", { { "request", this->callerRequest.id }, { "endpoint", this->attempt.endpointId }, { "probe", toText(probe) }, { "restarted", hasRestarted }, { "probes", this->attempt.answerEnd.probes } });
     if (verdict == EndVerdict::ProbeAgain)
         this->verifyEnd();
     else
-        this->endAttempt(resultOfEndedAnswer(verdict, this->answerEnd.result));
+        this->endAttempt(resultOfEndedAnswer(verdict, this->attempt.answerEnd.result));
 }
 
 void ProxiedRequest::endAttempt(AttemptResult result)
@@ -122,14 +122,14 @@
     noteReleasedParts(this->node.promptSuspects, parts);
     if (parts.empty())
         return;
-    bool hasEvents = this->firstEventAt != TimePoint();
+    bool hasEvents = this->attempt.firstEventAt != TimePoint();
     // The loss itself may be seen late, so that only events count.
-    bool hasRunOn = hasEvents && this->lastReceivedAt - this->firstEventAt >= maxCrashDelay;
+    bool hasRunOn = hasEvents && this->attempt.lastReceivedAt - this->attempt.firstEventAt >= maxCrashDelay;
     bool isStream = this->route->kind == RequestKind::Stream;
     bool hasBegun = hasEvents || !isStream;
     if (result == AttemptResult::Lost && !hasRunOn)
-        reportSuspectParts(this->node, parts, runHash(this->endpointId, this->endpointStartedAt), now);
-    else if (result == AttemptResult::Answered && hasBegun && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest))
+        reportSuspectParts(this->node, parts, runHash(this->attempt.endpointId, this->attempt.endpointStartedAt), now);
+    else if (result == AttemptResult::Answered && hasBegun && isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest))
         reportAnsweredParts(this->node, parts, now);
 }
 
@@ -142,17 +142,17 @@
     }
     recordLostParts(endpoint.losses, this->callerRequest.sharedPromptParts, now);
     recordLoss(endpoint.losses, this->fingerprint, now);
-    endpoint.losses.runStartedAt = this->endpointStartedAt;
+    endpoint.losses.runStartedAt = this->attempt.endpointStartedAt;
 }
 
 // Releases the endpoint's capacity and the connection, and records what the attempt revealed about the endpoint.
 void ProxiedRequest::releaseEndpoint(AttemptResult result, TimePoint now)
 {
-    auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
+    auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
     --endpoint.inFlight;
-    bool hasBegun = this->responseHead.status != 0;
+    bool hasBegun = this->attempt.responseHead.status != 0;
     if (!hasBegun)
-        recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
+        recordResponseBegin(endpoint.responseDelay, this->attempt.startedAt, now);
     this->node.hasChangesForPeers = true;
     this->notePartsOfEndedAttempt(result, now);
     if (result == AttemptResult::Answered)
@@ -161,34 +161,34 @@
         this->noteLoss(endpoint, result, now);
     if (needsProbe(endpoint.losses, endpoint.inFlight, endpoint.lastHeardAt))
         verifyLosses(this->node, endpoint);
-    bool isAddressReused = result == AttemptResult::NotExecuted && !this->endpointReply.endpointId.empty() && this->endpointReply.endpointId != this->endpointId;
+    bool isAddressReused = result == AttemptResult::NotExecuted && !this->attempt.endpointReply.endpointId.empty() && this->attempt.endpointReply.endpointId != this->attempt.endpointId;
     if (isAddressReused) {
         // Another endpoint now has this address, so the endpoint list is out of date.
         endpoint.listedUntil = now;
-        this->node.channels.closeIdleChannels(this->endpointId);
+        this->node.channels.closeIdleChannels(this->attempt.endpointId);
     }
     // An engine that names itself and yet doesn't take a request that is meant for it holds no weights to run it with.
-    bool isSwitching = result == AttemptResult::NotExecuted && !isAddressReused && this->responseHead.status == httpStatusMisdirected && endpoint.record.isModelEngine;
+    bool isSwitching = result == AttemptResult::NotExecuted && !isAddressReused && this->attempt.responseHead.status == httpStatusMisdirected && endpoint.record.isModelEngine;
     if (isSwitching)
         reportSwitchingEngine(this->node, endpoint, now);
     if (result == AttemptResult::NotSent)
         endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + connectFailureBackoff);
     // An endpoint that answers other requests has queued a silent one, or has lost its answer.
-    bool isAliveAndSilent = result == AttemptResult::Silent && endpoint.lastHeardAt > this->lastReceivedAt;
+    bool isAliveAndSilent = result == AttemptResult::Silent && endpoint.lastHeardAt > this->attempt.lastReceivedAt;
     if (result == AttemptResult::Answered)
         noteOutcome(endpoint, true, now);
     else if (result == AttemptResult::NotExecuted)
         endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + refusalBackoff);
     else if (result != AttemptResult::TimedOut && !isAliveAndSilent)
         noteOutcome(endpoint, false, now);
-    this->node.channels.releaseChannel(this->endpointId, std::move(this->channel));
-    this->channel = nullptr;
-    this->endpointRow = noEndpoint;
+    this->node.channels.releaseChannel(this->attempt.endpointId, std::move(this->attempt.channel));
+    this->attempt.channel = nullptr;
+    this->attempt.endpointRow = noEndpoint;
 }
 
 void ProxiedRequest::abandonAttempt(AttemptResult result)
 {
-    this->channel->close();
+    this->attempt.channel->close();
     this->endAttempt(result);
 }
 
