Give each process test a block of ports that nothing else takes

Cause: a test chose a port by binding to port 0 and closing it; until the process took the port, another test or an outgoing connection could get it (seen once: Address already in use). Change: ports come from a block below the range of outgoing connections, which the test holds by a bound socket until it ends. A fork of a test takes a block of its own; threads take ports under a lock.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
@@ -13,18 +12,12 @@
 
 import harness
 import platform_standin
+import test_ports
 
 KEY = "key-of-acme"
 HOST = "service.example"
 
 
-def free_port():
-    """A port that is free on all addresses: tests that run beside each other use the same addresses for their entries."""
-    with socket.socket() as probe:
-        probe.bind(("", 0))
-        return probe.getsockname()[1]
-
-
 class Node:
     """One bilberrynode. Its log lines are read unless `reads_log` is false."""
 
@@ -60,7 +53,7 @@
     def __init__(self, build):
         self.build = build
         self.folder = tempfile.mkdtemp(prefix="bilberry-platform-")
-        self.peer_port = free_port()
+        self.peer_port = test_ports.free_port()
         self.store = platform_standin.Store()
         self.nodes = []
         self.stand_ins = [self.store]
@@ -109,8 +102,8 @@
 
     def start_entry(self, number=1, reads_log=True, **more):
         ip = f"127.0.1.{number}"
-        flags = {"role": "entry", "vm": f"entry-{number}", "data_centre": "dc-a", "data_centres": "dc-a=north,dc-b=south", "listen": f"{ip}:{free_port()}", "ready_listen": f"{ip}:{free_port()}",
-                 "metrics_listen": f"{ip}:{free_port()}", "ip": ip, "peer_ports": self.peer_port, "seeds": "127.0.1.1:1,127.0.1.2:1", "store": self.store.address, "repeat_extra": 400, **more}
+        flags = {"role": "entry", "vm": f"entry-{number}", "data_centre": "dc-a", "data_centres": "dc-a=north,dc-b=south", "listen": f"{ip}:{test_ports.free_port()}", "ready_listen": f"{ip}:{test_ports.free_port()}",
+                 "metrics_listen": f"{ip}:{test_ports.free_port()}", "ip": ip, "peer_ports": self.peer_port, "seeds": "127.0.1.1:1,127.0.1.2:1", "store": self.store.address, "repeat_extra": 400, **more}
         node = Node(self, f"entry-{number}", flags, reads_log)
         self.nodes.append(node)
         return node
--- a/tests/process_platform_settings.py
+++ b/tests/process_platform_settings.py
@@ -8,6 +8,7 @@
 
 import harness
 import platform_fleet
+import test_ports
 
 GOOD = {"role": "entry", "vm": "v", "data_centre": "a", "data_centres": "a=r", "ready_listen": "127.0.0.1:0", "store": "127.0.0.1:1", "ip": "127.0.0.1"}
 
@@ -21,7 +22,7 @@
 
 def main():
     build = harness.parse_arguments(__doc__).build
-    port = platform_fleet.free_port()
+    port = test_ports.free_port()
     good = {**GOOD, "listen": f"127.0.0.1:{port}"}
     rows = [
         ({"role": "x"}, "--role"), ({"vm": ""}, "--vm"), ({"data_centre": "b"}, "--data_centre"), ({"data_centres": "a"}, "--data_centres"), ({"listen": "nowhere"}, "--listen"),
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -1,15 +1,9 @@
 """Many endpoints of one model, each behind a link of its own that paces and cuts."""
 
 import json
-import socket
 
 import harness
-
-
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+import test_ports
 
 
 class LinkedFleet(harness.Fleet):
@@ -37,7 +31,7 @@
 
     def start_daemon(self, name, listen_port=0):
         row = self.vm(name)
-        process = super().start_daemon(name, listen_port or free_port(self.host(row)))
+        process = super().start_daemon(name, listen_port or test_ports.free_port())
         if row.get("role") != "entry":
             link = self.standin(f"{name}.link", "link", self.host(row), f"--target={process.address}", f"--bytes_per_second={self.link_rate}")
             row["address"] = link.address
