--- a/src/Ctl.cpp
+++ b/src/Ctl.cpp
@@ -17,12 +17,13 @@
     const char* usage;
 };
 
-constexpr std::array<Command, 5> commands { {
+constexpr std::array<Command, 6> commands { {
     { "check", runCheck, checkUsage },
     { "plan", runPlan, planUsage },
     { "status", runStatus, statusUsage },
     { "explain", runExplain, explainUsage },
     { "burn", runBurn, burnUsage },
+    { "route", runRoute, routeUsage },
 } };
 
 constexpr char usagePreamble[] = "bilberryctl: operators' commands of bilberrybarrow\n\n"
@@ -66,7 +67,7 @@
     for (const auto& fault : line.faults)
         std::fprintf(stderr, "bilberryctl: %s\n", fault.c_str());
     if (!command || !line.faults.empty()) {
-        std::fputs("usage: bilberryctl check|plan|status|explain|burn ...; --help shows each\n", stderr);
+        std::fputs("usage: bilberryctl check|plan|status|explain|burn|route ...; --help shows each\n", stderr);
         return exitUsage;
     }
     return command->run(CtlArguments(line.positional.begin() + 1, line.positional.end()));
--- a/src/CtlCommands.h
+++ b/src/CtlCommands.h
@@ -28,12 +28,14 @@
 int runStatus(const CtlArguments&);
 int runExplain(const CtlArguments&);
 int runBurn(const CtlArguments&);
+int runRoute(const CtlArguments&);
 
 extern const char checkUsage[];
 extern const char planUsage[];
 extern const char statusUsage[];
 extern const char explainUsage[];
 extern const char burnUsage[];
+extern const char routeUsage[];
 
 /// Writes each line of the message to standard error after the command's name. Returns `exitCode`.
 int reportCommandError(const char* command, const std::string& message, int exitCode);
--- a/src/CtlNodes.cpp
+++ b/src/CtlNodes.cpp
@@ -14,7 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-DEFINE_string(metrics, "", "status and burn of entries and agents: comma-separated IP:port of their metrics listeners, or files with a metrics page");
+DEFINE_string(metrics, "", "status and burn of entries and agents, and route: comma-separated IP:port of their metrics listeners, or files with a metrics page");
 DEFINE_string(earlier, "", "burn: files with earlier metrics pages, in the order of --metrics, used instead of a first reading and a wait of --interval_ms");
 DEFINE_double(objective, 0.999, "burn of entries: share of requests that should be answered, above 0 and below 1");
 DECLARE_int32(interval_ms);
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -57,39 +57,96 @@
     return static_cast<double>(recent + 1) <= rate;
 }
 
-// Whether the endpoint may run such requests, whatever it has stated about itself and however it has answered lately.
-static bool isInService(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+std::string_view toText(Exclusion exclusion)
+{
+    switch (exclusion) {
+    case Exclusion::None:
+        return "none";
+    case Exclusion::NotListed:
+        return "not_listed";
+    case Exclusion::Draining:
+        return "draining";
+    case Exclusion::DataCentreOut:
+        return "data_centre_out";
+    case Exclusion::RegionNotAllowed:
+        return "region_not_allowed";
+    case Exclusion::NoWeights:
+        return "no_weights";
+    case Exclusion::SupersededWeights:
+        return "superseded_weights";
+    case Exclusion::Failing:
+        return "failing";
+    case Exclusion::SetAside:
+        return "set_aside";
+    case Exclusion::Switching:
+        return "switching";
+    case Exclusion::Withheld:
+        return "withheld";
+    case Exclusion::Tried:
+        return "tried";
+    case Exclusion::Cold:
+        return "cold";
+    }
+    return "none";
+}
+
+// Why an engine's weights don't allow the request; Exclusion::None if they do.
+static Exclusion weightExclusion(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
+{
+    uint32_t version = servedVersion(row.record, requirements.model, requirements.modelLayers);
+    if (version == 0)
+        return Exclusion::NoWeights;
+    if (version < requirements.minWeightVersion)
+        return Exclusion::SupersededWeights;
+    bool isSuperseded = requirements.namedVersions && supersededAt(*requirements.namedVersions, version) != BootTimePoint::max();
+    bool canBegin = !isSuperseded || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
+    return canBegin ? Exclusion::None : Exclusion::SupersededWeights;
+}
+
+// Why the endpoint may not run such requests, whatever it has stated about itself and however it has answered lately.
+static Exclusion serviceExclusion(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
     const auto& record = row.record;
-    bool isListed = row.isListed && now < row.listedUntil && !record.isDraining && record.service == requirements.service;
-    if (!isListed || now < row.heldUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
-        return false;
+    if (!row.isListed || now >= row.listedUntil || now < row.heldUntil || record.service != requirements.service)
+        return Exclusion::NotListed;
+    if (record.isDraining)
+        return Exclusion::Draining;
+    if (evacuatedDataCentres.count(record.dataCentre) != 0)
+        return Exclusion::DataCentreOut;
     auto region = regionOfDataCentre(location, record.dataCentre);
     if (!isRegionAllowed(requirements.routeRegions, region) || !isRegionAllowed(requirements.accountRegions, region))
-        return false;
-    if (!record.isModelEngine)
-        return true;
-    uint32_t version = servedVersion(record, requirements.model, requirements.modelLayers);
-    if (version == 0 || version < requirements.minWeightVersion)
-        return false;
-    bool isSuperseded = requirements.namedVersions && supersededAt(*requirements.namedVersions, version) != BootTimePoint::max();
-    return !isSuperseded || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
+        return Exclusion::RegionNotAllowed;
+    return record.isModelEngine ? weightExclusion(row, requirements, now) : Exclusion::None;
+}
+
+Exclusion exclusionOf(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+{
+    if (now < row.avoidUntil)
+        return Exclusion::Failing;
+    if (isSetAside(row.statement, now))
+        return Exclusion::SetAside;
+    if (row.record.isModelEngine && now < row.weightSwitchUntil)
+        return Exclusion::Switching;
+    if (row.record.isModelEngine && isWithheld(row.withholding, row.record, now))
+        return Exclusion::Withheld;
+    auto exclusion = serviceExclusion(row, requirements, location, evacuatedDataCentres, now);
+    if (exclusion != Exclusion::None)
+        return exclusion;
+    if (contains(requirements.triedEndpointIds, row.record.id))
+        return Exclusion::Tried;
+    return isWithinColdRate(row, requirements.maxColdRate, now) ? Exclusion::None : Exclusion::Cold;
 }
 
 bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
-    if (now < row.avoidUntil || isSetAside(row.statement, now) || (row.record.isModelEngine && (now < row.weightSwitchUntil || isWithheld(row.withholding, row.record, now))))
-        return false;
-    if (!isInService(row, requirements, location, evacuatedDataCentres, now))
-        return false;
-    return !contains(requirements.triedEndpointIds, row.record.id) && isWithinColdRate(row, requirements.maxColdRate, now);
+    return exclusionOf(row, requirements, location, evacuatedDataCentres, now) == Exclusion::None;
 }
 
 std::optional<TimePoint> allSetAsideUntil(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
     std::optional<TimePoint> earliest;
     for (const auto& row : table.rows) {
-        if (!isInService(row, requirements, location, evacuatedDataCentres, now))
+        if (serviceExclusion(row, requirements, location, evacuatedDataCentres, now) != Exclusion::None)
             continue;
         if (isSetAside(row.statement, now)) {
             auto until = row.statement.isLeaving ? TimePoint::max() : row.statement.noRequestsUntil;
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberry {
@@ -55,6 +56,29 @@
 /// Largest number of requests that may be in flight at the endpoint at a time. Thread safe.
 double concurrencyLimit(const EndpointRecord&);
 
+/// Why an endpoint can't run a request.
+enum class Exclusion : uint8_t {
+    None,
+    NotListed, ///< It is no longer listed for the service.
+    Draining,
+    DataCentreOut, ///< Operators have taken its data centre out.
+    RegionNotAllowed, ///< The route or the account doesn't allow its region.
+    NoWeights, ///< It doesn't hold all layers of the model.
+    SupersededWeights, ///< The request could begin too late on weights that a named version supersedes.
+    Failing, ///< It is avoided after failed attempts.
+    SetAside, ///< It has stated that it leaves or wants no requests.
+    Switching, ///< It is switching to other weights.
+    Withheld, ///< Its agent keeps requests away.
+    Tried, ///< The request was sent to it before.
+    Cold, ///< It is cold and has got as many requests in the last second as it may.
+};
+
+/// Name of the reason for operators. Thread safe.
+std::string_view toText(Exclusion);
+
+/// Returns the first reason why the endpoint can't run the request, whether or not it has free capacity. Thread safe.
+Exclusion exclusionOf(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
+
 /// Whether the endpoint could run the request if it had free capacity. Thread safe.
 bool isEligible(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "EntryNode.h"
 
 #include "EntryCrashes.h"
+#include "EntryExplain.h"
 #include "EntryStatements.h"
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
@@ -311,8 +313,24 @@
         {}, {});
 }
 
+// Answers an operator's question where a request would go.
+static void answerRouteQuestion(EntryNode& node, const std::shared_ptr<ServerExchange>& exchange)
+{
+    auto question = parseRouteQuestion(exchange->request().path);
+    auto report = question.ok() ? explainRoute(node, *question, Clock::now()) : absl::StatusOr<RouteReport>(question.status());
+    if (report.ok())
+        exchange->sendResponse(200, { { "Content-Type", "application/json" } }, toJson(*report).dump());
+    else
+        exchange->sendResponse(absl::IsNotFound(report.status()) ? 404 : 400, { { "Content-Type", "text/plain" } }, std::string(report.status().message()));
+}
+
 void EntryNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
 {
+    const auto& target = exchange->request().path;
+    if (target.substr(0, target.find('?')) == routeQuestionPath) {
+        answerRouteQuestion(*this, exchange);
+        return;
+    }
     updateProcessMetrics(this->metrics);
     this->metrics.setGauge("bilberry_belief_age_seconds", std::chrono::duration<double>(ageOf(this->clusterView, BootClock::now())).count());
     this->metrics.setGauge("bilberry_requests_in_progress", static_cast<double>(this->activeRequests.size()));
--- a/src/ProcessClient.cpp
+++ b/src/ProcessClient.cpp
@@ -56,6 +56,20 @@
     return reply.body;
 }
 
+absl::StatusOr<std::string> fetchPage(const std::string& address, const std::string& target)
+{
+    auto reply = sendToProcess(address, { "GET", target, {}, {} });
+    if (reply.failure != CallFailure::None)
+        return makeUnreachableError(address, "did not answer");
+    if (reply.status == 404)
+        return absl::NotFoundError(reply.body);
+    if (reply.status == 400)
+        return absl::InvalidArgumentError(reply.body);
+    if (reply.status != 200)
+        return makeUnreachableError(address, "refused the question");
+    return reply.body;
+}
+
 absl::StatusOr<ProcessStatus> fetchStatus(const std::string& address)
 {
     auto answer = callProcess(address, "status", json::object());
--- a/src/ProcessClient.h
+++ b/src/ProcessClient.h
@@ -16,6 +16,10 @@
 /// Thread safe.
 absl::StatusOr<nlohmann::json> callProcess(const std::string& address, const std::string& method, const nlohmann::json& parameters);
 
+/// Fetches a page of the process. Errors: NotFound and InvalidArgument with the process's explanation, Unavailable if it didn't
+/// answer. Thread safe.
+absl::StatusOr<std::string> fetchPage(const std::string& address, const std::string& target);
+
 /// Fetches the process's metrics in the Prometheus text format. Thread safe.
 absl::StatusOr<std::string> fetchMetrics(const std::string& address);
 
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -2,6 +2,8 @@
 
 #include "EntryCrashes.h"
 #include "EntryNode.h"
+#include "EntryRequirements.h"
+#include "RefusalDelays.h"
 #include "ServerExchange.h"
 #include "VersionSwitch.h"
 
@@ -15,10 +17,6 @@
 static constexpr Milliseconds maxConfigurationWait { 500 };
 // Longest time that a request which has already missed its target latency waits in the queue.
 static constexpr Milliseconds maxLateQueueWait { 400 };
-// Retry-After delay for a request that is refused because the entry has no configuration.
-static constexpr Milliseconds noConfigurationRetryAfter { 200 };
-// Retry-After delay for a request that is blocked because it crashes endpoints.
-static constexpr Milliseconds crashingRequestRetryAfter { 60'000 };
 
 ProxiedRequest::ProxiedRequest(EntryNode& node, uint64_t number, std::shared_ptr<ServerExchange> exchange)
     : node(node)
@@ -90,32 +88,6 @@
         this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
-// Chooses one of the route's services at random in proportion to the weights. Services without endpoints are left out; if no
-// service remains, the first one is chosen.
-static std::string chooseService(const RouteRule& route, const EndpointTable& endpoints, double random)
-{
-    auto hasEndpoints = [&](const ServiceShare& share) {
-        return std::any_of(endpoints.rows.begin(), endpoints.rows.end(), [&](const EndpointRow& row) { return row.isListed && row.record.service == share.service; });
-    };
-    std::vector<const ServiceShare*> usable;
-    double total = 0;
-    for (const auto& share : route.services) {
-        if (share.weight <= 0 || (route.services.size() > 1 && !hasEndpoints(share)))
-            continue;
-        usable.push_back(&share);
-        total += share.weight;
-    }
-    if (usable.empty())
-        return route.services.front().service;
-    double point = random * total;
-    for (const auto* share : usable) {
-        point -= share->weight;
-        if (point < 0)
-            return share->service;
-    }
-    return usable.back()->service;
-}
-
 // Checks the request against the configuration and collects what it requires of an endpoint. Returns false if it was refused.
 bool ProxiedRequest::admitRequest(TimePoint now)
 {
@@ -152,7 +124,7 @@
         return false;
     }
     if (this->account && !knowsRevocations(this->node, BootClock::now())) {
-        this->refuseRequest(503, "revocations_unknown", Milliseconds(1000));
+        this->refuseRequest(503, "revocations_unknown", revocationsUnknownRetryAfter);
         return false;
     }
     this->fingerprint = requestFingerprint(request.method, request.path, this->account ? this->account->name : std::string(), request.body);
@@ -169,45 +141,13 @@
     // 4. Collect what the request requires of an endpoint.
     this->rank = rankOf(*this->route, this->account);
     double random = std::uniform_real_distribution<double>(0, 1)(this->node.random);
-    this->requirements.service = chooseService(*this->route, this->node.clusterView.endpoints, random);
-    this->service = findService(*this->routes, this->requirements.service);
-    this->requirements.model = this->callerRequest.model;
-    if (this->service) {
-        for (const auto& model : this->service->models)
-            this->requirements.modelLayers = model.name == this->requirements.model ? model.layerCount : this->requirements.modelLayers;
-        const auto& bounds = this->node.settings.reloadable;
-        if (this->service->maxColdRate > 0)
-            this->requirements.maxColdRate = (this->service->maxColdRate * bounds.coldRateFactor + bounds.coldRateAllowance) / entryCount(this->node);
-    }
-    this->requirements.routeRegions = &this->route->regions;
-    this->requirements.accountRegions = this->account ? &this->account->regions : nullptr;
+    auto chosen = chooseService(*this->route, this->node.clusterView.endpoints, random);
+    this->service = findService(*this->routes, chosen);
+    this->requirements = requirementsOf(this->node, { *this->route, this->account, this->service }, chosen, this->callerRequest.model);
     this->eventStream.lastEventId = this->callerRequest.lastEventId;
     return true;
 }
 
-static uint32_t requiredWeightVersion(const EntryNode& node, const std::string& model, BootTimePoint now)
-{
-    auto found = node.clusterView.namedVersions.find(model);
-    return found == node.clusterView.namedVersions.end() ? 0 : oldestAllowedVersion(found->second, node.settings.reloadable.maxVersionSwitchTime, now);
-}
-
-BootTimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
-{
-    auto found = node.clusterView.namedVersions.find(requirements.model);
-    if (!endpoint.record.isModelEngine || found == node.clusterView.namedVersions.end())
-        return BootTimePoint::max();
-    auto held = servedVersion(endpoint.record, requirements.model, requirements.modelLayers);
-    return mustBeginBy(found->second, held, node.settings.reloadable.maxVersionSwitchTime);
-}
-
-std::optional<uint32_t> ProxiedRequest::weightVersionToRequire(const EndpointRow& endpoint) const
-{
-    auto found = this->node.clusterView.namedVersions.find(this->requirements.model);
-    if (!endpoint.record.isModelEngine || found == this->node.clusterView.namedVersions.end())
-        return std::nullopt;
-    return versionToRequire(found->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers));
-}
-
 // Whether a second run does no harm. Another run can't continue a stream whose events have no IDs.
 bool ProxiedRequest::mayRunAgain() const
 {
@@ -240,7 +180,7 @@
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
-    this->updateRequirements();
+    updateRequirements(this->node, this->requirements);
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
@@ -259,19 +199,6 @@
         countRankDispatch(this->node.rankDemands[this->requirements.service], this->rank, now);
 }
 
-// Brings what the request requires of an endpoint up to date with what the entry knows.
-void ProxiedRequest::updateRequirements()
-{
-    this->requirements.entryCount = entryCount(this->node);
-    this->requirements.nearEntryCount = nearEntryCount(this->node);
-    this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
-    this->requirements.bootNow = BootClock::now();
-    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
-    auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
-    this->requirements.namedVersions = named == this->node.clusterView.namedVersions.end() ? nullptr : &named->second;
-    this->requirements.maxVersionSwitchTime = this->node.settings.reloadable.maxVersionSwitchTime;
-}
-
 // Whether the request can no longer be answered within its target latency.
 bool ProxiedRequest::hasMissedTarget(TimePoint now) const
 {
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -26,9 +26,6 @@
 /// presence is checked), and has this request's ID. Thread safe.
 bool isSuccessForRequest(const ResponseHead&, const EndpointReply&, const CallerRequest&);
 
-/// Returns when a request that is at the endpoint and hasn't begun there must be taken back. Thread safe.
-BootTimePoint beginDeadline(const EntryNode&, const EndpointRow&, const EndpointRequirements&);
-
 /// Handles one request. It is used by the event loop's thread only, and the node's table of requests in progress holds it
 /// until it finishes.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
@@ -71,12 +68,10 @@
     bool isReturning() const { return this->firstArrivedAt < this->arrivedAt; }
     bool hasMissedTarget(TimePoint now) const;
     RequestRank currentRank(TimePoint now) const;
-    void updateRequirements();
     void noteFirstDispatch(TimePoint now);
     void startAttempt(uint32_t row, TimePoint now);
     ResponseHandlers makeHandlers();
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
-    std::optional<uint32_t> weightVersionToRequire(const EndpointRow&) const;
     ResponseDisposition onResponseHead(const ResponseHead&);
     void onBodyChunk(const std::string& chunk);
     void onStreamChunk(const std::string& chunk);
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -3,6 +3,7 @@
 
 #include "EntryCrashes.h"
 #include "EntryNode.h"
+#include "EntryRequirements.h"
 #include "EntryStatements.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
@@ -40,7 +41,7 @@
     fields.endpointId = endpoint.record.id;
     fields.account = this->account ? this->account->name : std::string();
     fields.lastEventId = this->eventStream.lastEventId;
-    fields.weightVersion = this->weightVersionToRequire(endpoint);
+    fields.weightVersion = weightVersionToRequire(this->node, endpoint, this->requirements);
     HttpRequest request;
     request.method = received.method;
     request.path = received.path;
--- a/src/ProxiedRequestHedge.cpp
+++ b/src/ProxiedRequestHedge.cpp
@@ -3,6 +3,7 @@
 /// attempt, it takes the place of the current one.
 
 #include "EntryNode.h"
+#include "EntryRequirements.h"
 #include "ProxiedRequest.h"
 #include "ServerExchange.h"
 
@@ -74,7 +75,7 @@
 // Returns the row of an endpoint that has room for a second attempt; noEndpoint if there is none.
 uint32_t ProxiedRequest::chooseSecondEndpoint(TimePoint now)
 {
-    this->updateRequirements();
+    updateRequirements(this->node, this->requirements);
     auto second = this->requirements;
     second.triedEndpointIds.push_back(this->attempt.endpointId);
     const auto& view = this->node.clusterView;
@@ -113,7 +114,7 @@
     // The load is only added up for a request that is late.
     if (delays == this->node.answerDelays.end() || !shouldHedge(context, limits, delays->second))
         return;
-    this->updateRequirements();
+    updateRequirements(this->node, this->requirements);
     context.loadShare = loadShareOf(this->node, this->requirements, now);
     if (!shouldHedge(context, limits, delays->second) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return;
