Give each engine of ranked routes a home entry, so that all entries together keep to its slots

Cause: entries hear of each other's requests late (about 150 ms under load), so several of them take the same free slot in the same milliseconds; and what an engine's statement lacks was taken off twice once the other entries told of the same ends. The requests too many wait in the engine's queue, where nobody can take them back.

Change: EngineShare. Each engine has one home entry among the entries of its data centre that are heard (rendezvous order, numbers of engines balanced). The home fills the engine; guests leave a reserve that grows with their position and tell of each request before they send the next; a request that takes the place of one that has ended needs no reserve. A new home is a guest for 0.8 s. An engine whose home isn't heard and may be alive is used to half of its limit unless it states its load. No message is added. Only for services that routes of different priority share; all others are chosen as before.

--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -22,6 +22,8 @@
 // Number of entries of other regions that use an engine, and the least number of such engines that an entry uses.
 static constexpr double entriesPerFarEngine = 6;
 static constexpr size_t minFarEngines = 2;
+// The same number where entries keep to their parts in the engines.
+static constexpr double entriesPerSharedFarEngine = 3;
 // Number of endpoints of each distance that are drawn at random and compared.
 static constexpr size_t sampledEndpointsPerDistance = 2;
 
@@ -160,16 +162,27 @@
     return count;
 }
 
+// Moves the engines that this entry is home to, and endpoints that aren't engines, to the front; returns their end.
+static std::vector<EndpointCandidate>::iterator bringHomeToFront(std::vector<EndpointCandidate>& candidates, const EndpointTable& table)
+{
+    auto isHome = [&](const EndpointCandidate& candidate) {
+        const auto& row = table.rows[candidate.row];
+        return !row.record.isModelEngine || row.share.position == 0;
+    };
+    return std::stable_partition(candidates.begin(), candidates.end(), isHome);
+}
+
 // Divides the engines among the entries. In the own data centre, an entry prefers some. Of those of other regions, it uses only
 // some: the loads there are known late, and if all entries chose among the same few free engines, they would overload them.
 static void divideEngines(std::array<std::vector<EndpointCandidate>, distancePenalties.size()>& candidates, const EndpointTable& table, const EndpointRequirements& requirements)
 {
     auto& near = candidates[PreferredNear];
-    auto preferred = near.begin() + static_cast<ptrdiff_t>(bringOwnShareToFront(near, table, requirements, entriesPerNearEngine, requirements.nearEntryCount, minNearEngines));
+    auto preferred = requirements.sharesEngines ? bringHomeToFront(near, table) : near.begin() + static_cast<ptrdiff_t>(bringOwnShareToFront(near, table, requirements, entriesPerNearEngine, requirements.nearEntryCount, minNearEngines));
     candidates[OtherNear].assign(preferred, near.end());
     near.erase(preferred, near.end());
     auto& far = candidates[OtherRegion];
-    far.resize(bringOwnShareToFront(far, table, requirements, entriesPerFarEngine, requirements.entryCount, minFarEngines));
+    double entriesPerEngine = requirements.sharesEngines ? entriesPerSharedFarEngine : entriesPerFarEngine;
+    far.resize(bringOwnShareToFront(far, table, requirements, entriesPerEngine, requirements.entryCount, minFarEngines));
 }
 
 // While an entry doesn't know what the others send to a new engine, it sends no more than its share, so that all entries
@@ -186,6 +199,17 @@
     return row.inFlight == 0 && fraction < share;
 }
 
+// Whether one more request stays within what this entry may have at the engine beside the others.
+static bool isWithinOwnPart(const EndpointRow& row, double limit, double load, const EndpointRequirements& requirements, TimePoint now)
+{
+    if (!requirements.sharesEngines || !row.record.isModelEngine)
+        return true;
+    // A request of another entry that ended and wasn't told of yet makes the engine's statement lower than what is known. Once
+    // it is told of, the correction would count its end twice; so what the statement lacks isn't taken off.
+    double known = std::max<double>(load, row.inFlight + row.peersInFlight);
+    return isWithinEngineShare(row.share, { limit, known, row.inFlight, hasStatedLoad(row, now), now });
+}
+
 EndpointChoice chooseEndpoint(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, uint64_t random, TimePoint now)
 {
     EndpointChoice choice;
@@ -206,7 +230,7 @@
             double load = estimatedLoad(row, now);
             candidate.score = load / limit + distancePenalties[distance];
             bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
-            return load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now);
+            return load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now) || !isWithinOwnPart(row, limit, load, requirements, now);
         };
         auto& sameDistance = candidates[distance];
         sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -40,6 +40,8 @@
     uint64_t entryHash = 0;
     /// Requests per second that this entry may send to a cold endpoint (see EndpointRow::coldUntil); zero: no limit.
     double maxColdRate = 0;
+    /// Whether entries keep to the parts that they have in model engines (EngineShare). Otherwise each uses all free capacity.
+    bool sharesEngines = false;
 };
 
 /// Row number that stands for no endpoint.
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -9,6 +9,8 @@
 // Age up to which a load report counts in full, and the age from which it is ignored.
 static constexpr Milliseconds freshLoadReportAge { 200 };
 static constexpr Milliseconds staleLoadReportAge { 1000 };
+// Age up to which a load report shows what entries that aren't heard have at the endpoint.
+static constexpr Milliseconds provenLoadReportAge { 500 };
 // Time for which an engine that refused a request because of a version switch gets no other one, unless a notice or the list
 // of endpoints shows earlier that it serves again.
 static constexpr Milliseconds assumedSwitchTime { 500 };
@@ -175,6 +177,11 @@
     row.weightSwitchUntil = std::max(row.weightSwitchUntil, now + assumedSwitchTime);
 }
 
+bool hasStatedLoad(const EndpointRow& row, TimePoint now)
+{
+    return row.loadReportedAt != TimePoint() && now - row.loadReportedAt < provenLoadReportAge;
+}
+
 double estimatedLoad(const EndpointRow& row, TimePoint now)
 {
     double known = row.inFlight + row.peersInFlight;
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -5,6 +5,7 @@
 #include "CrashHistory.h"
 #include "EndpointRecord.h"
 #include "EndpointStatement.h"
+#include "EngineShare.h"
 #include "PeerMessage.h"
 #include "ProtocolAdapter.h"
 #include "ResponseDelay.h"
@@ -44,6 +45,7 @@
     EndpointStatement statement; ///< What the endpoint has stated about itself in its answers.
     LossRecord losses;
     ResponseDelay responseDelay;
+    EngineShare share; ///< The part that this entry has in the engine; unused for plain services.
     std::deque<TimePoint> coldSends; ///< When requests were sent to it in the last second while it was cold, oldest first.
 };
 
@@ -99,5 +101,8 @@
 /// Estimates the number of requests of all entries at the endpoint: those that the entries report, corrected by what the
 /// endpoint's own last load report stated beyond them. The weight of the correction falls with its age. Thread safe.
 double estimatedLoad(const EndpointRow&, TimePoint now);
+/// Whether the endpoint has stated its load so recently that estimatedLoad() counts requests of entries that aren't heard.
+/// Thread safe.
+bool hasStatedLoad(const EndpointRow&, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -6,6 +6,7 @@
 #include "ChannelPool.h"
 #include "ClusterView.h"
 #include "DispatchQueue.h"
+#include "EngineShare.h"
 #include "EventLog.h"
 #include "HttpCall.h"
 #include "LivenessChecks.h"
@@ -123,6 +124,7 @@
     void applyStoreDelta(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmViewByStore(BootTimePoint sentAt);
     void updatePeerLoads(TimePoint now);
+    void updateOwnEngineShares(const std::vector<std::string>& nearPeers, TimePoint now);
     void reportSlowEngines(TimePoint now);
     void chooseStoreReading(TimePoint now);
     void stopWhenDone(TimePoint now);
@@ -135,6 +137,8 @@
     StoreReplica storeReplica;
     StoreReading storeReading;
     bool isReadingStore = true; ///< Whether this entry calls the store itself.
+    EngineShareBasis engineShareBasis;
+    TimePoint engineSharesLoggedAt {};
     TimePoint peerLoadsUpdatedAt {}; ///< When the loads of peers were last copied into the table of endpoints.
     TimePoint startedAt {};
     bool hasPeerAnswered = false; ///< Whether a peer has answered a request for a store delta since the start.
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -28,6 +28,8 @@
 static constexpr size_t maxCrashesForNewEntry = 60;
 // Largest number of engines with unusable layers that an entry tells a new one.
 static constexpr size_t maxNoticesForNewEntry = 40;
+// Least time between two log lines on the parts in the engines.
+static constexpr Milliseconds engineSharesLogInterval { 1000 };
 // Largest number of other entries in one service summary.
 static constexpr size_t maxEntriesPerSummary = 8;
 
@@ -72,6 +74,7 @@
     }
     if (scope != PeerMessageScope::Near)
         return;
+    noteLoadsTold(this->clusterView.endpoints);
     // Callers come back to entries of the same data centre.
     message.refusals = refusalsSince(this->ownRefusals, now - refusalRepeatTime, maxRefusalsPerMessage, now);
     this->hasChangesForPeers = false;
@@ -201,18 +204,48 @@
     }
 }
 
+static bool hasSharedEngines(const ClusterView& view)
+{
+    if (!view.routes)
+        return false;
+    const auto& services = view.routes->services;
+    return std::any_of(services.begin(), services.end(), [](const ServiceSettings& service) { return service.hasRankedRoutes; });
+}
+
+// Determines this entry's parts in the engines again when the entries of its data centre or the engines there have changed.
+void EntryNode::updateOwnEngineShares(const std::vector<std::string>& nearPeers, TimePoint now)
+{
+    auto& endpoints = this->clusterView.endpoints;
+    if (!hasSharedEngines(this->clusterView))
+        return;
+    // Without peers in its data centre, an entry tells nobody there of its requests.
+    if (nearPeers.empty())
+        noteLoadsTold(endpoints);
+    auto silentPeers = silentPeersInDataCentre(this->peers.table(), this->settings.location.dataCentre, now);
+    if (!updateEngineShares(this->engineShareBasis, endpoints, this->settings.ownIp, this->settings.location.dataCentre, nearPeers, silentPeers, now))
+        return;
+    if (now - this->engineSharesLoggedAt < engineSharesLogInterval)
+        return;
+    this->engineSharesLoggedAt = now;
+    auto counts = countEngineShares(endpoints);
+    this->log.write(LogLevel::Info, "engine_shares", { { "home", counts.home }, { "taken_over", counts.takenOver }, { "guest", counts.guest }, { "heard_entries", nearPeers.size() }, { "silent_entries", silentPeers.size() } });
+}
+
 // Copies the loads that the peers report into the table of endpoints.
 void EntryNode::updatePeerLoads(TimePoint now)
 {
     this->peerLoadsUpdatedAt = now;
     const auto& table = this->peers.table();
-    this->nearPeers = static_cast<uint32_t>(peersInDataCentre(table, table.ownDataCentre, table.rows.size(), now).size());
+    auto nearPeerIps = peersInDataCentre(table, table.ownDataCentre, table.rows.size(), now);
+    this->nearPeers = static_cast<uint32_t>(nearPeerIps.size());
+    this->updateOwnEngineShares(nearPeerIps, now);
     auto loads = peersInFlight(table, now);
     for (auto& row : this->clusterView.endpoints.rows) {
         if (row.record.id.empty())
             continue;
         auto found = loads.find(endpointHash(row.record.id));
         row.peersInFlight = found == loads.end() ? 0 : found->second;
+        noteRoom(row.share, concurrencyLimit(row.record), estimatedLoad(row, now), now);
     }
 }
 
--- a/src/PeerTable.cpp
+++ b/src/PeerTable.cpp
@@ -175,6 +175,17 @@
     return found;
 }
 
+std::vector<std::string> silentPeersInDataCentre(const PeerTable& table, const std::string& dataCentre, TimePoint now)
+{
+    std::vector<std::string> found;
+    for (const auto& [ip, row] : table.rows) {
+        bool isSilent = !row.isStopping && mayBeAlive(row, now) && !isRecentlyHeard(row, now);
+        if (isSilent && row.dataCentre == dataCentre)
+            found.push_back(ip);
+    }
+    return found;
+}
+
 // Whether the entry is told to others as alive: it was heard recently. An entry of another data centre isn't heard, so what
 // others have said of it lately counts.
 static bool isListable(const PeerTable& table, const PeerRow& row, TimePoint now)
--- a/src/PeerTable.h
+++ b/src/PeerTable.h
@@ -70,6 +70,9 @@
 std::string peerWithNewerConfiguration(const PeerTable&, uint64_t generation, TimePoint now);
 /// Returns the IP addresses of at most `maxCount` recently heard entries of a data centre. Thread safe.
 std::vector<std::string> peersInDataCentre(const PeerTable&, const std::string& dataCentre, size_t maxCount, TimePoint now);
+/// Returns the IP addresses of the entries of a data centre that aren't recently heard, haven't said that they stop and may be
+/// alive. Thread safe.
+std::vector<std::string> silentPeersInDataCentre(const PeerTable&, const std::string& dataCentre, TimePoint now);
 /// Returns at most `maxCount` entries that are alive as far as this one knows, beginning at position `first` of all of them
 /// and going on at the start. Thread safe.
 std::vector<KnownPeer> knownPeers(const PeerTable&, size_t first, size_t maxCount, TimePoint now);
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -242,6 +242,7 @@
     this->requirements.nearEntryCount = nearEntryCount(this->node);
     this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
     this->requirements.bootNow = BootClock::now();
+    this->requirements.sharesEngines = this->service && this->service->hasRankedRoutes;
     this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
     auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
     this->requirements.namedVersions = named == this->node.clusterView.namedVersions.end() ? nullptr : &named->second;
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -59,6 +59,8 @@
         endpoint.coldSends.push_back(now);
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
         endpoint.coldSends.pop_front();
+    if (this->requirements.sharesEngines && endpoint.record.isModelEngine)
+        this->node.metrics.addToCounter("bilberry_engine_sends_total", { { "as", toText(endpoint.share) } });
     recordDispatch(this->node.queues[this->requirements.service], now);
     this->endpointRow = chosenRow;
     this->endpointId = endpoint.record.id;
@@ -105,6 +107,9 @@
     auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
     endpoint.lastHeardAt = now;
     recordResponseBegin(endpoint.responseDelay, this->attemptStartedAt, now);
+    bool isOverLimit = this->endpointReply.load && this->endpointReply.load->running + this->endpointReply.load->waiting > concurrencyLimit(endpoint.record);
+    if (this->requirements.sharesEngines && endpoint.record.isModelEngine && isOverLimit)
+        this->node.metrics.addToCounter("bilberry_engine_over_limit_total", { { "as", toText(endpoint.share) } });
     if (this->endpointReply.load)
         noteLoadReport(endpoint, *this->endpointReply.load, now);
     return ResponseDisposition::Accept;
