--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -73,6 +73,7 @@
     ResponseHandlers makeHandlers();
     HttpRequest makeEndpointRequest(const EndpointRow&, TimePoint now);
     ResponseDisposition onResponseHead(const ResponseHead&);
+    void noteStatedLoad(EndpointRow&, const LoadReport&, TimePoint now);
     void onBodyChunk(const std::string& chunk);
     void onStreamChunk(const std::string& chunk);
     void noteProgress();
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -60,6 +60,8 @@
         endpoint.coldSends.push_back(now);
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
         endpoint.coldSends.pop_front();
+    if (this->requirements.sharesEngines && endpoint.record.isModelEngine)
+        this->node.metrics.addToCounter("bilberry_engine_sends_total", { { "as", toText(endpoint.share) } });
     recordDispatch(this->node.queues[this->requirements.service], now);
     this->discardBody();
     this->attempt = RequestAttempt();
@@ -123,11 +125,19 @@
     endpoint.lastHeardAt = now;
     recordResponseBegin(endpoint.responseDelay, this->attempt.startedAt, now);
     this->noteAnswerDelay(now);
-    if (this->attempt.endpointReply.load)
-        noteLoadReport(endpoint, *this->attempt.endpointReply.load, now);
+    if (this->attempt.reportedLoad)
+        this->noteStatedLoad(endpoint, *this->attempt.reportedLoad, now);
     return ResponseDisposition::Accept;
 }
 
+void ProxiedRequest::noteStatedLoad(EndpointRow& endpoint, const LoadReport& load, TimePoint now)
+{
+    bool isOverLimit = load.running + load.waiting > concurrencyLimit(endpoint.record);
+    if (this->requirements.sharesEngines && endpoint.record.isModelEngine && isOverLimit)
+        this->node.metrics.addToCounter("bilberry_engine_over_limit_total", { { "as", toText(endpoint.share) } });
+    noteLoadReport(endpoint, load, now);
+}
+
 void ProxiedRequest::onBodyChunk(const std::string& chunk)
 {
     bool isStream = this->route->kind == RequestKind::Stream && isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest);
--- a/tests/RouteReportTest.cpp
+++ b/tests/RouteReportTest.cpp
@@ -22,7 +22,7 @@
     report.allowedWait = Milliseconds(186);
     report.waitingAhead = 4;
     report.generation = 7;
-    report.candidates = { { "e-1", "dc-a", 11.5, 12, Milliseconds(40), "none" }, { "e-2", "dc-b", 0, 12, Milliseconds::max(), "draining" } };
+    report.candidates = { { "e-1", "dc-a", 10.5, 12, Milliseconds(40), "none" }, { "e-2", "dc-b", 0, 12, Milliseconds::max(), "draining" } };
     return report;
 }
 
