Report what accounts ask for, and read the caller's estimate of an answer's length

An account that is refused at other entries looks satisfied if these report only what it uses, so that AccountUse has the time asked for as well. No release sends such reports yet; the layout's number stays. Callers may state an estimate of the answer's tokens, which was not read.

DemandReportTest: rows of two numbers, which were the layout, are now among the bytes that are refused; the cases with a wrong number have three, as the layout has.

--- a/src/DemandReport.cpp
+++ b/src/DemandReport.cpp
@@ -13,7 +13,7 @@
 static constexpr uint32_t reportLayoutVersion = 103;
 static constexpr size_t reportElements = 5;
 // Number of elements that encode one AccountUse, one DataCentreUse and one WorkTimeReport.
-static constexpr size_t accountUseElements = 2;
+static constexpr size_t accountUseElements = 3;
 static constexpr size_t dataCentreUseElements = 3;
 static constexpr size_t workTimeElements = 3;
 
@@ -39,6 +39,7 @@
     for (const auto& use : accounts) {
         list.push_back(use.account);
         list.push_back(use.engineTime);
+        list.push_back(use.askedTime);
     }
     return list;
 }
@@ -77,7 +78,7 @@
 {
     std::vector<AccountUse> accounts;
     for (size_t i = 0; i < list.size(); i += accountUseElements)
-        accounts.push_back({ list[i].get<uint32_t>(), list[i + 1].get<uint32_t>() });
+        accounts.push_back({ list[i].get<uint32_t>(), list[i + 1].get<uint32_t>(), list[i + 2].get<uint32_t>() });
     return accounts;
 }
 
--- a/src/DemandReport.h
+++ b/src/DemandReport.h
@@ -11,10 +11,11 @@
 
 namespace bilberry {
 
-/// The engine time that an account's requests use at a service, as the entries of one data centre dispatch them.
+/// The engine time that an account's requests use and ask for at a service, as the entries of one data centre count it.
 struct AccountUse {
     uint32_t account = 0; ///< accountHash() of the service and the account.
-    uint32_t engineTime = 0; ///< Engine milliseconds per second.
+    uint32_t engineTime = 0; ///< Engine milliseconds per second of the requests that were dispatched.
+    uint32_t askedTime = 0; ///< Engine milliseconds per second of all requests, dispatched or not.
 };
 
 /// The use of all accounts, as the entries of one data centre add it up.
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -30,6 +30,7 @@
     std::string model; ///< The requested model; empty for services without models.
     uint32_t promptTokens = 0; ///< Zero when the caller didn't state it.
     uint32_t maxAnswerTokens = 0; ///< Zero when the caller didn't state it.
+    uint32_t estimatedAnswerTokens = 0; ///< The caller's estimate of the answer's length, often far off; zero when it stated none.
     /// IDs of the parts of the prompt that other requests may share, in order and each once: all but the last part, which is
     /// the request's own. At most maxSharedPromptParts.
     std::vector<uint64_t> sharedPromptParts;
--- a/tests/DemandReportTest.cpp
+++ b/tests/DemandReportTest.cpp
@@ -14,8 +14,8 @@
 {
     DemandReport report;
     report.dataCentre = "a";
-    report.accounts = { { accountHash("writer", "x"), 1200 }, { accountHash("writer", "y"), 0 } };
-    report.otherDataCentres = { { "b", Milliseconds(250), { { 7, 30 } } }, { "c", Milliseconds(0), {} } };
+    report.accounts = { { accountHash("writer", "x"), 1200, 3400 }, { accountHash("writer", "y"), 0, 5 } };
+    report.otherDataCentres = { { "b", Milliseconds(250), { { 7, 30, 31 } } }, { "c", Milliseconds(0), {} } };
     report.workTimes = { { 11, 250, Milliseconds(40) } };
     return report;
 }
@@ -37,10 +37,14 @@
     BOOST_REQUIRE(decoded->accounts.size() == 2u);
     BOOST_TEST(decoded->accounts[0].account == report.accounts[0].account);
     BOOST_TEST(decoded->accounts[0].engineTime == 1200u);
+    BOOST_TEST(decoded->accounts[0].askedTime == 3400u);
+    BOOST_TEST(decoded->accounts[1].engineTime == 0u);
+    BOOST_TEST(decoded->accounts[1].askedTime == 5u);
     BOOST_REQUIRE(decoded->otherDataCentres.size() == 2u);
     BOOST_TEST(decoded->otherDataCentres[0].dataCentre == "b");
     BOOST_TEST(decoded->otherDataCentres[0].age.count() == 250);
     BOOST_TEST(decoded->otherDataCentres[0].accounts[0].account == 7u);
+    BOOST_TEST(decoded->otherDataCentres[0].accounts[0].askedTime == 31u);
     BOOST_REQUIRE(decoded->workTimes.size() == 1u);
     BOOST_TEST(decoded->workTimes[0].endpoint == 11u);
     BOOST_TEST(decoded->workTimes[0].percent == 250u);
@@ -63,8 +67,9 @@
         json::array({ 103, "a", list, list }),
         json::array({ 103, 1, list, list, list }),
         json::array({ 103, "a", json::array({ 1 }), list, list }),
-        json::array({ 103, "a", json::array({ 1, -1 }), list, list }),
-        json::array({ 103, "a", json::array({ 1, 1ULL << 40 }), list, list }),
+        json::array({ 103, "a", json::array({ 1, 2 }), list, list }),
+        json::array({ 103, "a", json::array({ 1, 2, -1 }), list, list }),
+        json::array({ 103, "a", json::array({ 1, 1ULL << 40, 2 }), list, list }),
         json::array({ 103, "a", list, json::array({ json::array({ "b", 1 }) }), list }),
         json::array({ 103, "a", list, list, json::array({ 1, 2 }) }),
     };
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -21,7 +21,7 @@
     request.path = "/a/b?x=1";
     request.headers = { { "Host", "h.example" }, { "Bilberrybarrow-Request-Id", "abc" }, { "Bilberrybarrow-Deadline-Ms", "6000" },
         { "Authorization", "Token secret" }, { "Last-Event-Id", "12" }, { "Bilberrybarrow-Model", "m" }, { "Bilberrybarrow-Token-Usage", "1460,80" },
-        { "Bilberrybarrow-Prompt-Prefix", "5c1e07a2:800" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" },
+        { "Bilberrybarrow-Length-Hint", "35" }, { "Bilberrybarrow-Prompt-Prefix", "5c1e07a2:800" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" },
         { "Bilberrybarrow-Tenant", "forged" }, { "Bilberrybarrow-Expect-Instance", "forged" }, { "Bilberrybarrow-Request-Priority", "0" }, { "Transfer-Encoding", "chunked" } };
     return request;
 }
@@ -38,6 +38,7 @@
     BOOST_TEST(caller.model == "m");
     BOOST_TEST(caller.promptTokens == 1460u);
     BOOST_TEST(caller.maxAnswerTokens == 80u);
+    BOOST_TEST(caller.estimatedAnswerTokens == 35u);
 }
 
 BOOST_AUTO_TEST_CASE(aLastEventIdThatNamesNoOneEventIsNoticed)
