Let accounts beyond their fair shares give way when there isn't room for all

Where accounts compete for too little room, requests were served in order of arrival, so that an account that asks for ten times its share had ten times the others' places, and these were refused as often as it.

Each entry counts in engine time what accounts ask for and use at services with ranked routes, and entries tell each other while such a service is short of room. What is used is divided by max-min fairness, with a third of the average service guaranteed to each account. Requests of an account beyond its share get RequestRank::isBeyondShare at ranks where a twentieth of the requests are refused.

--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "EntryNode.h"
 
 #include "EntryCrashes.h"
+#include "EntryDemand.h"
 #include "EntryStatements.h"
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
@@ -320,6 +321,7 @@
     this->metrics.setGauge("bilberry_log_lines_dropped", static_cast<double>(this->log.droppedLines()));
     this->metrics.setGauge("bilberry_endpoint_connections_made", static_cast<double>(this->channels.createdCount()));
     this->metrics.setGauge("bilberry_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
+    updateDemandMetrics(*this);
     exchange->sendResponse(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
 }
 
@@ -397,6 +399,7 @@
         this->storeReplica.removeEarlierEras(this->adapter.store.configurationKey, this->adapter.store.versionPrefix);
     this->dispatchRequestsAwaitingConfiguration(now);
     removeExpiredReports(*this, now);
+    updateDemand(*this, now);
     checkRequestTimeouts(*this, now);
     for (const auto& [service, queue] : this->queues)
         dispatchWaitingRequests(*this, service);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -5,6 +5,7 @@
 #include "AsyncHttpServer.h"
 #include "ChannelPool.h"
 #include "ClusterView.h"
+#include "DemandTable.h"
 #include "DispatchQueue.h"
 #include "EventLog.h"
 #include "HttpCall.h"
@@ -67,6 +68,7 @@
     std::vector<uint64_t> requestsAwaitingConfiguration; ///< The numbers of requests that wait for the first configuration.
     CrashHistory crashes;
     PromptSuspects promptSuspects;
+    DemandTable demand; ///< The demand of client accounts, from which their shares follow.
     RefusalHistory refusals; ///< The refused requests of all entries.
     RefusalHistory ownRefusals; ///< The refused requests of this entry, which are reported to the peers.
     /// Seeded from the VM's name and the boot clock; used to choose services and endpoints and to spread retry delays.
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -43,8 +43,8 @@
         events.dataCentre = this->settings.location.dataCentre;
         return events;
     };
-    handlers.takeDemandReport = [](PeerMessageScope) { return DemandReport(); };
-    handlers.onDemandReport = [](const std::string&, const DemandReport&) {};
+    handlers.takeDemandReport = [this](PeerMessageScope scope) { return makeDemandReport(this->demand, scope, Clock::now()); };
+    handlers.onDemandReport = [this](const std::string& ip, const DemandReport& report) { applyDemandReport(this->demand, ip, report, Clock::now()); };
     handlers.onMessage = [this](const PeerMessage& message) { this->applyPeerMessage(message); };
     handlers.onEndpointEvents = [this](const EndpointEvents& events) { this->applyEndpointEvents(events); };
     handlers.onNotice = [this](const EngineNotice& notice) { this->handleAgentNotice(notice); };
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -179,6 +179,7 @@
     this->requirements.routeRegions = &this->route->regions;
     this->requirements.accountRegions = this->account ? &this->account->regions : nullptr;
     this->eventStream.lastEventId = this->callerRequest.lastEventId;
+    this->demand = noteArrivedDemand(this->node, { this->service, this->account, this->callerRequest, this->rank, this->firstArrivedAt < this->arrivedAt }, now);
     return true;
 }
 
@@ -269,6 +270,7 @@
     if (this->hasResponseStarted)
         return firstRank;
     auto current = this->rank;
+    current.isBeyondShare = isAccountBeyondShare(this->node, this->demand);
     current.isLate = this->hasMissedTarget(now);
     return current;
 }
@@ -424,6 +426,8 @@
         this->node.refusals.addRefusal(this->fingerprint, this->firstArrivedAt, now);
         this->node.hasChangesForPeers = true;
     }
+    if (status == 503)
+        noteRefusedDemand(this->node, this->demand, reason, Clock::now());
     this->exchange->sendResponse(status, headers, std::string(reason) + "\n");
     this->finishRequest("refused", status, reason);
 }
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -7,6 +7,7 @@
 #include "ConnectionProbe.h"
 #include "EndpointChoice.h"
 #include "EntryConfiguration.h"
+#include "EntryDemand.h"
 #include "EventStreamBuffer.h"
 #include "HttpChannel.h"
 #include "ProtocolAdapter.h"
@@ -111,6 +112,7 @@
     uint64_t fingerprint = 0;
     bool isPartTrial = false; ///< Whether the request is sent to find out whether a part of its prompt still crashes endpoints.
     RequestRank rank; ///< Rank of the request as long as it is on time.
+    RequestDemand demand; ///< What the request counts in its account's share of the service.
     TimePoint deadline {};
     TimePoint arrivedAt {};
     TimePoint firstArrivedAt {}; ///< Arrival of the first try if the request was refused before; otherwise arrivedAt.
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -60,6 +60,7 @@
     while (!endpoint.coldSends.empty() && now - endpoint.coldSends.front() > Seconds(1))
         endpoint.coldSends.pop_front();
     recordDispatch(this->node.queues[this->requirements.service], now);
+    noteDispatchedDemand(this->node, this->demand, now);
     this->endpointRow = chosenRow;
     this->endpointId = endpoint.record.id;
     this->endpointStartedAt = endpoint.statement.startedAt;
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -68,6 +68,7 @@
         self.routes = []
         self.services = []
         self.keys = [KEY]
+        self.more_accounts = []
 
     def __enter__(self):
         return self
@@ -89,7 +90,7 @@
     def publish(self):
         self.version += 1
         limits = {"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 1000, "idle-timeout-ms": 5000}
-        accounts = [{"name": "acme", "api-keys": self.keys, "priority": 1, "allowed-regions": []}]
+        accounts = [{"name": "acme", "api-keys": self.keys, "priority": 1, "allowed-regions": []}, *self.more_accounts]
         self.store.put("op/config", {"version": self.version, "routes": self.routes, "services": self.services, "limits": limits, "tenants": accounts})
 
     def add_endpoint(self, name, service, **how):
@@ -98,8 +99,8 @@
         self.list_endpoint(endpoint, service)
         return endpoint
 
-    def list_endpoint(self, endpoint, service, state="ready"):
-        self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq-no": 1, "born": endpoint.born})
+    def list_endpoint(self, endpoint, service, state="ready", slots=8):
+        self.store.put(f"servers/{endpoint.name}", {"service": service, "address": endpoint.address, "zone": "dc-a", "version": "v1", "slots": slots, "state": state, "cold-remaining-ms": 0, "seq-no": 1, "born": endpoint.born})
 
     def list_again(self, endpoint, service, earlier):
         """Lists an endpoint that is back, under another name or its earlier one."""
