--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -145,6 +145,7 @@
     this->service = findService(*this->routes, chosen);
     this->requirements = requirementsOf(this->node, { *this->route, this->account, this->service }, chosen, this->callerRequest.model);
     this->eventStream.lastEventId = this->callerRequest.lastEventId;
+    this->demand = noteArrivedDemand(this->node, { this->service, this->account, this->callerRequest, this->rank, this->firstArrivedAt < this->arrivedAt }, now);
     return true;
 }
 
@@ -211,6 +212,7 @@
     if (this->hasResponseStarted)
         return firstRank;
     auto current = this->rank;
+    current.isBeyondShare = isAccountBeyondShare(this->node, this->demand);
     current.isLate = this->hasMissedTarget(now);
     if (!this->isRanked())
         return current;
@@ -388,6 +390,8 @@
     }
     if (this->route && this->isRanked() && this->isReturning())
         this->node.metrics.addToCounter("bilberry_returns_refused_total", { { "priority", std::to_string(this->rank.route) } });
+    if (status == 503)
+        noteRefusedDemand(this->node, this->demand, reason, Clock::now());
     this->exchange->sendResponse(status, headers, std::string(reason) + "\n");
     this->finishRequest("refused", status, reason);
 }
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -63,6 +63,7 @@
     if (this->requirements.sharesEngines && endpoint.record.isModelEngine)
         this->node.metrics.addToCounter("bilberry_engine_sends_total", { { "as", toText(endpoint.share) } });
     recordDispatch(this->node.queues[this->requirements.service], now);
+    noteDispatchedDemand(this->node, this->demand, now);
     this->discardBody();
     this->attempt = RequestAttempt();
     this->attempt.endpointRow = chosenRow;
