Keep the importers of pieces while agents leave, and even out what they pass on

Cause: which agent imports a piece into its region followed from its position in the list of agents. With more pieces than agents, the importers of two pieces also passed on twice as much as the others.

Change: pure functions that keep the list of the manifest's arrival (keepOrder), share the pieces of agents that have gone, pass a part of the pieces on by a second agent (relayOf), ask the origin in turn (originRequestDelay), ask it more often for a manifest (repeatOrigin), and ask a peer longer that waits for the origin itself (mayAskSourceAgain). Nothing uses them yet; a list in which nobody has gone gives the same sources as before.

--- a/src/PieceSources.cpp
+++ b/src/PieceSources.cpp
@@ -8,6 +8,15 @@
 // and at least minManifestRoots.
 static constexpr size_t agentsPerManifestRoot = 16;
 static constexpr size_t minManifestRoots = 2;
+// Number of requests of a root to the origin before it asks a peer.
+static constexpr size_t originRequestsPerPeer = 8;
+// Number of agents of a region from which some pieces are passed on by relays.
+static constexpr uint32_t minAgentsToRelay = 4;
+// Rate of the origin, in links of a VM, up to which it isn't left waiting for requests.
+static constexpr double originLinksPerLink = 2;
+// Number of answers of a source that doesn't have a piece after which the next source is asked. A peer answers so after some seconds.
+static constexpr uint32_t maxUnexplainedAnswers = 4;
+static constexpr uint32_t maxAwaitedAnswers = 8;
 
 std::vector<AgentPeer> listAgents(const std::vector<ServiceEngine>& engines, uint32_t version, const NodeLocation& location)
 {
@@ -26,12 +35,49 @@
     return matching;
 }
 
+std::vector<AgentPeer> keepOrder(std::vector<AgentPeer> earlier, const std::vector<AgentPeer>& listed)
+{
+    for (auto& agent : earlier) {
+        auto isSame = [&](const AgentPeer& other) { return other.host == agent.host; };
+        auto found = std::find_if(listed.begin(), listed.end(), isSame);
+        agent.isGone = found == listed.end();
+        agent.isHolder = !agent.isGone && found->isHolder;
+    }
+    return earlier;
+}
+
 std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>& agents)
 {
     auto candidates = agentsInRegion(region, agents);
+    if (candidates.empty())
+        return {};
+    const auto& first = candidates[piece % candidates.size()];
+    if (!first.isGone)
+        return first.host;
+    // The pieces of those that have gone are spread over the others.
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [](const AgentPeer& agent) { return agent.isGone; }), candidates.end());
     return candidates.empty() ? std::string() : candidates[piece % candidates.size()].host;
 }
 
+std::string relayOf(uint32_t piece, uint32_t pieces, const std::string& region, const std::vector<AgentPeer>& agents)
+{
+    auto candidates = agentsInRegion(region, agents);
+    auto count = static_cast<uint32_t>(candidates.size());
+    bool isRelayed = count >= minAgentsToRelay && pieces > count && piece >= pieces - pieces % count;
+    if (!isRelayed)
+        return {};
+    const auto& relay = candidates[(piece + count / 2) % count];
+    return relay.isGone ? std::string() : relay.host;
+}
+
+Milliseconds originRequestDelay(uint32_t piece, size_t pieceBytes, double bytesPerSecond)
+{
+    if (bytesPerSecond <= 0)
+        return Milliseconds(0);
+    double seconds = piece * static_cast<double>(pieceBytes) / (originLinksPerLink * bytesPerSecond);
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 // Returns the host of an agent that has all pieces; empty when there is none. Different pieces are spread over the holders.
 static std::string chooseHolder(const PieceSourceQuery& query, const std::vector<AgentPeer>& agents)
 {
@@ -51,22 +97,41 @@
     // 1. An agent of the same region that has all pieces.
     auto regionAgents = agentsInRegion(query.ownRegion, agents);
     addPeer(chooseHolder(query, regionAgents), true);
-    // 2. The agents that import the piece into the region, in turn, up to the agent itself. It takes over when all agents before
+    // 2. The relay of the piece, if this agent is in the half of the region that it passes the piece on to.
+    auto relay = query.relayedPieces == 0 ? std::string() : relayOf(query.piece, query.relayedPieces, query.ownRegion, agents);
+    for (size_t i = regionAgents.size() / 2 + 1; !relay.empty() && i < regionAgents.size(); ++i) {
+        if (regionAgents[(query.piece + i) % regionAgents.size()].host == query.ownHost)
+            addPeer(relay, true);
+    }
+    // 3. The agents that import the piece into the region, in turn, up to the agent itself. It takes over when all agents before
     //    it have failed.
-    for (size_t i = 0; i < regionAgents.size(); ++i) {
-        const auto& next = regionAgents[(query.piece + i) % regionAgents.size()].host;
-        if (next == query.ownHost)
+    auto importer = importerOf(query.piece, query.ownRegion, agents);
+    addPeer(importer, true);
+    for (size_t i = 0; importer != query.ownHost && i < regionAgents.size(); ++i) {
+        const auto& next = regionAgents[(query.piece + i) % regionAgents.size()];
+        if (next.host == query.ownHost)
             break;
-        addPeer(next, true);
+        if (!next.isGone)
+            addPeer(next.host, true);
     }
-    // 3. Sources outside the region: an agent that has all pieces, the importer in the origin's region, the origin.
+    // 4. Sources outside the region: an agent that has all pieces, the importer in the origin's region, the origin.
     addPeer(chooseHolder(query, agents), false);
-    if (query.originRegion != query.ownRegion)
+    if (query.originRegion != query.ownRegion) {
         addPeer(importerOf(query.piece, query.originRegion, agents), false);
+        // The one that takes over there, so that the origin isn't asked by each region.
+        if (query.relayedPieces != 0)
+            addPeer(importerOf(query.piece + 1, query.originRegion, agents), false);
+    }
     sources.push_back({ true, {} });
     return sources;
 }
 
+bool mayAskSourceAgain(NotFoundAnswers& answers, bool isAwaited)
+{
+    ++(isAwaited ? answers.awaited : answers.unexplained);
+    return answers.unexplained < maxUnexplainedAnswers && answers.awaited < maxAwaitedAnswers;
+}
+
 std::vector<PieceSource> manifestSources(const std::string& ownHost, const std::string& originRegion, const std::vector<AgentPeer>& agents)
 {
     auto roots = agentsInRegion(originRegion, agents);
@@ -90,4 +155,18 @@
     return sources;
 }
 
+std::vector<PieceSource> repeatOrigin(const std::vector<PieceSource>& sources)
+{
+    bool isRoot = !sources.empty() && sources.front().isOrigin;
+    if (!isRoot)
+        return sources;
+    std::vector<PieceSource> repeated;
+    for (size_t i = 1; i < std::max<size_t>(sources.size(), 2); ++i) {
+        repeated.insert(repeated.end(), originRequestsPerPeer, sources.front());
+        if (i < sources.size())
+            repeated.push_back(sources[i]);
+    }
+    return repeated;
+}
+
 } // namespace bilberry
--- a/src/PieceSources.h
+++ b/src/PieceSources.h
@@ -19,6 +19,7 @@
     std::string host; ///< IP address of its VM.
     std::string region;
     bool isHolder = false; ///< Whether its engine serves the wanted version, so that it has all pieces.
+    bool isGone = false; ///< Whether it is listed no more; it only keeps the places of the others.
 };
 
 /// One source of a piece or a manifest: the origin or a peer.
@@ -28,12 +29,19 @@
     bool isInOwnRegion = false; ///< Whether the peer is in the asking agent's region; not set for manifests.
 };
 
+/// Answers of one source that didn't have a piece. Used by one thread at a time.
+struct NotFoundAnswers {
+    uint32_t unexplained = 0;
+    uint32_t awaited = 0; ///< Those of a peer that waits for the piece itself because the origin is out of reach.
+};
+
 /// Which agent asks for which piece.
 struct PieceSourceQuery {
     uint32_t piece = 0;
     std::string ownHost;
     std::string ownRegion;
     std::string originRegion; ///< Empty when it is unknown.
+    uint32_t relayedPieces = 0; ///< The number of pieces if they are needed soon, so that some are relayed (see relayOf()); else zero.
 };
 
 /// Returns the agents of a service in the order of its list of engines, which is sorted by host. An agent is a holder when
@@ -41,14 +49,36 @@
 /// the same list get the same result. Thread safe.
 std::vector<AgentPeer> listAgents(const std::vector<ServiceEngine>&, uint32_t version, const NodeLocation&);
 
+/// Returns the agents of an earlier list in its order, as they are listed now; those that aren't are gone, and later ones are left
+/// out. While engines leave one after the other, so that the lists of agents differ, the others keep the pieces that they import and
+/// share those of the agents that have gone: a piece that changed hands would leave the origin again. Thread safe.
+std::vector<AgentPeer> keepOrder(std::vector<AgentPeer> earlier, const std::vector<AgentPeer>& listed);
+
 /// Returns the host of the agent that imports a piece into a region; empty when the region has no agent. Thread safe.
 std::string importerOf(uint32_t piece, const std::string& region, const std::vector<AgentPeer>&);
 
 /// Returns the sources of a piece in the order in which they are tried; the origin is always the last. Thread safe.
 std::vector<PieceSource> pieceSources(const PieceSourceQuery&, const std::vector<AgentPeer>&);
 
+/// Returns the host of the agent that passes a piece on to half of a region, beside its importer. Importers that import one piece more
+/// than others would pass all of it on last. Empty for the other pieces. `pieces` is the number of pieces. Thread safe.
+std::string relayOf(uint32_t piece, uint32_t pieces, const std::string& region, const std::vector<AgentPeer>&);
+
+/// Returns the time after a manifest's arrival at which the piece's importer asks the origin for it. Pieces that all are asked for at
+/// once would all arrive last, and leave the links of the importers unused until then. `bytesPerSecond` is the rate of a VM's link; the
+/// result is zero if that is unknown, which zero means. Thread safe.
+Milliseconds originRequestDelay(uint32_t piece, size_t pieceBytes, double bytesPerSecond);
+
+/// Notes that the current source of a piece didn't have it, and returns whether it is asked again. Agents that go on to other sources
+/// while the origin is out of reach would all ask the origin once it is back.
+bool mayAskSourceAgain(NotFoundAnswers&, bool isAwaited);
+
 /// Returns the sources of a version's manifest in the order in which they are tried. A few agents, the roots, ask the origin
 /// first; all others ask the roots first and the origin last. Thread safe.
 std::vector<PieceSource> manifestSources(const std::string& ownHost, const std::string& originRegion, const std::vector<AgentPeer>&);
 
+/// Returns the sources of a manifest that is needed soon: a root asks the origin several times before each of its peers. Roots whose
+/// requests the origin refused at the same time would otherwise wait for each other. Thread safe.
+std::vector<PieceSource> repeatOrigin(const std::vector<PieceSource>& sources);
+
 } // namespace bilberry
--- a/tests/PieceSourcesTest.cpp
+++ b/tests/PieceSourcesTest.cpp
@@ -4,6 +4,7 @@
 
 #include "PieceSources.h"
 
+#include <deque>
 #include <map>
 #include <rapidcheck.h>
 #include <set>
@@ -114,6 +115,77 @@
     }));
 }
 
+// Agents of the origin's region leave one after the other while a version is fetched, and each of the others learns of it at a time of
+// its own. The origin sends a few pieces a round; an agent has one request at a time there, for a piece that it is to import.
+BOOST_AUTO_TEST_CASE(piecesKeepTheirImportersWhileAgentsLeave)
+{
+    constexpr uint32_t pieces = 48;
+    constexpr size_t sentPerRound = 4;
+    constexpr int leaving = 10;
+    auto all = makeAgents(30, 0);
+    auto listOf = [&](size_t agent, int round) {
+        auto listed = all;
+        // The list of an agent is up to five rounds old.
+        int left = std::min(leaving, round - static_cast<int>(agent % 6));
+        for (int i = 0; i < left; ++i)
+            listed.erase(listed.begin() + (i * 7) % (30 - i));
+        return listed;
+    };
+    auto countFromOrigin = [&](bool keepsOrder) {
+        std::deque<std::pair<size_t, uint32_t>> requests;
+        std::set<uint32_t> held;
+        size_t sent = 0;
+        for (int round = 0; held.size() < pieces && round < 100; ++round) {
+            for (size_t agent = 0; agent < 30; ++agent) {
+                auto listed = listOf(agent, round);
+                auto agents = keepsOrder ? keepOrder(all, listed) : listed;
+                bool isWaiting = std::any_of(requests.begin(), requests.end(), [&](const auto& request) { return request.first == agent; });
+                for (uint32_t piece = 0; piece < pieces && !isWaiting; ++piece) {
+                    if (held.count(piece) != 0 || importerOf(piece, "r0", agents) != all[agent].host)
+                        continue;
+                    requests.emplace_back(agent, piece);
+                    isWaiting = true;
+                }
+            }
+            for (size_t i = 0; i < sentPerRound && !requests.empty(); ++i, ++sent) {
+                held.insert(requests.front().second);
+                requests.pop_front();
+            }
+        }
+        return held.size() == pieces ? sent : SIZE_MAX;
+    };
+    BOOST_TEST_MESSAGE("pieces sent: " << countFromOrigin(true) << ", with lists as they are " << countFromOrigin(false));
+    BOOST_TEST(countFromOrigin(true) <= pieces + leaving);
+    BOOST_TEST(countFromOrigin(false) > pieces + leaving);
+}
+
+// Neighbours in the list that leave together keep their places, the others keep their pieces, and none of them has to pass on much more
+// than the others.
+BOOST_AUTO_TEST_CASE(othersShareThePiecesOfAgentsThatHaveGone)
+{
+    constexpr uint32_t pieces = 48;
+    auto all = makeAgents(33, 0);
+    auto listed = all;
+    listed.erase(listed.begin() + 10, listed.begin() + 16);
+    auto agents = keepOrder(all, listed);
+    std::map<std::string, int> imported;
+    for (uint32_t piece = 0; piece < pieces; ++piece) {
+        auto first = importerOf(piece, "r0", all);
+        auto importer = importerOf(piece, "r0", agents);
+        ++imported[importer];
+        bool isFirstGone = std::any_of(all.begin() + 10, all.begin() + 16, [&](const AgentPeer& agent) { return agent.host == first; });
+        BOOST_TEST((importer == first) == !isFirstGone);
+        for (const auto& agent : listed) {
+            auto sources = pieceSources({ piece, agent.host, agent.region, "r0", pieces }, agents);
+            for (const auto& source : sources)
+                BOOST_TEST(std::none_of(all.begin() + 10, all.begin() + 16, [&](const AgentPeer& gone) { return gone.host == source.host; }));
+            BOOST_TEST((sources.front().isOrigin == (agent.host == importer)));
+        }
+    }
+    for (const auto& [host, count] : imported)
+        BOOST_TEST(count <= 3);
+}
+
 BOOST_AUTO_TEST_CASE(theOriginIsAlwaysTheLastSource)
 {
     auto agents = makeAgents(4, 2);
@@ -161,3 +233,88 @@
             BOOST_TEST(count <= 48);
     }
 }
+
+// Roots whose first requests the origin refused ask it again soon, and their peers in between.
+BOOST_AUTO_TEST_CASE(rootsAskTheOriginAgainBeforeEachPeer)
+{
+    auto agents = makeAgents(20, 0);
+    for (const auto& agent : agents) {
+        auto sources = manifestSources(agent.host, "r0", agents);
+        auto repeated = repeatOrigin(sources);
+        bool isRoot = sources.front().isOrigin;
+        BOOST_TEST((repeated.size() == sources.size()) == !isRoot);
+        for (const auto& source : sources) {
+            auto isSame = [&](const PieceSource& other) { return other.isOrigin == source.isOrigin && other.host == source.host; };
+            BOOST_TEST(std::any_of(repeated.begin(), repeated.end(), isSame));
+        }
+        for (size_t i = 0; isRoot && i + 1 < repeated.size(); ++i)
+            BOOST_TEST((repeated[i].isOrigin || repeated[i + 1].isOrigin));
+    }
+    BOOST_TEST(repeatOrigin({ { true, {} } }).size() > 0u);
+}
+
+// A peer that waits for the piece itself because the origin is out of reach is asked for longer than one that says nothing.
+BOOST_AUTO_TEST_CASE(sourcesThatWaitForTheOriginAreAskedForLonger)
+{
+    auto countRequests = [](bool isAwaited) {
+        NotFoundAnswers answers;
+        int count = 1;
+        while (mayAskSourceAgain(answers, isAwaited))
+            ++count;
+        return count;
+    };
+    BOOST_TEST(countRequests(false) == 4);
+    BOOST_TEST(countRequests(true) > countRequests(false));
+}
+
+// With more pieces than agents, the importers of two pieces pass no more copies on than the others together with their relays.
+BOOST_AUTO_TEST_CASE(relaysEvenOutWhatAgentsPassOn)
+{
+    for (int agentsPerRegion : { 4, 20, 33, 40, 48, 60 }) {
+        auto agents = makeAgents(agentsPerRegion, 0);
+        auto countMost = [&](uint32_t relayedPieces) {
+            std::map<std::string, int> copies;
+            for (const auto& agent : agents) {
+                for (uint32_t piece = 0; piece < 48; ++piece) {
+                    auto source = pieceSources({ piece, agent.host, agent.region, "r0", relayedPieces }, agents).front();
+                    if (!source.isOrigin && source.isInOwnRegion)
+                        ++copies[source.host];
+                }
+            }
+            return std::max_element(copies.begin(), copies.end(), [](const auto& first, const auto& second) { return first.second < second.second; })->second;
+        };
+        BOOST_TEST(countMost(48) <= countMost(0));
+        if (agentsPerRegion == 33)
+            BOOST_TEST(countMost(48) <= 3 * countMost(0) / 4 + 1);
+    }
+}
+
+// A relay asks the importer itself, and agents that lose their relay or importer still get the piece.
+BOOST_AUTO_TEST_CASE(relayedPiecesArriveWithoutTheRelay)
+{
+    auto agents = makeAgents(33, 0);
+    for (uint32_t piece = 0; piece < 48; ++piece) {
+        auto relay = relayOf(piece, 48, "r1", agents);
+        BOOST_TEST(relay.empty() == (piece < 33));
+        if (relay.empty())
+            continue;
+        auto importer = importerOf(piece, "r1", agents);
+        BOOST_TEST(relay != importer);
+        BOOST_TEST(pieceSources({ piece, relay, "r1", "r0", 48 }, agents).front().host == importer);
+        for (const auto& agent : agents) {
+            auto sources = pieceSources({ piece, agent.host, agent.region, "r0", 48 }, agents);
+            bool asksImporter = agent.host == importerOf(piece, agent.region, agents) || std::any_of(sources.begin(), sources.end(), [&](const PieceSource& source) { return source.host == importerOf(piece, agent.region, agents); });
+            BOOST_TEST(asksImporter);
+            BOOST_TEST(sources.back().isOrigin);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(theOriginIsAskedForPiecesInTurn)
+{
+    BOOST_TEST((originRequestDelay(0, 49152, 1e6) == Milliseconds(0)));
+    BOOST_TEST((originRequestDelay(40, 49152, 1e6) > originRequestDelay(39, 49152, 1e6)));
+    BOOST_TEST((originRequestDelay(40, 49152, 0) == Milliseconds(0)));
+    // An origin as fast as two links is never left waiting.
+    BOOST_TEST((originRequestDelay(40, 50000, 1e6) <= Milliseconds(1000)));
+}
