Skip a version that is superseded while it is spread, and fetch the newest one sooner

Cause: an agent went on with an older version once half of its pieces were staged, whether requests could still begin on it or not, and ordered it at once. Which course a fleet took hung on the moment at which the second name arrived.

Change: shouldFinishVersion compares the time without service of both courses, from the times of naming, what is staged, the rate and the load's time; it is asked again right before the order. Pieces of a version that is given up are cancelled, and wait for the newest one's manifest for a second. It acts with a bound on the switch and for versions that were named, so not with one naming; without a bound all is as before. New: counter bilberry_versions_skipped_total, log line weights_skipped.

--- a/src/AgentFetches.cpp
+++ b/src/AgentFetches.cpp
@@ -15,8 +15,6 @@
 static constexpr std::string_view importPathPrefix = "/imports/";
 // Timeout of the request for a piece. It includes the time for which a peer may hold the request.
 static constexpr Milliseconds pieceTimeout { 2500 };
-// Number of 404 answers of a peer after which the next source is asked.
-static constexpr uint32_t maxNotFoundPerSource = 4;
 // Delay before a piece is requested again after a 404 answer of a peer or a failure at the origin.
 static constexpr Milliseconds pieceRetryDelay { 200 };
 // Largest piece that is accepted, whatever the manifest states.
@@ -42,10 +40,22 @@
     bool isNeeded = this->manifest.version == this->wantedVersion() || this->manifest.version > this->engineReport->loadedLayersVersion;
     if (this->manifest.version == 0 || !isNeeded)
         return;
+    bool givesWay = this->hasOlderVersion() && !shouldFetchOlderVersion(this->namedVersions, this->describeOlderVersion(), this->supersessionBound(), BootClock::now());
+    if (givesWay) {
+        this->cancelFetches();
+        return;
+    }
     auto count = static_cast<uint32_t>(this->manifest.digests.size());
     auto agents = this->listAgentPeers(this->manifest.version);
-    // The pieces that this agent imports into its region are fetched first, because the region's other agents wait for them.
-    auto isImportedByThisAgent = [&](uint32_t piece) { return importerOf(piece, this->settings.location.regionByDataCentre[this->settings.location.dataCentre], agents) == this->settings.ownIp; };
+    // The pieces that this agent passes on in its region are fetched first, because the region's other agents wait for them.
+    const auto& region = this->settings.location.regionByDataCentre[this->settings.location.dataCentre];
+    bool isHurried = this->areVersionsInSuccession();
+    auto isPassedOnByThisAgent = [&](uint32_t piece) {
+        bool isRelay = isHurried && relayOf(piece, count, region, agents) == this->settings.ownIp;
+        return isRelay || importerOf(piece, region, agents) == this->settings.ownIp;
+    };
+    double linkRate = this->fetchWindow.nominalBytesPerSecond;
+    auto isTooEarly = [&](uint32_t piece) { return isHurried && now - this->manifestBegunAt < originRequestDelay(piece, this->manifest.pieceBytes, linkRate); };
     auto isOriginLimitReached = [&] {
         auto isOriginFetch = [](const auto& fetch) { return fetch->isRunning && fetch->isFromOrigin; };
         return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), isOriginFetch)) >= maxConcurrentOriginFetches;
@@ -54,15 +64,17 @@
     auto isWindowFull = [&] { return static_cast<size_t>(std::count_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return fetch->isRunning; })) >= allowed; };
     auto isSourceOrigin = [&](uint32_t piece) { return this->currentSourceFor(piece, agents).isOrigin; };
     auto offset = static_cast<uint32_t>(std::hash<std::string>()(this->settings.ownIp) % count);
-    for (bool wantsImports : { true, false }) {
+    for (bool wantsPassedOn : { true, false }) {
         for (uint32_t i = 0; i < count; ++i) {
             uint32_t piece = (i + offset) % count;
-            bool isFetchable = !this->isPieceStaged[piece] && !this->isPieceInProgress[piece] && now >= this->earliestRetryAt[piece] && isImportedByThisAgent(piece) == wantsImports;
+            bool isFetchable = !this->isPieceStaged[piece] && !this->isPieceInProgress[piece] && now >= this->earliestRetryAt[piece] && isPassedOnByThisAgent(piece) == wantsPassedOn;
             if (!isFetchable)
                 continue;
-            if (isOriginLimitReached() && isSourceOrigin(piece))
+            if (isSourceOrigin(piece) && (isOriginLimitReached() || isTooEarly(piece)))
                 continue;
-            if (isWindowFull())
+            // Peers hold requests while the origin is away. They must not keep the agent from what its own peers wait for.
+            bool isReserved = isHurried && wantsPassedOn;
+            if (!isReserved && isWindowFull())
                 return;
             auto free = std::find_if(this->fetches.begin(), this->fetches.end(), [](const auto& fetch) { return !fetch->isRunning; });
             if (free == this->fetches.end())
@@ -76,6 +88,8 @@
 PieceSource AgentNode::currentSourceFor(uint32_t piece, const std::vector<AgentPeer>& agents) const
 {
     PieceSourceQuery query { piece, this->settings.ownIp, this->settings.location.regionByDataCentre.at(this->settings.location.dataCentre), this->originRegion() };
+    if (this->areVersionsInSuccession())
+        query.relayedPieces = static_cast<uint32_t>(this->manifest.digests.size());
     auto sources = pieceSources(query, agents);
     return sources[this->failedSourceCounts[piece] % sources.size()];
 }
@@ -100,8 +114,11 @@
 
 void AgentNode::recordPieceArrival(const Fetch& fetch, const CallResult& result, TimePoint now)
 {
-    if (result.status == 200)
-        recordArrival(this->fetchWindow, { result.headReceivedAt, now, result.body.size(), fetch.isFromOrigin });
+    if (result.status != 200)
+        return;
+    this->isOriginAway = false;
+    this->hasReachedOrigin = this->hasReachedOrigin || fetch.isFromOrigin;
+    recordArrival(this->fetchWindow, { result.headReceivedAt, now, result.body.size(), fetch.isFromOrigin });
 }
 
 void AgentNode::finishFetch(Fetch& fetch, const CallResult& result)
@@ -128,10 +145,17 @@
 {
     auto now = Clock::now();
     this->isPieceInProgress[fetch.piece] = false;
-    bool mayRetrySource = result.status == 404 && !fetch.isFromOrigin && ++this->notFoundCounts[fetch.piece] < maxNotFoundPerSource;
+    bool isNotFound = result.status == 404 && !fetch.isFromOrigin;
+    // Who has reached the origin knows that it is the peer that can't.
+    bool isAwaited = isNotFound && result.body == awaitedAnswer && !this->hasReachedOrigin;
+    bool isOriginOutOfReach = fetch.isFromOrigin && result.status == 0 && !result.hasTimedOut;
+    if (isOriginOutOfReach)
+        this->hasReachedOrigin = false;
+    this->isOriginAway = this->isOriginAway || isOriginOutOfReach || isAwaited;
+    bool mayRetrySource = isNotFound && mayAskSourceAgain(this->notFoundAnswers[fetch.piece], isAwaited);
     if (!mayRetrySource) {
         ++this->failedSourceCounts[fetch.piece];
-        this->notFoundCounts[fetch.piece] = 0;
+        this->notFoundAnswers[fetch.piece] = NotFoundAnswers();
     }
     if (!digest.empty())
         noteWrongPiece(this->manifestTrust, { fetch.piece, digest, !fetch.isFromOrigin }, now);
@@ -168,12 +192,19 @@
             this->log.write(LogLevel::Warning, "stage_failed", { { "piece", piece }, { "reason", result.describe() } });
             return;
         }
+        this->noteStaged();
         this->answerPendingPieceRequests(piece);
         this->logIfAllStaged();
         this->orderLoadWhenReady(Clock::now());
     });
 }
 
+void AgentNode::noteStaged()
+{
+    if (this->firstStagedAt == TimePoint())
+        this->firstStagedAt = Clock::now();
+}
+
 // Logs that the version is complete once its last piece is staged.
 void AgentNode::logIfAllStaged()
 {
@@ -194,8 +225,10 @@
             return;
         this->isPieceInProgress[piece] = false;
         this->isPieceStaged[piece] = result.status == 200 && sha256Hex(result.body) == this->manifest.digests[piece];
-        if (this->isPieceStaged[piece])
-            this->answerPendingPieceRequests(piece);
+        if (!this->isPieceStaged[piece])
+            return;
+        this->noteStaged();
+        this->answerPendingPieceRequests(piece);
     });
 }
 
--- a/src/AgentLoads.cpp
+++ b/src/AgentLoads.cpp
@@ -30,6 +30,14 @@
     return switchDelayStart == BootTimePoint::max() || isFollowed || now - switchDelayStart >= switchDelay(this->settings.ownIp, hosts, this->settings.reloadable.maxVersionSwitchTime);
 }
 
+// Whether the complete version isn't to be loaded, since a newer one is known and requests could begin on this one for too short a
+// time. Preconditions: the engine has reported, and the service is known.
+bool AgentNode::isLoadSuperseded() const
+{
+    bool isOlder = this->manifest.version != 0 && this->manifest.version < this->wantedVersion();
+    return this->supersessionBound() != Milliseconds(0) && isOlder && !this->shouldFinishOlderVersion();
+}
+
 void AgentNode::orderLoadWhenReady(TimePoint now)
 {
     if (!this->engineReport || !this->serviceSummary)
@@ -45,6 +53,8 @@
     bool isOrdered = this->orderedVersion == this->manifest.version && now - this->loadOrderedAt < loadOrderRetryInterval;
     if (isOrdered)
         return;
+    if (this->isLoadSuperseded())
+        return;
     bool isUnused = this->engineReport->loadedLayers < this->serviceSummary->model.layerCount || this->loadOrder.trust != LoadTrust::Proven;
     if (!isUnused && !this->isSwitchDue(BootClock::now()))
         return;
@@ -142,6 +152,9 @@
     }
     if (state != BatchState::Sound)
         return;
+    // Entries learn with the next report that the engine goes on with what it has.
+    if (this->isLoadSuperseded())
+        return;
     if (auto timeout = orderTimeout(this->loadOrder, BootClock::now()))
         this->orderLoad(*timeout);
     else
--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -29,6 +30,8 @@
 // The version that engines load when no version was ever named.
 static constexpr uint32_t initialVersion = 1;
 static constexpr std::string_view manifestPathPrefix = "/manifests/";
+// Time that the read-backs and the order take beside the load, and entries to learn of the new version.
+static constexpr Milliseconds orderTime { 500 };
 
 bool servesVersion(const EngineReport& report, const ServedModel& model, uint32_t version)
 {
@@ -295,14 +298,53 @@
     return std::max(wanted, this->engineReport ? this->engineReport->loadedLayersVersion : 0);
 }
 
-// Whether an older version than the wanted one is still brought to the engine, because most of it is there: the engine must
-// leave the version that it serves before the wanted one can arrive. A version whose manifest is doubted may never be complete.
-bool AgentNode::isFinishingOlderVersion() const
+// Whether the manifest is of an older version than the wanted one, which the engine doesn't have and wasn't ordered to load.
+// Precondition: the engine has reported.
+bool AgentNode::hasOlderVersion() const
 {
     bool isOlder = this->manifest.version != 0 && this->manifest.version < this->wantedVersion();
     bool isLoaded = this->manifest.version <= this->engineReport->loadedLayersVersion || this->orderedVersion == this->manifest.version;
-    auto staged = static_cast<size_t>(std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true));
-    return isOlder && !isLoaded && !this->manifestTrust.isDoubted && shouldFinishVersion(staged, this->isPieceStaged.size());
+    return isOlder && !isLoaded;
+}
+
+// Preconditions: the manifest is of an older version than the wanted one, the engine has reported, and the service is known.
+OlderVersion AgentNode::describeOlderVersion() const
+{
+    auto now = Clock::now();
+    const auto& model = this->serviceSummary->model;
+    bool isServing = this->loadOrder.trust == LoadTrust::Proven && servesVersion(*this->engineReport, model, this->engineReport->loadedLayersVersion);
+    FetchProgress progress;
+    progress.staged = static_cast<size_t>(std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true));
+    progress.total = this->isPieceStaged.size();
+    progress.pieceBytes = this->manifest.pieceBytes;
+    if (progress.staged > 0)
+        progress.sinceFirstStaged = std::chrono::duration_cast<Milliseconds>(now - this->firstStagedAt);
+    progress.bytesPerSecond = arrivalRate(this->fetchWindow);
+    OlderVersion older;
+    older.version = this->manifest.version;
+    older.newest = this->wantedVersion();
+    older.held = isServing ? this->engineReport->loadedLayersVersion : 0;
+    older.staged = progress.staged;
+    older.total = progress.total;
+    older.timeToFetchRest = timeToFetch(progress, progress.total - progress.staged);
+    older.timeToFetchNewest = timeToFetch(progress, progress.total);
+    if (this->missingManifestVersion == older.newest)
+        older.newestMissingFor = std::chrono::duration_cast<Milliseconds>(now - this->manifestMissingSince);
+    older.loadTime = model.warmUpTime + orderTime;
+    return older;
+}
+
+// Preconditions are those of describeOlderVersion().
+bool AgentNode::shouldFinishOlderVersion() const
+{
+    return shouldFinishVersion(this->namedVersions, this->describeOlderVersion(), this->supersessionBound(), BootClock::now());
+}
+
+// Whether an older version than the wanted one is still brought to the engine (see VersionSwitch.h). One whose manifest is doubted
+// may never be complete.
+bool AgentNode::isFinishingOlderVersion() const
+{
+    return this->hasOlderVersion() && !this->manifestTrust.isDoubted && this->shouldFinishOlderVersion();
 }
 
 // Requests the manifest of a version, unless the engine serves that version, or an older version is being fetched. One that is
@@ -311,13 +353,33 @@
 {
     bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version) && this->loadOrder.trust != LoadTrust::Doubted;
     bool isMissing = this->manifest.version != version || this->manifestTrust.isDoubted;
-    if (!isServed && isMissing && !this->isFinishingOlderVersion())
+    // An older version may only be finished because the manifest couldn't be had.
+    bool couldNotBeHad = this->supersessionBound() != Milliseconds(0) && this->missingManifestVersion == version;
+    if (!isServed && isMissing && (couldNotBeHad || !this->isFinishingOlderVersion()))
         this->fetchManifest();
 }
 
+// Returns the bound within which engines must switch, if the manifest's version was named; zero if there is none. The initial version
+// is superseded by the first naming, and two are needed for what depends on this bound.
+Milliseconds AgentNode::supersessionBound() const
+{
+    return this->manifest.version > initialVersion ? this->settings.reloadable.maxVersionSwitchTime : Milliseconds(0);
+}
+
+// Whether a version was named while engines still switched to the one before, so that time is short.
+bool AgentNode::areVersionsInSuccession() const
+{
+    if (this->namedVersions.size() < 2)
+        return false;
+    auto newest = this->namedVersions.rbegin();
+    return newest->second - std::next(newest)->second < this->settings.reloadable.maxVersionSwitchTime;
+}
+
 std::vector<AgentPeer> AgentNode::listAgentPeers(uint32_t version) const
 {
-    return listAgents(this->serviceSummary->engines, version, this->settings.location);
+    auto listed = listAgents(this->serviceSummary->engines, version, this->settings.location);
+    bool isBegun = version == this->manifest.version && version != 0;
+    return isBegun && this->areVersionsInSuccession() ? keepOrder(this->agentsAtBegin, listed) : listed;
 }
 
 // Returns the region of the origin of weights; empty when it is unknown.
@@ -338,6 +400,8 @@
         this->manifestAttempts = 0;
     this->requestedManifestVersion = version;
     auto sources = manifestSources(this->settings.ownIp, this->originRegion(), this->listAgentPeers(version));
+    if (this->areVersionsInSuccession())
+        sources = repeatOrigin(sources);
     const auto& source = sources[this->manifestAttempts++ % sources.size()];
     if (source.isOrigin && !this->serviceSummary->origin)
         return;
@@ -371,11 +435,17 @@
     auto received = this->readManifest(result, isFromPeer);
     if (!received.ok()) {
         this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", std::string(received.status().message()) } });
+        this->noteManifestFailure(this->requestedManifestVersion);
         // A peer that answers 404 has no manifest, so the next source is asked without the retry delay.
         if (isFromPeer && result.status == 404)
             this->manifestRequestedAt = TimePoint();
         return;
     }
+    this->missingManifestVersion = 0;
+    // It was requested while it couldn't be had; now that it can, the older version may still be worth more.
+    bool isOtherVersion = received->version != this->manifest.version;
+    if (isOtherVersion && this->supersessionBound() != Milliseconds(0) && this->engineReport && this->isFinishingOlderVersion())
+        return;
     bool isHeld = this->manifest.version == received->version && this->manifest.digests.size() == received->digests.size();
     if (isHeld)
         this->replaceManifest(*std::move(received), isFromPeer);
@@ -383,9 +453,59 @@
         this->beginManifest(*std::move(received));
 }
 
+// Notes since when the manifest of a version can't be had.
+void AgentNode::noteManifestFailure(uint32_t version)
+{
+    if (this->missingManifestVersion == version)
+        return;
+    this->missingManifestVersion = version;
+    this->manifestMissingSince = Clock::now();
+}
+
+void AgentNode::cancelFetches()
+{
+    for (auto& fetch : this->fetches) {
+        if (!fetch->isRunning)
+            continue;
+        fetch->caller->close();
+        fetch->isRunning = false;
+        if (fetch->version == this->manifest.version)
+            this->isPieceInProgress[fetch->piece] = false;
+    }
+}
+
+// Answers 404 to the requests whose pieces would be read from the stage later, when it holds those of another version.
+void AgentNode::cancelUploads()
+{
+    auto isOfManifest = [](const PieceRequest& waiting) { return waiting.shouldVerify; };
+    for (const auto& waiting : this->uploadQueue) {
+        if (isOfManifest(waiting))
+            waiting.exchange->sendResponse(404, {}, {});
+    }
+    this->uploadQueue.erase(std::remove_if(this->uploadQueue.begin(), this->uploadQueue.end(), isOfManifest), this->uploadQueue.end());
+}
+
+// Gives up a version that is superseded before the engine has it. Its pieces would delay those of the newer one on the origin's
+// link and on those of the VMs.
+void AgentNode::dropOlderVersion(uint32_t newer)
+{
+    bool isDropped = this->supersessionBound() != Milliseconds(0) && this->engineReport && this->manifest.version < newer && this->hasOlderVersion();
+    if (!isDropped)
+        return;
+    auto staged = std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true);
+    this->metrics.addToCounter("bilberry_versions_skipped_total");
+    this->log.write(LogLevel::Info, "weights_skipped", { { "version", this->manifest.version }, { "newest", newer }, { "staged", static_cast<uint64_t>(staged) }, { "pieces", static_cast<uint64_t>(this->isPieceStaged.size()) } });
+    this->cancelFetches();
+    this->cancelUploads();
+}
+
 // Starts to bring a version to the engine.
 void AgentNode::beginManifest(PieceManifest received)
 {
+    this->dropOlderVersion(received.version);
+    this->manifestBegunAt = Clock::now();
+    this->firstStagedAt = TimePoint();
+    this->agentsAtBegin = listAgents(this->serviceSummary->engines, received.version, this->settings.location);
     this->manifest = std::move(received);
     voidReads(this->loadOrder);
     size_t count = this->manifest.digests.size();
@@ -393,7 +513,9 @@
     this->isPieceStaged.assign(count, false);
     this->isPieceInProgress.assign(count, false);
     this->failedSourceCounts.assign(count, 0);
-    this->notFoundCounts.assign(count, 0);
+    this->notFoundAnswers.assign(count, NotFoundAnswers());
+    this->isOriginAway = false;
+    this->hasReachedOrigin = false;
     this->earliestRetryAt.assign(count, TimePoint());
     this->log.write(LogLevel::Info, "weights_begun", { { "version", this->manifest.version }, { "pieces", static_cast<uint64_t>(count) } });
     // Pieces that an earlier process or an earlier version left on the stage can be reused when their digests match.
@@ -415,7 +537,7 @@
         this->manifest.digests[piece] = received.digests[piece];
         this->manifestTrust.pieces[piece] = PieceEvidence();
         this->failedSourceCounts[piece] = 0;
-        this->notFoundCounts[piece] = 0;
+        this->notFoundAnswers[piece] = NotFoundAnswers();
         this->isPieceStaged[piece] = false;
         this->earliestRetryAt[piece] = TimePoint();
         if (!this->isPieceInProgress[piece])
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -22,6 +22,7 @@
 
 #include <deque>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace bilberry {
@@ -32,6 +33,9 @@
 /// notify entries of the engine's version.
 constexpr Milliseconds noticeDuration { 700 };
 
+/// Body of a 404 for a piece that the answering agent waits for itself because the origin is out of reach.
+constexpr std::string_view awaitedAnswer = "awaited";
+
 /// Whether the engine has loaded all layers of `version`; false for version 0. Thread safe.
 bool servesVersion(const EngineReport&, const ServedModel&, uint32_t version);
 
@@ -95,13 +99,22 @@
     void handleReport(const EngineReport&, TimePoint now);
     void recordNamedVersion(const SummaryVersion&, BootTimePoint now);
     BootTimePoint newestNamedAt() const;
+    Milliseconds supersessionBound() const;
+    bool areVersionsInSuccession() const;
+    bool hasOlderVersion() const;
+    OlderVersion describeOlderVersion() const;
+    bool shouldFinishOlderVersion() const;
     bool isFinishingOlderVersion() const;
+    void noteManifestFailure(uint32_t version);
     void fetchManifestIfNeeded(uint32_t version);
     uint32_t wantedVersion() const;
     void fetchManifest();
     void handleManifest(const CallResult&, bool isFromPeer);
     absl::StatusOr<PieceManifest> readManifest(const CallResult&, bool isFromPeer) const;
     void beginManifest(PieceManifest);
+    void dropOlderVersion(uint32_t newer);
+    void cancelFetches();
+    void cancelUploads();
     void replaceManifest(PieceManifest, bool isFromPeer);
     bool isStageEvidence() const;
     void startFetches(TimePoint now);
@@ -113,10 +126,12 @@
     void noteFailedFetch(const Fetch&, const CallResult&, const std::string& digest);
     void recordPieceArrival(const Fetch&, const CallResult&, TimePoint now);
     void stagePiece(uint32_t piece, std::string bytes);
+    void noteStaged();
     void logIfAllStaged();
     void verifyStagedPiece(uint32_t piece);
     void orderLoadWhenReady(TimePoint now);
     bool isSwitchDue(BootTimePoint now) const;
+    bool isLoadSuperseded() const;
     void readBackPieces();
     PieceState stateOfReadPiece(uint32_t piece, const CallResult&) const;
     void finishReads(BatchState);
@@ -183,10 +198,17 @@
     uint32_t requestedManifestVersion = 0; ///< The version whose manifest was last requested; zero: none.
     uint32_t manifestAttempts = 0; ///< Requests for that version's manifest; it selects the next source.
     TimePoint manifestRequestedAt {};
+    uint32_t missingManifestVersion = 0; ///< The version whose manifest couldn't be had at the last request; zero: none.
+    TimePoint manifestMissingSince {}; ///< When the first of the requests for it failed that all failed.
+    TimePoint manifestBegunAt {}; ///< When the manifest was received.
+    TimePoint firstStagedAt {}; ///< When the first piece of the version was staged; the default value if none was.
+    bool isOriginAway = false; ///< Whether no piece has arrived since the origin was found to be out of reach.
+    bool hasReachedOrigin = false; ///< Whether the origin has sent the last piece that it was asked for.
+    std::vector<AgentPeer> agentsAtBegin; ///< The agents that were listed when the manifest was received.
     std::vector<bool> isPieceStaged; ///< By piece: whether it is on the engine's stage and its digest was verified.
     std::vector<bool> isPieceInProgress; ///< By piece: whether it is being fetched, written or read back.
     std::vector<uint32_t> failedSourceCounts; ///< By piece: number of sources that failed.
-    std::vector<uint32_t> notFoundCounts; ///< By piece: number of times that the current source has answered 404.
+    std::vector<NotFoundAnswers> notFoundAnswers; ///< By piece: those of the current source.
     std::vector<TimePoint> earliestRetryAt; ///< By piece: earliest time of the next request.
     TimePoint loadOrderedAt {};
     uint32_t orderedVersion = 0; ///< The version that the engine was last ordered to load; zero: none.
--- a/src/AgentPeers.cpp
+++ b/src/AgentPeers.cpp
@@ -88,6 +88,11 @@
 
 void AgentNode::sendNextUpload()
 {
+    // A peer cancels its requests when it drops a version.
+    while (!this->uploadQueue.empty() && this->uploadQueue.front().exchange->hasCallerLeft())
+        this->uploadQueue.pop_front();
+    if (this->uploadQueue.empty())
+        return;
     auto now = Clock::now();
     if (now < this->nextUploadAt) {
         this->uploadTimer.expires_at(this->nextUploadAt);
@@ -164,20 +169,21 @@
 
 // Answers 404 to the requests that have been held for the longest allowed time, and removes them.
 template <typename Held, typename ExchangeOf>
-static void expireRequests(std::vector<Held>& waiting, TimePoint now, ExchangeOf exchangeOf)
+static void expireRequests(std::vector<Held>& waiting, TimePoint now, const std::string& body, ExchangeOf exchangeOf)
 {
     auto isExpired = [&](const Held& request) { return now >= request.expiresAt; };
     for (const auto& request : waiting) {
         if (isExpired(request))
-            exchangeOf(request)->sendResponse(404, {}, {});
+            exchangeOf(request)->sendResponse(404, {}, body);
     }
     waiting.erase(std::remove_if(waiting.begin(), waiting.end(), isExpired), waiting.end());
 }
 
 void AgentNode::expirePendingRequests(TimePoint now)
 {
-    expireRequests(this->pendingPieceRequests, now, [](const PendingPieceRequest& request) { return request.pieceRequest.exchange; });
-    expireRequests(this->pendingManifestRequests, now, [](const PendingManifestRequest& request) { return request.exchange; });
+    bool isAwaited = this->isOriginAway && this->areVersionsInSuccession();
+    expireRequests(this->pendingPieceRequests, now, isAwaited ? std::string(awaitedAnswer) : std::string(), [](const PendingPieceRequest& request) { return request.pieceRequest.exchange; });
+    expireRequests(this->pendingManifestRequests, now, {}, [](const PendingManifestRequest& request) { return request.exchange; });
 }
 
 } // namespace bilberry
--- a/src/VersionSwitch.cpp
+++ b/src/VersionSwitch.cpp
@@ -3,6 +3,7 @@
 #include "ServiceSummary.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace bilberry {
 
@@ -15,6 +16,9 @@
 static constexpr Milliseconds lastSendMargin { 1300 };
 static constexpr Milliseconds takeBackMargin { 600 };
 
+// Time for which an older version waits for the newest one's manifest.
+static constexpr Milliseconds manifestWait { 1000 };
+
 // Factor by which a request may take longer to begin than the slowest of the recent ones.
 static constexpr int delaySafetyFactor = 2;
 
@@ -69,9 +73,92 @@
     return isNewest ? std::optional<uint32_t>(held) : std::nullopt;
 }
 
-bool shouldFinishVersion(size_t staged, size_t total)
+static Milliseconds inMilliseconds(BootClock::duration time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time);
+}
+
+Milliseconds timeToFetch(const FetchProgress& progress, size_t pieces)
+{
+    if (pieces == 0)
+        return Milliseconds(0);
+    auto count = static_cast<double>(pieces);
+    double seconds = 0;
+    bool isRateKnown = progress.staged > 1;
+    if (isRateKnown)
+        seconds = count / static_cast<double>(progress.staged - 1) * std::chrono::duration<double>(progress.sinceFirstStaged).count();
+    if (progress.bytesPerSecond > 0)
+        seconds = std::max(seconds, count * static_cast<double>(progress.pieceBytes) / progress.bytesPerSecond);
+    else if (!isRateKnown)
+        return Milliseconds::max();
+    return std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(seconds));
+}
+
+// Adds the newest version if no entry has told when it was named. It may have been named right after the last version whose naming
+// is known, or before all of this bound.
+static NamedVersions withNewest(NamedVersions named, uint32_t newest, Milliseconds bound, BootTimePoint now)
+{
+    if (named.empty())
+        named.emplace(newest, now - bound);
+    else if (named.rbegin()->first < newest)
+        named.emplace(newest, named.rbegin()->second);
+    return named;
+}
+
+// Returns the time for which requests may still be sent to an engine with version `held`; zero if it has none.
+static Milliseconds servingTimeLeft(const NamedVersions& named, uint32_t held, Milliseconds bound, BootTimePoint now)
+{
+    if (held == 0)
+        return Milliseconds(0);
+    auto supersession = supersededAt(named, held);
+    if (supersession == BootTimePoint::max())
+        return Milliseconds::max();
+    return std::max(Milliseconds(0), inMilliseconds(supersession + bound - lastSendMargin - now));
+}
+
+// The two functions below return the time in which the engine serves no version, from now until it serves the newest.
+static Milliseconds idleTimeIfSkipped(const OlderVersion& older, Milliseconds heldTimeLeft)
+{
+    auto servedFor = std::min(older.timeToFetchNewest, heldTimeLeft);
+    return older.timeToFetchNewest + older.loadTime - servedFor;
+}
+
+static Milliseconds idleTimeIfFinished(const OlderVersion& older, Milliseconds heldTimeLeft, Milliseconds olderTimeLeft)
+{
+    auto heldServedFor = std::min(older.timeToFetchRest, heldTimeLeft);
+    auto olderServesFrom = older.timeToFetchRest + older.loadTime;
+    // The newest version is fetched once the older one is ordered.
+    auto newestOrderedAt = std::max(olderServesFrom, older.timeToFetchRest + older.timeToFetchNewest);
+    auto olderServedFor = std::max(Milliseconds(0), std::min(olderTimeLeft, newestOrderedAt) - olderServesFrom);
+    return newestOrderedAt + older.loadTime - heldServedFor - olderServedFor;
+}
+
+bool shouldFinishVersion(const NamedVersions& named, const OlderVersion& older, Milliseconds bound, BootTimePoint now)
+{
+    if (bound == Milliseconds(0))
+        return older.total > 0 && 2 * older.staged >= older.total;
+    assert(older.loadTime > Milliseconds(0));
+    if (older.held >= older.version)
+        return false;
+    auto known = withNewest(named, older.newest, bound, now);
+    // An estimate may be unlimited. One above this decides no more than this.
+    auto longest = 2 * bound;
+    auto bounded = older;
+    bounded.timeToFetchRest = std::min(older.timeToFetchRest, longest);
+    bounded.timeToFetchNewest = std::min(older.timeToFetchNewest, longest) + std::min(older.newestMissingFor, longest);
+    auto heldTimeLeft = servingTimeLeft(known, older.held, bound, now);
+    auto idleIfFinished = idleTimeIfFinished(bounded, heldTimeLeft, servingTimeLeft(known, older.version, bound, now));
+    // The estimates are uncertain, so the gain must exceed one load.
+    return idleIfFinished + older.loadTime <= idleTimeIfSkipped(bounded, heldTimeLeft);
+}
+
+bool shouldFetchOlderVersion(const NamedVersions& named, const OlderVersion& older, Milliseconds bound, BootTimePoint now)
 {
-    return total > 0 && 2 * staged >= total;
+    if (bound == Milliseconds(0) || shouldFinishVersion(named, older, bound, now))
+        return true;
+    auto timeLeft = servingTimeLeft(withNewest(named, older.newest, bound, now), older.version, bound, now);
+    bool canServe = std::min(older.timeToFetchRest, timeLeft) + older.loadTime < timeLeft;
+    return canServe && older.newestMissingFor >= manifestWait;
 }
 
 std::vector<std::string> engineHostsIn(const std::vector<ServiceEngine>& engines, const std::string& dataCentre)
--- a/src/VersionSwitch.h
+++ b/src/VersionSwitch.h
@@ -1,5 +1,5 @@
-/// Decides when each engine of a service switches to a newly named version. A version switch is the time in which an engine
-/// loads other weights. It is designed for loads under which most engines are needed at all times: the engines switch one
+/// Decides when each engine of a service switches to a newly named version, and whether it takes one that is superseded already.
+/// A version switch is the time in which an engine loads other weights. It is designed for loads under which most engines are needed at all times: the engines switch one
 /// after the other, spread over the allowed time, so that only a part of them is unavailable at once. Agents and entries
 /// compute the same times from the published list of endpoints. Pure functions without I/O.
 #pragma once
@@ -49,9 +49,42 @@
 /// weights than the record says. Returns std::nullopt while an older version may still begin on the engine. Thread safe.
 std::optional<uint32_t> versionToRequire(const NamedVersions&, uint32_t held);
 
-/// Whether an agent goes on with an older version of which it has `staged` of `total` pieces although a newer one was named.
-/// Thread safe.
-bool shouldFinishVersion(size_t staged, size_t total);
+/// An older version than the newest one, which an agent has begun to bring to its engine, and what either course would take.
+struct OlderVersion {
+    uint32_t version = 0;
+    uint32_t newest = 0; ///< The newest version that is known; it may not have been named yet, as far as the agent knows.
+    uint32_t held = 0; ///< The version that the engine serves; zero: none.
+    size_t staged = 0;
+    size_t total = 0;
+    Milliseconds timeToFetchRest { 0 }; ///< Time until all pieces of the older version are staged; zero: they are.
+    Milliseconds timeToFetchNewest { 0 }; ///< Time from its manifest's arrival until all pieces of the newest version are staged.
+    Milliseconds newestMissingFor { 0 }; ///< Time for which its manifest couldn't be had; it may take as long again.
+    Milliseconds loadTime { 0 }; ///< Time from a load order until requests begin on its version. More than zero.
+};
+
+/// Progress of an agent with the pieces of one version.
+struct FetchProgress {
+    size_t staged = 0;
+    size_t total = 0;
+    size_t pieceBytes = 0;
+    Milliseconds sinceFirstStaged { 0 }; ///< Time since the first of the pieces was staged.
+    double bytesPerSecond = 0; ///< Rate of the VM's link; zero if unknown.
+};
+
+/// Returns the estimated time in which `pieces` more pieces are staged: at the mean rate since the first one, and no faster than the
+/// link allows. Milliseconds::max() when there are such pieces and neither rate is known. Thread safe.
+Milliseconds timeToFetch(const FetchProgress&, size_t pieces);
+
+/// Whether an agent goes on with an older version although a newer one was named, and orders its load once it is complete. It does
+/// if the engine then serves requests for longer before the newest version is there than if the agent fetched that at once; an engine
+/// that serves no version or may soon serve none gains from it while requests may begin on the older one. When `bound`, that of
+/// switchDelay(), is zero, the agent goes on if half of the pieces are staged. Thread safe.
+bool shouldFinishVersion(const NamedVersions&, const OlderVersion&, Milliseconds bound, BootTimePoint now);
+
+/// Whether the pieces of an older version are fetched now. Those of one that isn't finished give way to the newest version's manifest
+/// and pieces. If the manifest can't be had for a second, they are fetched as long as requests may begin on the version once its rest
+/// is fetched and loaded. True when `bound` is zero. Thread safe.
+bool shouldFetchOlderVersion(const NamedVersions&, const OlderVersion&, Milliseconds bound, BootTimePoint now);
 
 /// Returns the hosts of the engines in a data centre. Thread safe.
 std::vector<std::string> engineHostsIn(const std::vector<ServiceEngine>&, const std::string& dataCentre);
--- a/tests/VersionSwitchTest.cpp
+++ b/tests/VersionSwitchTest.cpp
@@ -85,3 +85,96 @@
     BOOST_TEST((supersededAt(named, 2) == start + Seconds(3)));
     BOOST_TEST((supersededAt(named, 3) == BootTimePoint::max()));
 }
+
+// An agent that serves version 1 and has half of version 2, all of which takes 2 s to fetch.
+static OlderVersion makeOlderVersion()
+{
+    OlderVersion older;
+    older.version = 2;
+    older.newest = 3;
+    older.held = 1;
+    older.staged = 24;
+    older.total = 48;
+    older.timeToFetchRest = Seconds(1);
+    older.timeToFetchNewest = Seconds(2);
+    older.loadTime = Milliseconds(800);
+    return older;
+}
+
+BOOST_AUTO_TEST_CASE(withoutABoundAVersionOfWhichHalfIsStagedIsFinished)
+{
+    auto older = makeOlderVersion();
+    BOOST_TEST(shouldFinishVersion({}, older, Milliseconds(0), start));
+    BOOST_TEST(shouldFetchOlderVersion({}, older, Milliseconds(0), start));
+    older.staged = 23;
+    BOOST_TEST(!shouldFinishVersion({}, older, Milliseconds(0), start));
+    BOOST_TEST(shouldFetchOlderVersion({}, older, Milliseconds(0), start));
+}
+
+// Most engines are needed at all times: one that serves goes on until it has the newest version.
+BOOST_AUTO_TEST_CASE(anEngineThatServesSkipsASupersededVersion)
+{
+    NamedVersions named { { 2, start }, { 3, start + Seconds(2) } };
+    auto older = makeOlderVersion();
+    BOOST_TEST(!shouldFinishVersion(named, older, bound, start + Seconds(2)));
+    older.staged = older.total;
+    older.timeToFetchRest = Milliseconds(0);
+    BOOST_TEST(!shouldFinishVersion(named, older, bound, start + Seconds(2)));
+}
+
+// An engine without weights serves the superseded version while requests may begin on it, if the newest takes long.
+BOOST_AUTO_TEST_CASE(anEngineWithoutWeightsTakesASupersededVersionThatServesLongEnough)
+{
+    NamedVersions named { { 2, start }, { 3, start + Seconds(2) } };
+    auto older = makeOlderVersion();
+    older.held = 0;
+    older.timeToFetchRest = Milliseconds(100);
+    older.timeToFetchNewest = Seconds(4);
+    BOOST_TEST(shouldFinishVersion(named, older, bound, start + Seconds(2)));
+    // Requests may begin on it for one more second.
+    BOOST_TEST(!shouldFinishVersion(named, older, bound, start + Seconds(2) + bound - Milliseconds(2300)));
+    older.timeToFetchNewest = Seconds(1);
+    BOOST_TEST(!shouldFinishVersion(named, older, bound, start + Seconds(2)));
+}
+
+// A newer version that only a peer has asked for may have been named at any time since the last known naming.
+BOOST_AUTO_TEST_CASE(anUnknownTimeOfNamingCountsAsTheEarliest)
+{
+    auto older = makeOlderVersion();
+    older.held = 0;
+    older.timeToFetchRest = Milliseconds(100);
+    older.timeToFetchNewest = Seconds(4);
+    BOOST_TEST(!shouldFinishVersion({}, older, bound, start));
+    BOOST_TEST(!shouldFetchOlderVersion({}, older, bound, start));
+    BOOST_TEST(shouldFinishVersion({ { 2, start } }, older, bound, start));
+    BOOST_TEST(!shouldFinishVersion({ { 2, start } }, older, bound, start + bound - Seconds(2)));
+}
+
+// Pieces of the older version give way to the newest one's manifest for a moment, and are fetched while that can't be had.
+BOOST_AUTO_TEST_CASE(theOlderVersionGoesOnWhileTheNewestCannotBeHad)
+{
+    NamedVersions named { { 2, start }, { 3, start + Seconds(2) } };
+    auto older = makeOlderVersion();
+    BOOST_TEST(!shouldFetchOlderVersion(named, older, bound, start + Seconds(2)));
+    older.newestMissingFor = Seconds(2);
+    BOOST_TEST(shouldFetchOlderVersion(named, older, bound, start + Seconds(4)));
+    BOOST_TEST(!shouldFetchOlderVersion(named, older, bound, start + Seconds(2) + bound - Seconds(3)));
+    older.held = 0;
+    BOOST_TEST(shouldFinishVersion(named, older, bound, start + Seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(theRateSinceTheFirstPieceTellsHowLongTheRestTakes)
+{
+    FetchProgress progress { 11, 48, 50000, Seconds(1), 1e6 };
+    BOOST_TEST((timeToFetch(progress, 0) == Milliseconds(0)));
+    BOOST_TEST((timeToFetch(progress, 37) == Milliseconds(3700)));
+    // No faster than the link.
+    progress.sinceFirstStaged = Milliseconds(1);
+    BOOST_TEST((timeToFetch(progress, 37) == Milliseconds(1850)));
+    // One piece tells no rate.
+    progress = { 1, 48, 50000, Seconds(30), 1e6 };
+    BOOST_TEST((timeToFetch(progress, 40) == Milliseconds(2000)));
+    progress.bytesPerSecond = 0;
+    BOOST_TEST((timeToFetch(progress, 40) == Milliseconds::max()));
+    BOOST_TEST(!shouldFinishVersion({ { 2, start }, { 3, start } }, { 2, 3, 0, 1, 48, Milliseconds::max(), Milliseconds::max(), Milliseconds::max(), Milliseconds(800) }, bound, start));
+}
