--- a/src/DispatchQueue.cpp
+++ b/src/DispatchQueue.cpp
@@ -77,7 +77,7 @@
     return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-Milliseconds expectedTimeToFirstEvent(const EnginePerformance& engine, uint32_t promptTokens)
+Milliseconds expectedTimeToFirstEvent(const EnginePerformance& engine, uint32_t promptTokens, double workTime)
 {
     // The engine decodes tokens in passes of one event for each request, and prefills the prompts of new requests in between.
     FractionalMilliseconds timePerToken = engine.stepTime + engine.slots * engine.stepTimePerRequest;
@@ -85,15 +85,15 @@
     FractionalMilliseconds ownPrefill(promptTokens / tokensPerMillisecond);
     FractionalMilliseconds othersPrefill(engine.typicalPromptTokens / tokensPerMillisecond);
     FractionalMilliseconds passTime = timePerToken * engine.tokensPerEvent + othersPrefill;
-    return std::chrono::duration_cast<Milliseconds>(passesToFirstEvent * passTime + ownPrefill);
+    return std::chrono::duration_cast<Milliseconds>(workTime * (passesToFirstEvent * passTime + ownPrefill));
 }
 
-Milliseconds maxQueueWait(const RouteRule& route, const EnginePerformance* engine, uint32_t promptTokens, Milliseconds timeBudget)
+Milliseconds maxQueueWait(const RouteRule& route, const EnginePerformance* engine, uint32_t promptTokens, Milliseconds timeBudget, double workTime)
 {
     auto target = std::min(route.targetLatency, timeBudget) - callerRoundTrip;
     if (!engine)
         return std::max(Milliseconds(0), Milliseconds(static_cast<int64_t>(plainServiceWaitShare * static_cast<double>(target.count()))));
-    return std::max(Milliseconds(0), target - expectedTimeToFirstEvent(*engine, promptTokens));
+    return std::max(Milliseconds(0), target - expectedTimeToFirstEvent(*engine, promptTokens, workTime));
 }
 
 Milliseconds retryAfterDelay(Milliseconds expectedWait, uint64_t random)
--- a/src/DispatchQueue.h
+++ b/src/DispatchQueue.h
@@ -54,12 +54,13 @@
 /// recently dispatched to the service. Thread safe while the queue does not change.
 Milliseconds expectedQueueWait(const ServiceQueue&, const RequestRank&, TimePoint now);
 
-/// Expected time to the first event of a request that is sent to an engine of which all other slots are in use. Thread safe.
-Milliseconds expectedTimeToFirstEvent(const EnginePerformance&, uint32_t promptTokens);
+/// Expected time to the first event of a request that is sent to an engine of which all other slots are in use. The work time is
+/// a multiple of the usual one (see WorkRate.h). Thread safe.
+Milliseconds expectedTimeToFirstEvent(const EnginePerformance&, uint32_t promptTokens, double workTime = 1);
 
 /// Longest time that a request may wait in the queue and still be answered within the route's target latency and
 /// `timeBudget`. The engine timing is null for plain services. Thread safe.
-Milliseconds maxQueueWait(const RouteRule&, const EnginePerformance*, uint32_t promptTokens, Milliseconds timeBudget);
+Milliseconds maxQueueWait(const RouteRule&, const EnginePerformance*, uint32_t promptTokens, Milliseconds timeBudget, double workTime = 1);
 
 /// Delay with jitter after which a refused request should be sent again. `random` is uniform. Thread safe.
 Milliseconds retryAfterDelay(Milliseconds expectedWait, uint64_t random);
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -1,5 +1,7 @@
 #include "EndpointChoice.h"
 
+#include "EnginePace.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -22,6 +24,14 @@
 // Number of entries of other regions that use an engine, and the least number of such engines that an entry uses.
 static constexpr double entriesPerFarEngine = 6;
 static constexpr size_t minFarEngines = 2;
+// Time that a request and its answer take to another data centre and back, beyond that within the own one.
+static constexpr Milliseconds remoteRoundTrip { 6 };
+// Time for which a request that is sent to another data centre isn't known to the other entries.
+static constexpr Milliseconds remoteLoadPropagationTime { 200 };
+// The work time of an endpoint without load, as a share of what a full load adds to it, for plain services.
+static constexpr double plainUnloadedShare = 1.0;
+// A slow endpoint isn't compared if another one of the same distance is better by more than a full load.
+static constexpr double maxScoreDifference = 1.0;
 // Number of endpoints of each distance that are drawn at random and compared.
 static constexpr size_t sampledEndpointsPerDistance = 2;
 
@@ -30,6 +40,32 @@
     return record.slots * (record.isModelEngine ? engineConcurrencyPerSlot : plainConcurrencyPerSlot);
 }
 
+double concurrencyLimit(const EndpointRow& row, const PaceRequirements& pace, TimePoint now)
+{
+    double limit = concurrencyLimit(row.record);
+    double workTime = meanWorkTime(row.workRate, now);
+    if (workTime <= 1)
+        return limit;
+    if (!row.record.isModelEngine)
+        return std::max<double>(row.record.slots, limit / workTime);
+    return pace.engine ? std::min(limit, requestsKeepingPace(*pace.engine, pace.maxEventGap, workTime)) : limit;
+}
+
+std::string_view toText(RemoteReason reason)
+{
+    switch (reason) {
+    case RemoteReason::None:
+        return "none";
+    case RemoteReason::NearFull:
+        return "near_full";
+    case RemoteReason::NearSlow:
+        return "near_slow";
+    case RemoteReason::NearLoaded:
+        return "near_loaded";
+    }
+    return "none";
+}
+
 static bool contains(const std::vector<std::string>& names, const std::string& name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -121,9 +157,70 @@
 // An endpoint that may be chosen.
 struct EndpointCandidate {
     uint32_t row = noEndpoint;
-    double score = 0; ///< Load as a share of the concurrency limit, plus the penalty for the distance.
+    double loadScore = 0; ///< Load as a share of the concurrency limit, plus the penalty for the distance.
+    double score = 0; ///< The same with the expected work time: it rises with the expected time to the first event.
+    bool isOnTime = true; ///< Whether that time is within the target, as far as it is known.
+};
+
+// What the candidates of one choice have in common.
+struct ChoiceContext {
+    double unloadedShare = plainUnloadedShare; ///< The work time without load, as a share of what a full load adds to it.
+    FractionalMilliseconds typicalTimeToFirstEvent { 0 }; ///< At an engine of which all other slots are in use.
 };
 
+static ChoiceContext makeContext(const EndpointTable& table, const EndpointRequirements& requirements, TimePoint now)
+{
+    ChoiceContext context;
+    const auto* engine = requirements.pace.engine;
+    if (!engine)
+        return context;
+    auto unloaded = timeToFirstEvent(*engine, requirements.pace.promptTokens, 0, 1);
+    auto full = timeToFirstEvent(*engine, requirements.pace.promptTokens, engine->slots - 1, 1);
+    context.unloadedShare = unloaded / std::max(full - unloaded, FractionalMilliseconds(1));
+    context.typicalTimeToFirstEvent = typicalWorkTime(table, requirements.service, now) * full;
+    return context;
+}
+
+// Rates a candidate by the load, and by the time in which the endpoint is expected to answer.
+static void rateCandidate(EndpointCandidate& candidate, const EndpointRow& row, Distance distance, double load, double limit, const ChoiceContext& context, const PaceRequirements& pace, TimePoint now)
+{
+    candidate.loadScore = load / limit + distancePenalties[distance];
+    candidate.score = candidate.loadScore;
+    if (!isWorkTimeKnown(row.workRate, now))
+        return;
+    double workTime = currentWorkTime(row.workRate, now);
+    candidate.score += (workTime - 1) * (load / limit + context.unloadedShare);
+    if (!pace.engine)
+        return;
+    auto roundTrip = distance >= SameRegion ? remoteRoundTrip : Milliseconds(0);
+    candidate.isOnTime = timeToFirstEvent(*pace.engine, pace.promptTokens, load, workTime) + roundTrip <= pace.timeToTarget;
+}
+
+// Whether the request would be late at the endpoint and is expected to be on time if it waits for another one.
+static bool isBetterWaiting(const EndpointCandidate& candidate, const ChoiceContext& context, const PaceRequirements& pace)
+{
+    return !candidate.isOnTime && FractionalMilliseconds(pace.expectedWait) + context.typicalTimeToFirstEvent <= pace.timeToTarget;
+}
+
+// Leaves out endpoints that are so slow that the better ones of the same distance answer earlier at any load.
+static void removeMuchSlower(std::vector<EndpointCandidate>& candidates)
+{
+    if (candidates.empty())
+        return;
+    auto isBetter = [](const EndpointCandidate& first, const EndpointCandidate& second) { return first.score < second.score; };
+    double best = std::min_element(candidates.begin(), candidates.end(), isBetter)->score;
+    auto isMuchSlower = [&](const EndpointCandidate& candidate) { return candidate.score > best + maxScoreDifference; };
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isMuchSlower), candidates.end());
+}
+
+// Whether `farther`, at the given distance, is to be preferred to `nearer`. Bytes between data centres are dear, so a nearer
+// endpoint that is slow and on time is left only for its load.
+static bool isPreferred(const EndpointCandidate& farther, const EndpointCandidate& nearer, Distance distance)
+{
+    bool isRemote = distance >= SameRegion;
+    return isRemote && nearer.isOnTime ? farther.loadScore < nearer.loadScore : farther.score < nearer.score;
+}
+
 // Returns the best of a few candidates that are drawn at random without replacement.
 static EndpointCandidate bestOfRandomSample(std::vector<EndpointCandidate>& candidates, std::minstd_rand& random)
 {
@@ -186,6 +283,35 @@
     return row.inFlight == 0 && fraction < share;
 }
 
+// Returns by data centre the number of requests that other entries are expected to have sent to each engine there without this
+// entry knowing it yet. Each entry of this data centre that has no free capacity nearby sends about as many as this one does.
+static std::map<std::string, double> unknownRemoteLoads(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, TimePoint now)
+{
+    std::map<std::string, std::pair<double, double>> sendsAndEndpoints;
+    for (const auto& row : table.rows) {
+        bool isRemoteEngine = row.isListed && row.record.isModelEngine && row.record.service == requirements.service && row.record.dataCentre != location.dataCentre;
+        if (!isRemoteEngine)
+            continue;
+        auto isRecent = [&](TimePoint sentAt) { return now - sentAt < remoteLoadPropagationTime; };
+        auto& [sends, endpoints] = sendsAndEndpoints[row.record.dataCentre];
+        sends += static_cast<double>(std::count_if(row.responseDelay.waitingSince.begin(), row.responseDelay.waitingSince.end(), isRecent));
+        ++endpoints;
+    }
+    std::map<std::string, double> loads;
+    for (const auto& [dataCentre, counts] : sendsAndEndpoints)
+        loads[dataCentre] = counts.first * (std::max(requirements.nearEntryCount, 1U) - 1) / counts.second;
+    return loads;
+}
+
+// Why the chosen endpoint of another data centre is preferred to the best one of the own. `isSlowLeftOut` tells whether endpoints
+// of the own data centre have free capacity and were left out because they are slow.
+static RemoteReason remoteReason(const EndpointCandidate& chosen, const EndpointCandidate& bestNear, bool isSlowLeftOut)
+{
+    if (bestNear.row == noEndpoint)
+        return isSlowLeftOut ? RemoteReason::NearSlow : RemoteReason::NearFull;
+    return chosen.loadScore < bestNear.loadScore ? RemoteReason::NearLoaded : RemoteReason::NearSlow;
+}
+
 EndpointChoice chooseEndpoint(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, uint64_t random, TimePoint now)
 {
     EndpointChoice choice;
@@ -197,30 +323,43 @@
             candidates[distanceTo(row.record, location)].push_back({ i });
     }
     divideEngines(candidates, table, requirements);
-    // 2. Leave those with free capacity.
+    auto context = makeContext(table, requirements, now);
+    auto unknownLoads = requirements.pace.weighsDataCentres ? unknownRemoteLoads(table, requirements, location, now) : std::map<std::string, double>();
+    // 2. Leave those with free capacity. One that is so slow that the request is better left waiting counts as having none.
+    bool isSlowLeftOut = false;
     for (size_t distance = 0; distance < candidates.size(); ++distance) {
         choice.hasEligible = choice.hasEligible || !candidates[distance].empty();
         auto isFull = [&](EndpointCandidate& candidate) {
             const auto& row = table.rows[candidate.row];
-            double limit = concurrencyLimit(row.record);
-            double load = estimatedLoad(row, now);
-            candidate.score = load / limit + distancePenalties[distance];
+            double limit = concurrencyLimit(row, requirements.pace, now);
+            auto unknownLoad = unknownLoads.find(row.record.dataCentre);
+            double load = estimatedLoad(row, now) + (unknownLoad == unknownLoads.end() ? 0 : unknownLoad->second);
+            rateCandidate(candidate, row, static_cast<Distance>(distance), load, limit, context, requirements.pace, now);
             bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
-            return load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now);
+            bool hasNoCapacity = load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now);
+            bool isLeftOut = !hasNoCapacity && isBetterWaiting(candidate, context, requirements.pace);
+            isSlowLeftOut = isSlowLeftOut || (isLeftOut && distance < SameRegion);
+            return hasNoCapacity || isLeftOut;
         };
         auto& sameDistance = candidates[distance];
         sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
+        removeMuchSlower(sameDistance);
         choice.availableCount += static_cast<uint32_t>(sameDistance.size());
     }
     // 3. Choose the best of a random sample of each distance.
     std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
     EndpointCandidate best;
-    for (auto& sameDistance : candidates) {
-        auto found = bestOfRandomSample(sameDistance, generator);
-        if (found.row != noEndpoint && (best.row == noEndpoint || found.score < best.score))
+    EndpointCandidate bestNear;
+    for (size_t distance = 0; distance < candidates.size(); ++distance) {
+        auto found = bestOfRandomSample(candidates[distance], generator);
+        if (found.row != noEndpoint && (best.row == noEndpoint || isPreferred(found, best, static_cast<Distance>(distance))))
             best = found;
+        if (distance < SameRegion)
+            bestNear = best;
     }
     choice.row = best.row;
+    if (best.row != bestNear.row)
+        choice.remoteReason = remoteReason(best, bestNear, isSlowLeftOut);
     return choice;
 }
 
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberry {
@@ -21,6 +22,20 @@
     std::map<std::string, std::string> regionByDataCentre; ///< Region of each data centre, by the data centre's name.
 };
 
+struct EnginePerformance;
+
+/// How fast a request must be answered, for the comparison of endpoints that state their work time (see WorkRate.h).
+struct PaceRequirements {
+    const EnginePerformance* engine = nullptr; ///< Performance of the service's engines; null for plain services.
+    uint32_t promptTokens = 0;
+    Milliseconds maxEventGap { 0 }; ///< Longest pause between events of the answer; zero: no limit.
+    Milliseconds timeToTarget = Milliseconds::max(); ///< Time left until the first event is late.
+    Milliseconds expectedWait = Milliseconds::max(); ///< Expected time until there is free capacity for it if it isn't sent now.
+    /// Whether other data centres are chosen by what is expected of them, also of the other entries' requests that are under way
+    /// there. It is so anyway where endpoints state their work time.
+    bool weighsDataCentres = false;
+};
+
 /// What a request requires of its endpoint, and how this entry shares the endpoints with others.
 struct EndpointRequirements {
     std::string service;
@@ -40,20 +55,36 @@
     uint64_t entryHash = 0;
     /// Requests per second that this entry may send to a cold endpoint (see EndpointRow::coldUntil); zero: no limit.
     double maxColdRate = 0;
+    PaceRequirements pace;
 };
 
 /// Row number that stands for no endpoint.
 constexpr uint32_t noEndpoint = UINT32_MAX;
 
+/// Why a request goes to another data centre.
+enum class RemoteReason : uint8_t {
+    None, ///< It doesn't.
+    NearFull, ///< No endpoint of the own data centre has free capacity.
+    NearSlow, ///< Those with free capacity are too slow to answer on time, by their own statements.
+    NearLoaded, ///< The other one has much more free capacity.
+};
+
+/// Name of the reason in metrics. Thread safe.
+std::string_view toText(RemoteReason);
+
 /// Result of a choice.
 struct EndpointChoice {
     uint32_t row = noEndpoint; ///< Row of the chosen endpoint, which has free capacity; noEndpoint if there is none.
     bool hasEligible = false; ///< Whether any endpoint is eligible, with or without free capacity.
     uint32_t availableCount = 0; ///< Number of eligible endpoints with free capacity.
+    RemoteReason remoteReason = RemoteReason::None;
 };
 
 /// Largest number of requests that may be in flight at the endpoint at a time. Thread safe.
 double concurrencyLimit(const EndpointRecord&);
+/// The same while the endpoint works at the speed that it states: as many as keep the pace, at least 1. A slow plain service gets no
+/// more requests than it has slots. Thread safe.
+double concurrencyLimit(const EndpointRow&, const PaceRequirements&, TimePoint now);
 
 /// Whether the endpoint could run the request if it had free capacity. Thread safe.
 bool isEligible(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
@@ -68,6 +99,10 @@
 /// choices). Nearer ones are preferred while their load isn't much higher. Entries learn of loads with a delay: if all of
 /// them took the least loaded endpoint, they would overload it. Where a data centre has many entries, each prefers some of
 /// its engines, so that connections are used again before they time out, and uses only some of the engines of other regions.
+///
+/// Where endpoints state their work time, the expected time to the first event takes the place of the load. A slow endpoint gets
+/// the request only if no other one answers earlier: none is chosen while the request would be late there, and on time after the
+/// expected wait for another one. Requests go to another data centre for that only if they would be late in the own one.
 /// `random` is uniform. Thread safe.
 EndpointChoice chooseEndpoint(const EndpointTable&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, uint64_t random, TimePoint now);
 
--- a/src/EndpointTable.cpp
+++ b/src/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "EndpointTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -20,6 +21,11 @@
 static constexpr Seconds unlistedStatementTime { 60 };
 // Time within which entries learn of each other's requests at an endpoint.
 static constexpr Milliseconds peerLoadPropagationTime { 500 };
+// Age up to which the other entries are told of a work time, and the largest number of them in one report.
+static constexpr Milliseconds longestReportedAge { 300 };
+static constexpr size_t maxReportedWorkTimes = 64;
+// Work time from which an endpoint counts as slow.
+static constexpr double slowWorkTime = 1.25;
 
 uint32_t EndpointTable::upsert(const EndpointRecord& record, TimePoint now)
 {
@@ -168,6 +174,8 @@
     auto stated = static_cast<int>(load.running + load.waiting);
     row.unknownInFlight = stated - static_cast<int>(row.inFlight + row.peersInFlight);
     row.loadReportedAt = now;
+    if (load.workTimePercent && noteWorkTime(row.workRate, *load.workTimePercent, now))
+        row.workRate.isToBeReported = true;
 }
 
 void noteSwitching(EndpointRow& row, TimePoint now)
@@ -187,4 +195,61 @@
     return std::max<double>(row.inFlight, known + weight * row.unknownInFlight);
 }
 
+std::vector<WorkTimeReport> takeWorkTimes(EndpointTable& table, TimePoint now)
+{
+    std::vector<WorkTimeReport> reports;
+    for (auto& row : table.rows) {
+        auto age = std::chrono::duration_cast<Milliseconds>(now - row.workRate.statedAt);
+        bool isDue = std::exchange(row.workRate.isToBeReported, false) && age <= longestReportedAge;
+        if (isDue)
+            reports.push_back({ endpointHash(row.record.id), static_cast<uint32_t>(std::lround(100 * row.workRate.newest)), age });
+    }
+    auto isNewer = [](const WorkTimeReport& first, const WorkTimeReport& second) { return first.age < second.age; };
+    std::stable_sort(reports.begin(), reports.end(), isNewer);
+    reports.resize(std::min(reports.size(), maxReportedWorkTimes));
+    return reports;
+}
+
+void applyWorkTimes(EndpointTable& table, const std::vector<WorkTimeReport>& reports, TimePoint now)
+{
+    if (reports.empty())
+        return;
+    std::unordered_map<uint32_t, const WorkTimeReport*> reportByEndpoint;
+    for (const auto& report : reports)
+        reportByEndpoint[report.endpoint] = &report;
+    for (auto& row : table.rows) {
+        auto found = row.record.id.empty() ? reportByEndpoint.end() : reportByEndpoint.find(endpointHash(row.record.id));
+        if (found == reportByEndpoint.end())
+            continue;
+        bool isNewest = noteWorkTime(row.workRate, found->second->percent, now - found->second->age);
+        row.workRate.isToBeReported = row.workRate.isToBeReported && !isNewest;
+    }
+}
+
+bool statesWorkTimes(const EndpointTable& table, const std::string& service, TimePoint now)
+{
+    auto statesIt = [&](const EndpointRow& row) { return isWorkTimeKnown(row.workRate, now) && row.isListed && row.record.service == service; };
+    return std::any_of(table.rows.begin(), table.rows.end(), statesIt);
+}
+
+double typicalWorkTime(const EndpointTable& table, const std::string& service, TimePoint now)
+{
+    if (!statesWorkTimes(table, service, now))
+        return 1;
+    std::vector<double> workTimes;
+    for (const auto& row : table.rows) {
+        if (row.isListed && row.record.service == service)
+            workTimes.push_back(meanWorkTime(row.workRate, now));
+    }
+    auto median = workTimes.begin() + static_cast<ptrdiff_t>((workTimes.size() - 1) / 2);
+    std::nth_element(workTimes.begin(), median, workTimes.end());
+    return *median;
+}
+
+size_t countSlowByStatement(const EndpointTable& table, TimePoint now)
+{
+    auto isSlowByStatement = [&](const EndpointRow& row) { return row.isListed && meanWorkTime(row.workRate, now) >= slowWorkTime; };
+    return static_cast<size_t>(std::count_if(table.rows.begin(), table.rows.end(), isSlowByStatement));
+}
+
 } // namespace bilberry
--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "CrashHistory.h"
+#include "DemandReport.h"
 #include "EndpointRecord.h"
 #include "EndpointStatement.h"
 #include "PeerMessage.h"
@@ -10,6 +11,7 @@
 #include "ResponseDelay.h"
 #include "Types.h"
 #include "Withholding.h"
+#include "WorkRate.h"
 
 #include <deque>
 #include <string>
@@ -44,6 +46,7 @@
     EndpointStatement statement; ///< What the endpoint has stated about itself in its answers.
     LossRecord losses;
     ResponseDelay responseDelay;
+    WorkRate workRate; ///< Its speed of work, if it states that.
     std::deque<TimePoint> coldSends; ///< When requests were sent to it in the last second while it was cold, oldest first.
 };
 
@@ -99,5 +102,16 @@
 /// Estimates the number of requests of all entries at the endpoint: those that the entries report, corrected by what the
 /// endpoint's own last load report stated beyond them. The weight of the correction falls with its age. Thread safe.
 double estimatedLoad(const EndpointRow&, TimePoint now);
+/// Returns the work times that endpoints have lately stated to this entry and that its peers haven't been told, the newest ones up
+/// to a fixed number. They count as told afterwards.
+std::vector<WorkTimeReport> takeWorkTimes(EndpointTable&, TimePoint now);
+/// Records work times that a peer reports, where this entry knows no newer ones.
+void applyWorkTimes(EndpointTable&, const std::vector<WorkTimeReport>&, TimePoint now);
+/// Whether any endpoint of the service has lately stated its work time. Thread safe.
+bool statesWorkTimes(const EndpointTable&, const std::string& service, TimePoint now);
+/// Returns the median work time of a service's endpoints, expected over the next second; 1 where none is stated. Thread safe.
+double typicalWorkTime(const EndpointTable&, const std::string& service, TimePoint now);
+/// Returns the number of endpoints whose work takes noticeably longer than usual, by their own statements. Thread safe.
+size_t countSlowByStatement(const EndpointTable&, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -32,6 +32,9 @@
 // Least number of entries that are assumed to share the fleet's budgets, also while fewer have been heard from.
 static constexpr uint32_t assumedEntries = 6;
 
+// Time between two log lines on requests that went to another data centre.
+static constexpr Seconds remoteSendLogInterval { 1 };
+
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
 {
     PeerExchangeSettings exchangeSettings;
@@ -303,6 +306,18 @@
     node.ownRefusals.removeExpired(now);
 }
 
+void noteRemoteSend(EntryNode& node, const EndpointChoice& choice, TimePoint now)
+{
+    if (choice.remoteReason == RemoteReason::None)
+        return;
+    node.metrics.addToCounter("bilberry_remote_sends_total", { { "reason", std::string(toText(choice.remoteReason)) } });
+    if (now - node.remoteSendLoggedAt < remoteSendLogInterval)
+        return;
+    node.remoteSendLoggedAt = now;
+    const auto& record = node.clusterView.endpoints.rows[choice.row].record;
+    node.log.write(LogLevel::Info, "sent_to_other_data_centre", { { "service", record.service }, { "data_centre", record.dataCentre }, { "endpoint", record.id }, { "reason", toText(choice.remoteReason) } });
+}
+
 void EntryNode::answerReadiness(const std::shared_ptr<ServerExchange>& exchange)
 {
     bool isReadyPath = exchange->request().path == this->adapter.requests.readyPath;
@@ -319,6 +334,7 @@
     this->metrics.setGauge("bilberry_store_calls", static_cast<double>(this->storeWatch.callCount()));
     this->metrics.setGauge("bilberry_log_lines_dropped", static_cast<double>(this->log.droppedLines()));
     this->metrics.setGauge("bilberry_endpoint_connections_made", static_cast<double>(this->channels.createdCount()));
+    this->metrics.setGauge("bilberry_endpoints_stated_slow", static_cast<double>(countSlowByStatement(this->clusterView.endpoints, Clock::now())));
     this->metrics.setGauge("bilberry_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
     exchange->sendResponse(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
 }
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -29,6 +29,7 @@
 namespace bilberry {
 
 class ProxiedRequest;
+struct EndpointChoice;
 
 /// Used by the loop's thread only.
 struct EntryNode {
@@ -78,6 +79,9 @@
     TimePoint stopRequestedAt = TimePoint::max(); ///< The maximum while no stop is requested.
     StopSchedule stopSchedule;
 
+    TimePoint remoteSendLoggedAt {}; ///< When the log last showed a request that went to another data centre.
+    TimePoint unreadableLoadLoggedAt {}; ///< When the log last showed an endpoint's load that can't be read.
+
     uint32_t nearPeers = 0; ///< The number of recently heard entries of this data centre.
 
     PeerExchange peers;
@@ -159,6 +163,8 @@
 /// Returns whether the cluster view is recent enough for key revocations, so that requests with keys can be admitted.
 /// Always true when the settings don't fail closed (`failsClosed`).
 bool knowsRevocations(const EntryNode&, BootTimePoint now);
+/// Counts and logs a choice of another data centre's endpoint; the log shows some of them only. Does nothing for other choices.
+void noteRemoteSend(EntryNode&, const EndpointChoice&, TimePoint now);
 /// Dispatches the waiting requests of a service for which an endpoint has free capacity now.
 void dispatchWaitingRequests(EntryNode&, const std::string& service);
 /// Records that an engine refused a request because of a version switch, and reports it to the peers.
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -43,8 +43,16 @@
         events.dataCentre = this->settings.location.dataCentre;
         return events;
     };
-    handlers.takeDemandReport = [](PeerMessageScope) { return DemandReport(); };
-    handlers.onDemandReport = [](const std::string&, const DemandReport&) {};
+    handlers.takeDemandReport = [this](PeerMessageScope scope) {
+        DemandReport report;
+        report.dataCentre = this->settings.location.dataCentre;
+        if (scope == PeerMessageScope::Near)
+            report.workTimes = takeWorkTimes(this->clusterView.endpoints, Clock::now());
+        return report;
+    };
+    handlers.onDemandReport = [this](const std::string&, const DemandReport& report) {
+        applyWorkTimes(this->clusterView.endpoints, report.workTimes, Clock::now());
+    };
     handlers.onMessage = [this](const PeerMessage& message) { this->applyPeerMessage(message); };
     handlers.onEndpointEvents = [this](const EndpointEvents& events) { this->applyEndpointEvents(events); };
     handlers.onNotice = [this](const EngineNotice& notice) { this->handleAgentNotice(notice); };
--- a/src/EntryStatements.cpp
+++ b/src/EntryStatements.cpp
@@ -6,6 +6,9 @@
 
 namespace bilberry {
 
+// Time between two log lines on loads that can't be read. An endpoint states its load in each answer.
+static constexpr Seconds unreadableLoadLogInterval { 1 };
+
 uint32_t runHash(const std::string& endpointId, WallTime startedAt)
 {
     return endpointHash(fmt::format("{}/{}", endpointId, startedAt.time_since_epoch().count()));
@@ -34,11 +37,22 @@
     node.log.write(LogLevel::Info, "endpoint_set_aside", { { "endpoint", endpointId }, { "reason", toText(SetAsideReason::RetryAfter) }, { "request", origin.requestId }, { "asked_ms", retryAfter } });
 }
 
+static void noteUnreadableLoad(EntryNode& node, const std::string& requestId, const std::string& endpointId, TimePoint now)
+{
+    node.metrics.addToCounter("bilberry_loads_unreadable_total");
+    if (now - node.unreadableLoadLoggedAt < unreadableLoadLogInterval)
+        return;
+    node.unreadableLoadLoggedAt = now;
+    node.log.write(LogLevel::Warning, "load_unreadable", { { "endpoint", endpointId }, { "request", requestId } });
+}
+
 void noteStatement(EntryNode& node, const EndpointReply& reply, const AnswerOrigin& origin, TimePoint now)
 {
     const auto& endpointId = reply.endpointId.empty() ? origin.endpointId : reply.endpointId;
     if (reply.isRetryAfterUnreadable)
         node.log.write(LogLevel::Warning, "retry_after_unreadable", { { "endpoint", endpointId }, { "request", origin.requestId } });
+    if (reply.isLoadUnreadable)
+        noteUnreadableLoad(node, origin.requestId, endpointId, now);
     if (!reply.isLeaving && !reply.retryAfter)
         return;
     auto& statement = node.clusterView.endpoints.statementOf(endpointId, now);
--- a/src/ProtocolAdapter.h
+++ b/src/ProtocolAdapter.h
@@ -51,6 +51,8 @@
     uint32_t running = 0;
     uint32_t waiting = 0;
     uint32_t slots = 0;
+    /// The time that work takes there at this moment, as a percentage of the usual time; nothing if the endpoint doesn't state it.
+    std::optional<uint32_t> workTimePercent = std::nullopt;
 };
 
 /// The metadata that an endpoint sends along with an answer.
@@ -59,6 +61,7 @@
     bool isSealed = false; ///< Whether the answer carries the header that marks it as made by the endpoint itself.
     bool isNotExecuted = false; ///< Whether the endpoint states that it has not run the request.
     std::optional<LoadReport> load;
+    bool isLoadUnreadable = false; ///< Whether the endpoint stated its load, or a part of it, in a form that can't be read.
     std::string endpointId; ///< The endpoint that answered; empty when the answer doesn't state it.
     bool isLeaving = false; ///< Whether the endpoint states that it leaves.
     std::optional<Milliseconds> retryAfter; ///< For how long the endpoint, which refused the request, wants none from this entry.
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -234,6 +234,22 @@
         this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
+// How fast the request must be answered, where the service's endpoints state their work time.
+PaceRequirements ProxiedRequest::paceRequirements(TimePoint now) const
+{
+    PaceRequirements pace;
+    pace.weighsDataCentres = this->service && this->service->hasRankedRoutes;
+    if (!statesWorkTimes(this->node.clusterView.endpoints, this->requirements.service, now))
+        return pace;
+    pace.weighsDataCentres = true;
+    pace.engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
+    pace.promptTokens = this->callerRequest.promptTokens;
+    pace.maxEventGap = this->route->maxEventGap;
+    pace.timeToTarget = std::chrono::duration_cast<Milliseconds>(this->firstArrivedAt + this->route->targetLatency - now);
+    pace.expectedWait = expectedQueueWait(this->node.queues[this->requirements.service], this->currentRank(now), now);
+    return pace;
+}
+
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
@@ -241,6 +257,7 @@
     this->requirements.entryCount = entryCount(this->node);
     this->requirements.nearEntryCount = nearEntryCount(this->node);
     this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
+    this->requirements.pace = this->paceRequirements(now);
     this->requirements.bootNow = BootClock::now();
     this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
     auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
@@ -249,6 +266,7 @@
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
+    noteRemoteSend(this->node, choice, now);
     this->isWaiting = false;
     if (this->attemptTotals.runs + this->attemptTotals.notRun == 0)
         this->queueTime = std::chrono::duration_cast<Milliseconds>(now - this->arrivedAt);
@@ -281,7 +299,7 @@
         return std::min(maxLateQueueWait, this->timeLeft(now));
     const EnginePerformance* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - this->firstArrivedAt);
-    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed));
+    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed), typicalWorkTime(this->node.clusterView.endpoints, this->requirements.service, now));
 }
 
 bool ProxiedRequest::areAllSetAsideUntil(TimePoint time, TimePoint now) const
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -61,6 +61,7 @@
     bool isRefusedForCrashes() const;
     void refuseForCrashes(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
+    PaceRequirements paceRequirements(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
     bool hasMissedTarget(TimePoint now) const;
     RequestRank currentRank(TimePoint now) const;
--- a/tests/EndpointChoiceTest.cpp
+++ b/tests/EndpointChoiceTest.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "EndpointChoice.h"
+#include "EntryConfiguration.h"
 
 #include <random>
 #include <rapidcheck.h>
@@ -409,3 +410,178 @@
     }
     BOOST_TEST((chooseEndpoint(table, requirements, location, {}, 1, start).row == noEndpoint));
 }
+
+namespace {
+
+EnginePerformance writerPerformance()
+{
+    EnginePerformance engine;
+    engine.slots = 4;
+    engine.tokensPerEvent = 7;
+    engine.stepTime = FractionalMilliseconds(7.4);
+    engine.prefillTokensPerSecond = 31'900;
+    engine.typicalPromptTokens = 973;
+    engine.typicalAnswerTokens = 109;
+    return engine;
+}
+
+// A request with 400 ms left until its first event is late, which waits 30 ms for another place.
+EndpointRequirements makePacedRequirements(const EnginePerformance& engine)
+{
+    auto requirements = makeEngineRequirements();
+    requirements.pace = { &engine, 973, Milliseconds(400), Milliseconds(400), Milliseconds(30), true };
+    return requirements;
+}
+
+// Engines by id in the table, each with a load and a stated work time in percent; zero stands for none.
+struct StatedEngine {
+    const char* id;
+    const char* dataCentre;
+    uint32_t inFlight;
+    uint32_t workTimePercent;
+};
+
+EndpointTable makeTable(const std::vector<StatedEngine>& engines)
+{
+    EndpointTable table;
+    for (const auto& engine : engines) {
+        auto& row = table.rows[table.upsert(engineRecord(engine.id, engine.dataCentre), start - Seconds(2))];
+        row.inFlight = engine.inFlight;
+        if (engine.workTimePercent != 0)
+            noteWorkTime(row.workRate, engine.workTimePercent, start);
+    }
+    return table;
+}
+
+} // namespace
+
+// Load: engines near their limit, some of them slow for a while. A slow one gets the request only where no other answers earlier.
+BOOST_AUTO_TEST_CASE(slowEnginesGetARequestOnlyIfNoOtherAnswersEarlier)
+{
+    struct Row {
+        std::vector<StatedEngine> engines;
+        const char* chosen;
+        RemoteReason reason;
+    };
+    auto performance = writerPerformance();
+    const auto none = RemoteReason::None;
+    const std::vector<Row> rows {
+        { { { "slow", "dc-a", 0, 250 }, { "loaded", "dc-a", 3, 100 } }, "loaded", none },
+        { { { "slow", "dc-a", 0, 250 }, { "unstated", "dc-a", 3, 0 } }, "unstated", none },
+        { { { "little", "dc-a", 0, 110 }, { "loaded", "dc-a", 3, 100 } }, "little", none },
+        { { { "slow", "dc-a", 0, 150 }, { "full", "dc-a", 4, 100 }, { "full2", "dc-a", 4, 100 } }, "slow", none },
+        // It would be late there, and on time at one that is full now.
+        { { { "slow", "dc-a", 0, 800 }, { "full", "dc-a", 4, 100 }, { "full2", "dc-a", 4, 100 } }, "", none },
+        // Nearly all are as slow, so that waiting doesn't help.
+        { { { "slow", "dc-a", 0, 800 }, { "slow2", "dc-a", 4, 800 }, { "full", "dc-a", 4, 100 } }, "slow", none },
+        // Bytes between regions are dear: a slow engine that is on time isn't left for one elsewhere.
+        { { { "slow", "dc-a", 0, 150 }, { "far", "dc-c", 0, 100 } }, "slow", none },
+        { { { "slow", "dc-a", 0, 800 }, { "far", "dc-c", 2, 100 } }, "far", RemoteReason::NearSlow },
+        { { { "slow", "dc-a", 0, 800 }, { "far", "dc-c", 2, 800 } }, "slow", none },
+        { { { "full", "dc-a", 4, 100 }, { "far", "dc-c", 2, 100 } }, "far", RemoteReason::NearFull },
+        { { { "full", "dc-a", 4, 100 }, { "region", "dc-b", 2, 100 }, { "far", "dc-c", 2, 100 } }, "region", RemoteReason::NearFull },
+        { { { "loaded", "dc-a", 3, 100 }, { "far", "dc-c", 0, 100 } }, "far", RemoteReason::NearLoaded },
+        { { { "near", "dc-a", 1, 100 }, { "far", "dc-c", 1, 100 } }, "near", none },
+    };
+    for (const auto& row : rows) {
+        auto table = makeTable(row.engines);
+        auto choice = chooseEndpoint(table, makePacedRequirements(performance), location, {}, 7, start);
+        BOOST_TEST_CONTEXT(row.engines[0].id << ", " << row.engines[1].id << ", " << row.chosen)
+        {
+            BOOST_TEST((choice.row == noEndpoint ? std::string() : table.rows[choice.row].record.id) == row.chosen);
+            BOOST_TEST((choice.remoteReason == row.reason));
+            BOOST_TEST(choice.hasEligible);
+        }
+    }
+}
+
+// A request that is late anyway, or about to be, isn't held back any longer.
+BOOST_AUTO_TEST_CASE(requestsThatCannotBeOnTimeTakeASlowEngine)
+{
+    auto performance = writerPerformance();
+    auto table = makeTable({ { "slow", "dc-a", 0, 800 }, { "full", "dc-a", 4, 100 }, { "full2", "dc-a", 4, 100 } });
+    auto requirements = makePacedRequirements(performance);
+    BOOST_TEST(chosenEndpointId(table, requirements).empty());
+    requirements.pace.expectedWait = Milliseconds(350);
+    BOOST_TEST(chosenEndpointId(table, requirements) == "slow");
+    requirements.pace.expectedWait = Milliseconds::max();
+    BOOST_TEST(chosenEndpointId(table, requirements) == "slow");
+    requirements.pace.expectedWait = Milliseconds(30);
+    for (auto timeLeft : { Milliseconds(60), Milliseconds(0), Milliseconds(-5000) }) {
+        requirements.pace.timeToTarget = timeLeft;
+        BOOST_TEST(chosenEndpointId(table, requirements) == "slow");
+    }
+}
+
+// Where no endpoint states its work time, or all state the usual one, the choice is the same as without: most deployments.
+BOOST_AUTO_TEST_CASE(usualWorkTimesChangeNoChoice)
+{
+    auto performance = writerPerformance();
+    BOOST_TEST(rc::check([&] {
+        EndpointTable unstated;
+        EndpointTable stated;
+        int count = *rc::gen::inRange(1, 16);
+        for (int i = 0; i < count; ++i) {
+            auto record = engineRecord("e" + std::to_string(i), *rc::gen::element<std::string>("dc-a", "dc-b", "dc-c"));
+            auto inFlight = static_cast<uint32_t>(*rc::gen::inRange(0, 6));
+            for (auto* table : { &unstated, &stated })
+                table->rows[table->upsert(record, start - Seconds(2))].inFlight = inFlight;
+            noteWorkTime(stated.rows.back().workRate, 100, start);
+        }
+        auto paced = makePacedRequirements(performance);
+        paced.pace.weighsDataCentres = false;
+        auto random = *rc::gen::arbitrary<uint64_t>();
+        auto expected = chooseEndpoint(unstated, makeEngineRequirements(), location, {}, random, start).row;
+        RC_ASSERT(chooseEndpoint(unstated, paced, location, {}, random, start).row == expected);
+        RC_ASSERT(chooseEndpoint(stated, paced, location, {}, random, start).row == expected);
+    }));
+}
+
+// Load: entries of one data centre whose engines are full and that know of the same room elsewhere. What each sends to one data centre,
+// the others are expected to send there as well, so that they don't all overload it.
+BOOST_AUTO_TEST_CASE(entriesDontAllSendToOneDataCentre)
+{
+    const NodeLocation spread { "dc-a", { { "dc-a", "north" }, { "dc-b", "east" }, { "dc-c", "south" } } };
+    auto table = makeTable({ { "full", "dc-a", 4, 0 }, { "b", "dc-b", 2, 0 }, { "c", "dc-c", 2, 0 } });
+    auto requirements = makeEngineRequirements();
+    requirements.nearEntryCount = 3;
+    requirements.pace.weighsDataCentres = true;
+    for (const char* busy : { "b", "c" }) {
+        auto changed = table;
+        auto& row = changed.rows[changed.rowById[busy]];
+        recordSend(row.responseDelay, start - Milliseconds(50));
+        for (uint64_t random = 0; random < 20; ++random) {
+            auto choice = chooseEndpoint(changed, requirements, spread, {}, random, start);
+            BOOST_REQUIRE(choice.row != noEndpoint);
+            BOOST_TEST(changed.rows[choice.row].record.id != busy);
+        }
+        // With both taken, the request waits; what was sent long ago is known by now.
+        for (const char* id : { "b", "c" })
+            recordSend(changed.rows[changed.rowById[id]].responseDelay, start - Milliseconds(50));
+        BOOST_TEST((chooseEndpoint(changed, requirements, spread, {}, 1, start).row == noEndpoint));
+        BOOST_TEST((chooseEndpoint(changed, requirements, spread, {}, 1, start + Milliseconds(200)).row != noEndpoint));
+        requirements.pace.weighsDataCentres = false;
+        BOOST_TEST((chooseEndpoint(changed, requirements, spread, {}, 1, start).row != noEndpoint));
+        requirements.pace.weighsDataCentres = true;
+    }
+}
+
+// A slow plain service gets no more requests than it has slots; an engine as many as keep the pace.
+BOOST_AUTO_TEST_CASE(slowEndpointsGetFewerRequestsAtOnce)
+{
+    auto performance = writerPerformance();
+    PaceRequirements pace { &performance, 973, Milliseconds(400) };
+    EndpointRow row;
+    row.record = engineRecord("e", "dc-a");
+    BOOST_TEST(concurrencyLimit(row, pace, start) == 4);
+    noteWorkTime(row.workRate, 200, start);
+    BOOST_TEST(concurrencyLimit(row, pace, start) == 4);
+    noteWorkTime(row.workRate, 1000, start + Seconds(2));
+    BOOST_TEST(concurrencyLimit(row, pace, start + Seconds(2)) == 1);
+    BOOST_TEST(concurrencyLimit(row, pace, start + Seconds(4)) == 4);
+    row.record.isModelEngine = false;
+    BOOST_TEST(concurrencyLimit(row, {}, start + Seconds(2)) == 4);
+    BOOST_TEST(concurrencyLimit(row, {}, start + Seconds(4)) == 8);
+    noteWorkTime(row.workRate, 125, start + Seconds(6));
+    BOOST_TEST(concurrencyLimit(row, {}, start + Seconds(6)) == 6.4);
+}
--- a/tests/EngineModel.cpp
+++ b/tests/EngineModel.cpp
@@ -16,11 +16,11 @@
     while (engine.running.size() < engine.performance.slots && !engine.waiting.empty()) {
         auto* request = engine.waiting.front();
         engine.waiting.pop_front();
-        time += 1000 * request->promptTokens / engine.performance.prefillTokensPerSecond;
+        time += engine.workTime * 1000 * request->promptTokens / engine.performance.prefillTokensPerSecond;
         engine.running.push_back(request);
     }
     double step = engine.performance.stepTime.count() + engine.performance.stepTimePerRequest.count() * static_cast<double>(engine.running.size());
-    time += step * engine.performance.tokensPerEvent;
+    time += engine.workTime * step * engine.performance.tokensPerEvent;
     for (auto* request : engine.running) {
         request->writtenTokens += engine.performance.tokensPerEvent;
         if (request->firstEventAt < 0)
--- a/tests/EngineModel.h
+++ b/tests/EngineModel.h
@@ -25,6 +25,7 @@
     std::deque<ModelledRequest*> waiting;
     std::vector<ModelledRequest*> running;
     double busyUntil = 0; ///< Time at which the current pass ends.
+    double workTime = 1; ///< The time that the passes which begin now take, as a multiple of the usual time.
 
     /// Precondition: the request outlives its run.
     void addRequest(ModelledRequest&);
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -154,6 +154,83 @@
     }
 }
 
+// Each row gives a header with which an endpoint states its load, and what is read of it. Endpoints of some services state a fourth
+// figure; without it, entries would place requests blindly there when the load is high.
+BOOST_AUTO_TEST_CASE(allFormsOfTheLoadAreParsed)
+{
+    struct Row {
+        HttpHeaders headers;
+        std::optional<uint32_t> running; ///< Nothing if no load is read.
+        std::optional<uint32_t> workTimePercent;
+        bool isUnreadable;
+    };
+    auto stated = [](const char* text) { return HttpHeaders { { "bilberrybarrow-server-load", text } }; };
+    const std::vector<Row> rows {
+        { {}, {}, {}, false },
+        { stated(""), {}, {}, false },
+        { stated("3,1,8"), 3, {}, false },
+        { stated(" 3 , 1 , 8 "), 3, {}, false },
+        { stated("3,1,8,100"), 3, 100, false },
+        { stated("3,1,8, 250 "), 3, 250, false },
+        { stated("3,1,8,99.6"), 3, 100, false },
+        { stated("3,1,8,10"), 3, 10, false },
+        { stated("3,1,8,10000"), 3, 10'000, false },
+        { stated("3,1,8,100,7,x"), 3, 100, false },
+        { stated("3,1,8,"), 3, {}, true },
+        { stated("3,1,8,,7"), 3, {}, true },
+        { stated("3,1,8,x"), 3, {}, true },
+        { stated("3,1,8,-100"), 3, {}, true },
+        { stated("3,1,8,0"), 3, {}, true },
+        { stated("3,1,8,9"), 3, {}, true },
+        { stated("3,1,8,10001"), 3, {}, true },
+        { stated("3,1,8,1e2"), 3, {}, true },
+        { stated("3,1,8,nan"), 3, {}, true },
+        { stated("3,1,8,100%"), 3, {}, true },
+        { stated("3,1,8,1.0.0"), 3, {}, true },
+        { stated("3,1,8,99999999999999999999999"), 3, {}, true },
+        { stated("3"), {}, {}, true },
+        { stated("3,1"), {}, {}, true },
+        { stated("3,,8,100"), {}, {}, true },
+        { stated("a,b,c"), {}, {}, true },
+        { stated("3,-1,8"), {}, {}, true },
+        { stated("3;1;8"), {}, {}, true },
+        { stated("4294967295,1,8,100"), {}, {}, true },
+        { stated("1000001,1,8"), {}, {}, true },
+        { stated("1000000,1,8"), 1'000'000, {}, false },
+        { stated("99999999999999999999,1,8"), {}, {}, true },
+        { { { "Bilberrybarrow-Server-Load", "3,1,8,100" }, { "Bilberrybarrow-Server-Load", "9,9,9,900" } }, 3, 100, false },
+    };
+    for (const auto& row : rows) {
+        auto reply = requestAdapter().parseReply({ 200, row.headers });
+        BOOST_TEST_CONTEXT((row.headers.empty() ? "no header" : row.headers[0].second))
+        {
+            BOOST_TEST(reply.load.has_value() == row.running.has_value());
+            BOOST_TEST(reply.isLoadUnreadable == row.isUnreadable);
+            if (!reply.load)
+                continue;
+            BOOST_TEST(reply.load->running == *row.running);
+            BOOST_TEST(reply.load->waiting == 1u);
+            BOOST_TEST(reply.load->slots == 8u);
+            BOOST_TEST((reply.load->workTimePercent == row.workTimePercent));
+        }
+    }
+}
+
+// No header makes the parser fail, and what it reads is within the bounds.
+BOOST_AUTO_TEST_CASE(arbitraryLoadsAreReadOrRefused)
+{
+    BOOST_TEST(rc::check([] {
+        auto part = rc::gen::element<std::string>("3", "0", ",", ",", ".", "-", "1e9", "100", "99999999999", " ", "nan", "%");
+        std::string text;
+        for (const auto& piece : *rc::gen::container<std::vector<std::string>>(part))
+            text += piece;
+        auto reply = requestAdapter().parseReply({ 200, { { "Bilberrybarrow-Server-Load", text } } });
+        RC_ASSERT(reply.load || reply.isLoadUnreadable == !text.empty());
+        if (reply.load && reply.load->workTimePercent)
+            RC_ASSERT(*reply.load->workTimePercent >= 10u && *reply.load->workTimePercent <= 10'000u);
+    }));
+}
+
 // Each row gives the status and headers of an answer, and what the endpoint states with them about itself.
 BOOST_AUTO_TEST_CASE(statementsOfEndpointsAreParsed)
 {
