--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -24,6 +24,9 @@
 // Number of entries of other regions that use an engine, and the least number of such engines that an entry uses.
 static constexpr double entriesPerFarEngine = 6;
 static constexpr size_t minFarEngines = 2;
+// The penalty for another region where data centres are weighed: it is used when the own engines are nearly full, since the link
+// between regions is shared with all other traffic.
+static constexpr double weighedOtherRegionPenalty = 0.5;
 // Time that a request and its answer take to another data centre and back, beyond that within the own one.
 static constexpr Milliseconds remoteRoundTrip { 6 };
 // Time for which a request that is sent to another data centre isn't known to the other entries.
@@ -181,10 +184,15 @@
     return context;
 }
 
+static double distancePenalty(Distance distance, const PaceRequirements& pace)
+{
+    return distance == OtherRegion && pace.weighsDataCentres ? weighedOtherRegionPenalty : distancePenalties[distance];
+}
+
 // Rates a candidate by the load, and by the time in which the endpoint is expected to answer.
 static void rateCandidate(EndpointCandidate& candidate, const EndpointRow& row, Distance distance, double load, double limit, const ChoiceContext& context, const PaceRequirements& pace, TimePoint now)
 {
-    candidate.loadScore = load / limit + distancePenalties[distance];
+    candidate.loadScore = load / limit + distancePenalty(distance, pace);
     candidate.score = candidate.loadScore;
     if (!isWorkTimeKnown(row.workRate, now))
         return;
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -31,8 +31,8 @@
     Milliseconds maxEventGap { 0 }; ///< Longest pause between events of the answer; zero: no limit.
     Milliseconds timeToTarget = Milliseconds::max(); ///< Time left until the first event is late.
     Milliseconds expectedWait = Milliseconds::max(); ///< Expected time until there is free capacity for it if it isn't sent now.
-    /// Whether other data centres are chosen by what is expected of them, also of the other entries' requests that are under way
-    /// there. It is so anyway where endpoints state their work time.
+    /// Whether other data centres are weighed: requests that the other entries have probably sent to their engines are counted, and
+    /// another region is used only when the own one is nearly full or slow.
     bool weighsDataCentres = false;
 };
 
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -516,7 +516,7 @@
     this->node.log.write(LogLevel::Info, "request",
         { { "request", this->callerRequest.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
             { "endpoint", this->endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
-            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->reportedLoad ? static_cast<int>(this->reportedLoad->running + this->reportedLoad->waiting) : -1 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
+            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->reportedLoad ? static_cast<int>(this->reportedLoad->running + this->reportedLoad->waiting) : -1 }, { "work_time_stated", this->reportedLoad ? this->reportedLoad->workTimePercent.value_or(0) : 0 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
             { "generation", this->routes ? this->routes->generation : 0 } });
     auto& metrics = this->node.metrics;
     metrics.addToCounter("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
--- a/tests/EndpointChoiceTest.cpp
+++ b/tests/EndpointChoiceTest.cpp
@@ -481,6 +481,7 @@
         { { { "full", "dc-a", 4, 100 }, { "far", "dc-c", 2, 100 } }, "far", RemoteReason::NearFull },
         { { { "full", "dc-a", 4, 100 }, { "region", "dc-b", 2, 100 }, { "far", "dc-c", 2, 100 } }, "region", RemoteReason::NearFull },
         { { { "loaded", "dc-a", 3, 100 }, { "far", "dc-c", 0, 100 } }, "far", RemoteReason::NearLoaded },
+        { { { "loaded", "dc-a", 3, 100 }, { "far", "dc-c", 1, 100 } }, "loaded", none },
         { { { "near", "dc-a", 1, 100 }, { "far", "dc-c", 1, 100 } }, "near", none },
     };
     for (const auto& row : rows) {
