--- a/src/WorkRate.cpp
+++ b/src/WorkRate.cpp
@@ -6,14 +6,14 @@
 namespace bilberry {
 
 // Time in which the weight of a statement in the mean falls to half.
-static constexpr Milliseconds meanHalfLife { 250 };
+static constexpr Milliseconds meanHalfLife { 200 };
 // Age of the newest statement up to which the mean counts in full, and the age from which nothing is known.
-static constexpr Milliseconds freshAge { 300 };
-static constexpr Milliseconds staleAge { 1000 };
+static constexpr Milliseconds freshAge { 200 };
+static constexpr Milliseconds staleAge { 800 };
 // The age from which nothing is known although a newer statement is awaited.
 static constexpr Milliseconds longestAwaitedAge { 3000 };
 // Age from which the newest statement says no more of the present than the mean.
-static constexpr Milliseconds newestAge { 600 };
+static constexpr Milliseconds newestAge { 400 };
 
 static double toMilliseconds(Duration duration)
 {
