--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -235,7 +235,7 @@
     A request with one of `crashing_parts` in its prompt, not as its last part, crashes the endpoint `crash_delay` seconds after
     its head or, with `has_event_before_crash`, after its first event; one with a body of `crashing_bodies` does so before its head.
     Its port closes `listener_delay` seconds after its connections. After `downtime` seconds it is back under another name, unless it `keeps_name`, and `on_restart` is called with it and its
-    earlier name. While it `leaves`, all its answers say so; while `retry_after` is set, it
+    earlier name. Its answers state `load`. While it `leaves`, all its answers say so; while `retry_after` is set, it
     refuses each request with that header, or only those whose header X-Caller is `refused_caller`. `refusals` counts them. With
     `resumed_answer`, a status, a content type and a body, it answers so to a request that resumes a stream."""
 
@@ -256,6 +256,7 @@
         self.gap = gap
         self.faults = []
         self.requests = []
+        self.load = "1,0,8"
         self.leaves = False
         self.retry_after = None
         self.refused_caller = None
@@ -272,7 +273,7 @@
     def answer(self, call):
         request_id = call.headers["Bilberrybarrow-Request-Id"]
         self.requests.append({"id": request_id, "path": call.path, "body": call.body, "headers": dict(call.headers), "at": time.monotonic()})
-        headers = [("Bilberrybarrow-Request-Id", request_id), ("Bilberrybarrow-Server-Load", "1,0,8"), ("Bilberrybarrow-Instance-Id", self.name)]
+        headers = [("Bilberrybarrow-Request-Id", request_id), ("Bilberrybarrow-Server-Load", self.load), ("Bilberrybarrow-Instance-Id", self.name)]
         if self.leaves:
             headers.append(("Server-Leaving", "1"))
         if call.headers.get("Bilberrybarrow-Expect-Instance") != self.name:
