--- a/src/EndpointTable.h
+++ b/src/EndpointTable.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "CrashHistory.h"
+#include "DemandReport.h"
 #include "EndpointRecord.h"
 #include "EndpointStatement.h"
 #include "EngineShare.h"
@@ -11,6 +12,7 @@
 #include "ResponseDelay.h"
 #include "Types.h"
 #include "Withholding.h"
+#include "WorkRate.h"
 
 #include <deque>
 #include <string>
@@ -46,6 +48,7 @@
     LossRecord losses;
     ResponseDelay responseDelay;
     EngineShare share; ///< The part that this entry has in the engine; unused for plain services.
+    WorkRate workRate; ///< Its speed of work, if it states that.
     std::deque<TimePoint> coldSends; ///< When requests were sent to it in the last second while it was cold, oldest first.
 };
 
@@ -104,5 +107,20 @@
 /// Whether the endpoint has stated its load so recently that estimatedLoad() counts requests of entries that aren't heard.
 /// Thread safe.
 bool hasStatedLoad(const EndpointRow&, TimePoint now);
+/// As the functions of WorkRate.h; the endpoint's answer to a request of this entry may be awaited. Thread safe.
+bool isWorkTimeKnown(const EndpointRow&, TimePoint now);
+double meanWorkTime(const EndpointRow&, TimePoint now);
+double currentWorkTime(const EndpointRow&, TimePoint now);
+/// Returns the work times that endpoints have lately stated to this entry and that its peers haven't been told, the newest ones up
+/// to a fixed number. They count as told afterwards.
+std::vector<WorkTimeReport> takeWorkTimes(EndpointTable&, TimePoint now);
+/// Records work times that a peer reports, where this entry knows no newer ones.
+void applyWorkTimes(EndpointTable&, const std::vector<WorkTimeReport>&, TimePoint now);
+/// Whether any endpoint of the service has lately stated its work time. Thread safe.
+bool statesWorkTimes(const EndpointTable&, const std::string& service, TimePoint now);
+/// Returns the median work time of a service's endpoints, expected over the next second; 1 where none is stated. Thread safe.
+double typicalWorkTime(const EndpointTable&, const std::string& service, TimePoint now);
+/// Returns the number of endpoints whose work takes noticeably longer than usual, by their own statements. Thread safe.
+size_t countSlowByStatement(const EndpointTable&, TimePoint now);
 
 } // namespace bilberry
--- a/src/EntryPeers.cpp
+++ b/src/EntryPeers.cpp
@@ -45,8 +45,17 @@
         events.dataCentre = this->settings.location.dataCentre;
         return events;
     };
-    handlers.takeDemandReport = [this](PeerMessageScope scope) { return makeDemandReport(this->demand, scope, Clock::now()); };
-    handlers.onDemandReport = [this](const std::string& ip, const DemandReport& report) { applyDemandReport(this->demand, ip, report, Clock::now()); };
+    handlers.takeDemandReport = [this](PeerMessageScope scope) {
+        auto report = makeDemandReport(this->demand, scope, Clock::now());
+        report.dataCentre = this->settings.location.dataCentre;
+        if (scope == PeerMessageScope::Near)
+            report.workTimes = takeWorkTimes(this->clusterView.endpoints, Clock::now());
+        return report;
+    };
+    handlers.onDemandReport = [this](const std::string& ip, const DemandReport& report) {
+        applyDemandReport(this->demand, ip, report, Clock::now());
+        applyWorkTimes(this->clusterView.endpoints, report.workTimes, Clock::now());
+    };
     handlers.onMessage = [this](const PeerMessage& message) { this->applyPeerMessage(message); };
     handlers.onEndpointEvents = [this](const EndpointEvents& events) { this->applyEndpointEvents(events); };
     handlers.onNotice = [this](const EngineNotice& notice) { this->handleAgentNotice(notice); };
@@ -204,19 +213,19 @@
     }
 }
 
-static bool hasSharedEngines(const ClusterView& view)
+static bool hasSharedEngines(const ClusterView& view, TimePoint now)
 {
     if (!view.routes)
         return false;
     const auto& services = view.routes->services;
-    return std::any_of(services.begin(), services.end(), [](const ServiceSettings& service) { return service.hasRankedRoutes; });
+    return std::any_of(services.begin(), services.end(), [&](const ServiceSettings& service) { return service.hasRankedRoutes || statesWorkTimes(view.endpoints, service.name, now); });
 }
 
 // Determines this entry's parts in the engines again when the entries of its data centre or the engines there have changed.
 void EntryNode::updateOwnEngineShares(const std::vector<std::string>& nearPeers, TimePoint now)
 {
     auto& endpoints = this->clusterView.endpoints;
-    if (!hasSharedEngines(this->clusterView))
+    if (!hasSharedEngines(this->clusterView, now))
         return;
     // Without peers in its data centre, an entry tells nobody there of its requests.
     if (nearPeers.empty())
--- a/src/EntryRequirements.cpp
+++ b/src/EntryRequirements.cpp
@@ -40,7 +40,7 @@
     requirements.accountRegions = settings.account ? &settings.account->regions : nullptr;
     if (!settings.service)
         return requirements;
-    requirements.sharesEngines = settings.service->hasRankedRoutes;
+    requirements.sharesEngines = settings.service->hasRankedRoutes || statesWorkTimes(node.clusterView.endpoints, service, Clock::now());
     for (const auto& served : settings.service->models)
         requirements.modelLayers = served.name == model ? served.layerCount : requirements.modelLayers;
     const auto& bounds = node.settings.reloadable;
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -177,14 +177,31 @@
         this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
+// How fast the request must be answered, where the service's endpoints state their work time.
+PaceRequirements ProxiedRequest::paceRequirements(TimePoint now) const
+{
+    PaceRequirements pace;
+    if (!statesWorkTimes(this->node.clusterView.endpoints, this->requirements.service, now))
+        return pace;
+    pace.weighsDataCentres = true;
+    pace.engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
+    pace.promptTokens = this->callerRequest.promptTokens;
+    pace.maxEventGap = this->route->maxEventGap;
+    pace.timeToTarget = std::chrono::duration_cast<Milliseconds>(this->firstArrivedAt + this->route->targetLatency - now);
+    pace.expectedWait = expectedQueueWait(this->node.queues[this->requirements.service], this->currentRank(now), now);
+    return pace;
+}
+
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
     updateRequirements(this->node, this->requirements);
+    this->requirements.pace = this->paceRequirements(now);
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
+    noteRemoteSend(this->node, choice, now);
     this->isWaiting = false;
     if (this->attemptTotals.runs + this->attemptTotals.notRun == 0)
         this->noteFirstDispatch(now);
@@ -229,7 +246,7 @@
         return std::min(maxLateQueueWait, this->timeLeft(now));
     const EnginePerformance* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - this->firstArrivedAt);
-    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed));
+    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed), typicalWorkTime(this->node.clusterView.endpoints, this->requirements.service, now));
 }
 
 bool ProxiedRequest::areAllSetAsideUntil(TimePoint time, TimePoint now) const
@@ -468,7 +485,7 @@
     this->node.log.write(LogLevel::Info, "request",
         { { "request", this->callerRequest.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
             { "endpoint", this->attempt.endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
-            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->attempt.reportedLoad ? static_cast<int>(this->attempt.reportedLoad->running + this->attempt.reportedLoad->waiting) : -1 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
+            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->attempt.reportedLoad ? static_cast<int>(this->attempt.reportedLoad->running + this->attempt.reportedLoad->waiting) : -1 }, { "work_time_stated", this->attempt.reportedLoad ? this->attempt.reportedLoad->workTimePercent.value_or(0) : 0 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
             { "generation", this->routes ? this->routes->generation : 0 } });
     auto& metrics = this->node.metrics;
     metrics.addToCounter("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
