--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -68,6 +68,7 @@
         self.routes = []
         self.services = []
         self.keys = [KEY]
+        self.limits = {"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 1000, "idle-timeout-ms": 5000}
 
     def __enter__(self):
         return self
@@ -88,9 +89,8 @@
 
     def publish(self):
         self.version += 1
-        limits = {"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 1000, "idle-timeout-ms": 5000}
         accounts = [{"name": "acme", "api-keys": self.keys, "priority": 1, "allowed-regions": []}]
-        self.store.put("op/config", {"version": self.version, "routes": self.routes, "services": self.services, "limits": limits, "tenants": accounts})
+        self.store.put("op/config", {"version": self.version, "routes": self.routes, "services": self.services, "limits": self.limits, "tenants": accounts})
 
     def add_endpoint(self, name, service, **how):
         endpoint = platform_standin.Endpoint(name, **how)
