Bound what callers make a process of bilberrynode hold

Cause: nothing bounded the sum of the requests that aren't read completely, nor of responses that their callers don't read; trailers and chunk headers counted in no limit; a body took up to three times its size while its memory doubled, and was copied twice for its endpoint.

Change: each connection says what it holds, and RequestMemory decides over plain counts: larger bodies wait, then those that hold most for longest get a 503 that is true or are closed; small requests don't wait. Trailers and chunk headers may be as long as a header, then 431. A body has memory for at most twice its bytes and for its stated length at most, and one of over 64 KiB is written to the endpoint from where it was read. When connections are used up, one without a request makes room instead of the new one. A counter and one log line a second for each cause.

--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -55,6 +55,8 @@
     , log(log)
     , timer(loop)
     , uploadTimer(loop)
+    , cutOffReport(this->metrics, log)
+    , connectionMemory(std::make_shared<ConnectionMemory>(loop))
     , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeerRequest(exchange); })
     , metricsServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , summaryWatch(loop, makeSummaryWatchSettings(settings), { [this](const ServiceSummary& summary) { this->handleSummary(summary); }, [this](const std::string& reason) { this->handleEntriesLost(reason); } })
@@ -73,8 +75,23 @@
 
 AgentNode::~AgentNode() = default;
 
+void AgentNode::shareConnectionMemory()
+{
+    this->connectionMemory->onCutOff([this](CutOffCause cause, size_t heldBytes) { this->cutOffReport.note(cause, heldBytes, Clock::now()); });
+    this->peerServer.shareMemory(this->connectionMemory);
+    this->metricsServer.shareMemory(this->connectionMemory);
+    auto descriptors = static_cast<size_t>(this->settings.maxFileDescriptors);
+    ServerLimits limits;
+    this->connectionMemory->setLimits(makeRequestMemoryLimits(this->settings.vmMemoryBytes, limits.maxBodyBytes));
+    limits.maxConnections = maxPeerConnections(this->settings.vmMemoryBytes, descriptors);
+    this->peerServer.setLimits(limits);
+    limits.maxConnections = maxObserverConnections(this->settings.vmMemoryBytes, descriptors);
+    this->metricsServer.setLimits(limits);
+}
+
 absl::Status AgentNode::start()
 {
+    this->shareConnectionMemory();
     auto status = this->peerServer.listen({ this->settings.ownIp, this->settings.peerPort });
     if (status.ok() && this->settings.metricsListenAddress)
         status = this->metricsServer.listen(*this->settings.metricsListenAddress);
--- a/src/AgentNode.h
+++ b/src/AgentNode.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "AsyncHttpServer.h"
+#include "ConnectionMemory.h"
+#include "CutOffReport.h"
 #include "EventLog.h"
 #include "FetchWindow.h"
 #include "HttpCall.h"
@@ -143,6 +145,7 @@
     void refusePendingPieceRequests();
     void expirePendingRequests(TimePoint now);
     HttpCaller& idleEngineCaller();
+    void shareConnectionMemory();
 
     EventLoop& loop;
     NodeSettings settings;
@@ -151,6 +154,8 @@
     Metrics metrics;
     LoopTimer timer;
     LoopTimer uploadTimer;
+    CutOffReport cutOffReport;
+    std::shared_ptr<ConnectionMemory> connectionMemory; ///< What peers and others make the process hold at all ports.
     AsyncHttpServer peerServer;
     AsyncHttpServer metricsServer;
     SummaryWatch summaryWatch;
--- a/src/AsyncHttpServer.cpp
+++ b/src/AsyncHttpServer.cpp
@@ -1,5 +1,6 @@
 #include "AsyncHttpServer.h"
 
+#include "ConnectionMemory.h"
 #include "ServerConnection.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -27,8 +28,12 @@
 
 static void startConnection(const std::shared_ptr<AsyncHttpServer::State>& state, asio::ip::tcp::socket socket)
 {
-    if (state->connections.size() < state->limits.maxConnections)
-        std::make_shared<ServerConnection>(state, std::move(socket))->startReading();
+    bool isFull = state->connections.size() >= state->limits.maxConnections;
+    if (isFull && !state->memory->makeRoomForConnection(state.get())) {
+        state->memory->noteCutOff(CutOffCause::NoRoom);
+        return;
+    }
+    std::make_shared<ServerConnection>(state, std::move(socket))->startReading();
 }
 
 static void acceptNextConnection(const std::shared_ptr<AsyncHttpServer::State>& state)
@@ -50,6 +55,11 @@
     });
 }
 
+void AsyncHttpServer::shareMemory(std::shared_ptr<ConnectionMemory> memory)
+{
+    this->state->memory = std::move(memory);
+}
+
 absl::Status AsyncHttpServer::listen(const Address& address)
 {
     boost::system::error_code error;
--- a/src/AsyncHttpServer.h
+++ b/src/AsyncHttpServer.h
@@ -11,6 +11,7 @@
 
 namespace bilberry {
 
+class ConnectionMemory;
 class ServerExchange;
 class ServerConnection;
 
@@ -21,7 +22,7 @@
     Milliseconds headerTimeout { 3000 }; ///< Time from the first byte of a request to the end of its header.
     Milliseconds bodyTimeout { 10'000 }; ///< Time from the end of the header to the end of the body.
     Milliseconds idleTimeout { 15'000 }; ///< Time between two requests, and time to take a complete response.
-    size_t maxConnections = 4096; ///< Further connections are closed as soon as they are accepted.
+    size_t maxConnections = 4096; ///< For a further one, one without a request is closed, or the new one itself if there is none.
 };
 
 /// Handles one request and responds through the exchange, at once or later.
@@ -36,6 +37,8 @@
     AsyncHttpServer(const AsyncHttpServer&) = delete;
     AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
 
+    /// Lets the server count what its connections hold together with others. Precondition: listen() wasn't called.
+    void shareMemory(std::shared_ptr<ConnectionMemory>);
     /// Binds the port and starts to accept connections. Error: the address can't be bound.
     absl::Status listen(const Address&);
     /// The bound port, as the system chose it if port 0 was asked for.
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -52,6 +52,8 @@
     , livenessChecks(loop, this->metrics)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
     , peers(loop, peerSettings(settings), this->makePeerHandlers())
+    , cutOffReport(this->metrics, log)
+    , connectionMemory(std::make_shared<ConnectionMemory>(loop))
     , callerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRequestNumber++;
         auto request = std::make_shared<ProxiedRequest>(*this, number, exchange);
@@ -73,8 +75,32 @@
     this->activeRequests.clear();
 }
 
+// The limits on what callers make the process hold are those of all ports together.
+void EntryNode::shareConnectionMemory()
+{
+    this->connectionMemory->onCutOff([this](CutOffCause cause, size_t heldBytes) { this->cutOffReport.note(cause, heldBytes, Clock::now()); });
+    for (auto* server : { &this->callerServer, &this->readinessServer, &this->metricsServer, &this->peerServer })
+        server->shareMemory(this->connectionMemory);
+    auto descriptors = static_cast<size_t>(this->settings.maxFileDescriptors);
+    ServerLimits limits;
+    limits.maxConnections = maxPeerConnections(this->settings.vmMemoryBytes, descriptors);
+    this->peerServer.setLimits(limits);
+    limits.maxConnections = maxObserverConnections(this->settings.vmMemoryBytes, descriptors);
+    this->readinessServer.setLimits(limits);
+    this->metricsServer.setLimits(limits);
+    this->setCallerLimits(ServerLimits());
+}
+
+void EntryNode::setCallerLimits(ServerLimits limits)
+{
+    limits.maxConnections = maxCallerConnections(this->settings.vmMemoryBytes, static_cast<size_t>(this->settings.maxFileDescriptors));
+    this->callerServer.setLimits(limits);
+    this->connectionMemory->setLimits(makeRequestMemoryLimits(this->settings.vmMemoryBytes, limits.maxBodyBytes));
+}
+
 absl::Status EntryNode::start()
 {
+    this->shareConnectionMemory();
     auto status = this->callerServer.listen(this->settings.listenAddress);
     if (status.ok())
         status = this->readinessServer.listen(this->settings.readinessListenAddress);
@@ -165,9 +191,7 @@
         return;
     }
     if (effect == ClusterViewChange::Configuration) {
-        auto limits = this->clusterView.routes->limits;
-        limits.maxConnections = static_cast<size_t>(this->settings.maxFileDescriptors) / 2;
-        this->callerServer.setLimits(limits);
+        this->setCallerLimits(this->clusterView.routes->limits);
         for (const auto& fault : this->clusterView.routes->faults)
             this->log.write(LogLevel::Warning, "configuration_fault", { { "generation", this->clusterView.routes->generation }, { "fault", fault } });
     }
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -5,6 +5,8 @@
 #include "AsyncHttpServer.h"
 #include "ChannelPool.h"
 #include "ClusterView.h"
+#include "ConnectionMemory.h"
+#include "CutOffReport.h"
 #include "DispatchQueue.h"
 #include "EventLog.h"
 #include "HttpCall.h"
@@ -126,7 +128,11 @@
     void reportSlowEngines(TimePoint now);
     void chooseStoreReading(TimePoint now);
     void stopWhenDone(TimePoint now);
+    void shareConnectionMemory();
+    void setCallerLimits(ServerLimits);
 
+    CutOffReport cutOffReport;
+    std::shared_ptr<ConnectionMemory> connectionMemory; ///< What callers make the process hold at all ports.
     AsyncHttpServer callerServer;
     AsyncHttpServer readinessServer;
     AsyncHttpServer metricsServer;
--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,6 +13,7 @@
 #include <cassert>
 #include <netinet/tcp.h>
 #include <optional>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -20,6 +22,8 @@
 
 // Size of one read from the socket.
 static constexpr size_t readBufferBytes = 16 << 10;
+// Largest body that is sent together with its head in one buffer.
+static constexpr size_t maxJoinedBodyBytes = 64 << 10;
 // Largest head of a response, and largest header of a chunk.
 static constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
 
@@ -54,7 +58,8 @@
     boost::beast::flat_buffer buffer;
     std::optional<http::response_parser<ReceivedBody>> parser;
     ResponseHandlers handlers;
-    std::string outgoingBytes;
+    std::string outgoingHead;
+    std::shared_ptr<const std::string> outgoingBody;
     bool isRunning = false;
     bool isReading = false;
     bool isWriting = false;
@@ -92,10 +97,16 @@
     head.method_string(request.method);
     head.target(request.path);
     writeFields(request.headers, head);
-    bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    const std::string& body = request.sharedBody ? *request.sharedBody : request.body;
+    bool hasBody = !body.empty() || request.method == "POST" || request.method == "PUT";
     if (hasBody)
-        head.set(http::field::content_length, std::to_string(request.body.size()));
-    this->state->outgoingBytes = serializeRequestHead(head) + request.body;
+        head.set(http::field::content_length, std::to_string(body.size()));
+    this->state->outgoingHead = serializeRequestHead(head);
+    // A large body that others hold, too, isn't copied.
+    bool isJoined = !request.sharedBody || body.size() <= maxJoinedBodyBytes;
+    if (isJoined)
+        this->state->outgoingHead += body;
+    this->state->outgoingBody = isJoined ? nullptr : request.sharedBody;
     this->state->isHeadRequest = request.method == "HEAD";
     this->prepareParser();
     if (this->state->socket.is_open())
@@ -159,13 +170,22 @@
 void HttpChannel::writeRequest()
 {
     this->state->isWriting = true;
-    asio::async_write(this->state->socket, asio::buffer(this->state->outgoingBytes), [self = this->shared_from_this()](const boost::system::error_code& error, size_t) {
+    auto handler = [self = this->shared_from_this(), body = this->state->outgoingBody](const boost::system::error_code& error, size_t) {
         self->state->isWriting = false;
+        self->state->outgoingBody.reset();
+        // The channel may stay idle for long.
+        self->state->outgoingHead = {};
         // A response may have arrived before the write failed. If none did, the pending read reports how the connection
         // ended.
         if (error)
             self->state->isReusable = false;
-    });
+    };
+    auto head = asio::buffer(std::as_const(this->state->outgoingHead));
+    const auto& body = this->state->outgoingBody;
+    if (body)
+        asio::async_write(this->state->socket, std::array<asio::const_buffer, 2> { head, asio::buffer(*body) }, std::move(handler));
+    else
+        asio::async_write(this->state->socket, head, std::move(handler));
     this->readFromSocket();
 }
 
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -4,6 +4,7 @@
 #include "Types.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,7 @@
     std::string path; ///< Path with the query.
     HttpHeaders headers;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody {}; ///< Body that others hold as well; it is sent in place of `body` if it is set.
     std::function<bool()> isSenderGone {}; ///< Whether the sender has closed the connection. Empty if that can't be known.
 };
 
--- a/src/NodeMain.cpp
+++ b/src/NodeMain.cpp
@@ -11,12 +11,15 @@
 #include <cstdlib>
 #include <cstring>
 #include <functional>
+#include <malloc.h>
 
 using namespace bilberry;
 
 namespace {
 
 constexpr int exitOk = 0;
+// Size from which a block of memory is the system's own mapping.
+constexpr int returnedBlockBytes = 256 << 10;
 constexpr int exitWrongSettings = 2;
 constexpr int exitCannotListen = 3;
 
@@ -85,6 +88,9 @@
         return exitWrongSettings;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // Larger blocks go back to the system as soon as they are freed. Without this, the library keeps ever larger ones.
+    if (settings->vmMemoryBytes > 0)
+        ::mallopt(M_MMAP_THRESHOLD, returnedBlockBytes);
     EventLoop loop(1);
     EventLog log(settings->vm, settings->logLinesPerSecond);
     if (settings->role == NodeRole::Entry) {
--- a/src/NodeSettings.cpp
+++ b/src/NodeSettings.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(service, "", "service that the engine belongs to, for agents");
 DEFINE_double(link_megabits, 0, "rate of the VM's network link in Mbit/s; 0: not known");
 DEFINE_int32(max_descriptors, 1024, "file descriptors that the process may use");
+DEFINE_double(memory_mb, 0, "memory of the VM in MB, from which the limits on what callers may make the process hold are derived; 0: not known, no such limits");
 DEFINE_int32(log_lines_per_second, 200, "limit of log lines per second; lines beyond it are only counted");
 DEFINE_double(drain_ms, 2000, "time in ms for which a leaving endpoint still serves requests");
 DEFINE_double(stop_grace_s, 8, "time in seconds from SIGTERM to the forced exit");
@@ -154,6 +155,7 @@
     settings.service = FLAGS_service;
     settings.linkMegabitsPerSecond = readNumberInRange("link_megabits", FLAGS_link_megabits, 0, 1e6, faults);
     settings.maxFileDescriptors = static_cast<int>(readNumberInRange("max_descriptors", FLAGS_max_descriptors, 64, 1e7, faults));
+    settings.vmMemoryBytes = static_cast<size_t>(readNumberInRange("memory_mb", FLAGS_memory_mb, 0, 1e6, faults) * (1 << 20));
     settings.logLinesPerSecond = static_cast<int>(readNumberInRange("log_lines_per_second", FLAGS_log_lines_per_second, 0, 1e6, faults));
     settings.reloadable = readReloadableSettings(faults);
     return settings;
--- a/src/NodeSettings.h
+++ b/src/NodeSettings.h
@@ -48,6 +48,7 @@
     std::string service; ///< Name of the service that the engine belongs to; required for agents.
     double linkMegabitsPerSecond = 0; ///< Rate of the VM's network link in Mbit/s; zero: not known.
     int maxFileDescriptors = 1024; ///< File descriptors that the process may use.
+    size_t vmMemoryBytes = 0; ///< Memory of the VM, from which the limits on what callers hold are derived; zero: not known, no limits.
     int logLinesPerSecond = 200; ///< Limit of log lines per second; lines beyond it are only counted.
     ReloadableSettings reloadable;
 };
--- a/src/ProxiedRequestAttempt.cpp
+++ b/src/ProxiedRequestAttempt.cpp
@@ -5,6 +5,7 @@
 #include "EntryNode.h"
 #include "EntryStatements.h"
 #include "ProxiedRequest.h"
+#include "RequestMemory.h"
 #include "ServerExchange.h"
 
 #include <algorithm>
@@ -14,8 +15,6 @@
 
 // Largest response that is buffered as a whole before it is forwarded. A larger one counts as malformed.
 static constexpr size_t maxBufferedResponseBytes = 16 << 20;
-// Largest number of bytes of all responses that are buffered at a time.
-static constexpr size_t maxBufferedBytesOfAll = 48 << 20;
 // Number of responses to earlier requests that an attempt skips on its connection.
 static constexpr int maxSkippedResponses = 2;
 // Longest idle time of a connection that is reused for a request that may not be repeated. Such a request can't be retried
@@ -45,7 +44,8 @@
     request.method = received.method;
     request.path = received.path;
     request.headers = this->node.adapter.requests.makeEndpointHeaders(received.headers, fields);
-    request.body = received.body;
+    // The attempt writes the received body itself; the exchange holds it until then.
+    request.sharedBody = std::shared_ptr<const std::string>(this->exchange, &received.body);
     return request;
 }
 
@@ -120,7 +120,7 @@
     this->noteProgress();
     this->body += chunk;
     this->node.bufferedResponseBytes += chunk.size();
-    if (this->body.size() > maxBufferedResponseBytes || this->node.bufferedResponseBytes > maxBufferedBytesOfAll)
+    if (this->body.size() > maxBufferedResponseBytes || this->node.bufferedResponseBytes > maxBufferedResponses(this->node.settings.vmMemoryBytes))
         this->abandonAttempt(AttemptResult::Malformed);
     else
         this->channel->resumeReading();
--- a/src/ServerConnection.cpp
+++ b/src/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include "ServerExchange.h"
 
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <cassert>
@@ -17,6 +18,10 @@
 static constexpr size_t maxReadAheadBytes = 16 << 10;
 // Time after its begin or its last response for which an idle connection isn't closed, since a request may be on its way.
 static constexpr Milliseconds minIdleTimeToClose { 500 };
+// Retry-After delay for a request that is refused because callers hold too many bytes.
+static constexpr Milliseconds memoryRetryAfter { 1000 };
+// Bytes that the strings and the tree node of one header field hold beside its text.
+static constexpr size_t fieldBytes = 96;
 // Time for which a connection lingers after its last response, so that the caller can read it before the socket is closed.
 static constexpr Milliseconds lingerTime { 500 };
 
@@ -26,11 +31,16 @@
     , timer(this->server->loop)
 {
     this->server->connections.insert(this);
+    boost::system::error_code ignored;
+    auto remote = this->socket.remote_endpoint(ignored);
+    this->holding = &this->server->memory->add(*this, remote.address().to_string(), this->server.get());
 }
 
 ServerConnection::~ServerConnection()
 {
     this->server->connections.erase(this);
+    if (this->holding)
+        this->server->memory->remove(this->holding->number);
 }
 
 void ServerConnection::startReading()
@@ -56,6 +66,20 @@
         this->refuseRequest(status, headers);
 }
 
+void ServerConnection::giveUp()
+{
+    if (this->phase == Phase::ReadingBody)
+        this->refuseRequest(503, retryAfterHeaders(memoryRetryAfter));
+    else
+        this->handleDisconnect();
+}
+
+void ServerConnection::resumeAfterWait()
+{
+    if (this->phase == Phase::ReadingBody && this->socket.is_open())
+        this->parseRequest();
+}
+
 void ServerConnection::closeInAnyPhase()
 {
     this->close(this->phase == Phase::Responding);
@@ -72,6 +96,10 @@
     this->socket.close(ignored);
     this->onCallerLeft = nullptr;
     this->pendingWrites.clear();
+    // The object itself lives until its last operation has been cancelled.
+    this->server->connections.erase(this);
+    this->server->memory->remove(this->holding->number);
+    this->holding = nullptr;
 }
 
 // Whether the system resets the connection when the socket is closed, also when the process is killed. An answer that ends with its
@@ -112,6 +140,8 @@
     this->phase = Phase::Idle;
     this->idleSince = Clock::now();
     this->onCallerLeft = nullptr;
+    this->requestBytes = 0;
+    this->noteHeld();
     this->parser.emplace();
     this->parser->eager(true);
     this->parser->header_limit(static_cast<uint32_t>(this->server->limits.maxHeaderBytes));
@@ -161,10 +191,17 @@
     }
     boost::system::error_code error;
     while (this->buffer.size() > 0 && !this->parser->is_done()) {
+        if (!this->makeRoomForBody())
+            return;
         size_t used = this->parser->put(this->buffer.data(), error);
         this->buffer.consume(used);
-        if (error == http::error::need_more)
+        if (error == http::error::need_more && !this->hasTooLongTrailer())
             break;
+        if (error == http::error::need_more) {
+            this->server->memory->noteCutOff(CutOffCause::Trailers);
+            this->refuseRequest(431);
+            return;
+        }
         if (error) {
             this->refuseRequest(isHeaderTooLarge(error) ? 431 : isBodyTooLarge(error) ? 413
                                                                                       : 400);
@@ -176,10 +213,83 @@
         if (this->phase == Phase::Lingering)
             return;
     }
-    if (this->parser->is_done())
+    if (this->parser->is_done()) {
         this->dispatchRequest();
-    else
-        this->readFromSocket();
+        return;
+    }
+    this->noteHeld();
+    this->readFromSocket();
+}
+
+// What the parser leaves in the buffer after a head is the beginning of a chunk's header or of a trailer, which may have no end.
+bool ServerConnection::hasTooLongTrailer() const
+{
+    return this->parser->is_header_done() && this->buffer.size() > this->server->limits.maxHeaderBytes;
+}
+
+// Makes room for the bytes in the buffer as bytes of the body, whose memory is at most twice what has arrived. Returns false if
+// they have to wait.
+bool ServerConnection::makeRoomForBody()
+{
+    if (!this->holding || !this->parser->is_header_done())
+        return true;
+    auto& body = this->parser->get().body();
+    size_t needed = body.size() + this->buffer.size();
+    auto statedLength = this->parser->content_length();
+    size_t longest = statedLength ? static_cast<size_t>(std::min<uint64_t>(*statedLength, this->server->limits.maxBodyBytes)) : this->server->limits.maxBodyBytes;
+    size_t capacity = std::min(longest, std::max(needed, 2 * body.capacity()));
+    if (needed <= body.capacity() || capacity <= body.capacity())
+        return true;
+    if (!this->server->memory->mayHold(*this->holding, this->heldBytes() - body.capacity() + capacity))
+        return false;
+    // A string that grows by itself would take twice its memory, also beyond the stated length.
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(body);
+    body.swap(larger);
+    this->noteHeld();
+    return true;
+}
+
+size_t ServerConnection::heldBytes() const
+{
+    size_t bodyBytes = this->parser ? this->parser->get().body().capacity() : 0;
+    return this->buffer.capacity() + bodyBytes + this->requestBytes + this->pendingBytes;
+}
+
+HoldingPhase ServerConnection::holdingPhase() const
+{
+    switch (this->phase) {
+    case Phase::ReadingHeader:
+        return HoldingPhase::ReadingHead;
+    case Phase::ReadingBody:
+        return HoldingPhase::ReadingBody;
+    case Phase::Responding:
+        return this->pendingWrites.empty() ? HoldingPhase::Running : HoldingPhase::Writing;
+    case Phase::Idle:
+    case Phase::Lingering:
+        break;
+    }
+    return HoldingPhase::Idle;
+}
+
+void ServerConnection::noteHeld()
+{
+    if (!this->holding)
+        return;
+    auto held = this->holdingPhase();
+    this->server->memory->setHeld(*this->holding, held, held == HoldingPhase::Idle ? 0 : this->heldBytes());
+}
+
+// Frees what was read of a request that isn't handled.
+void ServerConnection::releaseRequest()
+{
+    this->parser.reset();
+    if (!this->isReading) {
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+    }
+    this->noteHeld();
 }
 
 // Only a single chunked transfer coding is supported. With any other, this server and the caller could disagree about where
@@ -227,6 +337,10 @@
     request.path = std::string(message.target());
     request.headers = readFields(message);
     request.body = std::move(message.body());
+    this->requestBytes = request.path.capacity() + request.body.capacity();
+    for (const auto& [name, value] : request.headers)
+        this->requestBytes += name.size() + value.size() + fieldBytes;
+    this->noteHeld();
     // Reading continues, so that a disconnect of the caller is noticed.
     this->readFromSocket();
     auto exchange = std::make_shared<ServerExchange>(this->shared_from_this(), std::move(request), Clock::now());
@@ -240,6 +354,7 @@
     this->keepsAlive = false;
     this->isHeadRequest = false;
     this->phase = Phase::Lingering;
+    this->releaseRequest();
     this->startTimer(lingerTime);
     this->enqueueWrite(this->makeResponseHead(status, headers, 0), [self = this->shared_from_this()] {
         boost::system::error_code ignored;
@@ -307,6 +422,8 @@
     if (!this->keepsAlive) {
         this->setResetOnClose(false);
         this->phase = Phase::Lingering;
+        this->requestBytes = 0;
+        this->noteHeld();
         this->startTimer(lingerTime);
         boost::system::error_code ignored;
         this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
@@ -320,7 +437,9 @@
 {
     if (!this->socket.is_open())
         return;
+    this->pendingBytes += bytes.capacity();
     this->pendingWrites.push_back({ std::move(bytes), std::move(onSent) });
+    this->noteHeld();
     if (this->pendingWrites.size() == 1)
         this->writeNextBuffer();
 }
@@ -336,7 +455,9 @@
             return;
         }
         auto onSent = std::move(self->pendingWrites.front().onSent);
+        self->pendingBytes -= self->pendingWrites.front().bytes.capacity();
         self->pendingWrites.pop_front();
+        self->noteHeld();
         if (!self->pendingWrites.empty())
             self->writeNextBuffer();
         if (onSent)
--- a/src/ServerConnection.h
+++ b/src/ServerConnection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "AsyncHttpServer.h"
+#include "ConnectionMemory.h"
 #include "HttpWire.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,7 @@
     State(EventLoop& loop, RequestHandler handler)
         : loop(loop)
         , handler(std::move(handler))
+        , memory(std::make_shared<ConnectionMemory>(loop))
         , acceptor(loop)
         , acceptRetryTimer(loop)
     {
@@ -25,6 +27,7 @@
 
     EventLoop& loop;
     RequestHandler handler;
+    std::shared_ptr<ConnectionMemory> memory; ///< What the connections hold; shared with other servers of the process.
     boost::asio::ip::tcp::acceptor acceptor;
     LoopTimer acceptRetryTimer;
     ServerLimits limits;
@@ -46,6 +49,11 @@
     void closeIfIdle();
     /// Refuses the request that is being read, if one is.
     void refuseUnreadRequest(int status, const HttpHeaders&);
+    /// Refuses the request that is being read as not run or, before its head is read, closes the connection; a response that the
+    /// caller doesn't read is cut.
+    void giveUp();
+    /// Goes on with a request whose body has waited until it may hold more.
+    void resumeAfterWait();
     /// Closes the connection; by a TCP reset if a response isn't written completely.
     void closeInAnyPhase();
     /// Closes the connection; with `isReset` by a TCP reset, so that the peer notices an incomplete response.
@@ -69,6 +77,12 @@
     void readFromSocket();
     void handleRead(const boost::system::error_code&, size_t count);
     void parseRequest();
+    bool hasTooLongTrailer() const;
+    bool makeRoomForBody();
+    size_t heldBytes() const;
+    HoldingPhase holdingPhase() const;
+    void noteHeld();
+    void releaseRequest();
     void handleHeader();
     void dispatchRequest();
     void refuseRequest(int status, const HttpHeaders& = {});
@@ -105,6 +119,9 @@
         std::function<void()> onSent;
     };
     std::deque<PendingWrite> pendingWrites; ///< The first one is being written.
+    Holding* holding = nullptr; ///< What the connection holds; null once it is closed.
+    size_t requestBytes = 0; ///< Bytes of the request that has been handed over, until its response is written.
+    size_t pendingBytes = 0; ///< Bytes of all pending writes.
 };
 
 } // namespace bilberry
--- a/tests/LoopHttpTest.cpp
+++ b/tests/LoopHttpTest.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "AsyncHttpServer.h"
+#include "ConnectionMemory.h"
 #include "LoopHttpFixture.h"
 #include "ServerExchange.h"
 
@@ -73,6 +74,8 @@
         { "body too large by length, with bytes of it", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + std::string(900, 'x'), 413 },
         { "body too large by length, like a header", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\nX: y\r\n", 413 },
         { "body too large in chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n", 413 },
+        { "trailers too large", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(1500, 'x') + "\r\nY: " + std::string(1500, 'y'), 431 },
+        { "chunk extension too large", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(3000, 'x'), 431 },
         { "slow header", "GET / HTTP/1.1\r\nHos", 408 },
         { "slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", 408 },
         { "two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400 },
@@ -212,3 +215,48 @@
     BOOST_TEST((Clock::now() - startedAt < Seconds(3)));
     BOOST_TEST(this->server.connectionCount() == 0U);
 }
+
+// Trailers within the limit on the header are read and left out.
+BOOST_AUTO_TEST_CASE(shortTrailersAreAccepted)
+{
+    ServerFixture fixture;
+    RawCaller caller(fixture.loop, fixture.server.port());
+    caller.write("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(fixture.loop, [&] { return caller.hasReceived("X-Path: /2\r\n"); });
+    BOOST_TEST(caller.hasReceived("hello"));
+}
+
+// Callers that stop just short of the end of large bodies: one of them is told that its request hasn't run, and the ordinary large
+// request that waited for room is served.
+BOOST_AUTO_TEST_CASE(theHeaviestUnreadRequestIsRefusedForOneThatWaits)
+{
+    ServerFixture fixture;
+    auto memory = std::make_shared<ConnectionMemory>(fixture.loop);
+    memory->setLimits({ 1000 << 10, 1000 << 10, 100 << 10, 64 << 10, Milliseconds(100) });
+    size_t cutOffs = 0;
+    memory->onCutOff([&](CutOffCause cause, size_t heldBytes) {
+        BOOST_TEST((cause == CutOffCause::Memory));
+        BOOST_TEST(heldBytes <= 1000U << 10);
+        ++cutOffs;
+    });
+    fixture.server.shareMemory(memory);
+    auto head = [](size_t bytes) { return "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"; };
+    RawCaller heavy(fixture.loop, fixture.server.port());
+    RawCaller light(fixture.loop, fixture.server.port());
+    heavy.write(head(500 << 10) + std::string((500 << 10) - 1, 'x'));
+    light.write(head(200 << 10) + std::string((200 << 10) - 1, 'x'));
+    // Both are read before the next one comes.
+    for (int i = 0; i < 300; ++i)
+        fixture.loop.run_one_for(Milliseconds(1));
+    RawCaller waiting(fixture.loop, fixture.server.port());
+    waiting.write(head(400 << 10) + std::string(400 << 10, 'y'));
+    RawCaller small(fixture.loop, fixture.server.port());
+    small.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(fixture.loop, [&] { return small.hasReceived("X-Path: /2\r\n"); });
+    runUntil(fixture.loop, [&] { return waiting.hasReceived("X-Path: /1\r\n") && heavy.isClosed; });
+    BOOST_TEST(heavy.received.substr(0, 12) == "HTTP/1.1 503");
+    BOOST_TEST(heavy.hasReceived("Retry-After: "));
+    BOOST_TEST(cutOffs == 1U);
+    light.write("x");
+    runUntil(fixture.loop, [&] { return light.hasReceived("X-Path: /1\r\n"); });
+}
