Bound what callers make bilberryd hold, and free a thread for a caller that waits

Cause: each connection holds a thread, so that 128 callers who stop just short of their end kept all others out for 30 s; a body had no limit but its own, and the HTTP library reads a line of a header, a chunk or a trailer to its end however long it is.

Change: the decisions of RequestMemory also hold here. While a new connection waits for a thread, one without a request is closed, else one whose request has been read for over a second is refused. A stream of our own ends a line at 16 KiB. With the setting, freed blocks go back to the system and heaps are two rather than one a thread. A form is no longer limited to 8 KiB by the library, as it is read like any other body.

--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -5,13 +5,26 @@
 
 #include <csignal>
 #include <cstdio>
+#include <malloc.h>
 
 using namespace bilberry;
 
 namespace {
 
+// Size from which a block of memory is the system's own mapping.
+constexpr int returnedBlockBytes = 128 << 10;
+constexpr int maxHeaps = 2;
+
 std::atomic<bool> stopRequested { false };
 
+// Lets larger blocks go back to the system as soon as they are freed, and small ones come from few heaps: with a heap for each
+// thread, each keeps what a burst took from it.
+void returnFreedMemory()
+{
+    ::mallopt(M_MMAP_THRESHOLD, returnedBlockBytes);
+    ::mallopt(M_ARENA_MAX, maxHeaps);
+}
+
 void requestStop(int)
 {
     stopRequested = true;
@@ -40,5 +53,7 @@
     std::signal(SIGTERM, requestStop);
     std::signal(SIGINT, requestStop);
     std::signal(SIGPIPE, SIG_IGN);
+    if (settings->requestMemoryBytes > 0)
+        returnFreedMemory();
     return runProcess(*settings, stopRequested);
 }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,5 +1,8 @@
 #include "HttpServer.h"
 
+#include "CallerStream.h"
+#include "ServedConnections.h"
+
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <atomic>
@@ -10,15 +13,22 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace bilberry {
 
 // An idle connection occupies a thread, so it is closed after this time.
-static constexpr time_t keepAliveSeconds = 5;
+static constexpr Seconds keepAliveTime { 5 };
 // Timeout for reading from a slow sender, and for writing to a slow receiver.
 static constexpr Seconds transferTimeout { 30 };
 // Length of the accept queue. The library's own value of 5 is too short for a burst of new connections.
 static constexpr int listenQueueLength = 1024;
+// Interval at which connections that wait for a thread are looked after while no new one arrives.
+static constexpr Milliseconds idleInterval { 200 };
+// Bytes that the head of a request is assumed to hold.
+static constexpr size_t assumedHeadBytes = 8 << 10;
+// Retry-After delay, in seconds, for a request that is refused because callers hold too many bytes.
+static constexpr const char* memoryRetryAfter = "1";
 // Number of descriptors that are checked to find the socket of a request.
 static constexpr int maxScannedDescriptors = 4096;
 
@@ -28,9 +38,10 @@
 /// for as long as it is open, even while it is idle.
 class ConnectionThreadPool : public httplib::TaskQueue {
 public:
-    ConnectionThreadPool(size_t maxThreads, std::atomic<size_t>& connections)
+    ConnectionThreadPool(size_t maxThreads, std::atomic<size_t>& connections, ServedConnections& served)
         : maxThreads(maxThreads)
         , connectionCount(connections)
+        , served(served)
     {
     }
 
@@ -42,6 +53,13 @@
         if (this->tasks.size() > this->idleThreads && this->threads.size() < this->maxThreads)
             this->threads.emplace_back([this] { this->runTasks(); });
         this->changed.notify_one();
+        this->freeThread();
+    }
+
+    void on_idle() override // NOLINT(readability-identifier-naming): name required by the library.
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->freeThread();
     }
 
     void shutdown() override
@@ -56,6 +74,14 @@
     }
 
 private:
+    // Gives up a connection if a new one waits and no thread is or becomes free. Precondition: the mutex is locked.
+    void freeThread()
+    {
+        bool isFull = this->threads.size() >= this->maxThreads && this->idleThreads == 0;
+        if (isFull && !this->tasks.empty())
+            this->served.makeRoom();
+    }
+
     void runTasks()
     {
         std::unique_lock<std::mutex> lock(this->mutex);
@@ -76,6 +102,7 @@
 
     const size_t maxThreads;
     std::atomic<size_t>& connectionCount;
+    ServedConnections& served;
     std::mutex mutex;
     std::condition_variable changed;
     std::deque<std::function<void()>> tasks;
@@ -84,31 +111,76 @@
     bool isStopping = false;
 };
 
+// Number of the connection that the thread serves.
+thread_local uint64_t servedNumber = 0;
+
+/// The library's server with a stream and a count of its own for each connection.
+class BoundedServer : public httplib::Server {
+public:
+    explicit BoundedServer(ServedConnections& served)
+        : served(served)
+    {
+    }
+
+private:
+    bool process_and_close_socket(socket_t socket) override // NOLINT(readability-identifier-naming): name required by the library.
+    {
+        CallerStream stream(socket, transferTimeout);
+        std::string ip;
+        int port = 0;
+        stream.get_remote_ip_and_port(ip, port);
+        servedNumber = this->served.add(socket, ip);
+        while (this->svr_sock_ != INVALID_SOCKET && stream.waitForRequest(keepAliveTime) && this->serveRequest(stream)) { }
+        this->served.remove(servedNumber);
+        ::shutdown(socket, SHUT_RDWR);
+        ::close(socket);
+        return true;
+    }
+
+    // Returns whether another request may follow.
+    bool serveRequest(CallerStream& stream)
+    {
+        this->served.setHeld(servedNumber, HoldingPhase::ReadingHead, assumedHeadBytes);
+        bool isClosed = false;
+        bool isServed = this->process_request(stream, false, isClosed, nullptr);
+        this->served.setHeld(servedNumber, HoldingPhase::Idle, 0);
+        return isServed && !isClosed && !this->served.isGivenUp(servedNumber);
+    }
+
+    ServedConnections& served;
+};
+
 } // namespace
 
 struct HttpServer::State {
+    State(size_t maxRequestBytes, size_t maxBodyBytes)
+        : served(makeLimitsOfSum(maxRequestBytes, maxBodyBytes))
+        , server(served)
+    {
+    }
+
     Address address;
     size_t maxConnections = 0;
     std::atomic<size_t> connectionCount { 0 }; ///< Connections that are open or wait for a thread.
-    httplib::Server server;
+    ServedConnections served;
+    BoundedServer server;
     int listeningSocket = -1;
     int port = 0;
     std::thread acceptor;
 };
 
-HttpServer::HttpServer(const Address& listen, int threads, size_t maxBodyBytes)
-    : state(std::make_unique<State>())
+HttpServer::HttpServer(const Address& listen, int threads, size_t maxBodyBytes, size_t maxRequestBytes)
+    : state(std::make_unique<State>(maxRequestBytes, maxBodyBytes))
 {
     this->state->address = listen;
     auto& server = this->state->server;
     this->state->maxConnections = static_cast<size_t>(threads);
-    server.new_task_queue = [state = this->state.get()] { return new ConnectionThreadPool(state->maxConnections, state->connectionCount); };
+    server.new_task_queue = [state = this->state.get()] { return new ConnectionThreadPool(state->maxConnections, state->connectionCount, state->served); };
     server.set_payload_max_length(maxBodyBytes);
-    server.set_keep_alive_timeout(keepAliveSeconds);
+    server.set_keep_alive_timeout(keepAliveTime.count());
     server.set_keep_alive_max_count(SIZE_MAX);
+    server.set_idle_interval(idleInterval);
     server.set_tcp_nodelay(true);
-    server.set_read_timeout(transferTimeout);
-    server.set_write_timeout(transferTimeout);
     server.set_socket_options([state = this->state.get()](socket_t socket) {
         int on = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -170,7 +242,6 @@
     own.method = request.method;
     own.path = request.target;
     own.headers.assign(request.headers.begin(), request.headers.end());
-    own.body = request.body;
     own.isSenderGone = [&request, socket = -1]() mutable { return hasPeerClosed(request, socket); };
     return own;
 }
@@ -219,21 +290,55 @@
     target.set_chunked_content_provider(type, provider, release);
 }
 
+// Reads a body, whose memory is counted before it is taken. Returns false if it isn't whole or its connection was given up.
+static bool readBody(const httplib::ContentReader& reader, ServedConnections& served, std::string& body)
+{
+    served.setHeld(servedNumber, HoldingPhase::ReadingBody, assumedHeadBytes);
+    return reader([&](const char* data, size_t size) {
+        size_t needed = body.size() + size;
+        if (needed > body.capacity()) {
+            size_t capacity = std::max(needed, 2 * body.capacity());
+            if (!served.waitToHoldBody(servedNumber, assumedHeadBytes + capacity))
+                return false;
+            body.reserve(capacity);
+        }
+        body.append(data, size);
+        return true;
+    });
+}
+
+// Refuses a request whose body wasn't read wholly, so that it hasn't run.
+static void refuseForMemory(httplib::Response& response)
+{
+    response.status = 503;
+    response.set_header("Retry-After", memoryRetryAfter);
+    response.set_header("Connection", "close");
+}
+
 void HttpServer::start(HttpHandler handler)
 {
-    auto adapter = [handler = std::move(handler), state = this->state.get()](const httplib::Request& request, httplib::Response& response) {
-        fillLibraryResponse(response, handler(toHttpRequest(request)));
+    auto adapter = [handler = std::move(handler), state = this->state.get()](const HttpRequest& request, httplib::Response& response) {
+        state->served.setHeld(servedNumber, HoldingPhase::Running, assumedHeadBytes + request.body.capacity());
+        fillLibraryResponse(response, handler(request));
         // Keep-alive connections are closed from three quarters of the limit on, before they occupy all threads.
         if (state->connectionCount > state->maxConnections / 4 * 3)
             response.set_header("Connection", "close");
     };
+    auto adapterWithBody = [adapter, state = this->state.get()](const httplib::Request& request, httplib::Response& response, const httplib::ContentReader& reader) {
+        auto own = toHttpRequest(request);
+        if (readBody(reader, state->served, own.body))
+            adapter(own, response);
+        else if (state->served.isGivenUp(servedNumber))
+            refuseForMemory(response);
+    };
+    auto adapterWithoutBody = [adapter](const httplib::Request& request, httplib::Response& response) { adapter(toHttpRequest(request), response); };
     auto& server = this->state->server;
-    server.Get(".*", adapter);
-    server.Post(".*", adapter);
-    server.Put(".*", adapter);
-    server.Patch(".*", adapter);
-    server.Delete(".*", adapter);
-    server.Options(".*", adapter);
+    server.Get(".*", adapterWithoutBody);
+    server.Post(".*", adapterWithBody);
+    server.Put(".*", adapterWithBody);
+    server.Patch(".*", adapterWithBody);
+    server.Delete(".*", adapterWithBody);
+    server.Options(".*", adapterWithoutBody);
     this->state->acceptor = std::thread([&server] { server.listen_after_bind(); });
     while (!server.is_running())
         std::this_thread::yield();
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -16,8 +16,9 @@
 public:
     /// `threads` is the largest number of connections served at a time. Close to it, responses tell
     /// clients to close their connections.
-    /// `maxBodyBytes` is the largest accepted request body.
-    HttpServer(const Address& listen, int threads, size_t maxBodyBytes);
+    /// `maxBodyBytes` is the largest accepted request body. `maxRequestBytes` bounds what the requests of all connections hold
+    /// together, and is at least two largest requests; zero: no bound.
+    HttpServer(const Address& listen, int threads, size_t maxBodyBytes, size_t maxRequestBytes);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/src/Process.cpp
+++ b/src/Process.cpp
@@ -25,7 +25,7 @@
 
 Process::Process(const Settings& settings)
     : node(settings)
-    , server(settings.listenAddress, settings.httpThreads, maxBodyBytes)
+    , server(settings.listenAddress, settings.httpThreads, maxBodyBytes, settings.requestMemoryBytes)
 {
 }
 
--- a/src/RequestMemory.cpp
+++ b/src/RequestMemory.cpp
@@ -29,12 +29,17 @@
 static constexpr double leastAge = 0.001;
 
 RequestMemoryLimits makeRequestMemoryLimits(size_t vmMemoryBytes, size_t maxBodyBytes)
+{
+    return makeLimitsOfSum(vmMemoryBytes / memoryDivisor, maxBodyBytes);
+}
+
+RequestMemoryLimits makeLimitsOfSum(size_t maxBytes, size_t maxBodyBytes)
 {
     RequestMemoryLimits limits;
-    if (vmMemoryBytes == 0)
+    if (maxBytes == 0)
         return limits;
     size_t largestRequest = maxBodyBytes + assumedHeadBytes;
-    limits.maxBytes = std::max(vmMemoryBytes / memoryDivisor, 2 * largestRequest);
+    limits.maxBytes = std::max(maxBytes, 2 * largestRequest);
     limits.maxBytesOfAddress = std::max(limits.maxBytes / addressDivisor, largestRequest);
     limits.reservedBytes = limits.maxBytes / reserveDivisor;
     return limits;
--- a/src/RequestMemory.h
+++ b/src/RequestMemory.h
@@ -39,6 +39,10 @@
 size_t maxPeerConnections(size_t vmMemoryBytes, size_t maxDescriptors);
 size_t maxObserverConnections(size_t vmMemoryBytes, size_t maxDescriptors);
 
+/// Returns the limits for a sum of that many bytes, or of two of the largest requests if they are more; no limits if `maxBytes` is
+/// zero.
+RequestMemoryLimits makeLimitsOfSum(size_t maxBytes, size_t maxBodyBytes);
+
 /// Returns the largest number of bytes of endpoints' responses that are buffered at a time. `vmMemoryBytes` is zero if it isn't
 /// known.
 size_t maxBufferedResponses(size_t vmMemoryBytes);
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -21,6 +21,7 @@
 DEFINE_int32(connect_timeout_ms, 500, "time limit to connect in ms, 10 to 10000");
 DEFINE_int32(call_timeout_ms, 2000, "time limit of a control call in ms, 50 to 60000");
 DEFINE_int32(drain_timeout_ms, 120000, "time limit to finish requests in progress at a stop in ms, 0 to 3600000");
+DEFINE_uint64(request_memory_bytes, 0, "limit of the requests that callers send, in bytes, at least two of the largest size; 0: no limit");
 DEFINE_uint64(weight_memory_bytes, uint64_t(1) << 30, "limit of the weight chunks held in memory, in bytes");
 
 namespace bilberry {
@@ -93,6 +94,7 @@
     settings.connectTimeout = checkMilliseconds("connect_timeout_ms", FLAGS_connect_timeout_ms, 10, 10'000, faults);
     settings.callTimeout = checkMilliseconds("call_timeout_ms", FLAGS_call_timeout_ms, 50, 60'000, faults);
     settings.drainTimeout = checkMilliseconds("drain_timeout_ms", FLAGS_drain_timeout_ms, 0, 3'600'000, faults);
+    settings.requestMemoryBytes = FLAGS_request_memory_bytes;
     settings.weightMemoryBytes = FLAGS_weight_memory_bytes;
     if (!faults.empty())
         return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -25,6 +25,7 @@
     Milliseconds connectTimeout { 500 };
     Milliseconds callTimeout { 2000 }; ///< Time limit of a control call.
     Milliseconds drainTimeout { 120'000 }; ///< Time for which a stopping process waits for requests in progress.
+    uint64_t requestMemoryBytes = 0; ///< Limit of the bytes that callers' requests hold, at least two of the largest size; zero: no limit.
     uint64_t weightMemoryBytes = 0; ///< Limit of the weight chunks held in memory, in bytes.
 };
 
--- a/tests/RequestMemoryTest.cpp
+++ b/tests/RequestMemoryTest.cpp
@@ -56,6 +56,7 @@
     RequestMemory memory;
     memory.limits = testLimits();
     std::vector<Holding*> holdings;
+    holdings.reserve(12);
     for (int i = 0; i < 12; ++i)
         holdings.push_back(&addReading(memory, std::to_string(i), mebibyte, start + Milliseconds(i)));
     auto& waiting = addReading(memory, "late", 8 << 10, start + Seconds(1));
