Let the explanation of a route know the pace and the parts of shared engines

Cause: the explanation judged free capacity by load and limit alone, so that an engine in which the entry has no part looked usable. Change: hasFreeCapacity() is what chooseEndpoint() asks, too; paceOf() is a function beside the other requirements.

--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -372,6 +372,18 @@
     return isWithinEngineShare(row.share, { limit, known, row.inFlight, hasStatedLoad(row, now), now });
 }
 
+// Whether an endpoint with that limit and load may get one more request of this entry.
+static bool hasCapacity(const EndpointRow& row, double limit, double load, const EndpointRequirements& requirements, TimePoint now)
+{
+    bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
+    return load + 1 <= limit && !isReturning && isWithinEntryShare(row, limit, requirements, now) && isWithinOwnPart(row, limit, load, requirements, now);
+}
+
+bool hasFreeCapacity(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
+{
+    return hasCapacity(row, concurrencyLimit(row, requirements.pace, now), estimatedLoad(row, now), requirements, now);
+}
+
 // Returns by data centre the number of requests that other entries are expected to have sent to each engine there without this
 // entry knowing it yet. Each entry of this data centre that has no free capacity nearby sends about as many as this one does.
 static std::map<std::string, double> unknownRemoteLoads(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, TimePoint now)
@@ -424,11 +436,11 @@
             auto unknownLoad = unknownLoads.find(row.record.dataCentre);
             double load = estimatedLoad(row, now) + (unknownLoad == unknownLoads.end() ? 0 : unknownLoad->second);
             rateCandidate(candidate, row, static_cast<Distance>(distance), load, limit, context, requirements.pace, now);
-            bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
-            bool hasNoCapacity = load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now) || !isWithinOwnPart(row, limit, load, requirements, now);
-            bool isLeftOut = !hasNoCapacity && isBetterWaiting(candidate, context, requirements.pace);
+            if (!hasCapacity(row, limit, load, requirements, now))
+                return true;
+            bool isLeftOut = isBetterWaiting(candidate, context, requirements.pace);
             isSlowLeftOut = isSlowLeftOut || (isLeftOut && distance < SameRegion);
-            return hasNoCapacity || isLeftOut;
+            return isLeftOut;
         };
         auto& sameDistance = candidates[distance];
         sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -114,6 +114,10 @@
 /// Whether the endpoint could run the request if it had free capacity. Thread safe.
 bool isEligible(const EndpointRow&, const EndpointRequirements&, const NodeLocation&, const std::set<std::string>& evacuatedDataCentres, TimePoint now);
 
+/// Whether the endpoint may get one more request of this entry, by its limit, its estimated load and what the other entries may have
+/// there. Thread safe.
+bool hasFreeCapacity(const EndpointRow&, const EndpointRequirements&, TimePoint now);
+
 /// Returns when the first endpoint wants requests again if all that could run the request are set aside by their own statement,
 /// TimePoint::max() if they leave, and nothing otherwise. Endpoints that the request has tried count only if they are set aside.
 /// Thread safe.
--- a/src/EntryExplain.cpp
+++ b/src/EntryExplain.cpp
@@ -30,9 +30,11 @@
     for (const auto& row : node.clusterView.endpoints.rows) {
         if (row.record.id.empty() || row.record.service != requirements.service)
             continue;
-        auto exclusion = exclusionOf(row, requirements, node.settings.location, node.clusterView.evacuatedDataCentres, now);
+        auto exclusion = std::string(toText(exclusionOf(row, requirements, node.settings.location, node.clusterView.evacuatedDataCentres, now)));
+        if (exclusion == toText(Exclusion::None) && !hasFreeCapacity(row, requirements, now))
+            exclusion = "full";
         auto loadAge = row.loadReportedAt == TimePoint() ? Milliseconds::max() : std::chrono::duration_cast<Milliseconds>(now - row.loadReportedAt);
-        candidates.push_back({ row.record.id, row.record.dataCentre, estimatedLoad(row, now), concurrencyLimit(row.record), loadAge, std::string(toText(exclusion)) });
+        candidates.push_back({ row.record.id, row.record.dataCentre, estimatedLoad(row, now), concurrencyLimit(row, requirements.pace, now), loadAge, std::move(exclusion) });
     }
     return candidates;
 }
@@ -110,6 +112,7 @@
     RequestSettings settings { *route, account, findService(*routes, report.service) };
     auto requirements = requirementsOf(node, settings, report.service, question.model);
     updateRequirements(node, requirements);
+    requirements.pace = paceOf(node, settings, report.service, { question.promptTokens, now, rankOf(*route, account) }, now);
     report.candidates = listCandidates(node, requirements, now);
     decide(node, settings, requirements, question, report, now);
     return report;
--- a/src/EntryRequirements.cpp
+++ b/src/EntryRequirements.cpp
@@ -49,6 +49,22 @@
     return requirements;
 }
 
+PaceRequirements paceOf(const EntryNode& node, const RequestSettings& settings, const std::string& service, const PacedRequest& request, TimePoint now)
+{
+    PaceRequirements pace;
+    if (!statesWorkTimes(node.clusterView.endpoints, service, now))
+        return pace;
+    static const ServiceQueue emptyQueue;
+    auto queue = node.queues.find(service);
+    pace.weighsDataCentres = true;
+    pace.engine = settings.service && settings.service->engine ? &*settings.service->engine : nullptr;
+    pace.promptTokens = request.promptTokens;
+    pace.maxEventGap = settings.route.maxEventGap;
+    pace.timeToTarget = std::chrono::duration_cast<Milliseconds>(request.firstArrivedAt + settings.route.targetLatency - now);
+    pace.expectedWait = expectedQueueWait(queue == node.queues.end() ? emptyQueue : queue->second, request.rank, now);
+    return pace;
+}
+
 static const NamedVersions* namedVersionsOf(const EntryNode& node, const std::string& model)
 {
     auto found = node.clusterView.namedVersions.find(model);
--- a/src/EntryRequirements.h
+++ b/src/EntryRequirements.h
@@ -6,6 +6,7 @@
 
 #include "BootClock.h"
 #include "EndpointChoice.h"
+#include "RequestRank.h"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,15 @@
 std::string chooseService(const RouteRule&, const EndpointTable&, double random);
 /// Returns what the configuration requires of the endpoint. updateRequirements() adds what changes with time.
 EndpointRequirements requirementsOf(const EntryNode&, const RequestSettings&, const std::string& service, const std::string& model);
+/// A request as far as its pace is concerned.
+struct PacedRequest {
+    uint32_t promptTokens = 0;
+    TimePoint firstArrivedAt {}; ///< Arrival of the first try if the request was refused before.
+    RequestRank rank;
+};
+
+/// Returns how fast the request must be answered, where the service's endpoints state their work time; no requirement elsewhere.
+PaceRequirements paceOf(const EntryNode&, const RequestSettings&, const std::string& service, const PacedRequest&, TimePoint now);
 /// Brings the requirements up to date with what the entry knows of the other entries and of the named versions.
 void updateRequirements(const EntryNode&, EndpointRequirements&);
 
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -177,27 +177,12 @@
         this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
-// How fast the request must be answered, where the service's endpoints state their work time.
-PaceRequirements ProxiedRequest::paceRequirements(TimePoint now) const
-{
-    PaceRequirements pace;
-    if (!statesWorkTimes(this->node.clusterView.endpoints, this->requirements.service, now))
-        return pace;
-    pace.weighsDataCentres = true;
-    pace.engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
-    pace.promptTokens = this->callerRequest.promptTokens;
-    pace.maxEventGap = this->route->maxEventGap;
-    pace.timeToTarget = std::chrono::duration_cast<Milliseconds>(this->firstArrivedAt + this->route->targetLatency - now);
-    pace.expectedWait = expectedQueueWait(this->node.queues[this->requirements.service], this->currentRank(now), now);
-    return pace;
-}
-
 bool ProxiedRequest::tryDispatch(TimePoint now)
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
     updateRequirements(this->node, this->requirements);
-    this->requirements.pace = this->paceRequirements(now);
+    this->requirements.pace = paceOf(this->node, { *this->route, this->account, this->service }, this->requirements.service, { this->callerRequest.promptTokens, this->firstArrivedAt, this->currentRank(now) }, now);
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -63,7 +63,6 @@
     bool isRefusedForCrashes() const;
     void refuseForCrashes(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
-    PaceRequirements paceRequirements(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
     Milliseconds expectedWait(const RequestRank&, TimePoint now) const;
     bool isRanked() const;
--- a/src/RouteReport.cpp
+++ b/src/RouteReport.cpp
@@ -181,8 +181,7 @@
     if (report.expectedFirstEvent > Milliseconds(0))
         text += fmt::format("first event expected {} after sending, at an otherwise full engine\n", timeText(report.expectedFirstEvent));
     for (const auto& candidate : report.candidates) {
-        auto state = candidate.exclusion != "none" ? candidate.exclusion : candidate.load + 1 > candidate.limit ? "full"
-                                                                                                                : "can take it";
+        auto state = candidate.exclusion == "none" ? "can take it" : candidate.exclusion;
         text += fmt::format("  {:<14} {:<12} load {:4.1f} of {:2.0f}, stated {} ago: {}\n", candidate.endpoint, candidate.dataCentre, candidate.load, candidate.limit, timeText(candidate.loadAge), state);
     }
     return text;
--- a/src/RouteReport.h
+++ b/src/RouteReport.h
@@ -32,7 +32,7 @@
     double load = 0; ///< Estimated requests there.
     double limit = 0; ///< Requests that it may have at a time.
     Milliseconds loadAge { 0 }; ///< Time since it last stated its load; Milliseconds::max() if it never did.
-    std::string exclusion; ///< Why it can't run the request; "none" if it can.
+    std::string exclusion; ///< Why it can't run the request now, toText(Exclusion) or "full"; "none" if it can.
 };
 
 struct RouteReport {
