--- a/src/AgentNode.cpp
+++ b/src/AgentNode.cpp
@@ -1,13 +1,11 @@
 #include "AgentNode.h"
 
-#include "Digest.h"
 #include "PieceManifest.h"
 #include "ProcessMetrics.h"
 #include "ServerExchange.h"
 #include "Withholding.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 #include <set>
 #include <utility>
 
@@ -19,16 +17,11 @@
 static constexpr Milliseconds reportInterval { 300 };
 // Interval between report requests while the engine carries out a load order and while entries are notified.
 static constexpr Milliseconds busyReportInterval { 100 };
-static constexpr Milliseconds manifestTimeout { 1000 };
-static constexpr Milliseconds manifestRetryInterval { 250 };
 // Limit of concurrent fetches of pieces from all sources.
 static constexpr size_t maxConcurrentFetches = 16;
 // Largest answer of the engine, which is a report or a piece, and largest manifest.
 static constexpr size_t maxEngineAnswerBytes = 4 << 20;
 static constexpr size_t maxManifestBytes = 4 << 20;
-// The version that engines load when no version was ever named.
-static constexpr uint32_t initialVersion = 1;
-static constexpr std::string_view manifestPathPrefix = "/manifests/";
 
 bool servesVersion(const EngineReport& report, const ServedModel& model, uint32_t version)
 {
@@ -55,6 +48,8 @@
     , log(log)
     , timer(loop)
     , uploadTimer(loop)
+    , cutOffReport(this->metrics, log)
+    , connectionMemory(std::make_shared<ConnectionMemory>(loop))
     , peerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerPeerRequest(exchange); })
     , metricsServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) { this->answerMetrics(exchange); })
     , summaryWatch(loop, makeSummaryWatchSettings(settings), { [this](const ServiceSummary& summary) { this->handleSummary(summary); }, [this](const std::string& reason) { this->handleEntriesLost(reason); } })
@@ -73,8 +68,23 @@
 
 AgentNode::~AgentNode() = default;
 
+void AgentNode::shareConnectionMemory()
+{
+    this->connectionMemory->onCutOff([this](CutOffCause cause, size_t heldBytes) { this->cutOffReport.note(cause, heldBytes, Clock::now()); });
+    this->peerServer.shareMemory(this->connectionMemory);
+    this->metricsServer.shareMemory(this->connectionMemory);
+    auto descriptors = static_cast<size_t>(this->settings.maxFileDescriptors);
+    ServerLimits limits;
+    this->connectionMemory->setLimits(makeRequestMemoryLimits(this->settings.vmMemoryBytes, limits.maxBodyBytes));
+    limits.maxConnections = maxPeerConnections(this->settings.vmMemoryBytes, descriptors);
+    this->peerServer.setLimits(limits);
+    limits.maxConnections = maxObserverConnections(this->settings.vmMemoryBytes, descriptors);
+    this->metricsServer.setLimits(limits);
+}
+
 absl::Status AgentNode::start()
 {
+    this->shareConnectionMemory();
     auto status = this->peerServer.listen({ this->settings.ownIp, this->settings.peerPort });
     if (status.ok() && this->settings.metricsListenAddress)
         status = this->metricsServer.listen(*this->settings.metricsListenAddress);
@@ -268,164 +278,6 @@
         this->noticeSender.send(bytes, entry);
 }
 
-// Records when a version was named. Entries may have learned of it at different times; the earliest time is kept.
-void AgentNode::recordNamedVersion(const SummaryVersion& version, BootTimePoint now)
-{
-    auto namedAt = now - version.knownFor;
-    auto [known, isNew] = this->namedVersions.try_emplace(version.version, namedAt);
-    known->second = std::min(known->second, namedAt);
-    if (isNew)
-        this->log.write(LogLevel::Info, "weights_named", { { "version", version.version }, { "named_for_ms", version.knownFor }, { "entry", this->summaryWatch.currentEntry() } });
-}
-
-BootTimePoint AgentNode::newestNamedAt() const
-{
-    return this->namedVersions.empty() ? BootTimePoint() : this->namedVersions.rbegin()->second;
-}
-
-// Returns the newest version that was named, that a peer has requested, or that this or another engine of the service has
-// loaded. When there is none, it is the initial version.
-uint32_t AgentNode::wantedVersion() const
-{
-    uint32_t wanted = std::max(this->namedVersions.empty() ? initialVersion : this->namedVersions.rbegin()->first, this->peerRequestedVersion);
-    if (this->serviceSummary) {
-        for (const auto& engine : this->serviceSummary->engines)
-            wanted = std::max(wanted, engine.version);
-    }
-    return std::max(wanted, this->engineReport ? this->engineReport->loadedLayersVersion : 0);
-}
-
-// Whether an older version than the wanted one is still brought to the engine, because most of it is there: the engine must
-// leave the version that it serves before the wanted one can arrive. A version whose manifest is doubted may never be complete.
-bool AgentNode::isFinishingOlderVersion() const
-{
-    bool isOlder = this->manifest.version != 0 && this->manifest.version < this->wantedVersion();
-    bool isLoaded = this->manifest.version <= this->engineReport->loadedLayersVersion || this->orderedVersion == this->manifest.version;
-    auto staged = static_cast<size_t>(std::count(this->isPieceStaged.begin(), this->isPieceStaged.end(), true));
-    return isOlder && !isLoaded && !this->manifestTrust.isDoubted && shouldFinishVersion(staged, this->isPieceStaged.size());
-}
-
-// Requests the manifest of a version, unless the engine serves that version, or an older version is being fetched. One that is
-// held is requested again, from the next source, when its pieces contradict it.
-void AgentNode::fetchManifestIfNeeded(uint32_t version)
-{
-    bool isServed = servesVersion(*this->engineReport, this->serviceSummary->model, version) && this->loadOrder.trust != LoadTrust::Doubted;
-    bool isMissing = this->manifest.version != version || this->manifestTrust.isDoubted;
-    if (!isServed && isMissing && !this->isFinishingOlderVersion())
-        this->fetchManifest();
-}
-
-std::vector<AgentPeer> AgentNode::listAgentPeers(uint32_t version) const
-{
-    return listAgents(this->serviceSummary->engines, version, this->settings.location);
-}
-
-// Returns the region of the origin of weights; empty when it is unknown.
-std::string AgentNode::originRegion() const
-{
-    auto found = this->settings.location.regionByDataCentre.find(this->serviceSummary->originDataCentre);
-    return found == this->settings.location.regionByDataCentre.end() ? std::string() : found->second;
-}
-
-void AgentNode::fetchManifest()
-{
-    auto now = Clock::now();
-    if (this->manifestCaller.isBusy() || now - this->manifestRequestedAt < manifestRetryInterval)
-        return;
-    this->manifestRequestedAt = now;
-    uint32_t version = this->wantedVersion();
-    if (version != this->requestedManifestVersion)
-        this->manifestAttempts = 0;
-    this->requestedManifestVersion = version;
-    auto sources = manifestSources(this->settings.ownIp, this->originRegion(), this->listAgentPeers(version));
-    const auto& source = sources[this->manifestAttempts++ % sources.size()];
-    if (source.isOrigin && !this->serviceSummary->origin)
-        return;
-    this->manifestCaller.setAddress(source.isOrigin ? *this->serviceSummary->origin : Address { source.host, this->settings.peerPort });
-    auto path = source.isOrigin ? this->adapter.engine.manifestPath(this->serviceSummary->model.name, version) : fmt::format("{}{}", manifestPathPrefix, version);
-    this->manifestCaller.get(path, manifestTimeout, [this, isFromPeer = !source.isOrigin](const CallResult& result) { this->handleManifest(result, isFromPeer); });
-}
-
-// Reads an answer to a request for the manifest of the wanted version. A manifest can't be fulfilled if its pieces aren't those of the
-// configured model.
-absl::StatusOr<PieceManifest> AgentNode::readManifest(const CallResult& result, bool isFromPeer) const
-{
-    if (result.status != 200)
-        return absl::UnavailableError(result.describe());
-    auto parsed = isFromPeer ? decodeManifest(result.body) : this->adapter.engine.parseManifest(result.body);
-    if (!parsed.ok())
-        return parsed;
-    const auto& model = this->serviceSummary->model;
-    if (parsed->version != this->wantedVersion() || parsed->model != model.name)
-        return absl::InvalidArgumentError("the manifest is for another version or model");
-    if (model.chunkCount != 0 && parsed->digests.size() != model.chunkCount)
-        return absl::InvalidArgumentError(fmt::format("the manifest has {} digests, and the model {} pieces", parsed->digests.size(), model.chunkCount));
-    if (model.chunkBytes != 0 && parsed->pieceBytes != model.chunkBytes)
-        return absl::InvalidArgumentError(fmt::format("the manifest states pieces of {} bytes, and the model has pieces of {}", parsed->pieceBytes, model.chunkBytes));
-    return parsed;
-}
-
-void AgentNode::handleManifest(const CallResult& result, bool isFromPeer)
-{
-    this->manifestCaller.close();
-    auto received = this->readManifest(result, isFromPeer);
-    if (!received.ok()) {
-        this->log.write(LogLevel::Warning, "manifest_failed", { { "reason", std::string(received.status().message()) } });
-        // A peer that answers 404 has no manifest, so the next source is asked without the retry delay.
-        if (isFromPeer && result.status == 404)
-            this->manifestRequestedAt = TimePoint();
-        return;
-    }
-    bool isHeld = this->manifest.version == received->version && this->manifest.digests.size() == received->digests.size();
-    if (isHeld)
-        this->replaceManifest(*std::move(received), isFromPeer);
-    else
-        this->beginManifest(*std::move(received));
-}
-
-// Starts to bring a version to the engine.
-void AgentNode::beginManifest(PieceManifest received)
-{
-    this->manifest = std::move(received);
-    voidReads(this->loadOrder);
-    size_t count = this->manifest.digests.size();
-    this->manifestTrust = makeManifestTrust(count);
-    this->isPieceStaged.assign(count, false);
-    this->isPieceInProgress.assign(count, false);
-    this->failedSourceCounts.assign(count, 0);
-    this->notFoundCounts.assign(count, 0);
-    this->earliestRetryAt.assign(count, TimePoint());
-    this->log.write(LogLevel::Info, "weights_begun", { { "version", this->manifest.version }, { "pieces", static_cast<uint64_t>(count) } });
-    // Pieces that an earlier process or an earlier version left on the stage can be reused when their digests match.
-    for (uint32_t piece = 0; piece < count; ++piece)
-        this->verifyStagedPiece(piece);
-    this->answerPendingManifestRequests();
-}
-
-// Takes over what another manifest of the version that is being fetched states otherwise. A peer that sends the doubted one again
-// has it from the same source, so the next source is asked; only the origin confirms it.
-void AgentNode::replaceManifest(PieceManifest received, bool isFromPeer)
-{
-    size_t changed = 0;
-    voidReads(this->loadOrder);
-    for (uint32_t piece = 0; piece < received.digests.size(); ++piece) {
-        if (received.digests[piece] == this->manifest.digests[piece])
-            continue;
-        ++changed;
-        this->manifest.digests[piece] = received.digests[piece];
-        this->manifestTrust.pieces[piece] = PieceEvidence();
-        this->failedSourceCounts[piece] = 0;
-        this->notFoundCounts[piece] = 0;
-        this->isPieceStaged[piece] = false;
-        this->earliestRetryAt[piece] = TimePoint();
-        if (!this->isPieceInProgress[piece])
-            this->verifyStagedPiece(piece);
-    }
-    this->log.write(LogLevel::Warning, "manifest_fetched_again", { { "version", received.version }, { "changed_digests", static_cast<uint64_t>(changed) }, { "from_peer", isFromPeer } });
-    if (changed > 0 || !isFromPeer)
-        endDoubt(this->manifestTrust);
-}
-
 HttpCaller& AgentNode::idleEngineCaller()
 {
     for (auto& caller : this->engineCallers) {
--- a/src/DispatchQueue.cpp
+++ b/src/DispatchQueue.cpp
@@ -19,7 +19,7 @@
 
 static bool isServedBefore(const WaitingRequest& first, const WaitingRequest& second)
 {
-    return first.priority != second.priority ? first.priority < second.priority : first.arrivedAt < second.arrivedAt;
+    return first.rank == second.rank ? first.arrivedAt < second.arrivedAt : first.rank < second.rank;
 }
 
 void enqueueRequest(ServiceQueue& queue, const WaitingRequest& request)
@@ -62,22 +62,22 @@
     return static_cast<double>(recent) / std::chrono::duration<double>(dispatchRateWindow).count();
 }
 
-size_t countAhead(const ServiceQueue& queue, int priority)
+size_t countAhead(const ServiceQueue& queue, const RequestRank& rank)
 {
-    auto isAhead = [&](const WaitingRequest& request) { return request.priority <= priority; };
+    auto isAhead = [&](const WaitingRequest& request) { return !(rank < request.rank); };
     return static_cast<size_t>(std::count_if(queue.waiting.begin(), queue.waiting.end(), isAhead));
 }
 
-Milliseconds expectedQueueWait(const ServiceQueue& queue, int priority, TimePoint now)
+Milliseconds expectedQueueWait(const ServiceQueue& queue, const RequestRank& rank, TimePoint now)
 {
     double rate = dispatchRate(queue, now);
     if (rate <= 0)
         return Milliseconds::max();
-    double seconds = static_cast<double>(countAhead(queue, priority) + 1) / rate;
+    double seconds = static_cast<double>(countAhead(queue, rank) + 1) / rate;
     return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-Milliseconds expectedTimeToFirstEvent(const EnginePerformance& engine, uint32_t promptTokens)
+Milliseconds expectedTimeToFirstEvent(const EnginePerformance& engine, uint32_t promptTokens, double workTime)
 {
     // The engine decodes tokens in passes of one event for each request, and prefills the prompts of new requests in between.
     FractionalMilliseconds timePerToken = engine.stepTime + engine.slots * engine.stepTimePerRequest;
@@ -85,15 +85,15 @@
     FractionalMilliseconds ownPrefill(promptTokens / tokensPerMillisecond);
     FractionalMilliseconds othersPrefill(engine.typicalPromptTokens / tokensPerMillisecond);
     FractionalMilliseconds passTime = timePerToken * engine.tokensPerEvent + othersPrefill;
-    return std::chrono::duration_cast<Milliseconds>(passesToFirstEvent * passTime + ownPrefill);
+    return std::chrono::duration_cast<Milliseconds>(workTime * (passesToFirstEvent * passTime + ownPrefill));
 }
 
-Milliseconds maxQueueWait(const RouteRule& route, const EnginePerformance* engine, uint32_t promptTokens, Milliseconds timeBudget)
+Milliseconds maxQueueWait(const RouteRule& route, const EnginePerformance* engine, uint32_t promptTokens, Milliseconds timeBudget, double workTime)
 {
     auto target = std::min(route.targetLatency, timeBudget) - callerRoundTrip;
     if (!engine)
         return std::max(Milliseconds(0), Milliseconds(static_cast<int64_t>(plainServiceWaitShare * static_cast<double>(target.count()))));
-    return std::max(Milliseconds(0), target - expectedTimeToFirstEvent(*engine, promptTokens));
+    return std::max(Milliseconds(0), target - expectedTimeToFirstEvent(*engine, promptTokens, workTime));
 }
 
 Milliseconds retryAfterDelay(Milliseconds expectedWait, uint64_t random)
--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -1,5 +1,7 @@
 #include "EndpointChoice.h"
 
+#include "EnginePace.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -22,6 +24,19 @@
 // Number of entries of other regions that use an engine, and the least number of such engines that an entry uses.
 static constexpr double entriesPerFarEngine = 6;
 static constexpr size_t minFarEngines = 2;
+// The same number where entries keep to their parts in the engines.
+static constexpr double entriesPerSharedFarEngine = 3;
+// The penalty for another region where data centres are weighed: it is used when the own engines are nearly full, since the link
+// between regions is shared with all other traffic.
+static constexpr double weighedOtherRegionPenalty = 0.5;
+// Time that a request and its answer take to another data centre and back, beyond that within the own one.
+static constexpr Milliseconds remoteRoundTrip { 6 };
+// Time for which a request that is sent to another data centre isn't known to the other entries.
+static constexpr Milliseconds remoteLoadPropagationTime { 200 };
+// The work time of an endpoint without load, as a share of what a full load adds to it, for plain services.
+static constexpr double plainUnloadedShare = 1.0;
+// A slow endpoint isn't compared if another one of the same distance is better by more than a full load.
+static constexpr double maxScoreDifference = 1.0;
 // Number of endpoints of each distance that are drawn at random and compared.
 static constexpr size_t sampledEndpointsPerDistance = 2;
 
@@ -30,6 +45,32 @@
     return record.slots * (record.isModelEngine ? engineConcurrencyPerSlot : plainConcurrencyPerSlot);
 }
 
+double concurrencyLimit(const EndpointRow& row, const PaceRequirements& pace, TimePoint now)
+{
+    double limit = concurrencyLimit(row.record);
+    double workTime = meanWorkTime(row, now);
+    if (workTime <= 1)
+        return limit;
+    if (!row.record.isModelEngine)
+        return std::max<double>(row.record.slots, limit / workTime);
+    return pace.engine ? std::min(limit, requestsKeepingPace(*pace.engine, pace.maxEventGap, workTime)) : limit;
+}
+
+std::string_view toText(RemoteReason reason)
+{
+    switch (reason) {
+    case RemoteReason::None:
+        return "none";
+    case RemoteReason::NearFull:
+        return "near_full";
+    case RemoteReason::NearSlow:
+        return "near_slow";
+    case RemoteReason::NearLoaded:
+        return "near_loaded";
+    }
+    return "none";
+}
+
 static bool contains(const std::vector<std::string>& names, const std::string& name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -57,39 +98,96 @@
     return static_cast<double>(recent + 1) <= rate;
 }
 
-// Whether the endpoint may run such requests, whatever it has stated about itself and however it has answered lately.
-static bool isInService(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+std::string_view toText(Exclusion exclusion)
+{
+    switch (exclusion) {
+    case Exclusion::None:
+        return "none";
+    case Exclusion::NotListed:
+        return "not_listed";
+    case Exclusion::Draining:
+        return "draining";
+    case Exclusion::DataCentreOut:
+        return "data_centre_out";
+    case Exclusion::RegionNotAllowed:
+        return "region_not_allowed";
+    case Exclusion::NoWeights:
+        return "no_weights";
+    case Exclusion::SupersededWeights:
+        return "superseded_weights";
+    case Exclusion::Failing:
+        return "failing";
+    case Exclusion::SetAside:
+        return "set_aside";
+    case Exclusion::Switching:
+        return "switching";
+    case Exclusion::Withheld:
+        return "withheld";
+    case Exclusion::Tried:
+        return "tried";
+    case Exclusion::Cold:
+        return "cold";
+    }
+    return "none";
+}
+
+// Why an engine's weights don't allow the request; Exclusion::None if they do.
+static Exclusion weightExclusion(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
+{
+    uint32_t version = servedVersion(row.record, requirements.model, requirements.modelLayers);
+    if (version == 0)
+        return Exclusion::NoWeights;
+    if (version < requirements.minWeightVersion)
+        return Exclusion::SupersededWeights;
+    bool isSuperseded = requirements.namedVersions && supersededAt(*requirements.namedVersions, version) != BootTimePoint::max();
+    bool canBegin = !isSuperseded || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
+    return canBegin ? Exclusion::None : Exclusion::SupersededWeights;
+}
+
+// Why the endpoint may not run such requests, whatever it has stated about itself and however it has answered lately.
+static Exclusion serviceExclusion(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
     const auto& record = row.record;
-    bool isListed = row.isListed && now < row.listedUntil && !record.isDraining && record.service == requirements.service;
-    if (!isListed || now < row.heldUntil || evacuatedDataCentres.count(record.dataCentre) != 0)
-        return false;
+    if (!row.isListed || now >= row.listedUntil || now < row.heldUntil || record.service != requirements.service)
+        return Exclusion::NotListed;
+    if (record.isDraining)
+        return Exclusion::Draining;
+    if (evacuatedDataCentres.count(record.dataCentre) != 0)
+        return Exclusion::DataCentreOut;
     auto region = regionOfDataCentre(location, record.dataCentre);
     if (!isRegionAllowed(requirements.routeRegions, region) || !isRegionAllowed(requirements.accountRegions, region))
-        return false;
-    if (!record.isModelEngine)
-        return true;
-    uint32_t version = servedVersion(record, requirements.model, requirements.modelLayers);
-    if (version == 0 || version < requirements.minWeightVersion)
-        return false;
-    bool isSuperseded = requirements.namedVersions && supersededAt(*requirements.namedVersions, version) != BootTimePoint::max();
-    return !isSuperseded || canBeginInTime(*requirements.namedVersions, version, requirements.maxVersionSwitchTime, longestDelay(row.responseDelay, now), requirements.bootNow);
+        return Exclusion::RegionNotAllowed;
+    return record.isModelEngine ? weightExclusion(row, requirements, now) : Exclusion::None;
+}
+
+Exclusion exclusionOf(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
+{
+    if (now < row.avoidUntil)
+        return Exclusion::Failing;
+    if (isSetAside(row.statement, now))
+        return Exclusion::SetAside;
+    if (row.record.isModelEngine && now < row.weightSwitchUntil)
+        return Exclusion::Switching;
+    if (row.record.isModelEngine && isWithheld(row.withholding, row.record, now))
+        return Exclusion::Withheld;
+    auto exclusion = serviceExclusion(row, requirements, location, evacuatedDataCentres, now);
+    if (exclusion != Exclusion::None)
+        return exclusion;
+    if (contains(requirements.triedEndpointIds, row.record.id))
+        return Exclusion::Tried;
+    return isWithinColdRate(row, requirements.maxColdRate, now) ? Exclusion::None : Exclusion::Cold;
 }
 
 bool isEligible(const EndpointRow& row, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
-    if (now < row.avoidUntil || isSetAside(row.statement, now) || (row.record.isModelEngine && (now < row.weightSwitchUntil || isWithheld(row.withholding, row.record, now))))
-        return false;
-    if (!isInService(row, requirements, location, evacuatedDataCentres, now))
-        return false;
-    return !contains(requirements.triedEndpointIds, row.record.id) && isWithinColdRate(row, requirements.maxColdRate, now);
+    return exclusionOf(row, requirements, location, evacuatedDataCentres, now) == Exclusion::None;
 }
 
 std::optional<TimePoint> allSetAsideUntil(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, TimePoint now)
 {
     std::optional<TimePoint> earliest;
     for (const auto& row : table.rows) {
-        if (!isInService(row, requirements, location, evacuatedDataCentres, now))
+        if (serviceExclusion(row, requirements, location, evacuatedDataCentres, now) != Exclusion::None)
             continue;
         if (isSetAside(row.statement, now)) {
             auto until = row.statement.isLeaving ? TimePoint::max() : row.statement.noRequestsUntil;
@@ -121,9 +219,75 @@
 // An endpoint that may be chosen.
 struct EndpointCandidate {
     uint32_t row = noEndpoint;
-    double score = 0; ///< Load as a share of the concurrency limit, plus the penalty for the distance.
+    double loadScore = 0; ///< Load as a share of the concurrency limit, plus the penalty for the distance.
+    double score = 0; ///< The same with the expected work time: it rises with the expected time to the first event.
+    bool isOnTime = true; ///< Whether that time is within the target, as far as it is known.
 };
 
+// What the candidates of one choice have in common.
+struct ChoiceContext {
+    double unloadedShare = plainUnloadedShare; ///< The work time without load, as a share of what a full load adds to it.
+    FractionalMilliseconds typicalTimeToFirstEvent { 0 }; ///< At an engine of which all other slots are in use.
+};
+
+static ChoiceContext makeContext(const EndpointTable& table, const EndpointRequirements& requirements, TimePoint now)
+{
+    ChoiceContext context;
+    const auto* engine = requirements.pace.engine;
+    if (!engine)
+        return context;
+    auto unloaded = timeToFirstEvent(*engine, requirements.pace.promptTokens, 0, 1);
+    auto full = timeToFirstEvent(*engine, requirements.pace.promptTokens, engine->slots - 1, 1);
+    context.unloadedShare = unloaded / std::max(full - unloaded, FractionalMilliseconds(1));
+    context.typicalTimeToFirstEvent = typicalWorkTime(table, requirements.service, now) * full;
+    return context;
+}
+
+static double distancePenalty(Distance distance, const PaceRequirements& pace)
+{
+    return distance == OtherRegion && pace.weighsDataCentres ? weighedOtherRegionPenalty : distancePenalties[distance];
+}
+
+// Rates a candidate by the load, and by the time in which the endpoint is expected to answer.
+static void rateCandidate(EndpointCandidate& candidate, const EndpointRow& row, Distance distance, double load, double limit, const ChoiceContext& context, const PaceRequirements& pace, TimePoint now)
+{
+    candidate.loadScore = load / limit + distancePenalty(distance, pace);
+    candidate.score = candidate.loadScore;
+    if (!isWorkTimeKnown(row, now))
+        return;
+    double workTime = currentWorkTime(row, now);
+    candidate.score += (workTime - 1) * (load / limit + context.unloadedShare);
+    if (!pace.engine)
+        return;
+    auto roundTrip = distance >= SameRegion ? remoteRoundTrip : Milliseconds(0);
+    candidate.isOnTime = timeToFirstEvent(*pace.engine, pace.promptTokens, load, workTime) + roundTrip <= pace.timeToTarget;
+}
+
+// Whether the request would be late at the endpoint and is expected to be on time if it waits for another one.
+static bool isBetterWaiting(const EndpointCandidate& candidate, const ChoiceContext& context, const PaceRequirements& pace)
+{
+    return !candidate.isOnTime && FractionalMilliseconds(pace.expectedWait) + context.typicalTimeToFirstEvent <= pace.timeToTarget;
+}
+
+// Leaves out endpoints that are so slow that the better ones of the same distance answer earlier at any load.
+static void removeMuchSlower(std::vector<EndpointCandidate>& candidates)
+{
+    if (candidates.empty())
+        return;
+    auto isBetter = [](const EndpointCandidate& first, const EndpointCandidate& second) { return first.score < second.score; };
+    double best = std::min_element(candidates.begin(), candidates.end(), isBetter)->score;
+    auto isMuchSlower = [&](const EndpointCandidate& candidate) { return candidate.score > best + maxScoreDifference; };
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isMuchSlower), candidates.end());
+}
+
+// Whether `farther`, at the given distance, is to be preferred to `nearer`. Bytes between data centres are dear, so a nearer
+// endpoint that is slow and on time is left only for its load.
+static bool isPreferred(const EndpointCandidate& farther, const EndpointCandidate& nearer, Distance distance)
+{
+    bool isRemote = distance >= SameRegion;
+    return isRemote && nearer.isOnTime ? farther.loadScore < nearer.loadScore : farther.score < nearer.score;
+}
+
 // Returns the best of a few candidates that are drawn at random without replacement.
 static EndpointCandidate bestOfRandomSample(std::vector<EndpointCandidate>& candidates, std::minstd_rand& random)
 {
@@ -160,16 +324,27 @@
     return count;
 }
 
+// Moves the engines that this entry is home to, and endpoints that aren't engines, to the front; returns their end.
+static std::vector<EndpointCandidate>::iterator bringHomeToFront(std::vector<EndpointCandidate>& candidates, const EndpointTable& table)
+{
+    auto isHome = [&](const EndpointCandidate& candidate) {
+        const auto& row = table.rows[candidate.row];
+        return !row.record.isModelEngine || row.share.position == 0;
+    };
+    return std::stable_partition(candidates.begin(), candidates.end(), isHome);
+}
+
 // Divides the engines among the entries. In the own data centre, an entry prefers some. Of those of other regions, it uses only
 // some: the loads there are known late, and if all entries chose among the same few free engines, they would overload them.
 static void divideEngines(std::array<std::vector<EndpointCandidate>, distancePenalties.size()>& candidates, const EndpointTable& table, const EndpointRequirements& requirements)
 {
     auto& near = candidates[PreferredNear];
-    auto preferred = near.begin() + static_cast<ptrdiff_t>(bringOwnShareToFront(near, table, requirements, entriesPerNearEngine, requirements.nearEntryCount, minNearEngines));
+    auto preferred = requirements.sharesEngines ? bringHomeToFront(near, table) : near.begin() + static_cast<ptrdiff_t>(bringOwnShareToFront(near, table, requirements, entriesPerNearEngine, requirements.nearEntryCount, minNearEngines));
     candidates[OtherNear].assign(preferred, near.end());
     near.erase(preferred, near.end());
     auto& far = candidates[OtherRegion];
-    far.resize(bringOwnShareToFront(far, table, requirements, entriesPerFarEngine, requirements.entryCount, minFarEngines));
+    double entriesPerEngine = requirements.sharesEngines ? entriesPerSharedFarEngine : entriesPerFarEngine;
+    far.resize(bringOwnShareToFront(far, table, requirements, entriesPerEngine, requirements.entryCount, minFarEngines));
 }
 
 // While an entry doesn't know what the others send to a new engine, it sends no more than its share, so that all entries
@@ -186,6 +361,58 @@
     return row.inFlight == 0 && fraction < share;
 }
 
+// Whether one more request stays within what this entry may have at the engine beside the others.
+static bool isWithinOwnPart(const EndpointRow& row, double limit, double load, const EndpointRequirements& requirements, TimePoint now)
+{
+    if (!requirements.sharesEngines || !row.record.isModelEngine)
+        return true;
+    // A request of another entry that ended and wasn't told of yet makes the engine's statement lower than what is known. Once
+    // it is told of, the correction would count its end twice; so what the statement lacks isn't taken off.
+    double known = std::max<double>(load, row.inFlight + row.peersInFlight);
+    return isWithinEngineShare(row.share, { limit, known, row.inFlight, hasStatedLoad(row, now), now });
+}
+
+// Whether an endpoint with that limit and load may get one more request of this entry.
+static bool hasCapacity(const EndpointRow& row, double limit, double load, const EndpointRequirements& requirements, TimePoint now)
+{
+    bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
+    return load + 1 <= limit && !isReturning && isWithinEntryShare(row, limit, requirements, now) && isWithinOwnPart(row, limit, load, requirements, now);
+}
+
+bool hasFreeCapacity(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
+{
+    return hasCapacity(row, concurrencyLimit(row, requirements.pace, now), estimatedLoad(row, now), requirements, now);
+}
+
+// Returns by data centre the number of requests that other entries are expected to have sent to each engine there without this
+// entry knowing it yet. Each entry of this data centre that has no free capacity nearby sends about as many as this one does.
+static std::map<std::string, double> unknownRemoteLoads(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, TimePoint now)
+{
+    std::map<std::string, std::pair<double, double>> sendsAndEndpoints;
+    for (const auto& row : table.rows) {
+        bool isRemoteEngine = row.isListed && row.record.isModelEngine && row.record.service == requirements.service && row.record.dataCentre != location.dataCentre;
+        if (!isRemoteEngine)
+            continue;
+        auto isRecent = [&](TimePoint sentAt) { return now - sentAt < remoteLoadPropagationTime; };
+        auto& [sends, endpoints] = sendsAndEndpoints[row.record.dataCentre];
+        sends += static_cast<double>(std::count_if(row.responseDelay.waitingSince.begin(), row.responseDelay.waitingSince.end(), isRecent));
+        ++endpoints;
+    }
+    std::map<std::string, double> loads;
+    for (const auto& [dataCentre, counts] : sendsAndEndpoints)
+        loads[dataCentre] = counts.first * (std::max(requirements.nearEntryCount, 1U) - 1) / counts.second;
+    return loads;
+}
+
+// Why the chosen endpoint of another data centre is preferred to the best one of the own. `isSlowLeftOut` tells whether endpoints
+// of the own data centre have free capacity and were left out because they are slow.
+static RemoteReason remoteReason(const EndpointCandidate& chosen, const EndpointCandidate& bestNear, bool isSlowLeftOut)
+{
+    if (bestNear.row == noEndpoint)
+        return isSlowLeftOut ? RemoteReason::NearSlow : RemoteReason::NearFull;
+    return chosen.loadScore < bestNear.loadScore ? RemoteReason::NearLoaded : RemoteReason::NearSlow;
+}
+
 EndpointChoice chooseEndpoint(const EndpointTable& table, const EndpointRequirements& requirements, const NodeLocation& location, const std::set<std::string>& evacuatedDataCentres, uint64_t random, TimePoint now)
 {
     EndpointChoice choice;
@@ -197,30 +424,43 @@
             candidates[distanceTo(row.record, location)].push_back({ i });
     }
     divideEngines(candidates, table, requirements);
-    // 2. Leave those with free capacity.
+    auto context = makeContext(table, requirements, now);
+    auto unknownLoads = requirements.pace.weighsDataCentres ? unknownRemoteLoads(table, requirements, location, now) : std::map<std::string, double>();
+    // 2. Leave those with free capacity. One that is so slow that the request is better left waiting counts as having none.
+    bool isSlowLeftOut = false;
     for (size_t distance = 0; distance < candidates.size(); ++distance) {
         choice.hasEligible = choice.hasEligible || !candidates[distance].empty();
         auto isFull = [&](EndpointCandidate& candidate) {
             const auto& row = table.rows[candidate.row];
-            double limit = concurrencyLimit(row.record);
-            double load = estimatedLoad(row, now);
-            candidate.score = load / limit + distancePenalties[distance];
-            bool isReturning = row.inFlight + 1 > limitAfterReturn(row.statement, limit, now);
-            return load + 1 > limit || isReturning || !isWithinEntryShare(row, limit, requirements, now);
+            double limit = concurrencyLimit(row, requirements.pace, now);
+            auto unknownLoad = unknownLoads.find(row.record.dataCentre);
+            double load = estimatedLoad(row, now) + (unknownLoad == unknownLoads.end() ? 0 : unknownLoad->second);
+            rateCandidate(candidate, row, static_cast<Distance>(distance), load, limit, context, requirements.pace, now);
+            if (!hasCapacity(row, limit, load, requirements, now))
+                return true;
+            bool isLeftOut = isBetterWaiting(candidate, context, requirements.pace);
+            isSlowLeftOut = isSlowLeftOut || (isLeftOut && distance < SameRegion);
+            return isLeftOut;
         };
         auto& sameDistance = candidates[distance];
         sameDistance.erase(std::remove_if(sameDistance.begin(), sameDistance.end(), isFull), sameDistance.end());
+        removeMuchSlower(sameDistance);
         choice.availableCount += static_cast<uint32_t>(sameDistance.size());
     }
     // 3. Choose the best of a random sample of each distance.
     std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
     EndpointCandidate best;
-    for (auto& sameDistance : candidates) {
-        auto found = bestOfRandomSample(sameDistance, generator);
-        if (found.row != noEndpoint && (best.row == noEndpoint || found.score < best.score))
+    EndpointCandidate bestNear;
+    for (size_t distance = 0; distance < candidates.size(); ++distance) {
+        auto found = bestOfRandomSample(candidates[distance], generator);
+        if (found.row != noEndpoint && (best.row == noEndpoint || isPreferred(found, best, static_cast<Distance>(distance))))
             best = found;
+        if (distance < SameRegion)
+            bestNear = best;
     }
     choice.row = best.row;
+    if (best.row != bestNear.row)
+        choice.remoteReason = remoteReason(best, bestNear, isSlowLeftOut);
     return choice;
 }
 
--- a/src/EntryNode.cpp
+++ b/src/EntryNode.cpp
@@ -1,6 +1,8 @@
 #include "EntryNode.h"
 
 #include "EntryCrashes.h"
+#include "EntryDemand.h"
+#include "EntryExplain.h"
 #include "EntryStatements.h"
 #include "ProcessMetrics.h"
 #include "ProxiedRequest.h"
@@ -9,6 +11,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
@@ -32,6 +35,9 @@
 // Least number of entries that are assumed to share the fleet's budgets, also while fewer have been heard from.
 static constexpr uint32_t assumedEntries = 6;
 
+// Time between two log lines on requests that went to another data centre.
+static constexpr Seconds remoteSendLogInterval { 1 };
+
 static PeerExchangeSettings peerSettings(const NodeSettings& settings)
 {
     PeerExchangeSettings exchangeSettings;
@@ -52,6 +58,8 @@
     , livenessChecks(loop, this->metrics)
     , random(std::hash<std::string>()(settings.vm) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count()))
     , peers(loop, peerSettings(settings), this->makePeerHandlers())
+    , cutOffReport(this->metrics, log)
+    , connectionMemory(std::make_shared<ConnectionMemory>(loop))
     , callerServer(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
         uint64_t number = this->nextRequestNumber++;
         auto request = std::make_shared<ProxiedRequest>(*this, number, exchange);
@@ -73,8 +81,32 @@
     this->activeRequests.clear();
 }
 
+// The limits on what callers make the process hold are those of all ports together.
+void EntryNode::shareConnectionMemory()
+{
+    this->connectionMemory->onCutOff([this](CutOffCause cause, size_t heldBytes) { this->cutOffReport.note(cause, heldBytes, Clock::now()); });
+    for (auto* server : { &this->callerServer, &this->readinessServer, &this->metricsServer, &this->peerServer })
+        server->shareMemory(this->connectionMemory);
+    auto descriptors = static_cast<size_t>(this->settings.maxFileDescriptors);
+    ServerLimits limits;
+    limits.maxConnections = maxPeerConnections(this->settings.vmMemoryBytes, descriptors);
+    this->peerServer.setLimits(limits);
+    limits.maxConnections = maxObserverConnections(this->settings.vmMemoryBytes, descriptors);
+    this->readinessServer.setLimits(limits);
+    this->metricsServer.setLimits(limits);
+    this->setCallerLimits(ServerLimits());
+}
+
+void EntryNode::setCallerLimits(ServerLimits limits)
+{
+    limits.maxConnections = maxCallerConnections(this->settings.vmMemoryBytes, static_cast<size_t>(this->settings.maxFileDescriptors));
+    this->callerServer.setLimits(limits);
+    this->connectionMemory->setLimits(makeRequestMemoryLimits(this->settings.vmMemoryBytes, limits.maxBodyBytes));
+}
+
 absl::Status EntryNode::start()
 {
+    this->shareConnectionMemory();
     auto status = this->callerServer.listen(this->settings.listenAddress);
     if (status.ok())
         status = this->readinessServer.listen(this->settings.readinessListenAddress);
@@ -165,9 +197,7 @@
         return;
     }
     if (effect == ClusterViewChange::Configuration) {
-        auto limits = this->clusterView.routes->limits;
-        limits.maxConnections = static_cast<size_t>(this->settings.maxFileDescriptors) / 2;
-        this->callerServer.setLimits(limits);
+        this->setCallerLimits(this->clusterView.routes->limits);
         for (const auto& fault : this->clusterView.routes->faults)
             this->log.write(LogLevel::Warning, "configuration_fault", { { "generation", this->clusterView.routes->generation }, { "fault", fault } });
     }
@@ -303,6 +333,18 @@
     node.ownRefusals.removeExpired(now);
 }
 
+void noteRemoteSend(EntryNode& node, const EndpointChoice& choice, TimePoint now)
+{
+    if (choice.remoteReason == RemoteReason::None)
+        return;
+    node.metrics.addToCounter("bilberry_remote_sends_total", { { "reason", std::string(toText(choice.remoteReason)) } });
+    if (now - node.remoteSendLoggedAt < remoteSendLogInterval)
+        return;
+    node.remoteSendLoggedAt = now;
+    const auto& record = node.clusterView.endpoints.rows[choice.row].record;
+    node.log.write(LogLevel::Info, "sent_to_other_data_centre", { { "service", record.service }, { "data_centre", record.dataCentre }, { "endpoint", record.id }, { "reason", toText(choice.remoteReason) } });
+}
+
 void EntryNode::answerReadiness(const std::shared_ptr<ServerExchange>& exchange)
 {
     bool isReadyPath = exchange->request().path == this->adapter.requests.readyPath;
@@ -311,15 +353,33 @@
         {}, {});
 }
 
+// Answers an operator's question where a request would go.
+static void answerRouteQuestion(EntryNode& node, const std::shared_ptr<ServerExchange>& exchange)
+{
+    auto question = parseRouteQuestion(exchange->request().path);
+    auto report = question.ok() ? explainRoute(node, *question, Clock::now()) : absl::StatusOr<RouteReport>(question.status());
+    if (report.ok())
+        exchange->sendResponse(200, { { "Content-Type", "application/json" } }, toJson(*report).dump());
+    else
+        exchange->sendResponse(absl::IsNotFound(report.status()) ? 404 : 400, { { "Content-Type", "text/plain" } }, std::string(report.status().message()));
+}
+
 void EntryNode::answerMetrics(const std::shared_ptr<ServerExchange>& exchange)
 {
+    const auto& target = exchange->request().path;
+    if (target.substr(0, target.find('?')) == routeQuestionPath) {
+        answerRouteQuestion(*this, exchange);
+        return;
+    }
     updateProcessMetrics(this->metrics);
     this->metrics.setGauge("bilberry_belief_age_seconds", std::chrono::duration<double>(ageOf(this->clusterView, BootClock::now())).count());
     this->metrics.setGauge("bilberry_requests_in_progress", static_cast<double>(this->activeRequests.size()));
     this->metrics.setGauge("bilberry_store_calls", static_cast<double>(this->storeWatch.callCount()));
     this->metrics.setGauge("bilberry_log_lines_dropped", static_cast<double>(this->log.droppedLines()));
     this->metrics.setGauge("bilberry_endpoint_connections_made", static_cast<double>(this->channels.createdCount()));
+    this->metrics.setGauge("bilberry_endpoints_stated_slow", static_cast<double>(countSlowByStatement(this->clusterView.endpoints, Clock::now())));
     this->metrics.setGauge("bilberry_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
+    updateDemandMetrics(*this);
     exchange->sendResponse(200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.serialize());
 }
 
@@ -397,6 +457,7 @@
         this->storeReplica.removeEarlierEras(this->adapter.store.configurationKey, this->adapter.store.versionPrefix);
     this->dispatchRequestsAwaitingConfiguration(now);
     removeExpiredReports(*this, now);
+    updateDemand(*this, now);
     checkRequestTimeouts(*this, now);
     for (const auto& [service, queue] : this->queues)
         dispatchWaitingRequests(*this, service);
--- a/src/EntryNode.h
+++ b/src/EntryNode.h
@@ -5,8 +5,13 @@
 #include "AsyncHttpServer.h"
 #include "ChannelPool.h"
 #include "ClusterView.h"
+#include "ConnectionMemory.h"
+#include "CutOffReport.h"
+#include "DemandTable.h"
 #include "DispatchQueue.h"
+#include "EngineShare.h"
 #include "EventLog.h"
+#include "HedgePolicy.h"
 #include "HttpCall.h"
 #include "LivenessChecks.h"
 #include "Metrics.h"
@@ -15,6 +20,7 @@
 #include "PeerReports.h"
 #include "PromptSuspects.h"
 #include "ProtocolAdapter.h"
+#include "RankDemand.h"
 #include "RetryWindow.h"
 #include "ServiceSummary.h"
 #include "StopSchedule.h"
@@ -29,6 +35,7 @@
 namespace bilberry {
 
 class ProxiedRequest;
+struct EndpointChoice;
 
 /// Used by the loop's thread only.
 struct EntryNode {
@@ -60,13 +67,18 @@
     ChannelPool channels;
     LivenessChecks livenessChecks;
     DispatchQueues queues; ///< The queue of waiting requests; the key is the service.
+    std::unordered_map<std::string, RankDemand> rankDemands; ///< Only of services with ranked routes; the key is the service.
     std::unordered_map<std::string, RetryWindow> retryWindows; ///< The key is the service.
+    std::unordered_map<std::string, RetryWindow> hedgeWindows; ///< Hedged requests; the key is the service.
+    std::unordered_map<std::string, AnswerDelays> answerDelays; ///< Only while requests may be hedged; the key is the route.
+    uint32_t hedgesInProgress = 0; ///< Requests that have two attempts in progress.
     size_t bufferedResponseBytes = 0; ///< The bytes of endpoints' responses that are buffered until they are complete.
     std::unordered_map<uint64_t, std::shared_ptr<ProxiedRequest>> activeRequests; ///< Requests that aren't answered yet; the key is their number.
     uint64_t nextRequestNumber = 1;
     std::vector<uint64_t> requestsAwaitingConfiguration; ///< The numbers of requests that wait for the first configuration.
     CrashHistory crashes;
     PromptSuspects promptSuspects;
+    DemandTable demand; ///< The demand of client accounts, from which their shares follow.
     RefusalHistory refusals; ///< The refused requests of all entries.
     RefusalHistory ownRefusals; ///< The refused requests of this entry, which are reported to the peers.
     /// Seeded from the VM's name and the boot clock; used to choose services and endpoints and to spread retry delays.
@@ -78,6 +90,9 @@
     TimePoint stopRequestedAt = TimePoint::max(); ///< The maximum while no stop is requested.
     StopSchedule stopSchedule;
 
+    TimePoint remoteSendLoggedAt {}; ///< When the log last showed a request that went to another data centre.
+    TimePoint unreadableLoadLoggedAt {}; ///< When the log last showed an endpoint's load that can't be read.
+
     uint32_t nearPeers = 0; ///< The number of recently heard entries of this data centre.
 
     PeerExchange peers;
@@ -123,10 +138,15 @@
     void applyStoreDelta(const CallResult&, const std::string& peer, BootTimePoint sentAt);
     void confirmViewByStore(BootTimePoint sentAt);
     void updatePeerLoads(TimePoint now);
+    void updateOwnEngineShares(const std::vector<std::string>& nearPeers, TimePoint now);
     void reportSlowEngines(TimePoint now);
     void chooseStoreReading(TimePoint now);
     void stopWhenDone(TimePoint now);
+    void shareConnectionMemory();
+    void setCallerLimits(ServerLimits);
 
+    CutOffReport cutOffReport;
+    std::shared_ptr<ConnectionMemory> connectionMemory; ///< What callers make the process hold at all ports.
     AsyncHttpServer callerServer;
     AsyncHttpServer readinessServer;
     AsyncHttpServer metricsServer;
@@ -135,6 +155,8 @@
     StoreReplica storeReplica;
     StoreReading storeReading;
     bool isReadingStore = true; ///< Whether this entry calls the store itself.
+    EngineShareBasis engineShareBasis;
+    TimePoint engineSharesLoggedAt {};
     TimePoint peerLoadsUpdatedAt {}; ///< When the loads of peers were last copied into the table of endpoints.
     TimePoint startedAt {};
     bool hasPeerAnswered = false; ///< Whether a peer has answered a request for a store delta since the start.
@@ -159,6 +181,8 @@
 /// Returns whether the cluster view is recent enough for key revocations, so that requests with keys can be admitted.
 /// Always true when the settings don't fail closed (`failsClosed`).
 bool knowsRevocations(const EntryNode&, BootTimePoint now);
+/// Counts and logs a choice of another data centre's endpoint; the log shows some of them only. Does nothing for other choices.
+void noteRemoteSend(EntryNode&, const EndpointChoice&, TimePoint now);
 /// Dispatches the waiting requests of a service for which an endpoint has free capacity now.
 void dispatchWaitingRequests(EntryNode&, const std::string& service);
 /// Records that an engine refused a request because of a version switch, and reports it to the peers.
--- a/src/NodeSettings.h
+++ b/src/NodeSettings.h
@@ -5,6 +5,7 @@
 #include "Address.h"
 #include "EndpointChoice.h"
 #include "Flags.h"
+#include "HedgePolicy.h"
 #include "RetryWindow.h"
 #include "Types.h"
 
@@ -27,6 +28,7 @@
     Milliseconds maxRevocationDelay { 5000 }; ///< Time after which a revoked key must no longer be accepted.
     bool failsClosed = true; ///< Whether requests with a key are refused while revocations can't be known.
     RetryWindowLimits retryLimits;
+    HedgeLimits hedgeLimits; ///< Off by default.
     double coldRateFactor = 1; ///< Multiple of a cold endpoint's rate that all entries together may send it in one second.
     double coldRateAllowance = 0; ///< Requests allowed in one second beyond coldRateFactor, for all entries together.
     Milliseconds maxVersionSwitchTime { 0 }; ///< Time in which all engines switch to a newly named version; zero: no limit.
@@ -48,6 +50,7 @@
     std::string service; ///< Name of the service that the engine belongs to; required for agents.
     double linkMegabitsPerSecond = 0; ///< Rate of the VM's network link in Mbit/s; zero: not known.
     int maxFileDescriptors = 1024; ///< File descriptors that the process may use.
+    size_t vmMemoryBytes = 0; ///< Memory of the VM, from which the limits on what callers hold are derived; zero: not known, no limits.
     int logLinesPerSecond = 200; ///< Limit of log lines per second; lines beyond it are only counted.
     ReloadableSettings reloadable;
 };
--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -2,6 +2,8 @@
 
 #include "EntryCrashes.h"
 #include "EntryNode.h"
+#include "EntryRequirements.h"
+#include "RefusalDelays.h"
 #include "ServerExchange.h"
 #include "VersionSwitch.h"
 
@@ -15,12 +17,6 @@
 static constexpr Milliseconds maxConfigurationWait { 500 };
 // Longest time that a request which has already missed its target latency waits in the queue.
 static constexpr Milliseconds maxLateQueueWait { 400 };
-// Queue priority of a request whose response has already started. Such a request is dispatched before all others.
-static constexpr int startedResponsePriority = -1;
-// Retry-After delay for a request that is refused because the entry has no configuration.
-static constexpr Milliseconds noConfigurationRetryAfter { 200 };
-// Retry-After delay for a request that is blocked because it crashes endpoints.
-static constexpr Milliseconds crashingRequestRetryAfter { 60'000 };
 
 ProxiedRequest::ProxiedRequest(EntryNode& node, uint64_t number, std::shared_ptr<ServerExchange> exchange)
     : node(node)
@@ -67,6 +63,9 @@
     if (this->isFinished || !this->admitRequest(now))
         return;
     countRequest(this->node.retryWindows[this->requirements.service], this->node.settings.reloadable.retryLimits, now);
+    this->countForHedges(now);
+    if (this->isRanked())
+        countArrival(this->node.rankDemands[this->requirements.service], this->rank, now);
     if (this->canAnswerBeforeExit(now))
         this->dispatchOrEnqueue(now);
     else
@@ -89,32 +88,6 @@
         this->sendFinalAnswer(decideFinalAnswer(this->retryContext(now)));
 }
 
-// Chooses one of the route's services at random in proportion to the weights. Services without endpoints are left out; if no
-// service remains, the first one is chosen.
-static std::string chooseService(const RouteRule& route, const EndpointTable& endpoints, double random)
-{
-    auto hasEndpoints = [&](const ServiceShare& share) {
-        return std::any_of(endpoints.rows.begin(), endpoints.rows.end(), [&](const EndpointRow& row) { return row.isListed && row.record.service == share.service; });
-    };
-    std::vector<const ServiceShare*> usable;
-    double total = 0;
-    for (const auto& share : route.services) {
-        if (share.weight <= 0 || (route.services.size() > 1 && !hasEndpoints(share)))
-            continue;
-        usable.push_back(&share);
-        total += share.weight;
-    }
-    if (usable.empty())
-        return route.services.front().service;
-    double point = random * total;
-    for (const auto* share : usable) {
-        point -= share->weight;
-        if (point < 0)
-            return share->service;
-    }
-    return usable.back()->service;
-}
-
 // Checks the request against the configuration and collects what it requires of an endpoint. Returns false if it was refused.
 bool ProxiedRequest::admitRequest(TimePoint now)
 {
@@ -151,7 +124,7 @@
         return false;
     }
     if (this->account && !knowsRevocations(this->node, BootClock::now())) {
-        this->refuseRequest(503, "revocations_unknown", Milliseconds(1000));
+        this->refuseRequest(503, "revocations_unknown", revocationsUnknownRetryAfter);
         return false;
     }
     this->fingerprint = requestFingerprint(request.method, request.path, this->account ? this->account->name : std::string(), request.body);
@@ -166,48 +139,16 @@
     auto budget = std::min(this->callerRequest.timeBudget.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + budget;
     // 4. Collect what the request requires of an endpoint.
-    this->priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    this->rank = rankOf(*this->route, this->account);
     double random = std::uniform_real_distribution<double>(0, 1)(this->node.random);
-    this->requirements.service = chooseService(*this->route, this->node.clusterView.endpoints, random);
-    this->service = findService(*this->routes, this->requirements.service);
-    this->requirements.model = this->callerRequest.model;
-    if (this->service) {
-        for (const auto& model : this->service->models)
-            this->requirements.modelLayers = model.name == this->requirements.model ? model.layerCount : this->requirements.modelLayers;
-        const auto& bounds = this->node.settings.reloadable;
-        if (this->service->maxColdRate > 0)
-            this->requirements.maxColdRate = (this->service->maxColdRate * bounds.coldRateFactor + bounds.coldRateAllowance) / entryCount(this->node);
-    }
-    this->requirements.routeRegions = &this->route->regions;
-    this->requirements.accountRegions = this->account ? &this->account->regions : nullptr;
+    auto chosen = chooseService(*this->route, this->node.clusterView.endpoints, random);
+    this->service = findService(*this->routes, chosen);
+    this->requirements = requirementsOf(this->node, { *this->route, this->account, this->service }, chosen, this->callerRequest.model);
     this->eventStream.lastEventId = this->callerRequest.lastEventId;
+    this->demand = noteArrivedDemand(this->node, { this->service, this->account, this->callerRequest, this->rank, this->firstArrivedAt < this->arrivedAt }, now);
     return true;
 }
 
-static uint32_t requiredWeightVersion(const EntryNode& node, const std::string& model, BootTimePoint now)
-{
-    auto found = node.clusterView.namedVersions.find(model);
-    return found == node.clusterView.namedVersions.end() ? 0 : oldestAllowedVersion(found->second, node.settings.reloadable.maxVersionSwitchTime, now);
-}
-
-// When a request that is at the endpoint and hasn't begun there must be taken back.
-static BootTimePoint beginDeadline(const EntryNode& node, const EndpointRow& endpoint, const EndpointRequirements& requirements)
-{
-    auto found = node.clusterView.namedVersions.find(requirements.model);
-    if (!endpoint.record.isModelEngine || found == node.clusterView.namedVersions.end())
-        return BootTimePoint::max();
-    auto held = servedVersion(endpoint.record, requirements.model, requirements.modelLayers);
-    return mustBeginBy(found->second, held, node.settings.reloadable.maxVersionSwitchTime);
-}
-
-std::optional<uint32_t> ProxiedRequest::weightVersionToRequire(const EndpointRow& endpoint) const
-{
-    auto found = this->node.clusterView.namedVersions.find(this->requirements.model);
-    if (!endpoint.record.isModelEngine || found == this->node.clusterView.namedVersions.end())
-        return std::nullopt;
-    return versionToRequire(found->second, servedVersion(endpoint.record, this->requirements.model, this->requirements.modelLayers));
-}
-
 // Whether a second run does no harm. Another run can't continue a stream whose events have no IDs.
 bool ProxiedRequest::mayRunAgain() const
 {
@@ -240,31 +181,48 @@
 {
     if (!this->canAnswerBeforeExit(now) || this->isRefusedForCrashes() || mustWaitForSuspects(this->node.promptSuspects, this->callerRequest.sharedPromptParts))
         return false;
-    this->requirements.entryCount = entryCount(this->node);
-    this->requirements.nearEntryCount = nearEntryCount(this->node);
-    this->requirements.entryHash = std::hash<std::string>()(this->node.settings.ownIp);
-    this->requirements.bootNow = BootClock::now();
-    this->requirements.minWeightVersion = requiredWeightVersion(this->node, this->requirements.model, this->requirements.bootNow);
-    auto named = this->node.clusterView.namedVersions.find(this->requirements.model);
-    this->requirements.namedVersions = named == this->node.clusterView.namedVersions.end() ? nullptr : &named->second;
-    this->requirements.maxVersionSwitchTime = this->node.settings.reloadable.maxVersionSwitchTime;
+    updateRequirements(this->node, this->requirements);
+    this->requirements.pace = paceOf(this->node, { *this->route, this->account, this->service }, this->requirements.service, { this->callerRequest.promptTokens, this->firstArrivedAt, this->currentRank(now) }, now);
     auto choice = chooseEndpoint(this->node.clusterView.endpoints, this->requirements, this->node.settings.location, this->node.clusterView.evacuatedDataCentres, this->node.random(), now);
     if (choice.row == noEndpoint)
         return false;
+    noteRemoteSend(this->node, choice, now);
     this->isWaiting = false;
     if (this->attemptTotals.runs + this->attemptTotals.notRun == 0)
-        this->queueTime = std::chrono::duration_cast<Milliseconds>(now - this->arrivedAt);
+        this->noteFirstDispatch(now);
     this->endpointLoadEstimate = estimatedLoad(this->node.clusterView.endpoints.rows[choice.row], now);
     this->startAttempt(choice.row, now);
     return true;
 }
 
+void ProxiedRequest::noteFirstDispatch(TimePoint now)
+{
+    this->queueTime = std::chrono::duration_cast<Milliseconds>(now - this->arrivedAt);
+    if (this->isRanked())
+        countRankDispatch(this->node.rankDemands[this->requirements.service], this->rank, now);
+}
+
 // Whether the request can no longer be answered within its target latency.
 bool ProxiedRequest::hasMissedTarget(TimePoint now) const
 {
     return now - this->firstArrivedAt >= this->route->targetLatency;
 }
 
+// A request whose response has started goes first, so that its caller doesn't wait between events.
+RequestRank ProxiedRequest::currentRank(TimePoint now) const
+{
+    if (this->hasResponseStarted)
+        return firstRank;
+    auto current = this->rank;
+    current.isBeyondShare = isAccountBeyondShare(this->node, this->demand);
+    current.isLate = this->hasMissedTarget(now);
+    if (!this->isRanked())
+        return current;
+    current.isNew = !this->isReturning();
+    current.isOrdinary = !isStarved(this->node.rankDemands[this->requirements.service], this->rank, now);
+    return current;
+}
+
 // A request that can still meet its target latency waits only as long as it can still meet it. One that has missed it waits
 // for maxLateQueueWait at most.
 Milliseconds ProxiedRequest::allowedQueueWait(TimePoint now) const
@@ -273,7 +231,7 @@
         return std::min(maxLateQueueWait, this->timeLeft(now));
     const EnginePerformance* engine = this->service && this->service->engine ? &*this->service->engine : nullptr;
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - this->firstArrivedAt);
-    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed));
+    return maxQueueWait(*this->route, engine, this->callerRequest.promptTokens, std::min(this->timeLeft(now), this->route->targetLatency - elapsed), typicalWorkTime(this->node.clusterView.endpoints, this->requirements.service, now));
 }
 
 bool ProxiedRequest::areAllSetAsideUntil(TimePoint time, TimePoint now) const
@@ -289,7 +247,19 @@
     const auto& view = this->node.clusterView;
     if (auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now))
         return retryAfterSetAside(*until, now, this->node.random());
-    return retryAfterDelay(expectedQueueWait(this->node.queues[this->requirements.service], 2 * this->priority, now), this->node.random());
+    return retryAfterDelay(this->expectedWait(this->currentRank(now), now), this->node.random());
+}
+
+// Whether requests of different priority compete for the service.
+bool ProxiedRequest::isRanked() const
+{
+    return this->service && this->service->hasRankedRoutes;
+}
+
+Milliseconds ProxiedRequest::expectedWait(const RequestRank& current, TimePoint now) const
+{
+    const auto& queue = this->node.queues[this->requirements.service];
+    return this->isRanked() ? expectedRankedWait(queue, this->node.rankDemands[this->requirements.service], current, now) : expectedQueueWait(queue, current, now);
 }
 
 // Dispatches the request to an endpoint with free capacity, or queues it for as long as it can still meet its target latency,
@@ -298,14 +268,16 @@
 {
     auto& queue = this->node.queues[this->requirements.service];
     bool isFirstAttempt = this->attemptTotals.runs + this->attemptTotals.notRun == 0;
-    int queuePriority = this->hasResponseStarted ? startedResponsePriority : 2 * this->priority + (this->hasMissedTarget(now) ? 1 : 0);
-    // 1. Requests that already wait with the same or a more urgent priority go first.
-    if (countAhead(queue, queuePriority) == 0 && this->tryDispatch(now))
+    auto currentRank = this->currentRank(now);
+    // 1. Requests that already wait with the same or a higher rank go first.
+    if (countAhead(queue, currentRank) == 0 && this->tryDispatch(now))
         return;
     // 2. Refuse a new request that can't be dispatched in time; queue all others.
     auto allowance = isFirstAttempt ? this->allowedQueueWait(now) : std::min(maxRetryQueueWait, this->timeLeft(now));
-    auto wait = expectedQueueWait(queue, queuePriority, now);
-    bool isWaitTooLong = countAhead(queue, queuePriority) > 0 && wait != Milliseconds::max() && wait > allowance;
+    auto wait = this->expectedWait(currentRank, now);
+    // Where requests of higher rank take all places as they come, even the first of the queue may wait in vain.
+    bool isQueued = countAhead(queue, currentRank) > 0 || this->isRanked();
+    bool isWaitTooLong = isQueued && wait != Milliseconds::max() && wait > allowance;
     if (isFirstAttempt && (isWaitTooLong || allowance <= Milliseconds(0))) {
         this->refuseRequest(503, "overloaded", retryAfterDelay(wait, this->node.random()));
         return;
@@ -314,7 +286,7 @@
         this->handleQueueTimeout();
         return;
     }
-    enqueueRequest(queue, { this->number, queuePriority, this->arrivedAt, now + allowance });
+    enqueueRequest(queue, { this->number, currentRank, this->arrivedAt, now + allowance });
     this->isWaiting = true;
 }
 
@@ -338,10 +310,12 @@
     this->lastResult = result;
     countAttempt(this->attemptTotals, result);
     this->node.metrics.addToCounter("bilberry_attempts_total", { { "result", std::string(toText(result)) } });
-    this->requirements.triedEndpointIds.push_back(this->endpointId);
+    this->requirements.triedEndpointIds.push_back(this->attempt.endpointId);
     if (result != AttemptResult::Answered) {
-        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->endpointId }, { "result", toText(result) }, { "status", this->responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attemptStartedAt) } });
+        this->node.log.write(LogLevel::Info, "attempt_failed", { { "request", this->callerRequest.id }, { "endpoint", this->attempt.endpointId }, { "result", toText(result) }, { "status", this->attempt.responseHead.status }, { "stream_fault", toText(this->eventStream.fault) }, { "after_ms", std::chrono::duration_cast<Milliseconds>(now - this->attempt.startedAt) } });
     }
+    if (this->adoptSecondAttempt(result))
+        return;
     auto context = this->retryContext(now);
     auto step = decideNextStep(context);
     if (step == NextStep::Deliver)
@@ -376,23 +350,23 @@
 
 void ProxiedRequest::deliverResponse()
 {
-    auto headers = forwardableHeaders(this->responseHead.headers);
+    auto headers = forwardableHeaders(this->attempt.responseHead.headers);
     if (this->hasResponseStarted) {
         this->exchange->finishResponse();
-    } else if (this->route->kind == RequestKind::Stream && isSuccessForRequest(this->responseHead, this->endpointReply, this->callerRequest)) {
-        this->exchange->startResponse(this->responseHead.status, headers, {}, nullptr);
+    } else if (this->route->kind == RequestKind::Stream && isSuccessForRequest(this->attempt.responseHead, this->attempt.endpointReply, this->callerRequest)) {
+        this->exchange->startResponse(this->attempt.responseHead.status, headers, {}, nullptr);
         this->exchange->finishResponse();
     } else {
         this->timeToFirstByte = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
-        this->exchange->sendResponse(this->responseHead.status, headers, this->body);
+        this->exchange->sendResponse(this->attempt.responseHead.status, headers, this->attempt.body);
     }
-    this->finishRequest("answered", this->responseHead.status, "");
+    this->finishRequest("answered", this->attempt.responseHead.status, "");
 }
 
 void ProxiedRequest::sendFinalAnswer(FinalAnswer answer)
 {
     // A status that promises that the request has not run isn't forwarded, because the request may have run.
-    bool promisesNotRun = answer == FinalAnswer::Deliver && promisesNotExecuted(this->responseHead.status);
+    bool promisesNotRun = answer == FinalAnswer::Deliver && promisesNotExecuted(this->attempt.responseHead.status);
     if (answer == FinalAnswer::CutOff) {
         this->exchange->abortResponse();
         this->finishRequest("cut_off", 0, toText(this->lastResult).data());
@@ -416,6 +390,10 @@
         this->node.refusals.addRefusal(this->fingerprint, this->firstArrivedAt, now);
         this->node.hasChangesForPeers = true;
     }
+    if (this->route && this->isRanked() && this->isReturning())
+        this->node.metrics.addToCounter("bilberry_returns_refused_total", { { "priority", std::to_string(this->rank.route) } });
+    if (status == 503)
+        noteRefusedDemand(this->node, this->demand, reason, Clock::now());
     this->exchange->sendResponse(status, headers, std::string(reason) + "\n");
     this->finishRequest("refused", status, reason);
 }
@@ -427,7 +405,7 @@
         return;
     auto keepAlive = this->shared_from_this();
     if (this->hasActiveAttempt()) {
-        this->channel->close();
+        this->attempt.channel->close();
         this->releaseEndpoint(AttemptResult::TimedOut, Clock::now());
     }
     if (this->isWaiting)
@@ -468,16 +446,17 @@
         return;
     // The engine must not begin the request on superseded weights. The newer version may have been named after the request
     // was sent.
-    const auto& endpoint = this->node.clusterView.endpoints.rows[this->endpointRow];
-    bool hasBegun = this->responseHead.status != 0;
+    const auto& endpoint = this->node.clusterView.endpoints.rows[this->attempt.endpointRow];
+    bool hasBegun = this->attempt.responseHead.status != 0;
     if (!hasBegun && BootClock::now() >= beginDeadline(this->node, endpoint, this->requirements)) {
         this->abandonAttempt(AttemptResult::Silent);
         return;
     }
-    if (!this->mayRunAgain() || this->channel->endedWithConnection())
+    if (!this->mayRunAgain() || this->attempt.channel->endedWithConnection())
         return;
+    this->hedgeIfLate(now);
     bool isFull = endpoint.record.isModelEngine && estimatedLoad(endpoint, now) >= endpoint.record.slots;
-    if (now - this->lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->lastReceivedAt }))
+    if (now - this->attempt.lastReceivedAt >= silenceTimeout({ this->route->targetLatency, isFull, endpoint.lastHeardAt > this->attempt.lastReceivedAt }))
         this->abandonAttempt(AttemptResult::Silent);
 }
 
@@ -486,11 +465,12 @@
     if (this->isFinished)
         return;
     this->isFinished = true;
+    this->cancelSecondAttempt();
     auto total = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->arrivedAt);
     this->node.log.write(LogLevel::Info, "request",
         { { "request", this->callerRequest.id }, { "route", this->route ? this->route->name : std::string() }, { "outcome", outcome }, { "status", status }, { "reason", reason },
-            { "endpoint", this->endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
-            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->reportedLoad ? static_cast<int>(this->reportedLoad->running + this->reportedLoad->waiting) : -1 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
+            { "endpoint", this->attempt.endpointId }, { "runs", this->attemptTotals.runs }, { "refusals", this->attemptTotals.notRun }, { "budget_ms", this->callerRequest.timeBudget.value_or(Milliseconds(0)) }, { "fingerprint", this->fingerprint }, { "queued_ms", this->queueTime }, { "first_ms", this->timeToFirstByte }, { "total_ms", total },
+            { "load_thought", this->endpointLoadEstimate }, { "load_stated", this->attempt.reportedLoad ? static_cast<int>(this->attempt.reportedLoad->running + this->attempt.reportedLoad->waiting) : -1 }, { "work_time_stated", this->attempt.reportedLoad ? this->attempt.reportedLoad->workTimePercent.value_or(0) : 0 }, { "belief_age_ms", ageOf(this->node.clusterView, BootClock::now()) },
             { "generation", this->routes ? this->routes->generation : 0 } });
     auto& metrics = this->node.metrics;
     metrics.addToCounter("bilberry_requests_total", { { "outcome", outcome }, { "reason", reason } });
