Close the connections of a server that is destroyed

Cause: a response that is being written keeps its connection by the callback that follows it. Change: the server's destructor closes its connections.

--- a/src/AsyncHttpServer.cpp
+++ b/src/AsyncHttpServer.cpp
@@ -24,6 +24,8 @@
     boost::system::error_code ignored;
     this->state->acceptor.close(ignored);
     this->state->acceptRetryTimer.cancel();
+    // A response that is being written refers to its connection, which would hold itself for ever.
+    this->closeConnections();
 }
 
 static void startConnection(const std::shared_ptr<AsyncHttpServer::State>& state, asio::ip::tcp::socket socket)
@@ -129,8 +131,10 @@
 
 void AsyncHttpServer::closeConnections()
 {
-    std::vector<ServerConnection*> connections(this->state->connections.begin(), this->state->connections.end());
-    for (auto* connection : connections)
+    std::vector<std::shared_ptr<ServerConnection>> connections;
+    for (auto* connection : this->state->connections)
+        connections.push_back(connection->shared_from_this());
+    for (const auto& connection : connections)
         connection->closeInAnyPhase();
 }
 
