--- a/src/EndpointChoice.cpp
+++ b/src/EndpointChoice.cpp
@@ -379,7 +379,7 @@
     return load + 1 <= limit && !isReturning && isWithinEntryShare(row, limit, requirements, now) && isWithinOwnPart(row, limit, load, requirements, now);
 }
 
-bool hasFreeCapacity(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
+bool hasCapacityFor(const EndpointRow& row, const EndpointRequirements& requirements, TimePoint now)
 {
     return hasCapacity(row, concurrencyLimit(row, requirements.pace, now), estimatedLoad(row, now), requirements, now);
 }
--- a/src/EndpointChoice.h
+++ b/src/EndpointChoice.h
@@ -116,7 +116,7 @@
 
 /// Whether the endpoint may get one more request of this entry, by its limit, its estimated load and what the other entries may have
 /// there. Thread safe.
-bool hasFreeCapacity(const EndpointRow&, const EndpointRequirements&, TimePoint now);
+bool hasCapacityFor(const EndpointRow&, const EndpointRequirements&, TimePoint now);
 
 /// Returns when the first endpoint wants requests again if all that could run the request are set aside by their own statement,
 /// TimePoint::max() if they leave, and nothing otherwise. Endpoints that the request has tried count only if they are set aside.
--- a/src/EntryExplain.cpp
+++ b/src/EntryExplain.cpp
@@ -31,7 +31,7 @@
         if (row.record.id.empty() || row.record.service != requirements.service)
             continue;
         auto exclusion = std::string(toText(exclusionOf(row, requirements, node.settings.location, node.clusterView.evacuatedDataCentres, now)));
-        if (exclusion == toText(Exclusion::None) && !hasFreeCapacity(row, requirements, now))
+        if (exclusion == toText(Exclusion::None) && !hasCapacityFor(row, requirements, now))
             exclusion = "full";
         auto loadAge = row.loadReportedAt == TimePoint() ? Milliseconds::max() : std::chrono::duration_cast<Milliseconds>(now - row.loadReportedAt);
         candidates.push_back({ row.record.id, row.record.dataCentre, estimatedLoad(row, now), concurrencyLimit(row, requirements.pace, now), loadAge, std::move(exclusion) });
