Send callers of a stopping entry to another one at once when there is no room

Change: while the entry stops, such a refusal has the short Retry-After of a stop; another entry takes the request.

--- a/src/ProxiedRequest.cpp
+++ b/src/ProxiedRequest.cpp
@@ -247,7 +247,14 @@
     const auto& view = this->node.clusterView;
     if (auto until = allSetAsideUntil(view.endpoints, this->requirements, this->node.settings.location, view.evacuatedDataCentres, now))
         return retryAfterSetAside(*until, now, this->node.random());
-    return retryAfterDelay(this->expectedWait(this->currentRank(now), now), this->node.random());
+    return this->loadRetryAfter(this->expectedWait(this->currentRank(now), now));
+}
+
+// When a request that was refused for lack of room should be sent again. Another entry takes it while this one stops.
+Milliseconds ProxiedRequest::loadRetryAfter(Milliseconds wait) const
+{
+    bool isStopping = this->node.stopRequestedAt != TimePoint::max();
+    return isStopping ? stoppingRetryAfter : retryAfterDelay(wait, this->node.random());
 }
 
 // Whether requests of different priority compete for the service.
@@ -279,7 +286,7 @@
     bool isQueued = countAhead(queue, currentRank) > 0 || this->isRanked();
     bool isWaitTooLong = isQueued && wait != Milliseconds::max() && wait > allowance;
     if (isFirstAttempt && (isWaitTooLong || allowance <= Milliseconds(0))) {
-        this->refuseRequest(503, "overloaded", retryAfterDelay(wait, this->node.random()));
+        this->refuseRequest(503, "overloaded", this->loadRetryAfter(wait));
         return;
     }
     if (this->areAllSetAsideUntil(now + allowance, now)) {
--- a/src/ProxiedRequest.h
+++ b/src/ProxiedRequest.h
@@ -64,6 +64,7 @@
     void refuseForCrashes(TimePoint now);
     Milliseconds allowedQueueWait(TimePoint now) const;
     Milliseconds refusalDelay(TimePoint now) const;
+    Milliseconds loadRetryAfter(Milliseconds wait) const;
     Milliseconds expectedWait(const RequestRank&, TimePoint now) const;
     bool isRanked() const;
     bool isReturning() const { return this->firstArrivedAt < this->arrivedAt; }
