Take the ports of the hostile crowds' test from its block

Cause: process_hostile_ports asked platform_fleet for a free port, which has moved to test_ports; it failed at its start (1 of 1). Change: it asks test_ports. Measured: not run to its end at this commit.

--- a/tests/process_hostile_ports.py
+++ b/tests/process_hostile_ports.py
@@ -8,6 +8,7 @@
 import hostile_crowd
 import hostile_fleet
 import platform_fleet
+import test_ports
 
 SHAPES = ("trailers without end", "bodies with a length", "bodies in large chunks", "heads that stop short")
 
@@ -23,7 +24,7 @@
 def test_agent_port(build, port, shape):
     with hostile_fleet.started_entry(build) as (fleet, _):
         engine = fleet.add_endpoint("e1", "writer")
-        agent = fleet.start_agent(engine, 1, metrics_listen=f"127.0.2.1:{platform_fleet.free_port()}")
+        agent = fleet.start_agent(engine, 1, metrics_listen=f"127.0.2.1:{test_ports.free_port()}")
         harness.wait_until(lambda: fleet.metrics(agent), 10, "the agent serves")
         addresses = {"metrics": agent.flags["metrics_listen"], "peers": f"127.0.2.1:{fleet.peer_port}"}
         with hostile_crowd.Crowd(addresses[port], hostile_crowd.parts_of(shape, "/metrics")) as crowd:
