--- a/src/DecayingRate.h
+++ b/src/DecayingRate.h
@@ -1,4 +1,4 @@
-/// A rate that is measured over about the last second.
+/// A rate over about the last second.
 #pragma once
 
 #include "Types.h"
