Take answers with a status below 100 for malformed

What callers saw: on other systems of this kind, an answer whose status was 000. Cause: the library's parser takes each three digits for a status, and HttpChannel asked only whether it is an interim one. An answer with a status below 100 ended an exchange as complete: its connection could be used again, it could be skipped as an answer to an earlier request, so that the bytes after it counted, and calls to the store, engines, the origin and peers got it as complete. Change: such a response is malformed at its head, before anything is learnt from it, and its connection is closed.

--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -28,6 +28,8 @@
 static constexpr size_t maxJoinedBodyBytes = 64 << 10;
 // Largest head of a response, and largest header of a chunk.
 static constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
+// Smallest status of HTTP. The library accepts all numbers of three digits.
+static constexpr unsigned minStatus = 100;
 // Interval of the checks whether the peer has acknowledged a request whose response has ended with the connection.
 static constexpr Milliseconds acknowledgmentCheckInterval { 5 };
 
@@ -309,7 +311,7 @@
             this->parseResponse();
             return;
         }
-        if (this->statesTooLongBody()) {
+        if (status < minStatus || this->statesTooLongBody()) {
             this->finishExchange(ChannelEnd::Malformed);
             return;
         }
--- a/tests/HttpChannelTest.cpp
+++ b/tests/HttpChannelTest.cpp
@@ -445,3 +445,39 @@
         }
     }
 }
+
+namespace {
+
+/// Sends the bytes; where the channel skips an answer, a sound one follows on the same connection.
+Exchange receiveAnswers(const std::string& bytes, int skips, bool& isReusable)
+{
+    EventLoop loop { 1 };
+    ScriptedServer server(loop, { bytes + (skips > 0 ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright" : "") }, false);
+    auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", server.port() }, ChannelTimeouts {});
+    Exchange exchange;
+    exchange.skipsLeft = skips;
+    exchange.startExchange(channel, makeGetRequest());
+    runUntil(loop, [&] { return exchange.end.has_value(); });
+    isReusable = channel->canReuse();
+    return exchange;
+}
+
+} // namespace
+
+// A status below 100 is none, so that its answer neither counts nor is skipped as one to an earlier request, and the connection isn't used again.
+BOOST_AUTO_TEST_CASE(answersWithAStatusBelow100AreMalformed)
+{
+    for (std::string status : { "000", "000 Broken", "001 OK", "099 OK", "0 OK", "20 OK", "2000 OK", "+20 OK", "-20 OK", "2x0 OK" }) {
+        for (int skips : { 0, 1 }) {
+            BOOST_TEST_CONTEXT(status << ", skips " << skips)
+            {
+                bool isReusable = false;
+                auto exchange = receiveAnswers("HTTP/1.1 " + status + "\r\nContent-Length: 3\r\n\r\nabc", skips, isReusable);
+                BOOST_TEST((*exchange.end == ChannelEnd::Malformed));
+                BOOST_TEST(exchange.status == 0);
+                BOOST_TEST(exchange.body == "");
+                BOOST_TEST(!isReusable);
+            }
+        }
+    }
+}
