Take answers with a line that begins with a blank for malformed

What callers saw: an answer in whose head the name of a field begins with a blank or a tab reached the caller, with that line joined to the header before it. Cause: the library joins such a line to the header before it, as an old form of HTTP allowed, and gives no sign of it. Evidence: process_platform_malformed_heads failed on the former code: 35 of 35 such answers were passed on, on all kinds of requests and as the resumed run of a stream (105 of 105 with each framing of each). The new case of HttpChannelTest failed there with 12 checks, also for interim heads and trailers. Change: HttpChannel has the parser take one part of a response at a time, and looks for such a line in each part that is no body. Why it works: the library takes lines only when it knows that the next one doesn't go on with them, so that the line and the one before it are always in the same part. Bytes of a body, which may look alike, are in parts of their own: rows of the test have them, also byte by byte. Rows of streams that are resumed are played until a second endpoint was asked; before, an entry that had no other one left made a row pass.

--- a/src/HttpChannel.cpp
+++ b/src/HttpChannel.cpp
@@ -142,7 +142,8 @@
 void HttpChannel::prepareParser()
 {
     this->state->parser.emplace();
-    this->state->parser->eager(true);
+    // Each call parses one part of the response: lines or bytes of the body.
+    this->state->parser->eager(false);
     this->state->parser->header_limit(maxResponseHeaderBytes);
     this->state->parser->body_limit(this->state->maxBodyBytes);
     this->state->parser->skip(this->state->isHeadRequest);
@@ -289,20 +290,42 @@
     });
 }
 
-void HttpChannel::parseResponse()
+// Whether the bytes, whole lines of a head, a chunk's header or a trailer, have a line that begins with a blank or a tab. The library joins such a
+// line to the header before it.
+static bool hasFoldedLine(std::string_view lines)
 {
-    boost::system::error_code error;
-    while (this->state->buffer.size() > 0 && !this->state->parser->is_done()) {
-        size_t used = this->state->parser->put(this->state->buffer.data(), error);
-        this->state->buffer.consume(used);
+    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+}
+
+// Parses the bytes that were read. Returns false if they are no valid response.
+bool HttpChannel::parseReceivedBytes()
+{
+    auto& parser = *this->state->parser;
+    auto& buffer = this->state->buffer;
+    while (buffer.size() > 0 && !parser.is_done()) {
+        boost::system::error_code error;
+        size_t bodyBytes = parser.get().body().size();
+        size_t used = parser.put(buffer.data(), error);
+        bool isBody = parser.get().body().size() > bodyBytes;
+        std::string_view usedBytes(static_cast<const char*>(buffer.data().data()), used);
+        if (!isBody && hasFoldedLine(usedBytes))
+            return false;
+        buffer.consume(used);
         // What the parser leaves in the buffer is the beginning of a head, a chunk's header or a trailer, which may have no end.
-        bool isTooLong = error == http::error::need_more && this->state->buffer.size() > maxResponseHeaderBytes;
+        bool isTooLong = error == http::error::need_more && buffer.size() > maxResponseHeaderBytes;
         if (error == http::error::need_more && !isTooLong)
             break;
-        if (error) {
-            this->finishExchange(ChannelEnd::Malformed);
-            return;
-        }
+        if (error)
+            return false;
+    }
+    return true;
+}
+
+void HttpChannel::parseResponse()
+{
+    if (!this->parseReceivedBytes()) {
+        this->finishExchange(ChannelEnd::Malformed);
+        return;
     }
     if (!this->state->hasHead && this->state->parser->is_header_done()) {
         unsigned status = this->state->parser->get().result_int();
--- a/src/HttpChannel.h
+++ b/src/HttpChannel.h
@@ -97,6 +97,7 @@
     void finishResponseWithoutLength();
     void checkAcknowledgmentLater();
     void prepareParser();
+    bool parseReceivedBytes();
     void parseResponse();
     bool statesTooLongBody() const;
     void deliverBody();
--- a/tests/HttpChannelTest.cpp
+++ b/tests/HttpChannelTest.cpp
@@ -481,3 +481,53 @@
         }
     }
 }
+
+// A line that begins with a blank or a tab is no header and doesn't go on with the one before it: not in a head, also of an interim answer, and
+// not in trailers, however the bytes arrive. Such bytes in a body are its own.
+BOOST_AUTO_TEST_CASE(answersWithFoldedLinesAreMalformed)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+    struct Row {
+        std::string bytes;
+        bool isSound;
+    };
+    const std::vector<Row> rows {
+        { head + "Content-Length: 3\r\n x\r\n\r\nabc", false },
+        { head + "Content-Length: 3\r\n\tName: x\r\n\r\nabc", false },
+        { head + "Content-Length:\r\n 3\r\n\r\nabc", false },
+        { head + " x\r\nContent-Length: 3\r\n\r\nabc", false },
+        { head + "Content-Length: 3\r\n \r\n\r\nabc", false },
+        { head + "X: 1\r\n x\r\n" + chunks + "\r\n", false },
+        { head + chunks + "X: 1\r\n x\r\n\r\n", false },
+        { head + chunks + "X: 1\r\n\tx\r\n\r\n", false },
+        { "HTTP/1.1 103 Early Hints\r\nX: 1\r\n x\r\n\r\n" + head + "Content-Length: 3\r\n\r\nabc", false },
+        { head + "Content-Length: 6\r\n\r\n\r\n \n\tx", true },
+        { head + "Transfer-Encoding: chunked\r\n\r\n3\r\n\r\n \r\n3\r\n\n\tx\r\n0\r\nX: 1\r\n\r\n", true },
+        { "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n" + head + "Content-Length: 6\r\n\r\n\r\n \n\tx", true },
+    };
+    for (const auto& row : rows) {
+        for (bool arrivesInBytes : { false, true }) {
+            EventLoop loop { 1 };
+            asio::ip::tcp::acceptor acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+            auto channel = std::make_shared<HttpChannel>(loop, Address { "127.0.0.1", acceptor.local_endpoint().port() }, ChannelTimeouts {});
+            Exchange exchange;
+            exchange.startExchange(channel, makeGetRequest());
+            auto socket = acceptor.accept();
+            socket.set_option(asio::ip::tcp::no_delay(true));
+            size_t pieceBytes = arrivesInBytes ? 1 : row.bytes.size();
+            for (size_t i = 0; i < row.bytes.size() && !exchange.end; i += pieceBytes) {
+                asio::write(socket, asio::buffer(row.bytes.data() + i, pieceBytes));
+                loop.restart();
+                loop.run_for(Milliseconds(1));
+            }
+            BOOST_TEST_CONTEXT(row.bytes << (arrivesInBytes ? " byte by byte" : " at once"))
+            {
+                runUntil(loop, [&] { return exchange.end.has_value(); });
+                BOOST_TEST((*exchange.end == (row.isSound ? ChannelEnd::Complete : ChannelEnd::Malformed)));
+                if (row.isSound)
+                    BOOST_TEST(exchange.body == "\r\n \n\tx");
+            }
+        }
+    }
+}
--- a/tests/malformed_heads.py
+++ b/tests/malformed_heads.py
@@ -5,6 +5,8 @@
 # Lines in place of a header; a head has a sound one before and after them.
 NAMES = ("Bad Name", "Bad\tName", "Bad\x01Name", "Bad\x7fName", "Bad\x00Name", "Bad\rName", "Bad\nName", "Name ", "Name\t", "\x0bName", "Name\x1f")
 FIELD_LINES = tuple(name + value for name in NAMES for value in (": x", ":")) + (": x", "no colon")
+# Lines that begin with a blank or a tab, as if they went on with the line before.
+FOLDED_LINES = (" Name: x", "\tName: x", " Name:", " x", "\tx", " ", "\t")
 # Ways in which the end of a body is told: the header, and the body `text` so framed.
 FRAMINGS = {
     "length": lambda text: (f"Content-Length: {len(text)}", text),
--- a/tests/process_platform_malformed_heads.py
+++ b/tests/process_platform_malformed_heads.py
@@ -47,6 +47,14 @@
     return status, body, is_whole, sum(len(endpoint.requests) for endpoint in fleet.endpoints_of[path])
 
 
+def play_until_sent(fleet, entry, path, framing, is_resumed, head):
+    """Plays again while no endpoint, or no second one for a stream to be resumed, is left to try after earlier failures."""
+    def play_once():
+        result = play(fleet, entry, path, framing, is_resumed, **head)
+        return result if result[3] >= (2 if is_resumed else 1) else None
+    return harness.wait_until(play_once, 10, f"{path} reaches an endpoint that sends {head}")
+
+
 def whole_body(path):
     return b"".join(EVENTS) if path in STREAMS else b"done"
 
@@ -65,7 +73,7 @@
     wrong = tries = 0
     for head, (path, is_resumed) in itertools.product(heads, fleet.kinds):
         framing = list(malformed_heads.FRAMINGS)[tries % len(malformed_heads.FRAMINGS)]
-        status, body, is_whole, sent = play(fleet, entry, path, framing, is_resumed, **head)
+        status, body, is_whole, sent = play_until_sent(fleet, entry, path, framing, is_resumed, head)
         tries += 1
         if not is_right(path, is_resumed, status, body, is_whole, sent):
             wrong += 1
@@ -94,17 +102,18 @@
         fleet.add_route("/fixed/", "fixed", "streaming", **{"can-resume": False})
         fleet.publish()
         fleet.kinds = (("/plain/", False), ("/once/", False), ("/stream/", False), ("/stream/", True), ("/fixed/", False))
-        fleet.endpoints_of = {path: [bare_server.BareEndpoint(f"{path.strip('/')}-{number}") for number in range(3)] for path, _ in fleet.kinds}
+        fleet.endpoints_of = {path: [bare_server.BareEndpoint(f"{path.strip('/')}-{number}") for number in range(6)] for path, _ in fleet.kinds}
         for path, endpoints in fleet.endpoints_of.items():
             for endpoint in endpoints:
                 fleet.list_endpoint(endpoint, path.strip("/"))
                 fleet.stand_ins.append(endpoint)
         entry = fleet.start_entry(repeat_extra=1_000_000)
         fleet.wait_ready(entry)
-        harness.wait_until(lambda: len([line for line in entry.events("belief_changed") if line["what"] == "endpoint_listed"]) >= 12, 10, "all endpoints are known")
+        harness.wait_until(lambda: len([line for line in entry.events("belief_changed") if line["what"] == "endpoint_listed"]) >= 24, 10, "all endpoints are known")
         test_sound(fleet, entry)
         test_malformed(fleet, entry, "a status that is none", [{"status_line": line} for line in malformed_heads.STATUS_LINES])
         test_malformed(fleet, entry, "a line that is no header", [{"field_line": line} for line in malformed_heads.FIELD_LINES])
+        test_malformed(fleet, entry, "a line that begins with a blank", [{"field_line": line} for line in malformed_heads.FOLDED_LINES])
         assert entry.process.poll() is None, f"the entry ended by itself with code {entry.process.poll()}"
 
 
