Allow each letter and digit in the sound names of the tests

Change: the row of a sound name has all characters that a name may have, endpoints of the tests are made once a path, and the comment on HttpClientPool is one paragraph.

--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -63,8 +63,7 @@
 /// Pool of idle connections by address, with a thread that sends all requests and receives all responses. Thread safe.
 class HttpClientPool {
 public:
-    /// Starts the thread.
-    /// `localAddress` is the IP address that connections are made from; if it is empty, the system chooses one.
+    /// Starts the thread. `localAddress` is the IP address that connections are made from; if it is empty, the system chooses one.
     explicit HttpClientPool(const std::string& localAddress = {});
     ~HttpClientPool();
     HttpClientPool(const HttpClientPool&) = delete;
--- a/tests/bare_server.py
+++ b/tests/bare_server.py
@@ -113,7 +113,7 @@
 
 def add_endpoints(fleet, paths, count=6, **how):
     """Lists `count` endpoints for the service that is named like each path; gives them by path."""
-    endpoints = {path: [BareEndpoint(f"{path.strip('/')}-{number}", **how) for number in range(count)] for path in paths}
+    endpoints = {path: [BareEndpoint(f"{path.strip('/')}-{number}", **how) for number in range(count)] for path in dict.fromkeys(paths)}
     for path, row in endpoints.items():
         for endpoint in row:
             fleet.list_endpoint(endpoint, path.strip("/"))
--- a/tests/malformed_heads.py
+++ b/tests/malformed_heads.py
@@ -1,5 +1,7 @@
 """Heads of answers that are no HTTP, and others that look odd and are sound."""
 
+import string
+
 # Status lines whose status is none.
 STATUS_LINES = tuple("HTTP/1.1 " + status for status in ("000", "000 Broken", "001 OK", "099 OK", "0 OK", "20 OK", "2000 OK", "+20 OK", "-20 OK", "2x0 OK"))
 # Lines in place of a header; a head has a sound one before and after them.
@@ -14,4 +16,4 @@
     "no length": lambda text: ("Connection: close", text),
 }
 SOUND_STATUS_LINES = ("HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK")
-SOUND_FIELD_LINES = ("!#$%&'*+-.^_`|~0123456789azAZ: x", "Name:x", "Name: ", "Name:", "Name: a b\tc", "Name: \x80\xff", "Name:  x \t", "Name: a%0d%0ab")
+SOUND_FIELD_LINES = ("!#$%&'*+-.^_`|~" + string.digits + string.ascii_letters + ": x", "Name:x", "Name: ", "Name:", "Name: a b\tc", "Name: \x80\xff", "Name:  x \t", "Name: a%0d%0ab")
